Lay out the workspace with its shared types and outside protocols

Cause: an empty repository; the parts are to be written side by side. Conclusion: the interfaces below which the crates are written are fixed here.

--- /dev/null
+++ b/crates/caraway-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/caraway-types/src/lib.rs
@@ -0,0 +1,21 @@
+//! Shared vocabulary of carawayworks: identifiers, adapter references, request classes,
+//! refusals and findings.
+//!
+//! Every other crate speaks in these types; none of them does I/O.
+
+mod adapter_ref;
+mod class;
+mod finding;
+mod ids;
+mod millis;
+mod refusal;
+
+pub use adapter_ref::{AdapterRef, AdapterRefError};
+pub use class::Class;
+pub use finding::{Finding, Findings};
+pub use ids::{
+    AccountId, AdapterId, AttemptId, EndpointId, Fence, Incarnation, InstanceId, LoadName, Offset,
+    RequestId, Ticket, VersionId, ZoneId,
+};
+pub use millis::Millis;
+pub use refusal::{Certainty, Reason, Refusal};
