Add the clients of engine, log, list and peers

Cause: the daemon and the operators' tool need one client for each outside protocol. Change: caraway-wire gets Http (pooled, one per thread, no library timeout, no limit of connections), EngineClient, LogClient, ListClient, PeerClient; CallError says how far a call got, as only a call that was not sent is known to have had no effect.

--- a/crates/caraway-wire/src/lib.rs
+++ b/crates/caraway-wire/src/lib.rs
@@ -2,6 +2,19 @@
 //! system, so that a changed path or field touches one file.
 
 pub mod engine;
+mod engine_client;
+mod events;
+mod http;
 pub mod list;
+mod list_client;
 pub mod log;
+mod log_client;
+mod peer_client;
 pub mod service;
+
+pub use engine_client::{ChunkStream, EngineClient, EngineFault};
+pub use events::EventStream;
+pub use http::{CallError, Http};
+pub use list_client::ListClient;
+pub use log_client::LogClient;
+pub use peer_client::PeerClient;
