--- /dev/null
+++ b/crates/caraway-measure/src/flags.rs
@@ -0,0 +1,30 @@
+//! Command line of `caraway-measure`.
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Measures decisions and paths of carawayworks.
+    cmd measure {
+        /// Runs placement policies side by side on the same arrivals under a virtual clock.
+        cmd policy {
+            /// `cooperative` or `rodopa`.
+            optional --deployment deployment: String
+            /// Seed of arrivals and faults.
+            optional --seed seed: u64
+            /// Adapter slots of a replica.
+            optional --slots slots: u32
+            /// Arrivals per second.
+            optional --rate rate: f64
+            /// `steady`, `shift`, `restart`, `store-slow`, `store-down`, `zone-cut` or `flood`.
+            optional --scenario scenario: String
+            /// Runs this policy only.
+            optional --policy policy: String
+            /// Simulated seconds.
+            optional --seconds seconds: u64
+            /// Prints JSON.
+            optional --json
+            /// Writes an SVG plot here.
+            optional --plot plot: PathBuf
+        }
+    }
+}
--- a/crates/caraway-measure/src/main.rs
+++ b/crates/caraway-measure/src/main.rs
@@ -1,3 +1,12 @@
-//! Placeholder.
+//! `caraway-measure` measures decisions and paths.
+//!
+//! Each subcommand is a module of its own with a `run` function; [`flags`] lists them.
 
-fn main() {}
+mod flags;
+mod policy;
+
+fn main() -> anyhow::Result<()> {
+    match flags::Measure::from_env_or_exit().subcommand {
+        flags::MeasureCmd::Policy(args) => policy::run(&args),
+    }
+}
--- a/crates/caraway-node/src/input.rs
+++ b/crates/caraway-node/src/input.rs
@@ -8,6 +8,8 @@
     AccountId, AdapterRef, Class, EndpointId, Fence, Incarnation, InstanceId, LoadName, Ticket,
 };
 
+use crate::{Gossip, ListedMember};
+
 /// An event for a node.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -23,6 +25,10 @@
     Unloaded(EndpointId, LoadName, bool),
     /// An engine's load report.
     Report(EndpointId, EngineReport),
+    /// A peer's message.
+    Gossip(Gossip),
+    /// The platform's lagging list of instances and endpoints.
+    Listing(Vec<ListedMember>),
     /// Nothing happened for a while.
     Tick,
     /// This instance is to stop gracefully.
--- a/crates/caraway-node/src/output.rs
+++ b/crates/caraway-node/src/output.rs
@@ -4,8 +4,10 @@
     AdapterRef, AttemptId, EndpointId, Fence, InstanceId, LoadName, Refusal, Ticket,
 };
 
+use crate::Gossip;
+
 /// An action of a node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Starts an attempt on an engine; the load is pinned until the attempt's
     /// [`Finished`](crate::Input::Finished).
@@ -49,6 +51,13 @@
         /// The holder's fencing token.
         fence: Fence,
     },
+    /// Sends a message to a peer.
+    Gossip {
+        /// The peer.
+        peer: InstanceId,
+        /// The message.
+        gossip: Gossip,
+    },
     /// Orders an unload.
     Unload {
         /// The engine.
