Fold operators' records by offset

Cause: routing, calls and the daemon need the configuration in typed form. Change: caraway-records has the record envelope, the bodies (adapter in two schemas with the upgrade), the fold with bases, record ids, tombstones and an incremental digest, and resolve. The envelope alone decides on acceptance, so instances that know different schemas agree.

--- /dev/null
+++ b/crates/caraway-records/src/body/routing.rs
@@ -0,0 +1,75 @@
+//! [`Routing`]: the weights and limits by which requests are placed.
+
+use serde::{Deserialize, Serialize};
+
+use caraway_types::{Class, Findings, Millis};
+
+use crate::fields::Fields;
+
+/// Longest time that a class may be given, one week in milliseconds.
+const DEADLINE_MAX_MS: u64 = 7 * 24 * 3600 * 1000;
+
+/// The routing configuration of a deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Routing {
+    /// Cost of a request that waits for its adapter.
+    pub stall_weight: f64,
+    /// Cost of a batch that runs with empty places.
+    pub batch_weight: f64,
+    /// Requests that may wait on one instance.
+    pub max_queued: u32,
+    /// Time for a whole answer where the caller gives no deadline, interactive class.
+    pub interactive_ms: Millis,
+    /// The same for the summary class.
+    pub summary_ms: Millis,
+    /// The same for the batch class.
+    pub batch_ms: Millis,
+}
+
+impl Default for Routing {
+    fn default() -> Self {
+        Self {
+            stall_weight: 1.0,
+            batch_weight: 1.0,
+            max_queued: 2_000,
+            interactive_ms: Millis::new(30_000),
+            summary_ms: Millis::new(600_000),
+            batch_ms: Millis::new(8 * 3600 * 1000),
+        }
+    }
+}
+
+impl Routing {
+    /// Returns the time for a whole answer where the caller gives no deadline.
+    #[must_use]
+    pub fn deadline(&self, class: Class) -> Millis {
+        match class {
+            Class::Interactive => self.interactive_ms,
+            Class::Summary => self.summary_ms,
+            Class::Batch => self.batch_ms,
+        }
+    }
+
+    /// Reads schema 1.
+    pub(crate) fn read(fields: &mut Fields<'_>, found: &mut Findings) -> Self {
+        let default = Self::default();
+        let weights = (0.0, 1_000.0);
+        let queued = u64::from(default.max_queued);
+        let queued = fields.whole("max_queued", u64::from(u32::MAX), queued, found);
+        let mut time = |name, default: Millis| {
+            Millis::from(fields.whole(name, DEADLINE_MAX_MS, default.into(), found))
+        };
+        let interactive_ms = time("interactive_ms", default.interactive_ms);
+        let summary_ms = time("summary_ms", default.summary_ms);
+        let batch_ms = time("batch_ms", default.batch_ms);
+        Self {
+            stall_weight: fields.number("stall_weight", weights, default.stall_weight, found),
+            batch_weight: fields.number("batch_weight", weights, default.batch_weight, found),
+            max_queued: u32::try_from(queued).unwrap_or(u32::MAX),
+            interactive_ms,
+            summary_ms,
+            batch_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/caraway-records/src/fields.rs
@@ -0,0 +1,163 @@
+//! [`Fields`] reads a JSON object field by field and collects every finding with its JSON pointer.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use serde_json::{Map, Value};
+
+use caraway_types::Findings;
+
+/// Reads one JSON object.
+pub(crate) struct Fields<'a> {
+    map: &'a Map<String, Value>,
+    place: String,
+    known: BTreeSet<&'static str>,
+}
+
+impl<'a> Fields<'a> {
+    /// Starts to read `value` at `place`; reports a value that is not an object.
+    pub(crate) fn new(value: &'a Value, place: &str, found: &mut Findings) -> Option<Self> {
+        let map = value.as_object();
+        if map.is_none() {
+            found.add(place, "expected an object");
+        }
+        Some(Self {
+            map: map?,
+            place: place.to_owned(),
+            known: BTreeSet::new(),
+        })
+    }
+
+    /// Returns the JSON pointer of a field.
+    pub(crate) fn pointer(&self, name: &str) -> String {
+        let escaped = name.replace('~', "~0").replace('/', "~1");
+        format!("{}/{escaped}", self.place)
+    }
+
+    /// Returns a field that is present and not null.
+    pub(crate) fn optional(&mut self, name: &'static str) -> Option<&'a Value> {
+        self.known.insert(name);
+        self.map.get(name).filter(|v| !v.is_null())
+    }
+
+    /// Returns a text that passes `check`; reports one that is missing or does not.
+    pub(crate) fn text(
+        &mut self,
+        name: &'static str,
+        expected: &str,
+        check: impl Fn(&str) -> bool,
+        found: &mut Findings,
+    ) -> Arc<str> {
+        if self.optional(name).is_none() {
+            found.add(self.pointer(name), format!("missing, expected {expected}"));
+        }
+        self.optional_text(name, expected, check, found)
+            .unwrap_or_default()
+    }
+
+    /// Returns a text that passes `check`, if the field is present.
+    pub(crate) fn optional_text(
+        &mut self,
+        name: &'static str,
+        expected: &str,
+        check: impl Fn(&str) -> bool,
+        found: &mut Findings,
+    ) -> Option<Arc<str>> {
+        let value = self.optional(name)?;
+        let text = value.as_str().filter(|t| check(t));
+        if text.is_none() {
+            found.add(self.pointer(name), format!("expected {expected}"));
+        }
+        text.map(Arc::from)
+    }
+
+    /// Returns a list of texts that pass `check`; an absent field is an empty list.
+    pub(crate) fn texts(
+        &mut self,
+        name: &'static str,
+        expected: &str,
+        check: impl Fn(&str) -> bool,
+        found: &mut Findings,
+    ) -> Vec<Arc<str>> {
+        let Some(value) = self.optional(name) else {
+            return Vec::new();
+        };
+        let Some(list) = value.as_array() else {
+            found.add(self.pointer(name), "expected a list");
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for (i, item) in list.iter().enumerate() {
+            match item.as_str().filter(|t| check(t)) {
+                Some(text) => texts.push(Arc::from(text)),
+                None => found.add(
+                    format!("{}/{i}", self.pointer(name)),
+                    format!("expected {expected}"),
+                ),
+            }
+        }
+        texts
+    }
+
+    /// Returns a number between `min` and `max`, or `default` when the field is absent.
+    pub(crate) fn number(
+        &mut self,
+        name: &'static str,
+        (min, max): (f64, f64),
+        default: f64,
+        found: &mut Findings,
+    ) -> f64 {
+        let Some(value) = self.optional(name) else {
+            return default;
+        };
+        let number = value.as_f64().filter(|n| (min..=max).contains(n));
+        if number.is_none() {
+            found.add(
+                self.pointer(name),
+                format!("expected a number from {min} to {max}"),
+            );
+        }
+        number.unwrap_or(default)
+    }
+
+    /// Returns a whole number up to `max`, or `default` when the field is absent.
+    pub(crate) fn whole(
+        &mut self,
+        name: &'static str,
+        max: u64,
+        default: u64,
+        found: &mut Findings,
+    ) -> u64 {
+        let Some(value) = self.optional(name) else {
+            return default;
+        };
+        let number = value.as_u64().filter(|n| *n <= max);
+        if number.is_none() {
+            found.add(
+                self.pointer(name),
+                format!("expected a whole number from 0 to {max}"),
+            );
+        }
+        number.unwrap_or(default)
+    }
+
+    /// Returns a truth value, or `default` when the field is absent.
+    pub(crate) fn flag(&mut self, name: &'static str, default: bool, found: &mut Findings) -> bool {
+        let Some(value) = self.optional(name) else {
+            return default;
+        };
+        let flag = value.as_bool();
+        if flag.is_none() {
+            found.add(self.pointer(name), "expected true or false");
+        }
+        flag.unwrap_or(default)
+    }
+
+    /// Reports every field that was not read.
+    pub(crate) fn finish(self, found: &mut Findings) {
+        for name in self.map.keys() {
+            if !self.known.contains(name.as_str()) {
+                found.add(self.pointer(name), "unknown field");
+            }
+        }
+    }
+}
--- a/crates/caraway-records/src/lib.rs
+++ b/crates/caraway-records/src/lib.rs
@@ -1,1 +1,29 @@
-//! Placeholder.
+//! Operators' versioned records and the deterministic fold of the log that carries them.
+//!
+//! - [`Record`] is one record: an envelope that every program version reads, and a [`Body`].
+//! - [`State`] folds records by offset; [`Outcome`] says what became of each.
+//! - [`Adapter`], [`AdapterVersion`], [`Account`], [`Routing`], [`Objective`] and [`Service`] are
+//!   the bodies in their newest schema; older schemas are upgraded when they are read.
+//!
+//! Nothing here does I/O or reads a clock.
+
+mod body;
+mod digest;
+mod fields;
+mod head;
+mod ids;
+mod limits;
+mod outcome;
+mod record;
+mod resolve;
+mod state;
+mod values;
+
+pub use body::{
+    Account, Adapter, AdapterVersion, Body, Kind, Measure, Objective, Routing, Service,
+};
+pub use limits::{CHUNK_LIMIT, ID_WINDOW, KEY_LIMIT, RECORD_LIMIT, TEXT_LIMIT, TOMBSTONE_WINDOW};
+pub use outcome::{Outcome, RefusedRecord};
+pub use record::Record;
+pub use resolve::ResolveError;
+pub use state::State;
--- /dev/null
+++ b/crates/caraway-records/src/values.rs
@@ -0,0 +1,145 @@
+//! [`Values`]: the configuration in force, in typed form.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use caraway_types::{AccountId, AdapterId, AdapterRef, Findings, VersionId};
+
+use crate::{
+    Account, Adapter, AdapterVersion, Body, Kind, Objective, ResolveError, Routing, Service,
+};
+
+/// Versions of one adapter.
+type Versions = BTreeMap<VersionId, AdapterVersion>;
+
+/// Everything that is in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Values {
+    pub(crate) adapters: HashMap<AdapterId, Arc<Adapter>>,
+    pub(crate) versions: HashMap<AdapterId, Arc<Versions>>,
+    pub(crate) accounts: HashMap<AccountId, Arc<Account>>,
+    pub(crate) objectives: BTreeMap<Arc<str>, Arc<Objective>>,
+    pub(crate) services: BTreeMap<Arc<str>, Arc<Service>>,
+    pub(crate) routing: Arc<Routing>,
+}
+
+impl Values {
+    /// Puts a body in force.
+    pub(crate) fn set(&mut self, key: &Arc<str>, body: Body) {
+        let key = key.clone();
+        match body {
+            Body::Adapter(body) => drop(self.adapters.insert(key, body.into())),
+            Body::AdapterVersion(body) => self.set_version(&key, body),
+            Body::Routing(body) => self.routing = body.into(),
+            Body::Account(body) => drop(self.accounts.insert(key, body.into())),
+            Body::Objective(body) => drop(self.objectives.insert(key, body.into())),
+            Body::Service(body) => drop(self.services.insert(key, body.into())),
+        }
+    }
+
+    /// Takes what a key governs out of force.
+    pub(crate) fn remove(&mut self, kind: Kind, key: &str) {
+        match kind {
+            Kind::Adapter => drop(self.adapters.remove(key)),
+            Kind::AdapterVersion => self.remove_version(key),
+            Kind::Routing => self.routing = Arc::default(),
+            Kind::Account => drop(self.accounts.remove(key)),
+            Kind::Objective => drop(self.objectives.remove(key)),
+            Kind::Service => drop(self.services.remove(key)),
+        }
+    }
+
+    /// Reports references of `body` to what is not in force.
+    pub(crate) fn check_references(&self, key: &str, body: &Body, found: &mut Findings) {
+        match body {
+            Body::Adapter(adapter) => {
+                self.check_version(key, &adapter.serve, "/body/serve", found);
+                for (i, version) in adapter.warm.iter().enumerate() {
+                    self.check_version(key, version, &format!("/body/warm/{i}"), found);
+                }
+            }
+            Body::Objective(Objective {
+                account: Some(account),
+                ..
+            }) if !self.accounts.contains_key(account) => {
+                found.add("/body/account", format!("no client account {account}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// Reports what still refers to a key that is to be deleted.
+    pub(crate) fn check_unused(&self, kind: Kind, key: &str, found: &mut Findings) {
+        match kind {
+            Kind::AdapterVersion => {
+                let Ok(name) = key.parse::<AdapterRef>() else {
+                    return;
+                };
+                let adapter = self.adapters.get(&name.adapter);
+                let uses =
+                    |a: &Arc<Adapter>| a.serve == name.version || a.warm.contains(&name.version);
+                if adapter.is_some_and(uses) {
+                    found.add("/key", format!("adapter {} uses it", name.adapter));
+                }
+            }
+            Kind::Account => {
+                let uses = |o: &Arc<Objective>| o.account.as_deref() == Some(key);
+                for (name, _) in self.objectives.iter().filter(|(_, o)| uses(o)) {
+                    found.add("/key", format!("objective {name} uses it"));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the adapter version that a model name names.
+    pub(crate) fn resolve(&self, model: &str) -> Result<AdapterRef, ResolveError> {
+        let (adapter, version) = match model.split_once('@') {
+            Some((adapter, version)) => (adapter, Some(version)),
+            None => (model, None),
+        };
+        if !AdapterRef::is_name(adapter) || !version.is_none_or(AdapterRef::is_name) {
+            return Err(ResolveError::BadName);
+        }
+        let served = self.adapters.get(adapter).map(|a| &*a.serve);
+        let versions = self.versions.get_key_value(adapter);
+        if served.is_none() && versions.is_none() {
+            return Err(ResolveError::UnknownAdapter);
+        }
+        let version = version.or(served).ok_or(ResolveError::UnknownVersion)?;
+        let (adapter, versions) = versions.ok_or(ResolveError::UnknownVersion)?;
+        let (version, _) = versions
+            .get_key_value(version)
+            .ok_or(ResolveError::UnknownVersion)?;
+        Ok(AdapterRef::new(adapter.clone(), version.clone()))
+    }
+
+    fn check_version(&self, adapter: &str, version: &str, place: &str, found: &mut Findings) {
+        let versions = self.versions.get(adapter);
+        if !versions.is_some_and(|v| v.contains_key(version)) {
+            found.add(place, format!("no adapter version {adapter}@{version}"));
+        }
+    }
+
+    fn set_version(&mut self, key: &str, body: AdapterVersion) {
+        if let Ok(name) = key.parse::<AdapterRef>() {
+            let versions = self.versions.entry(name.adapter).or_default();
+            Arc::make_mut(versions).insert(name.version, body);
+        }
+    }
+
+    fn remove_version(&mut self, key: &str) {
+        let Ok(name) = key.parse::<AdapterRef>() else {
+            return;
+        };
+        if let Some(versions) = self.versions.get_mut(&name.adapter) {
+            let versions = Arc::make_mut(versions);
+            versions.remove(&name.version);
+            if versions.is_empty() {
+                self.versions.remove(&name.adapter);
+            }
+        }
+    }
+}
