Add a thin Members: rendezvous holders per zone, heartbeats and listing

Liveness is by heartbeats alone, a holder's right is not yet a lease: take-over, fencing between rivals and leaving follow behind the same signatures. One test (three instances, eight replicas, each with one holder) passes.

--- a/crates/caraway-members/src/lib.rs
+++ b/crates/caraway-members/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! Decides which instances and endpoints are live, leaving or gone, and which instance holds each
+//! replica. No part does I/O; the caller passes the time.
+//!
+//! - [`Members`] is the state machine of one instance, set up by [`Me`], [`MemberSettings`] and
+//!   [`EndpointInfo`]s. It takes [`Heartbeat`]s of peers and the platform's list as
+//!   [`ListedMember`]s and reports [`MemberEvent`]s.
+//! - [`Right`] says what this instance may order on a replica now.
+//! - [`Presence`] is the state of an instance or endpoint.
+
+mod event;
+mod heartbeat;
+mod members;
+mod rendezvous;
+mod right;
+mod settings;
+
+pub use event::MemberEvent;
+pub use heartbeat::{Ack, Heartbeat, Holding, Mark};
+pub use members::Members;
+pub use right::{Presence, Right};
+pub use settings::{EndpointInfo, ListedMember, Me, MemberSettings};
