Serve completions through a thin daemon

Cause: the whole path needs a process between callers and engines. Change: caraway-entry with a thread for each duty (http, control, orders, peers, log), completions and chat completions streamed and whole, requests passed on to the holder, checked settings with every finding at once, numbered JSON logs, graceful stop. Conclusion: decisions stay in caraway-node; this crate only carries them out.

--- /dev/null
+++ b/crates/caraway-entry/src/entry.rs
@@ -0,0 +1,159 @@
+//! [`Entry`] starts, drains and stops a daemon.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, atomic::Ordering},
+    thread::JoinHandle,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::{Context, Result};
+use caraway_node::{Input, Node, NodeSettings};
+use caraway_records::State;
+use caraway_ring::ring;
+use caraway_wire::CallError;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::{
+    EndpointKind, EndpointSettings, Settings,
+    control::ControlThread,
+    events::emit,
+    follow,
+    http::{self, Server},
+    orders, peers,
+    shared::{Control, Shared},
+    threads,
+};
+
+/// Interval at which a graceful stop looks for requests in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    server: Server,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    /// Binds the address and starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address can't be bound or a thread can't be started.
+    pub fn start(settings: Settings, log: Logger) -> Result<Self> {
+        let listener = TcpListener::bind(settings.listen)
+            .with_context(|| format!("/listen: can't bind {}", settings.listen))?;
+        let addr = listener.local_addr().context("/listen: no address")?;
+        let capacity = settings.limits.ring;
+        let (control, inbox) = ring(capacity);
+        let (orders, order_inbox) = ring(capacity);
+        let (beats, beat_inbox) = ring(capacity);
+        let (publish, config) = watch::channel(Arc::new(State::default()));
+        let shared = Shared::new(settings, addr, incarnation(), control, config, log);
+        let shared = Arc::new(shared);
+
+        let mut threads = Vec::new();
+        let (node, own) = (node(&shared), Arc::clone(&shared));
+        threads.push(threads::spawn_timer("control", move || {
+            ControlThread::new(own, node, inbox, orders, beats).run()
+        })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("orders", move || {
+            report(Arc::clone(&own), "orders", orders::run(own, order_inbox))
+        })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("peers", move || {
+            report(Arc::clone(&own), "peers", peers::run(own, beat_inbox))
+        })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("log", move || {
+            report(Arc::clone(&own), "log", follow::run(own, publish))
+        })?);
+        let (server, thread) = http::start(&shared, listener)?;
+        threads.push(thread);
+        emit!(shared.log, info, Started; "addr" => %addr);
+        Ok(Self {
+            shared,
+            server,
+            threads,
+        })
+    }
+
+    /// Returns the address that the daemon listens on.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.shared.addr
+    }
+
+    /// Stops gracefully: refuses new requests, hands over, and waits for those in flight.
+    pub fn drain(self) {
+        emit!(self.shared.log, info, Draining);
+        self.shared.leaving.store(true, Ordering::Release);
+        let _ = self.shared.control.push(Control::Input(Input::Leave));
+        let limit = self.shared.settings.times.drain_ms.get();
+        let start = std::time::Instant::now();
+        while self.shared.in_flight.load(Ordering::Acquire) > 0 && start.elapsed() < limit {
+            std::thread::sleep(DRAIN_POLL);
+        }
+        self.stop();
+    }
+
+    /// Stops at once.
+    pub fn stop(self) {
+        self.server.stop();
+        let _ = self.shared.control.push(Control::Stop);
+        emit!(self.shared.log, info, Stopped);
+        let Self {
+            shared, threads, ..
+        } = self;
+        drop(shared);
+        for thread in threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Makes the node that the settings describe.
+fn node(shared: &Shared) -> Node {
+    let endpoint = |e: &EndpointSettings| caraway_node::EndpointSettings {
+        id: Arc::clone(&e.id),
+        zone: Arc::clone(&e.zone),
+        slots: e.slots,
+        max_batch: e.max_batch,
+        checks_fencing: e.checks_fencing,
+        kind: match e.kind {
+            EndpointKind::Engine => caraway_node::EndpointKind::Engine,
+            EndpointKind::Service => caraway_node::EndpointKind::Service,
+        },
+    };
+    let settings = NodeSettings {
+        id: Arc::clone(&shared.settings.instance),
+        zone: Arc::clone(&shared.settings.zone),
+        incarnation: shared.incarnation,
+        endpoints: shared.settings.endpoints.iter().map(endpoint).collect(),
+        ..NodeSettings::default()
+    };
+    Node::new(settings, tokio::time::Instant::now().into_std())
+}
+
+/// Logs the failure of a thread's duty.
+async fn report(
+    shared: Arc<Shared>,
+    name: &'static str,
+    duty: impl Future<Output = Result<(), CallError>>,
+) {
+    if let Err(error) = duty.await {
+        emit!(shared.log, error, ThreadFailed; "thread" => name, "error" => %error);
+    }
+}
+
+/// Returns a number that rises with each start of this instance.
+fn incarnation() -> u64 {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/caraway-entry/src/events.rs
@@ -0,0 +1,99 @@
+//! Numbered log events; docs/EVENTS.md is their catalogue.
+
+use slog::{Drain, Logger, o};
+
+/// Declares the events with their numbers and names.
+macro_rules! events {
+    ($($(#[$doc:meta])* $name:ident = $code:literal, $text:literal;)*) => {
+        /// A log event; its number stays the same for ever.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[$doc])* $name = $code,)*
+        }
+
+        impl Event {
+            /// Every event, in the order of the numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// Returns the event's number.
+            #[must_use]
+            pub const fn code(self) -> u16 {
+                self as u16
+            }
+
+            /// Returns the event's message.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// The daemon serves.
+    Started = 100, "started";
+    /// The daemon was told to stop and drains.
+    Draining = 101, "draining";
+    /// The daemon stopped.
+    Stopped = 102, "stopped";
+    /// A thread of the daemon ended early.
+    ThreadFailed = 103, "thread failed";
+    /// A ring between two threads is full.
+    RingFull = 104, "ring full";
+    /// A configuration record came into force.
+    RecordAccepted = 200, "record accepted";
+    /// A configuration record was refused at its offset, as on every instance.
+    RecordRefused = 201, "record refused";
+    /// The log can't be read.
+    LogUnreachable = 202, "log unreachable";
+    /// The log can be read again.
+    LogReachable = 203, "log reachable";
+    /// The list can't be read.
+    ListUnreachable = 210, "list unreachable";
+    /// The list can be read again.
+    ListReachable = 211, "list reachable";
+    /// A peer does not answer.
+    PeerUnreachable = 220, "peer unreachable";
+    /// A load was ordered.
+    LoadOrdered = 300, "load ordered";
+    /// A load ended.
+    LoadEnded = 301, "load ended";
+    /// An unload was ordered.
+    UnloadOrdered = 302, "unload ordered";
+    /// An unload ended.
+    UnloadEnded = 303, "unload ended";
+    /// An engine gives no load report.
+    ReportMissing = 304, "load report missing";
+    /// A request was refused.
+    Refused = 400, "request refused";
+    /// A chunk did not belong to its attempt and was dropped.
+    ChunkDropped = 401, "chunk dropped";
+    /// A broken stream was resumed.
+    StreamResumed = 402, "stream resumed";
+    /// An attempt failed.
+    AttemptFailed = 403, "attempt failed";
+    /// A caller left before its answer was whole.
+    CallerLeft = 404, "caller left";
+}
+
+/// Logs an [`Event`] with its number, and key-value pairs after a semicolon.
+macro_rules! emit {
+    ($log:expr, $level:ident, $event:ident $(; $($kv:tt)*)?) => {{
+        let event = $crate::events::Event::$event;
+        slog::$level!($log, "{}", event.text(); "event" => event.code() $(, $($kv)*)?);
+    }};
+}
+pub(crate) use emit;
+
+/// Makes a logger that writes JSON lines to standard error from a thread of its own.
+pub fn json_logger(instance: &str, zone: &str) -> Logger {
+    let drain = slog_json::Json::default(std::io::stderr()).fuse();
+    let drain = slog_async::Async::new(drain).build().fuse();
+    Logger::root(
+        drain,
+        o!("instance" => instance.to_owned(), "zone" => zone.to_owned()),
+    )
+}
--- /dev/null
+++ b/crates/caraway-entry/src/guard.rs
@@ -0,0 +1,90 @@
+//! [`Guard`] ends a request exactly once, whichever way its handler ends.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use caraway_node::{Done, Input, Submission};
+use caraway_types::{Reason, Refusal, Ticket};
+use tokio::sync::oneshot;
+
+use crate::{
+    events::emit,
+    shared::{Control, Shared, Verdict},
+};
+
+/// Holds a request's place; dropped early, it cancels the request.
+#[derive(Debug)]
+pub(crate) struct Guard {
+    shared: Arc<Shared>,
+    ticket: Ticket,
+    open: bool,
+}
+
+impl Guard {
+    /// Submits a request and waits for the verdict.
+    pub(crate) async fn submit(shared: &Arc<Shared>, submission: Submission) -> (Self, Verdict) {
+        shared.in_flight.fetch_add(1, Ordering::AcqRel);
+        let mut guard = Self {
+            shared: Arc::clone(shared),
+            ticket: submission.ticket,
+            open: true,
+        };
+        let (reply, verdict) = oneshot::channel();
+        let verdict = guard.ask(Control::Submit(submission, reply), verdict).await;
+        (guard, verdict)
+    }
+
+    /// Ends an attempt that did not run and waits for another verdict.
+    pub(crate) async fn again(&mut self, done: Done) -> Verdict {
+        let (reply, verdict) = oneshot::channel();
+        let message = Control::Again(self.ticket, done, reply);
+        self.ask(message, verdict).await
+    }
+
+    /// Ends the request.
+    pub(crate) fn finish(mut self, done: Done) {
+        self.close(Input::Finished(self.ticket, done));
+    }
+
+    async fn ask(&mut self, message: Control, verdict: oneshot::Receiver<Verdict>) -> Verdict {
+        let sent = self.shared.control.push(message).is_ok();
+        let verdict = if sent { verdict.await.ok() } else { None };
+        let verdict = verdict.unwrap_or_else(|| {
+            emit!(self.shared.log, warn, RingFull; "ring" => "control");
+            Verdict::Refuse(Refusal::not_run(
+                Reason::QueueFull,
+                "the instance is overloaded",
+            ))
+        });
+        if let Verdict::Refuse(_) = verdict {
+            // The node has already forgotten a request that it refused.
+            self.open = false;
+        }
+        verdict
+    }
+
+    fn close(&mut self, input: Input) {
+        if self.open {
+            self.open = false;
+            self.push(input);
+        }
+    }
+
+    /// Puts an ending into the ring; it must not be lost, or its pin would stay for ever.
+    fn push(&self, input: Input) {
+        let mut message = Control::Input(input);
+        while let Err(caraway_ring::Full(back)) = self.shared.control.push(message) {
+            if self.shared.control.is_closed() {
+                return;
+            }
+            message = back;
+            std::thread::yield_now();
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.close(Input::Cancel(self.ticket));
+        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -0,0 +1,63 @@
+//! What operators and the platform's balancer ask.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use caraway_types::{InstanceId, Offset, ZoneId};
+use ntex::web::{HttpResponse, types::State};
+use serde::Serialize;
+
+use super::gate::Gate;
+
+/// Answers `GET /admin/status`.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Status {
+    /// This instance.
+    instance: InstanceId,
+    /// Its availability zone.
+    zone: ZoneId,
+    /// Its life.
+    incarnation: u64,
+    /// Offset after the last record in force.
+    offset: Offset,
+    /// Digest of the configuration in force, in hexadecimal.
+    digest: String,
+    /// Requests in flight.
+    in_flight: usize,
+    /// Whether it is leaving.
+    leaving: bool,
+}
+
+/// `GET /healthz`: the process answers.
+pub(crate) async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok")
+}
+
+/// `GET /readyz`: the instance takes requests.
+pub(crate) async fn readyz(gate: State<Gate>) -> HttpResponse {
+    let leaving = gate.shared.leaving.load(Ordering::Acquire);
+    let empty = gate.shared.state().next() == 0;
+    if leaving || empty {
+        let why = if leaving {
+            "leaving"
+        } else {
+            "no configuration yet"
+        };
+        return HttpResponse::ServiceUnavailable().body(why);
+    }
+    HttpResponse::Ok().body("ready")
+}
+
+/// `GET /admin/status`.
+pub(crate) async fn status(gate: State<Gate>) -> HttpResponse {
+    let shared = &gate.shared;
+    let state = shared.state();
+    HttpResponse::Ok().json(&Status {
+        instance: Arc::clone(&shared.settings.instance),
+        zone: Arc::clone(&shared.settings.zone),
+        incarnation: shared.incarnation,
+        offset: state.next(),
+        digest: format!("{:016x}", state.digest()),
+        in_flight: shared.in_flight.load(Ordering::Acquire),
+        leaving: shared.leaving.load(Ordering::Acquire),
+    })
+}
--- /dev/null
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -0,0 +1,212 @@
+//! Completions and chat completions, streamed and whole.
+
+use std::sync::Arc;
+
+use caraway_calls::Token;
+use caraway_node::Done;
+use caraway_types::Refusal;
+use ntex::{
+    rt::spawn,
+    util::Bytes,
+    web::{
+        HttpRequest, HttpResponse,
+        types::{Payload, State},
+    },
+};
+use tokio::{
+    sync::mpsc::{Sender, channel},
+    time::timeout,
+};
+
+use super::{
+    ask::Ask,
+    caller::{CallerAnswer, CallerError},
+    gate::Gate,
+    reply::{event, events, refuse},
+    source::{Fault, Source},
+};
+use crate::{events::emit, guard::Guard, shared::Verdict};
+
+/// Closes a stream of server-sent events.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// `POST /v1/completions`.
+pub(crate) async fn text(req: HttpRequest, payload: Payload, gate: State<Gate>) -> HttpResponse {
+    handle(&req, payload, &gate, false).await
+}
+
+/// `POST /v1/chat/completions`.
+pub(crate) async fn chat(req: HttpRequest, payload: Payload, gate: State<Gate>) -> HttpResponse {
+    handle(&req, payload, &gate, true).await
+}
+
+async fn handle(req: &HttpRequest, payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
+    let ask = match gate.admit() {
+        Ok(()) => Ask::read(gate, req.headers(), payload, chat).await,
+        Err(refusal) => Err(refusal),
+    };
+    match ask {
+        Ok(ask) => serve(gate, ask).await,
+        Err(refusal) => refuse(None, refusal),
+    }
+}
+
+/// A request that has its first token.
+pub(crate) struct Opened {
+    /// The rest of the answer.
+    pub(crate) source: Source,
+    /// The first token.
+    pub(crate) first: Token,
+    /// Ends the request.
+    pub(crate) guard: Guard,
+}
+
+/// Brings a request to its first token, over as many verdicts as the node gives.
+///
+/// # Errors
+///
+/// Returns the request's final refusal.
+pub(crate) async fn open(gate: &Gate, ask: &Ask) -> Result<Opened, Refusal> {
+    let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
+    loop {
+        let source = match verdict {
+            Verdict::Refuse(refusal) => return Err(refusal),
+            Verdict::Start {
+                attempt,
+                endpoint,
+                load,
+            } => Source::engine(gate, ask, attempt, endpoint, load).await,
+            Verdict::Forward(peer) => Source::peer(gate, ask, peer).await,
+        };
+        let first = match source {
+            Ok(mut source) => source.next().await.map(|token| (source, token)),
+            Err(fault) => Err(fault),
+        };
+        match first {
+            Ok((source, Some(first))) => {
+                return Ok(Opened {
+                    source,
+                    first,
+                    guard,
+                });
+            }
+            Ok((_, None)) => verdict = guard.again(Done::NotRun).await,
+            Err(Fault::Again(done)) => verdict = guard.again(done).await,
+            Err(Fault::Refused(refusal)) => {
+                guard.finish(Done::Failed);
+                return Err(refusal);
+            }
+        }
+    }
+}
+
+async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
+    match open(gate, &ask).await {
+        Err(refusal) => {
+            emit!(gate.shared.log, info, Refused;
+                "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+            refuse(Some(&ask.request), refusal)
+        }
+        Ok(opened) if ask.shape.stream => stream(gate, ask, opened),
+        Ok(opened) => whole(gate, ask, opened).await,
+    }
+}
+
+async fn whole(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
+    let Opened {
+        mut source,
+        first,
+        guard,
+    } = opened;
+    let mut tokens = vec![first];
+    loop {
+        match source.next().await {
+            Ok(Some(token)) => tokens.push(token),
+            Ok(None) => break,
+            Err(fault) => {
+                guard.finish(Done::Failed);
+                let refusal = last_word(fault);
+                emit!(gate.shared.log, info, Refused;
+                    "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+                return refuse(Some(&ask.request), refusal);
+            }
+        }
+    }
+    guard.finish(Done::Complete);
+    let answer = CallerAnswer::whole(&ask.request, &ask.adapter, ask.shape.chat, &tokens);
+    HttpResponse::Ok()
+        .header(super::ask::REQUEST_HEADER, &*ask.request)
+        .json(&answer)
+}
+
+fn stream(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
+    let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
+    let response = events(&ask.request, body);
+    let chat = ask.shape.chat;
+    let (id, model) = (Arc::clone(&ask.request), ask.adapter.clone());
+    let encode = move |token| event(&CallerAnswer::part(&id, &model, chat, token));
+    spawn(pump(gate.clone(), ask, opened, parts, encode));
+    response
+}
+
+/// Passes tokens on until the answer is whole, the caller leaves or the source fails.
+///
+/// A full buffer holds the source back; a caller that takes nothing for the limit has left.
+pub(crate) async fn pump(
+    gate: Gate,
+    ask: Ask,
+    opened: Opened,
+    parts: Sender<Bytes>,
+    encode: impl Fn(Token) -> Bytes,
+) {
+    let Opened {
+        mut source,
+        first,
+        guard,
+    } = opened;
+    let limit = gate.shared.settings.times.slow_caller_ms.get();
+    let mut token = Some(first);
+    loop {
+        let (part, last) = match token.take() {
+            Some(token) => (encode(token), false),
+            None => (Bytes::from_static(DONE_EVENT), true),
+        };
+        let sent = timeout(limit, parts.send(part)).await;
+        if !matches!(sent, Ok(Ok(()))) {
+            emit!(gate.shared.log, info, CallerLeft; "request" => &*ask.request);
+            source.cancel().await;
+            guard.finish(Done::Cancelled);
+            return;
+        }
+        if last {
+            guard.finish(Done::Complete);
+            return;
+        }
+        match source.next().await {
+            Ok(next) => token = next,
+            Err(fault) => {
+                let refusal = last_word(fault);
+                emit!(gate.shared.log, info, Refused;
+                    "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+                let body = CallerError {
+                    error: refusal,
+                    id: Some(ask.request),
+                };
+                let _ = timeout(limit, parts.send(event(&body))).await;
+                guard.finish(Done::Failed);
+                return;
+            }
+        }
+    }
+}
+
+/// Returns the final answer after tokens were delivered.
+fn last_word(fault: Fault) -> Refusal {
+    match fault {
+        Fault::Refused(refusal) => refusal,
+        Fault::Again(_) => {
+            let detail = "the answer broke off and can't be completed";
+            Refusal::in_doubt(caraway_types::Reason::EndpointFailed, detail)
+        }
+    }
+}
--- /dev/null
+++ b/crates/caraway-entry/src/http/gate.rs
@@ -0,0 +1,72 @@
+//! [`Gate`] is what every handler of the http thread has at hand.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+};
+
+use caraway_calls::{BudgetSettings, RetryPolicy};
+use caraway_types::{Reason, Refusal};
+use caraway_wire::{CallError, Http};
+
+use crate::shared::Shared;
+
+/// What every handler of the http thread has at hand; clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct Gate {
+    /// What the daemon's threads have in common.
+    pub(crate) shared: Arc<Shared>,
+    /// Decides on retries.
+    pub(crate) retries: Rc<RefCell<RetryPolicy>>,
+    pools: Rc<RefCell<HashMap<SocketAddr, Http>>>,
+}
+
+impl Gate {
+    /// Makes a gate with empty connection pools.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        let retries = RetryPolicy::new(BudgetSettings::default());
+        Self {
+            shared,
+            retries: Rc::new(RefCell::new(retries)),
+            pools: Rc::default(),
+        }
+    }
+
+    /// Returns the connection pool for `addr`.
+    pub(crate) async fn pool(&self, addr: SocketAddr) -> Result<Http, CallError> {
+        let known = self.pools.borrow().get(&addr).cloned();
+        if let Some(http) = known {
+            return Ok(http);
+        }
+        let http = Http::new().await?;
+        let mut pools = self.pools.borrow_mut();
+        Ok(pools.entry(addr).or_insert(http).clone())
+    }
+
+    /// Drops the pool for `addr`, as one silent connection puts all its idle ones in doubt.
+    pub(crate) fn suspect(&self, addr: SocketAddr) {
+        self.pools.borrow_mut().remove(&addr);
+    }
+
+    /// Tells whether a new request may enter.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal while the instance leaves or is full.
+    pub(crate) fn admit(&self) -> Result<(), Refusal> {
+        let shared = &self.shared;
+        if shared.leaving.load(Ordering::Acquire) {
+            let refusal = Refusal::not_run(Reason::Leaving, "this instance is stopping");
+            return Err(refusal.after(0));
+        }
+        let full = shared.in_flight.load(Ordering::Acquire) >= shared.settings.limits.in_flight;
+        if full {
+            let refusal = Refusal::not_run(Reason::QueueFull, "this instance is full");
+            return Err(refusal.after(1000));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/caraway-entry/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! The http thread: takes requests of callers, peers and operators.
+
+mod admin;
+mod ask;
+mod caller;
+mod completions;
+mod gate;
+mod peer;
+mod reply;
+mod server;
+mod source;
+
+pub(crate) use server::{Server, start};
--- /dev/null
+++ b/crates/caraway-entry/src/http/source.rs
@@ -0,0 +1,317 @@
+//! [`Source`]: the tokens of one request, from an engine or through a peer.
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+
+use caraway_calls::{Accepted, Answer, Attempt, Chunk, Decision, Repeat, Saw, Token};
+use caraway_node::Done;
+use caraway_types::{AttemptId, EndpointId, LoadName, Reason, Refusal};
+use caraway_wire::{
+    CallError, ChunkStream, EngineClient, EngineFault,
+    engine::{CompletionChunk, CompletionRequest, EngineErrorKind},
+};
+use tokio::time::timeout;
+
+use super::{ask::Ask, gate::Gate, peer};
+use crate::events::emit;
+
+/// Why a source gives no (more) tokens.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    /// Nothing was delivered; the node may choose again.
+    Again(Done),
+    /// The request gets this final answer.
+    Refused(Refusal),
+}
+
+/// The tokens of one request, each exactly once and in order.
+pub(crate) struct Source {
+    gate: Gate,
+    ask: Ask,
+    origin: Origin,
+    answer: Answer,
+    stream: ChunkStream,
+    due: VecDeque<Token>,
+}
+
+/// Where the tokens come from.
+#[derive(Clone, Debug)]
+enum Origin {
+    /// An engine that this instance holds.
+    Engine(Engine),
+    /// A peer.
+    Peer(SocketAddr, Arc<str>),
+}
+
+/// An attempt on an engine.
+#[derive(Clone, Debug)]
+struct Engine {
+    endpoint: EndpointId,
+    addr: SocketAddr,
+    load: LoadName,
+    attempt: AttemptId,
+    tries: u32,
+}
+
+impl Source {
+    /// Starts an attempt on an engine.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the attempt did not start.
+    pub(crate) async fn engine(
+        gate: &Gate,
+        ask: &Ask,
+        attempt: AttemptId,
+        endpoint: EndpointId,
+        load: LoadName,
+    ) -> Result<Self, Fault> {
+        let Some(settings) = gate.shared.endpoints.get(&endpoint) else {
+            return Err(Fault::Again(Done::NotRun));
+        };
+        let engine = Engine {
+            addr: settings.addr,
+            endpoint,
+            load,
+            attempt,
+            tries: 0,
+        };
+        let now = tokio::time::Instant::now().into_std();
+        gate.retries
+            .borrow_mut()
+            .on_request(now, &ask.account, &engine.endpoint);
+        let answer = Answer::new(engine.expected(gate, ask));
+        let stream = engine.open(gate, ask, 0).await?;
+        Ok(Self::new(gate, ask, Origin::Engine(engine), answer, stream))
+    }
+
+    /// Passes the request on to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the peer did not take it.
+    pub(crate) async fn peer(gate: &Gate, ask: &Ask, peer: Arc<str>) -> Result<Self, Fault> {
+        let Some(addr) = gate.shared.peer(&peer) else {
+            return Err(Fault::Again(Done::NotRun));
+        };
+        let answer = Answer::new(Attempt {
+            request: Arc::clone(&ask.request),
+            load: ask.adapter.to_string().into(),
+            adapter: ask.adapter.clone(),
+        });
+        let stream = peer::forward(gate, ask, addr).await?;
+        let origin = Origin::Peer(addr, peer);
+        Ok(Self::new(gate, ask, origin, answer, stream))
+    }
+
+    fn new(gate: &Gate, ask: &Ask, origin: Origin, answer: Answer, stream: ChunkStream) -> Self {
+        Self {
+            gate: gate.clone(),
+            ask: ask.clone(),
+            origin,
+            answer,
+            stream,
+            due: VecDeque::new(),
+        }
+    }
+
+    /// Waits for the next token; `None` is the end of a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the answer can't be completed.
+    pub(crate) async fn next(&mut self) -> Result<Option<Token>, Fault> {
+        loop {
+            if let Some(token) = self.due.pop_front() {
+                return Ok(Some(token));
+            }
+            if self.answer.is_finished() {
+                return Ok(None);
+            }
+            let limit = self.progress_limit();
+            let saw = match timeout(limit, self.stream.next()).await {
+                Ok(Ok(Some(chunk))) => {
+                    self.accept(chunk);
+                    continue;
+                }
+                Ok(Ok(None) | Err(_)) => Saw::Broken(self.answer.resume_from()),
+                Err(_) => Saw::Stalled(self.answer.resume_from()),
+            };
+            self.recover(saw).await?;
+        }
+    }
+
+    /// Cancels the work, as nobody waits for it any more.
+    pub(crate) async fn cancel(self) {
+        if let Origin::Engine(engine) = &self.origin {
+            engine.cancel(&self.gate).await;
+        }
+    }
+
+    /// Returns the longest wait for the next token.
+    fn progress_limit(&self) -> Duration {
+        let times = &self.gate.shared.settings.times;
+        match (&self.origin, self.answer.resume_from()) {
+            (Origin::Engine(_), 0) => times.first_token_ms.get(),
+            (Origin::Engine(_), _) => times.between_tokens_ms.get(),
+            // The peer has deadlines of its own, and the request may wait in its queue.
+            (Origin::Peer(..), 0) => self.ask.left() + times.control_ms.get(),
+            (Origin::Peer(..), _) => times.between_tokens_ms.get() + times.control_ms.get(),
+        }
+    }
+
+    fn accept(&mut self, chunk: CompletionChunk) {
+        let chunk = Chunk {
+            request: chunk.request_id,
+            load: chunk.model,
+            index: chunk.index,
+            text: chunk.text,
+            finish: chunk.finish_reason,
+        };
+        let mut due = Vec::new();
+        if let Accepted::Dropped(why) = self.answer.accept(chunk, &mut due) {
+            emit!(self.gate.shared.log, warn, ChunkDropped;
+                "request" => &*self.ask.request, "why" => ?why);
+        }
+        self.due.extend(due);
+    }
+
+    /// Decides how an answer that broke off goes on.
+    async fn recover(&mut self, saw: Saw) -> Result<(), Fault> {
+        match self.origin.clone() {
+            Origin::Peer(addr, peer) => {
+                self.gate.suspect(addr);
+                emit!(self.gate.shared.log, warn, AttemptFailed;
+                    "request" => &*self.ask.request, "peer" => &*peer, "saw" => ?saw);
+                if self.answer.resume_from() == 0 && !matches!(saw, Saw::Stalled(_)) {
+                    return Err(Fault::Again(Done::NotRun));
+                }
+                let detail = "the peer that served the request failed";
+                Err(Fault::Refused(Refusal::in_doubt(
+                    Reason::EndpointFailed,
+                    detail,
+                )))
+            }
+            Origin::Engine(engine) => self.recover_engine(engine, saw).await,
+        }
+    }
+
+    async fn recover_engine(&mut self, mut engine: Engine, mut saw: Saw) -> Result<(), Fault> {
+        loop {
+            emit!(self.gate.shared.log, warn, AttemptFailed;
+                "request" => &*self.ask.request, "endpoint" => &*engine.endpoint, "saw" => ?saw);
+            if matches!(saw, Saw::Stalled(_)) {
+                self.gate.suspect(engine.addr);
+            }
+            let from = match self.decide(&engine, saw) {
+                Decision::Resume(from) => from,
+                Decision::Refuse(refusal) => return Err(Fault::Refused(refusal)),
+                Decision::RetryElsewhere if self.answer.resume_from() == 0 => {
+                    return Err(Fault::Again(Done::NotRun));
+                }
+                _ => {
+                    engine.cancel(&self.gate).await;
+                    engine.tries += 1;
+                    self.answer.restart(engine.expected(&self.gate, &self.ask));
+                    0
+                }
+            };
+            match engine.open(&self.gate, &self.ask, from).await {
+                Ok(stream) => {
+                    emit!(self.gate.shared.log, info, StreamResumed;
+                        "request" => &*self.ask.request, "from" => from);
+                    self.stream = stream;
+                    self.origin = Origin::Engine(engine);
+                    return Ok(());
+                }
+                Err(Fault::Again(_)) if from == 0 && self.answer.resume_from() == 0 => {
+                    return Err(Fault::Again(Done::NotRun));
+                }
+                Err(Fault::Again(_)) => saw = Saw::NotResumable(self.answer.resume_from()),
+                Err(fault) => return Err(fault),
+            }
+        }
+    }
+
+    fn decide(&self, engine: &Engine, saw: Saw) -> Decision {
+        let now = tokio::time::Instant::now().into_std();
+        self.gate.retries.borrow_mut().decide(
+            now,
+            &self.ask.account,
+            &engine.endpoint,
+            Repeat::Idempotent,
+            saw,
+        )
+    }
+}
+
+impl Engine {
+    /// Names the attempt towards the engine; a restarted generation gets a new name.
+    fn request(&self, gate: &Gate) -> Arc<str> {
+        let shared = &gate.shared;
+        format!(
+            "{}-{:x}-{:x}-{}",
+            shared.settings.instance, shared.incarnation, self.attempt, self.tries
+        )
+        .into()
+    }
+
+    fn expected(&self, gate: &Gate, ask: &Ask) -> Attempt {
+        Attempt {
+            request: self.request(gate),
+            load: Arc::clone(&self.load),
+            adapter: ask.adapter.clone(),
+        }
+    }
+
+    /// Opens the stream of tokens from index `from`.
+    async fn open(&self, gate: &Gate, ask: &Ask, from: u32) -> Result<ChunkStream, Fault> {
+        let http = gate.pool(self.addr).await;
+        let http = http.map_err(|_| Fault::Again(Done::NotRun))?;
+        let request = CompletionRequest {
+            model: Arc::clone(&self.load),
+            prompt: Arc::clone(&ask.prompt),
+            max_tokens: ask.tokens,
+            stream: true,
+            priority: ask.class as u8,
+            request_id: self.request(gate),
+            resume_from: from,
+        };
+        let client = EngineClient::new(http, self.addr);
+        let limit = gate.shared.settings.times.first_token_ms.get();
+        match timeout(limit, client.complete(&request)).await {
+            Ok(Ok(stream)) => Ok(stream),
+            Ok(Err(EngineFault::Refused(kind, _))) => Err(refused(kind)),
+            Ok(Err(EngineFault::Call(error))) => Err(self.failed(gate, &error)),
+            Err(_) => Err(self.failed(gate, &CallError::Timeout)),
+        }
+    }
+
+    /// Judges a call without an answer; a completion may run twice, so the node chooses again.
+    fn failed(&self, gate: &Gate, error: &CallError) -> Fault {
+        gate.suspect(self.addr);
+        emit!(gate.shared.log, warn, AttemptFailed;
+            "endpoint" => &*self.endpoint, "error" => %error);
+        Fault::Again(Done::NotRun)
+    }
+
+    async fn cancel(&self, gate: &Gate) {
+        let Ok(http) = gate.pool(self.addr).await else {
+            return;
+        };
+        let limit = gate.shared.settings.times.control_ms.get();
+        let client = EngineClient::new(http, self.addr);
+        // The engine also cancels by itself once the connection is closed.
+        let _ = client.cancel(&self.request(gate), limit).await;
+    }
+}
+
+fn refused(kind: EngineErrorKind) -> Fault {
+    match kind {
+        EngineErrorKind::UnknownModel => Fault::Again(Done::NotResident),
+        EngineErrorKind::BadRequest => {
+            let detail = "the engine does not take the request";
+            Fault::Refused(Refusal::not_run(Reason::BadRequest, detail))
+        }
+        _ => Fault::Again(Done::NotRun),
+    }
+}
--- /dev/null
+++ b/crates/caraway-entry/src/orders.rs
@@ -0,0 +1,182 @@
+//! The orders thread: sends loads and unloads to engines and reads their load reports.
+
+use std::{sync::Arc, time::Duration};
+
+use caraway_node::{EngineReport, Input, LoadResult, ReportedLoad};
+use caraway_ring::Receiver;
+use caraway_types::{AdapterRef, EndpointId, Fence, LoadName};
+use caraway_wire::{
+    CallError, EngineClient, EngineFault, Http,
+    engine::{EngineErrorKind, EngineLoad, Resident},
+};
+use ntex::rt::spawn;
+
+use crate::{
+    EndpointKind, EndpointSettings,
+    events::emit,
+    shared::{Control, Shared},
+};
+
+/// An order to an engine.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// Loads an adapter version.
+    Load {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The load's name.
+        load: LoadName,
+        /// The adapter version.
+        adapter: AdapterRef,
+        /// The holder's fencing token.
+        fence: Fence,
+    },
+    /// Unloads.
+    Unload {
+        /// The engine.
+        endpoint: EndpointId,
+        /// The load's name.
+        load: LoadName,
+        /// The holder's fencing token.
+        fence: Fence,
+    },
+}
+
+impl Order {
+    /// Returns what the node must know of an order that was not sent.
+    pub(crate) fn not_sent(self) -> Input {
+        match self {
+            Self::Load { endpoint, load, .. } => Input::Loaded(endpoint, load, LoadResult::Failed),
+            Self::Unload { endpoint, load, .. } => Input::Unloaded(endpoint, load, false),
+        }
+    }
+}
+
+/// Carries out orders until the ring is closed.
+pub(crate) async fn run(shared: Arc<Shared>, mut inbox: Receiver<Order>) -> Result<(), CallError> {
+    let http = Http::new().await?;
+    let zone = &shared.settings.zone;
+    let own = |e: &&EndpointSettings| e.kind == EndpointKind::Engine && e.zone == *zone;
+    for engine in shared.settings.endpoints.iter().filter(own) {
+        let client = EngineClient::new(http.clone(), engine.addr);
+        spawn(watch(Arc::clone(&shared), Arc::clone(&engine.id), client));
+    }
+    while let Some(order) = inbox.recv().await {
+        spawn(carry_out(Arc::clone(&shared), http.clone(), order));
+    }
+    Ok(())
+}
+
+/// Reads the load reports of one engine.
+async fn watch(shared: Arc<Shared>, id: EndpointId, client: EngineClient) {
+    let times = &shared.settings.times;
+    let mut missing = false;
+    loop {
+        match client.report(times.control_ms.get()).await {
+            Ok(load) => {
+                missing = false;
+                let input = Input::Report(Arc::clone(&id), report(load));
+                if shared.control.push(Control::Input(input)).is_err() {
+                    emit!(shared.log, warn, RingFull; "ring" => "control");
+                }
+            }
+            Err(error) if !missing => {
+                missing = true;
+                emit!(shared.log, warn, ReportMissing; "endpoint" => &*id, "error" => %error);
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(times.report_ms.get()).await;
+    }
+}
+
+async fn carry_out(shared: Arc<Shared>, http: Http, order: Order) {
+    let limit = shared.settings.times.order_ms.get();
+    let input = match order {
+        Order::Load {
+            endpoint,
+            load,
+            adapter,
+            fence,
+        } => {
+            emit!(shared.log, debug, LoadOrdered; "endpoint" => &*endpoint, "load" => &*load);
+            let result = match client(&shared, &http, &endpoint) {
+                Some(client) => load_result(&client.load(&load, &adapter, fence, limit).await),
+                None => LoadResult::Failed,
+            };
+            emit!(shared.log, debug, LoadEnded;
+                "endpoint" => &*endpoint, "load" => &*load, "result" => ?result);
+            Input::Loaded(endpoint, load, result)
+        }
+        Order::Unload {
+            endpoint,
+            load,
+            fence,
+        } => {
+            emit!(shared.log, debug, UnloadOrdered; "endpoint" => &*endpoint, "load" => &*load);
+            let confirmed = match client(&shared, &http, &endpoint) {
+                Some(client) => unloaded(&client.unload(&load, fence, limit).await),
+                None => false,
+            };
+            emit!(shared.log, debug, UnloadEnded;
+                "endpoint" => &*endpoint, "load" => &*load, "confirmed" => confirmed);
+            Input::Unloaded(endpoint, load, confirmed)
+        }
+    };
+    deliver(&shared, input).await;
+}
+
+/// Puts the end of an order into the ring; the node waits for it, so it must not be lost.
+async fn deliver(shared: &Shared, input: Input) {
+    const RETRY_INTERVAL: Duration = Duration::from_millis(1);
+    let mut message = Control::Input(input);
+    while let Err(caraway_ring::Full(back)) = shared.control.push(message) {
+        if shared.control.is_closed() {
+            return;
+        }
+        message = back;
+        tokio::time::sleep(RETRY_INTERVAL).await;
+    }
+}
+
+fn client(shared: &Shared, http: &Http, endpoint: &EndpointId) -> Option<EngineClient> {
+    let endpoint = shared.endpoints.get(endpoint)?;
+    Some(EngineClient::new(http.clone(), endpoint.addr))
+}
+
+fn load_result(result: &Result<(), EngineFault>) -> LoadResult {
+    match result {
+        Ok(()) => LoadResult::Resident,
+        Err(EngineFault::Refused(EngineErrorKind::SlotsFull, _)) => LoadResult::SlotsFull,
+        Err(EngineFault::Refused(EngineErrorKind::StaleFence, _)) => LoadResult::Stale(0),
+        Err(EngineFault::Refused(_, _) | EngineFault::Call(CallError::NotSent(_))) => {
+            LoadResult::Failed
+        }
+        Err(EngineFault::Call(_)) => LoadResult::Unknown,
+    }
+}
+
+/// Tells whether the load is certainly gone.
+fn unloaded(result: &Result<(), EngineFault>) -> bool {
+    matches!(
+        result,
+        Ok(()) | Err(EngineFault::Refused(EngineErrorKind::UnknownModel, _))
+    )
+}
+
+fn report(load: EngineLoad) -> EngineReport {
+    let resident = |r: Resident| ReportedLoad {
+        name: r.lora_name,
+        adapter: r.lora_path,
+        running: r.running,
+    };
+    EngineReport {
+        incarnation: load.incarnation,
+        slots: load.slots,
+        running: load.running,
+        waiting: load.waiting,
+        max_batch: load.max_batch,
+        max_fence: load.max_fence,
+        residents: load.residents.into_iter().map(resident).collect(),
+    }
+}
--- a/crates/caraway-ring/src/ring.rs
+++ b/crates/caraway-ring/src/ring.rs
@@ -63,6 +63,17 @@
         self.wake.notify_one();
         Ok(())
     }
+
+    /// Tells whether the receiver is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        let Some(tail) = &self.tail else {
+            return true;
+        };
+        tail.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_abandoned()
+    }
 }
 
 impl<T> Drop for Sender<T> {
--- a/crates/caraway-wire/src/engine_client.rs
+++ b/crates/caraway-wire/src/engine_client.rs
@@ -3,7 +3,10 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use caraway_types::{AdapterRef, Fence};
-use ntex::http::{Method, StatusCode};
+use ntex::{
+    client::ClientResponse,
+    http::{Method, StatusCode},
+};
 
 use crate::{
     CallError, EventStream, Http,
@@ -55,8 +58,7 @@
             .await
             .map_err(EngineFault::Call)?;
         if response.status() == StatusCode::OK {
-            let events = EventStream::new(response);
-            return Ok(ChunkStream { events });
+            return Ok(ChunkStream::new(response));
         }
         let status = response.status().as_u16();
         let body = response.body().await.unwrap_or_default();
@@ -147,6 +149,14 @@
 }
 
 impl ChunkStream {
+    /// Reads the tokens of `response`; dropping the stream closes its connection.
+    #[must_use]
+    pub fn new(response: ClientResponse) -> Self {
+        Self {
+            events: EventStream::new(response),
+        }
+    }
+
     /// Waits for the next token; `None` closes a complete stream.
     ///
     /// # Errors
