--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -21,6 +21,7 @@
     events::emit,
     follow,
     http::{self, Server},
+    metrics::Metrics,
     orders, peers,
     shared::{Control, Shared},
     threads,
@@ -52,7 +53,8 @@
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
-        let shared = Shared::new(settings, addr, incarnation(), control, config, log);
+        let metrics = Metrics::new().context("can't set up metrics")?;
+        let shared = Shared::new(settings, addr, incarnation(), control, config, log, metrics);
         let shared = Arc::new(shared);
 
         let mut threads = Vec::new();
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -47,6 +47,13 @@
     HttpResponse::Ok().body("ready")
 }
 
+/// `GET /metrics`: every metric in the text format that scrapers read.
+pub(crate) async fn metrics(gate: State<Gate>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(gate.shared.metrics.text())
+}
+
 /// `GET /admin/status`.
 pub(crate) async fn status(gate: State<Gate>) -> HttpResponse {
     let shared = &gate.shared;
--- a/crates/caraway-entry/src/http/ask.rs
+++ b/crates/caraway-entry/src/http/ask.rs
@@ -40,6 +40,8 @@
     pub(crate) adapter: AdapterRef,
     /// Its urgency.
     pub(crate) class: Class,
+    /// When it came.
+    pub(crate) start: Instant,
     /// When its answer must be there.
     pub(crate) deadline: Instant,
     /// The prompt.
@@ -66,6 +68,7 @@
         payload: Payload,
         chat: bool,
     ) -> Result<Self, Refusal> {
+        let start = Instant::now();
         let account = account(gate, headers)?;
         let class = parsed::<Class>(headers, CLASS_HEADER)?.unwrap_or_default();
         let limit = deadline(gate, headers, class)?;
@@ -86,7 +89,8 @@
             account,
             adapter,
             class,
-            deadline: Instant::now() + limit,
+            start,
+            deadline: start + limit,
             prompt,
             tokens,
             shape: Shape {
--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -4,7 +4,7 @@
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::Refusal;
+use caraway_types::{Certainty, Reason, Refusal};
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -15,17 +15,17 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::timeout,
+    time::{Instant, timeout},
 };
 
 use super::{
-    ask::Ask,
+    ask::{Ask, REQUEST_HEADER},
     caller::{CallerAnswer, CallerError},
     gate::Gate,
     reply::{event, events, refuse},
     source::{Fault, Source},
 };
-use crate::{events::emit, guard::Guard, shared::Verdict};
+use crate::{events::emit, guard::Guard, metrics::Outcome, shared::Verdict};
 
 /// Closes a stream of server-sent events.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
@@ -68,6 +68,8 @@
 /// Returns the request's final refusal.
 pub(crate) async fn open(gate: &Gate, ask: &Ask) -> Result<Opened, Refusal> {
     let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
+    let metrics = &gate.shared.metrics;
+    metrics.verdict(ask.class, ask.start.elapsed());
     loop {
         let source = match verdict {
             Verdict::Refuse(refusal) => return Err(refusal),
@@ -84,6 +86,7 @@
         };
         match first {
             Ok((source, Some(first))) => {
+                metrics.first_token(ask.class, ask.start.elapsed());
                 return Ok(Opened {
                     source,
                     first,
@@ -103,8 +106,7 @@
 async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
     match open(gate, &ask).await {
         Err(refusal) => {
-            emit!(gate.shared.log, info, Refused;
-                "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+            give_up(gate, &ask, &refusal);
             refuse(Some(&ask.request), refusal)
         }
         Ok(opened) if ask.shape.stream => stream(gate, ask, opened),
@@ -120,25 +122,46 @@
     } = opened;
     let mut tokens = vec![first];
     loop {
-        match source.next().await {
+        match timed(gate, &ask, &mut source).await {
             Ok(Some(token)) => tokens.push(token),
             Ok(None) => break,
-            Err(fault) => {
+            Err(refusal) => {
                 guard.finish(Done::Failed);
-                let refusal = last_word(fault);
-                emit!(gate.shared.log, info, Refused;
-                    "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+                give_up(gate, &ask, &refusal);
                 return refuse(Some(&ask.request), refusal);
             }
         }
     }
     guard.finish(Done::Complete);
+    gate.shared.metrics.request(ask.class, Outcome::Complete);
     let answer = CallerAnswer::whole(&ask.request, &ask.adapter, ask.shape.chat, &tokens);
     HttpResponse::Ok()
-        .header(super::ask::REQUEST_HEADER, &*ask.request)
+        .header(REQUEST_HEADER, &*ask.request)
         .json(&answer)
 }
 
+/// Waits for the next token and counts the wait.
+async fn timed(gate: &Gate, ask: &Ask, source: &mut Source) -> Result<Option<Token>, Refusal> {
+    let start = Instant::now();
+    let token = source.next().await.map_err(last_word)?;
+    if token.is_some() {
+        let metrics = &gate.shared.metrics;
+        metrics.next_token(ask.class, start.elapsed());
+    }
+    Ok(token)
+}
+
+/// Logs and counts a refusal.
+pub(crate) fn give_up(gate: &Gate, ask: &Ask, refusal: &Refusal) {
+    let outcome = match refusal.certainty {
+        Certainty::NotRun => Outcome::NotRun,
+        Certainty::InDoubt => Outcome::InDoubt,
+    };
+    gate.shared.metrics.request(ask.class, outcome);
+    emit!(gate.shared.log, info, Refused;
+        "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+}
+
 fn stream(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
     let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
     let response = events(&ask.request, body);
@@ -174,20 +197,20 @@
         let sent = timeout(limit, parts.send(part)).await;
         if !matches!(sent, Ok(Ok(()))) {
             emit!(gate.shared.log, info, CallerLeft; "request" => &*ask.request);
+            gate.shared.metrics.request(ask.class, Outcome::CallerLeft);
             source.cancel().await;
             guard.finish(Done::Cancelled);
             return;
         }
         if last {
+            gate.shared.metrics.request(ask.class, Outcome::Complete);
             guard.finish(Done::Complete);
             return;
         }
-        match source.next().await {
+        match timed(&gate, &ask, &mut source).await {
             Ok(next) => token = next,
-            Err(fault) => {
-                let refusal = last_word(fault);
-                emit!(gate.shared.log, info, Refused;
-                    "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
+            Err(refusal) => {
+                give_up(&gate, &ask, &refusal);
                 let body = CallerError {
                     error: refusal,
                     id: Some(ask.request),
@@ -206,7 +229,7 @@
         Fault::Refused(refusal) => refusal,
         Fault::Again(_) => {
             let detail = "the answer broke off and can't be completed";
-            Refusal::in_doubt(caraway_types::Reason::EndpointFailed, detail)
+            Refusal::in_doubt(Reason::EndpointFailed, detail)
         }
     }
 }
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -24,7 +24,7 @@
 use super::{
     ask::{self, Ask, bad},
     caller::{CallerError, Shape},
-    completions::{open, pump},
+    completions::{give_up, open, pump},
     gate::Gate,
     reply::{event, events, refuse},
     source::Fault,
@@ -120,7 +120,10 @@
         Err(refusal) => return refuse(None, refusal),
     };
     match open(&gate, &ask).await {
-        Err(refusal) => refuse(Some(&ask.request), refusal),
+        Err(refusal) => {
+            give_up(&gate, &ask, &refusal);
+            refuse(Some(&ask.request), refusal)
+        }
         Ok(opened) => {
             let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
             let response = events(&ask.request, body);
@@ -180,6 +183,7 @@
             account: self.account,
             adapter: self.adapter,
             class: self.class,
+            start: Instant::now(),
             deadline: Instant::now() + self.left.get(),
             prompt: self.prompt,
             tokens: self.tokens,
--- a/crates/caraway-entry/src/http/server.rs
+++ b/crates/caraway-entry/src/http/server.rs
@@ -89,5 +89,6 @@
         .service(web::resource("/peer/gossip").route(web::post().to(peer::gossip)))
         .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
         .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
+        .service(web::resource("/metrics").route(web::get().to(admin::metrics)))
         .service(web::resource("/admin/status").route(web::get().to(admin::status)));
 }
--- a/crates/caraway-entry/src/http/source.rs
+++ b/crates/caraway-entry/src/http/source.rs
@@ -169,6 +169,7 @@
         };
         let mut due = Vec::new();
         if let Accepted::Dropped(why) = self.answer.accept(chunk, &mut due) {
+            self.gate.shared.metrics.chunk_dropped();
             emit!(self.gate.shared.log, warn, ChunkDropped;
                 "request" => &*self.ask.request, "why" => ?why);
         }
@@ -177,6 +178,7 @@
 
     /// Decides how an answer that broke off goes on.
     async fn recover(&mut self, saw: Saw) -> Result<(), Fault> {
+        self.gate.shared.metrics.attempt_failed();
         match self.origin.clone() {
             Origin::Peer(addr, peer) => {
                 self.gate.suspect(addr);
--- a/crates/caraway-entry/src/lib.rs
+++ b/crates/caraway-entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod guard;
 mod http;
+mod metrics;
 mod orders;
 mod peers;
 mod settings;
@@ -19,6 +20,7 @@
 
 pub use entry::Entry;
 pub use events::{Event, json_logger};
+pub use metrics::{METRICS, MetricInfo};
 pub use settings::{
     EndpointKind, EndpointSettings, LimitSettings, PeerSettings, Settings, TimeSettings,
 };
--- a/crates/caraway-entry/src/orders.rs
+++ b/crates/caraway-entry/src/orders.rs
@@ -104,6 +104,7 @@
                 Some(client) => load_result(&client.load(&load, &adapter, fence, limit).await),
                 None => LoadResult::Failed,
             };
+            shared.metrics.order("load", name(result));
             emit!(shared.log, debug, LoadEnded;
                 "endpoint" => &*endpoint, "load" => &*load, "result" => ?result);
             Input::Loaded(endpoint, load, result)
@@ -118,6 +119,8 @@
                 Some(client) => unloaded(&client.unload(&load, fence, limit).await),
                 None => false,
             };
+            let result = if confirmed { "confirmed" } else { "unknown" };
+            shared.metrics.order("unload", result);
             emit!(shared.log, debug, UnloadEnded;
                 "endpoint" => &*endpoint, "load" => &*load, "confirmed" => confirmed);
             Input::Unloaded(endpoint, load, confirmed)
@@ -156,6 +159,17 @@
     }
 }
 
+/// Returns the label of a load's end.
+fn name(result: LoadResult) -> &'static str {
+    match result {
+        LoadResult::Resident => "resident",
+        LoadResult::SlotsFull => "slots_full",
+        LoadResult::Stale(_) => "stale",
+        LoadResult::Failed => "failed",
+        LoadResult::Unknown => "unknown",
+    }
+}
+
 /// Tells whether the load is certainly gone.
 fn unloaded(result: &Result<(), EngineFault>) -> bool {
     matches!(
--- a/crates/caraway-entry/src/peers.rs
+++ b/crates/caraway-entry/src/peers.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
 };
 
@@ -52,10 +53,7 @@
 
 async fn send(shared: Arc<Shared>, http: Http, busy: Busy, beat: Beat) {
     if let Some(addr) = shared.peer(&beat.peer) {
-        let client = PeerClient::new(http, addr);
-        let limit = shared.settings.times.control_ms.get();
-        let sent: Result<(), CallError> = client.exchange("gossip", &beat.gossip, limit).await;
-        if let Err(error) = sent {
+        if let Err(error) = deliver(&shared, http, addr, &beat.gossip).await {
             emit!(shared.log, debug, PeerUnreachable;
                 "peer" => &*beat.peer, "error" => %error);
         }
@@ -63,6 +61,20 @@
     lock(&busy).remove(&beat.peer);
 }
 
+async fn deliver(
+    shared: &Shared,
+    http: Http,
+    addr: SocketAddr,
+    gossip: &Gossip,
+) -> Result<(), CallError> {
+    let body = PeerClient::encode(gossip)?;
+    shared.metrics.control_bytes("gossip_sent", body.len());
+    let limit = shared.settings.times.control_ms.get();
+    PeerClient::new(http, addr)
+        .exchange("gossip", body, limit)
+        .await
+}
+
 async fn follow_list(shared: Arc<Shared>, http: Http) {
     let client = ListClient::new(http, shared.settings.list);
     let times = &shared.settings.times;
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -16,7 +16,7 @@
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
-use crate::{EndpointSettings, Settings};
+use crate::{EndpointSettings, Settings, metrics::Metrics};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -70,6 +70,8 @@
     pub(crate) endpoints: BTreeMap<EndpointId, EndpointSettings>,
     /// The log.
     pub(crate) log: Logger,
+    /// The metrics.
+    pub(crate) metrics: Metrics,
     /// Requests in flight.
     pub(crate) in_flight: AtomicUsize,
     /// Whether new requests are refused because the instance stops.
@@ -86,6 +88,7 @@
         control: Sender<Control>,
         config: watch::Receiver<Arc<State>>,
         log: Logger,
+        metrics: Metrics,
     ) -> Self {
         let by_id = |e: &EndpointSettings| (Arc::clone(&e.id), e.clone());
         let endpoints = settings.endpoints.iter().map(by_id).collect();
@@ -100,6 +103,7 @@
             peers: RwLock::new(peers),
             endpoints,
             log,
+            metrics,
             in_flight: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             tickets: AtomicU64::new(1),
--- a/crates/caraway-wire/src/http.rs
+++ b/crates/caraway-wire/src/http.rs
@@ -91,21 +91,19 @@
         serde_json::from_slice(&answer).map_err(unreadable)
     }
 
-    /// Exchanges `MessagePack` messages within `limit`.
+    /// Sends a `MessagePack` message and reads one within `limit`.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] that says how far the call got.
-    pub async fn msgpack<Q: Serialize, A: DeserializeOwned>(
+    pub async fn msgpack<A: DeserializeOwned>(
         &self,
         addr: SocketAddr,
         path: &str,
-        body: &Q,
+        body: Bytes,
         limit: Duration,
     ) -> Result<A, CallError> {
-        let body =
-            rmp_serde::to_vec_named(body).map_err(|e| CallError::NotSent(e.to_string().into()))?;
-        let call = self.call(Method::POST, addr, path, &[], Some(body.into()));
+        let call = self.call(Method::POST, addr, path, &[], Some(body));
         let answer = within(limit, whole(call)).await?;
         rmp_serde::from_slice(&answer).map_err(unreadable)
     }
--- a/crates/caraway-wire/src/peer_client.rs
+++ b/crates/caraway-wire/src/peer_client.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use ntex::util::Bytes;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{CallError, Http};
@@ -20,15 +21,26 @@
         Self { http, addr }
     }
 
-    /// Sends `message` to `path` under `/peer/` and reads the answer within `limit`.
+    /// Encodes a message for [`Self::exchange`].
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError::NotSent`] when the message can't be encoded.
+    pub fn encode(message: &impl Serialize) -> Result<Bytes, CallError> {
+        rmp_serde::to_vec_named(message)
+            .map(Bytes::from)
+            .map_err(|e| CallError::NotSent(e.to_string().into()))
+    }
+
+    /// Sends an encoded message to `path` under `/peer/` and reads the answer within `limit`.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] that says how far the call got.
-    pub async fn exchange<Q: Serialize, A: DeserializeOwned>(
+    pub async fn exchange<A: DeserializeOwned>(
         &self,
         path: &str,
-        message: &Q,
+        message: Bytes,
         limit: Duration,
     ) -> Result<A, CallError> {
         let path = format!("/peer/{path}");
