Add stand-ins of engine, log, list, plain service and weight store

Cause: the daemon and the tests of the calls need something to talk to. Change: each stand-in is an ntex server in its own thread on a port from the operating system. The engine steps continuous batches with priorities, slots, fencing checked or ignored, resumption and cancellation; its tokens are a function of adapter version, prompt and index. Ledgers record runs, orders, calls and store loads. Faults are switched by library call.

--- /dev/null
+++ b/crates/caraway-standin/src/engine/core.rs
@@ -0,0 +1,255 @@
+//! [`Core`]: the engine's state, without I/O.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use caraway_types::{Fence, Incarnation};
+use caraway_wire::engine::{CompletionRequest, EngineError, EngineErrorKind, EngineLoad};
+use ntex::util::Bytes;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+
+use super::{
+    EngineFaults, EngineLedger, EngineSettings, RunEnd, RunRecord, loads::Loads,
+    prefix_cache::PrefixCache, report::Reports, run::Run,
+};
+
+/// An engine.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) settings: EngineSettings,
+    pub(crate) faults: EngineFaults,
+    pub(crate) ledger: EngineLedger,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) max_fence: Fence,
+    pub(crate) loads: Loads,
+    reports: Reports,
+    cache: PrefixCache,
+    /// Runs that wait for a place in the batch, the next one first.
+    waiting: Vec<Run>,
+    batch: Vec<Run>,
+    /// Finished runs that can still be resumed.
+    done: Vec<Run>,
+}
+
+/// Makes an [`EngineError`].
+pub(crate) fn error(kind: EngineErrorKind, message: &str) -> EngineError {
+    EngineError {
+        error: kind,
+        message: message.into(),
+    }
+}
+
+impl Core {
+    /// Makes an empty engine.
+    pub(crate) fn new(settings: EngineSettings) -> Self {
+        Self {
+            cache: PrefixCache::new(settings.cache_blocks),
+            settings,
+            faults: EngineFaults::default(),
+            ledger: EngineLedger::default(),
+            incarnation: 1,
+            max_fence: 0,
+            loads: Loads::default(),
+            reports: Reports::default(),
+            waiting: Vec::new(),
+            batch: Vec::new(),
+            done: Vec::new(),
+        }
+    }
+
+    /// Takes a request and returns the events of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request does not run.
+    pub(crate) fn accept(
+        &mut self,
+        request: CompletionRequest,
+    ) -> Result<UnboundedReceiver<Bytes>, EngineError> {
+        let from = request.resume_from;
+        let (sink, events) = unbounded_channel();
+        if let Some(run) = self.find(&request.request_id) {
+            if run.load != request.model || run.prompt != request.prompt {
+                let message = "the id belongs to another request";
+                return Err(error(EngineErrorKind::BadRequest, message));
+            }
+            run.attach(sink, from);
+            return Ok(events);
+        }
+        if from > 0 {
+            let message = "no attempt of this id";
+            return Err(error(EngineErrorKind::NotResumable, message));
+        }
+        let mut run = self.admit(request)?;
+        run.attach(sink, 0);
+        let place = self
+            .waiting
+            .partition_point(|other| other.priority <= run.priority);
+        self.waiting.insert(place, run);
+        Ok(events)
+    }
+
+    /// Checks that a new request can wait for the batch, and records it.
+    fn admit(&mut self, request: CompletionRequest) -> Result<Run, EngineError> {
+        let Some(adapter) = self.loads.resident(&request.model) else {
+            let message = format!("no load {}", request.model);
+            return Err(error(EngineErrorKind::UnknownModel, &message));
+        };
+        if self.waiting.len() >= self.settings.max_waiting as usize {
+            return Err(error(EngineErrorKind::Overloaded, "the queue is full"));
+        }
+        let record = self.ledger.runs.len();
+        self.ledger.runs.push(RunRecord {
+            attempt: Arc::clone(&request.request_id),
+            load: Arc::clone(&request.model),
+            adapter: adapter.clone(),
+            prompt: Arc::clone(&request.prompt),
+            started: false,
+            generated: 0,
+            end: None,
+        });
+        Ok(Run::new(request, adapter, record))
+    }
+
+    /// Ends the attempt of this id, if it still runs.
+    pub(crate) fn cancel(&mut self, id: &str) {
+        self.end_where(RunEnd::Cancelled, |run| *run.id == *id);
+    }
+
+    /// Ends all runs on a load and returns how many of them had a listener.
+    pub(crate) fn break_load(&mut self, load: &str) -> u32 {
+        let listeners = self.running_on(load);
+        self.end_where(RunEnd::Broken, |run| *run.load == *load);
+        listeners
+    }
+
+    /// Counts the live runs on a load that somebody listens to.
+    fn running_on(&self, load: &str) -> u32 {
+        let runs = self.waiting.iter().chain(&self.batch);
+        let count = runs.filter(|r| *r.load == *load && r.attached()).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Restarts empty.
+    pub(crate) fn restart(&mut self) {
+        self.end_where(RunEnd::Broken, |_| true);
+        self.done.clear();
+        self.loads = Loads::default();
+        self.cache = PrefixCache::new(self.settings.cache_blocks);
+        self.max_fence = 0;
+        self.incarnation += 1;
+    }
+
+    /// Fills the batch and returns the time that its next step takes, if it has one.
+    pub(crate) fn begin_step(&mut self, now: Instant) -> Option<Duration> {
+        self.expire(now);
+        if self.reports.due(now) {
+            let report = self.current();
+            self.reports.add(now, report);
+        }
+        if self.faults.stalled {
+            return None;
+        }
+        let prefill = self.fill_batch();
+        let more = u64::try_from(self.batch.len().checked_sub(1)?).unwrap_or(u64::MAX);
+        let cost = self.settings.step_us + self.settings.fill_us * more + prefill;
+        Some(Duration::from_micros(cost) + self.faults.slow_step.get())
+    }
+
+    /// Generates a token for each run of the batch.
+    pub(crate) fn end_step(&mut self, now: Instant) {
+        self.ledger.steps += 1;
+        self.ledger.fill_sum += self.batch.len() as u64;
+        for run in &mut self.batch {
+            run.advance();
+            self.ledger.runs[run.record].generated = run.generated;
+        }
+        for mut run in self.batch.extract_if(.., |run| run.finished()) {
+            self.ledger.runs[run.record].end = Some(RunEnd::Finished);
+            run.detached = Some(now);
+            self.done.push(run);
+        }
+        self.break_runs();
+    }
+
+    /// Answers with the load report of some time ago.
+    pub(crate) fn report(&mut self, now: Instant) -> EngineLoad {
+        let lag = self.settings.report_lag.get();
+        self.reports.read(now, lag)
+    }
+
+    /// Returns how many load reports are kept.
+    pub(crate) fn report_count(&self) -> usize {
+        self.reports.len()
+    }
+
+    /// Moves waiting runs into the batch and returns the cost of their prefill in microseconds.
+    fn fill_batch(&mut self) -> u64 {
+        let room = (self.settings.max_batch as usize).saturating_sub(self.batch.len());
+        let count = room.min(self.waiting.len());
+        let mut bytes = 0;
+        for mut run in self.waiting.drain(..count) {
+            let hit = self.cache.look_up(&run.adapter, &run.prompt);
+            bytes += (run.prompt.len() - hit) as u64;
+            self.ledger.prefix_hits += hit as u64;
+            self.ledger.runs[run.record].started = true;
+            run.started = true;
+            self.batch.push(run);
+        }
+        self.ledger.prefilled += bytes;
+        bytes * self.settings.prefill_us
+    }
+
+    /// Breaks off runs as the faults ask.
+    fn break_runs(&mut self) {
+        while self.faults.break_runs > 0 && !self.batch.is_empty() {
+            self.faults.break_runs -= 1;
+            let run = self.batch.swap_remove(0);
+            self.ledger.runs[run.record].end = Some(RunEnd::Broken);
+        }
+    }
+
+    /// Ends attempts that nobody resumed in time.
+    fn expire(&mut self, now: Instant) {
+        for run in self.waiting.iter_mut().chain(&mut self.batch) {
+            if !run.attached() {
+                run.detached.get_or_insert(now);
+            }
+        }
+        let window = self.settings.resume_window.get();
+        let late = |run: &Run| run.detached.is_some_and(|at| now - at >= window);
+        self.end_where(RunEnd::Abandoned, late);
+        self.done.retain(|run| !late(run));
+    }
+
+    /// Ends the live runs that `select` picks.
+    fn end_where(&mut self, end: RunEnd, select: impl Fn(&Run) -> bool) {
+        for runs in [&mut self.waiting, &mut self.batch] {
+            for run in runs.extract_if(.., |run| select(run)) {
+                self.ledger.runs[run.record].end = Some(end);
+            }
+        }
+    }
+
+    /// Finds an attempt that can be resumed.
+    fn find(&mut self, id: &str) -> Option<&mut Run> {
+        let runs = self.waiting.iter_mut().chain(&mut self.batch);
+        runs.chain(&mut self.done).find(|run| *run.id == *id)
+    }
+
+    /// Describes the engine as it is now.
+    fn current(&self) -> EngineLoad {
+        let count = |runs: &[Run]| u32::try_from(runs.len()).unwrap_or(u32::MAX);
+        EngineLoad {
+            incarnation: self.incarnation,
+            slots: self.settings.slots,
+            running: count(&self.batch),
+            waiting: count(&self.waiting),
+            max_batch: self.settings.max_batch,
+            max_fence: self.max_fence,
+            residents: self.loads.residents(|load| self.running_on(load)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/caraway-standin/src/engine/orders.rs
@@ -0,0 +1,143 @@
+//! Loads and unloads: fencing, slots and the weight store.
+
+use std::sync::Arc;
+
+use caraway_types::{AdapterRef, Fence, LoadName};
+use caraway_wire::engine::{EngineError, EngineErrorKind, LoadRequest};
+
+use super::{
+    OrderKind, OrderRecord, Violation,
+    core::{Core, error},
+    loads::Progress,
+};
+
+/// What a load order came to.
+#[derive(Debug)]
+pub(crate) enum LoadStart {
+    /// The load is there or in transit already.
+    Known(Progress),
+    /// The load has a slot and must be fetched.
+    Fetch {
+        /// Tells the fetches of one name apart.
+        serial: u64,
+        /// Tells the waiters when it is complete.
+        progress: Progress,
+    },
+}
+
+impl Core {
+    /// Takes a load order.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order had no effect.
+    pub(crate) fn begin_load(
+        &mut self,
+        order: &LoadRequest,
+        fence: Option<Fence>,
+    ) -> Result<LoadStart, EngineError> {
+        let result = self.try_load(order, fence);
+        let kind = result.as_ref().err().map(|e| e.error);
+        self.record_order(OrderKind::Load, &order.lora_name, fence, kind);
+        result
+    }
+
+    fn try_load(
+        &mut self,
+        order: &LoadRequest,
+        fence: Option<Fence>,
+    ) -> Result<LoadStart, EngineError> {
+        self.check_fence(fence)?;
+        if let Some((adapter, progress)) = self.loads.get(&order.lora_name) {
+            return self::same_adapter(&adapter, &order.lora_path)
+                .map(|()| LoadStart::Known(progress));
+        }
+        if self.loads.len() >= self.settings.slots as usize {
+            return Err(error(EngineErrorKind::SlotsFull, "every slot is taken"));
+        }
+        let name = Arc::clone(&order.lora_name);
+        let (serial, progress) = self.loads.begin(name, order.lora_path.clone());
+        Ok(LoadStart::Fetch { serial, progress })
+    }
+
+    /// Closes the fetch of a load; a fault may still fail it.
+    pub(crate) fn end_load(&mut self, name: &LoadName, serial: u64, fetched: bool) {
+        let fault = self.faults.fail_loads > 0;
+        self.faults.fail_loads = self.faults.fail_loads.saturating_sub(1);
+        self.loads.end(name, serial, fetched && !fault);
+    }
+
+    /// Takes an unload order; an unknown name is a success.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the order had no effect.
+    pub(crate) fn unload(
+        &mut self,
+        name: &LoadName,
+        fence: Option<Fence>,
+    ) -> Result<(), EngineError> {
+        let result = self.check_fence(fence);
+        let kind = result.as_ref().err().map(|e| e.error);
+        self.record_order(OrderKind::Unload, name, fence, kind);
+        result?;
+        if self.loads.remove(name) {
+            let running = self.break_load(name);
+            self.record_break(name, running);
+        }
+        Ok(())
+    }
+
+    /// Records an unload that hit `running` runs.
+    fn record_break(&mut self, name: &LoadName, running: u32) {
+        if running == 0 {
+            return;
+        }
+        self.ledger.violations.push(Violation::UnloadWhileRunning {
+            engine: Arc::clone(&self.settings.id),
+            load: Arc::clone(name),
+            running,
+        });
+    }
+
+    /// Refuses an old fencing token, if this engine checks them.
+    fn check_fence(&mut self, fence: Option<Fence>) -> Result<(), EngineError> {
+        if !self.settings.checks_fencing {
+            return Ok(());
+        }
+        let Some(fence) = fence else {
+            let message = "the order carries no fencing token";
+            return Err(error(EngineErrorKind::BadRequest, message));
+        };
+        if fence < self.max_fence {
+            let message = format!("token {fence} is older than {}", self.max_fence);
+            return Err(error(EngineErrorKind::StaleFence, &message));
+        }
+        self.max_fence = fence;
+        Ok(())
+    }
+
+    fn record_order(
+        &mut self,
+        kind: OrderKind,
+        name: &LoadName,
+        fence: Option<Fence>,
+        error: Option<EngineErrorKind>,
+    ) {
+        self.ledger.orders.push(OrderRecord {
+            kind,
+            load: Arc::clone(name),
+            fence,
+            incarnation: self.incarnation,
+            error,
+        });
+    }
+}
+
+fn same_adapter(resident: &AdapterRef, asked: &AdapterRef) -> Result<(), EngineError> {
+    if resident == asked {
+        return Ok(());
+    }
+    let message = format!("the name belongs to a load of {resident}");
+    Err(error(EngineErrorKind::BadRequest, &message))
+}
--- /dev/null
+++ b/crates/caraway-standin/src/engine/server.rs
@@ -0,0 +1,175 @@
+//! The engine's HTTP routes.
+
+use std::{io, sync::Arc, task::Poll};
+
+use caraway_types::Fence;
+use caraway_wire::engine::{
+    CancelRequest, CompletionRequest, DONE, EngineError, EngineErrorKind, FENCE_HEADER,
+    LoadRequest, UnloadRequest,
+};
+use futures_util::{Stream, stream};
+use ntex::{
+    http::StatusCode,
+    util::Bytes,
+    web::{self, HttpRequest, HttpResponse, ServiceConfig, types::State},
+};
+use serde::de::DeserializeOwned;
+use tokio::{sync::mpsc::UnboundedReceiver, time::Instant};
+
+use super::{Shared, core::error, loads::Progress, orders::LoadStart};
+
+type Engine = State<Arc<Shared>>;
+
+/// Adds the engine's routes.
+pub(crate) fn routes(config: &mut ServiceConfig) {
+    config
+        .route("/v1/completions", web::post().to(complete))
+        .route("/v1/completions/cancel", web::post().to(cancel))
+        .route("/v1/load_lora_adapter", web::post().to(load))
+        .route("/v1/unload_lora_adapter", web::post().to(unload))
+        .route("/load", web::get().to(report));
+}
+
+async fn complete(engine: Engine, body: Bytes) -> HttpResponse {
+    let request = match parse::<CompletionRequest>(&body) {
+        Ok(request) => request,
+        Err(error) => return refuse(&error),
+    };
+    match engine.with(|c| c.accept(request)) {
+        Ok(events) => {
+            engine.wake();
+            HttpResponse::Ok()
+                .content_type("text/event-stream")
+                .streaming(Box::pin(whole(events)))
+        }
+        Err(error) => refuse(&error),
+    }
+}
+
+async fn cancel(engine: Engine, body: Bytes) -> HttpResponse {
+    match parse::<CancelRequest>(&body) {
+        Ok(request) => {
+            engine.with(|c| c.cancel(&request.request_id));
+            HttpResponse::Ok().finish()
+        }
+        Err(error) => refuse(&error),
+    }
+}
+
+async fn load(engine: Engine, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let started = order::<LoadRequest>(&request, &body).and_then(|(order, fence)| {
+        let start = engine.with(|c| c.begin_load(&order, fence))?;
+        Ok((order, start))
+    });
+    let progress = match started {
+        Ok((_, LoadStart::Known(progress))) => progress,
+        Ok((order, LoadStart::Fetch { serial, progress })) => {
+            ntex::rt::spawn(fetch(Arc::clone(&engine), order, serial));
+            progress
+        }
+        Err(error) => return refuse(&error),
+    };
+    if complete_load(progress).await {
+        HttpResponse::Ok().finish()
+    } else {
+        let message = "the weight store failed";
+        refuse(&error(EngineErrorKind::LoadFailed, message))
+    }
+}
+
+/// Waits until a load is complete and tells whether it is.
+async fn complete_load(mut progress: Progress) -> bool {
+    progress.wait_for(|ready| *ready).await.is_ok()
+}
+
+/// Fetches a load from the weight store, also when nobody waits for it any more.
+async fn fetch(engine: Arc<Shared>, order: LoadRequest, serial: u64) {
+    let store = engine.with(|c| c.settings.store.clone());
+    let mut fetched = true;
+    if let Some(store) = store {
+        match store.begin(Instant::now().into_std(), &order.lora_path) {
+            Ok(time) => {
+                tokio::time::sleep(time).await;
+                store.end();
+            }
+            Err(_) => fetched = false,
+        }
+    }
+    engine.with(|c| c.end_load(&order.lora_name, serial, fetched));
+}
+
+async fn unload(engine: Engine, request: HttpRequest, body: Bytes) -> HttpResponse {
+    let result = order::<UnloadRequest>(&request, &body)
+        .and_then(|(order, fence)| engine.with(|c| c.unload(&order.lora_name, fence)));
+    match result {
+        Ok(()) => HttpResponse::Ok().finish(),
+        Err(error) => refuse(&error),
+    }
+}
+
+async fn report(engine: Engine) -> HttpResponse {
+    let now = Instant::now().into_std();
+    let report = engine.with(|c| {
+        if c.faults.fail_reports > 0 {
+            c.faults.fail_reports -= 1;
+            return None;
+        }
+        Some(c.report(now))
+    });
+    match report {
+        Some(report) => HttpResponse::Ok().json(&report),
+        None => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+/// Passes the events on, and fails the stream if it ends before [`DONE`].
+fn whole(mut events: UnboundedReceiver<Bytes>) -> impl Stream<Item = io::Result<Bytes>> {
+    let end = format!("data: {DONE}");
+    let mut over = false;
+    stream::poll_fn(move |context| {
+        if over {
+            return Poll::Ready(None);
+        }
+        events.poll_recv(context).map(|event| {
+            over = event.as_ref().is_none_or(|e| e.starts_with(end.as_bytes()));
+            Some(event.ok_or_else(|| io::ErrorKind::ConnectionAborted.into()))
+        })
+    })
+}
+
+/// Parses an order with its fencing token.
+fn order<T: DeserializeOwned>(
+    request: &HttpRequest,
+    body: &[u8],
+) -> Result<(T, Option<Fence>), EngineError> {
+    Ok((parse(body)?, fence(request)?))
+}
+
+fn fence(request: &HttpRequest) -> Result<Option<Fence>, EngineError> {
+    let Some(value) = request.headers().get(FENCE_HEADER) else {
+        return Ok(None);
+    };
+    let number = value.to_str().ok().and_then(|text| text.parse().ok());
+    let message = format!("{FENCE_HEADER}: expected a decimal number");
+    number
+        .map(Some)
+        .ok_or_else(|| error(EngineErrorKind::BadRequest, &message))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, EngineError> {
+    serde_json::from_slice(body).map_err(|e| error(EngineErrorKind::BadRequest, &e.to_string()))
+}
+
+/// Answers with an error and its status.
+fn refuse(error: &EngineError) -> HttpResponse {
+    let status = match error.error {
+        EngineErrorKind::BadRequest => StatusCode::BAD_REQUEST,
+        EngineErrorKind::UnknownModel => StatusCode::NOT_FOUND,
+        EngineErrorKind::SlotsFull => StatusCode::CONFLICT,
+        EngineErrorKind::StaleFence => StatusCode::PRECONDITION_FAILED,
+        EngineErrorKind::LoadFailed => StatusCode::BAD_GATEWAY,
+        EngineErrorKind::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+        EngineErrorKind::NotResumable => StatusCode::GONE,
+    };
+    HttpResponse::build(status).json(error)
+}
--- /dev/null
+++ b/crates/caraway-standin/src/host.rs
@@ -0,0 +1,112 @@
+//! [`Host`] runs one HTTP server in its own thread with its own ntex system.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{Arc, mpsc},
+    thread::{self, JoinHandle},
+};
+
+use ntex::{
+    rt::{DefaultRuntime, System},
+    server::Server,
+    time::Seconds,
+    web::{App, HttpServer, ServiceConfig},
+};
+use tokio::sync::Notify;
+
+/// A running server; stops when dropped.
+#[derive(Debug)]
+pub(crate) struct Host {
+    addr: SocketAddr,
+    stop: Arc<Notify>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Host {
+    /// Serves `routes` over `state` on a loopback port from the operating system, with `duty`
+    /// running beside the server until the host stops.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the port or starting the server.
+    pub(crate) fn start<T, D>(
+        name: &str,
+        state: Arc<T>,
+        routes: fn(&mut ServiceConfig),
+        duty: impl FnOnce(Arc<T>) -> D + Send + 'static,
+    ) -> io::Result<Self>
+    where
+        T: Send + Sync + 'static,
+        D: Future<Output = ()> + 'static,
+    {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let addr = listener.local_addr()?;
+        let stop = Arc::new(Notify::new());
+        let stopped = Arc::clone(&stop);
+        let (ready, started) = mpsc::channel();
+        let main = move || {
+            let run = async move {
+                let shared = Arc::clone(&state);
+                let server = match serve(listener, shared, routes) {
+                    Ok(server) => server,
+                    Err(error) => return drop(ready.send(Err(error))),
+                };
+                drop(ready.send(Ok(())));
+                tokio::select! {
+                    () = stopped.notified() => {}
+                    () = forever(duty(state)) => {}
+                }
+                server.stop(false).await;
+            };
+            System::build().build(DefaultRuntime).block_on(run);
+        };
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(main)?;
+        started.recv().map_err(io::Error::other)??;
+        Ok(Self {
+            addr,
+            stop,
+            thread: Some(thread),
+        })
+    }
+
+    /// Returns the address of the server.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes the server and waits for its thread.
+    pub(crate) fn stop(&mut self) {
+        self.stop.notify_one();
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Starts a server with one worker.
+fn serve<T: Send + Sync + 'static>(
+    listener: TcpListener,
+    state: Arc<T>,
+    routes: fn(&mut ServiceConfig),
+) -> io::Result<Server> {
+    let app = async move || App::new().state(Arc::clone(&state)).configure(routes);
+    let server = HttpServer::new(app)
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(Seconds(0))
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+/// Runs `duty` and never returns.
+async fn forever(duty: impl Future<Output = ()>) {
+    duty.await;
+    std::future::pending::<()>().await;
+}
--- a/crates/caraway-standin/src/lib.rs
+++ b/crates/caraway-standin/src/lib.rs
@@ -1,1 +1,26 @@
-//! Placeholder.
+//! Small stand-ins for the platform and the endpoints, each an HTTP server in its own thread,
+//! with faults to inject and ledgers of what they did.
+//!
+//! - [`Engine`]: a model engine with adapter slots and continuous batches.
+//! - [`LogService`]: the platform's append-only log.
+//! - [`InstanceList`]: the platform's lagging list.
+//! - [`Service`]: a plain service with calls that may not be repeated.
+//! - [`Store`]: the weight store that the engines load from.
+//! - [`token`]: the text that an engine generates, so that a caller can check an answer.
+
+mod drop_io;
+mod engine;
+mod host;
+mod list;
+mod log_service;
+mod service;
+mod store;
+
+pub use engine::{
+    Engine, EngineFaults, EngineLedger, EngineSettings, OrderKind, OrderRecord, RunEnd, RunRecord,
+    Violation, token,
+};
+pub use list::{InstanceList, ListFaults, ListSettings};
+pub use log_service::{LogFaults, LogService, LogSettings};
+pub use service::{CallRecord, Service, ServiceAnswer, ServiceFaults, ServiceSettings};
+pub use store::{Store, StoreDown, StoreFaults, StoreLedger, StoreSettings};
--- /dev/null
+++ b/crates/caraway-standin/src/list.rs
@@ -0,0 +1,151 @@
+//! [`InstanceList`]: a stand-in for the platform's lagging list.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use caraway_types::Millis;
+use caraway_wire::list::{Listed, Listing};
+use ntex::web::{self, HttpResponse, ServiceConfig, types::State};
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::host::Host;
+
+/// How the list behaves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ListSettings {
+    /// Age of what it answers.
+    pub lag: Millis,
+}
+
+impl Default for ListSettings {
+    fn default() -> Self {
+        Self {
+            lag: Millis::new(1_000),
+        }
+    }
+}
+
+/// Faults of the list, none by default.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ListFaults {
+    /// Fails every call.
+    pub down: bool,
+    /// Time added to the lag.
+    pub slow: Millis,
+}
+
+/// A running list.
+#[derive(Debug)]
+pub struct InstanceList {
+    host: Host,
+    shared: Arc<Mutex<Members>>,
+}
+
+/// The members now and before.
+#[derive(Debug)]
+struct Members {
+    settings: ListSettings,
+    faults: ListFaults,
+    now: Listing,
+    past: VecDeque<(Instant, Listing)>,
+}
+
+impl InstanceList {
+    /// Starts a list; its first members are served without lag.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting its server.
+    pub fn start(settings: ListSettings, members: Vec<Listed>) -> io::Result<Self> {
+        let first = Listing { members };
+        let shared = Arc::new(Mutex::new(Members {
+            settings,
+            faults: ListFaults::default(),
+            past: VecDeque::from([(Instant::now(), first.clone())]),
+            now: first,
+        }));
+        let idle = |_| std::future::ready(());
+        let host = Host::start("list", Arc::clone(&shared), routes, idle)?;
+        Ok(Self { host, shared })
+    }
+
+    /// Returns the address of the list.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Closes the server and waits for its thread.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+
+    /// Adds a member or replaces the one of the same id.
+    pub fn set(&self, member: Listed) {
+        self.change(|members| {
+            members.retain(|m| m.id != member.id);
+            members.push(member);
+        });
+    }
+
+    /// Marks a member as leaving.
+    pub fn mark_leaving(&self, id: &str) {
+        self.change(|members| {
+            for member in members.iter_mut().filter(|m| *m.id == *id) {
+                member.leaving = true;
+            }
+        });
+    }
+
+    /// Drops a member.
+    pub fn remove(&self, id: &str) {
+        self.change(|members| members.retain(|m| *m.id != *id));
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ListFaults) {
+        self.with(|m| m.faults = faults);
+    }
+
+    fn change(&self, f: impl FnOnce(&mut Vec<Listed>)) {
+        self.with(|m| {
+            f(&mut m.now.members);
+            m.past.push_back((Instant::now(), m.now.clone()));
+        });
+    }
+
+    fn with<R>(&self, f: impl FnOnce(&mut Members) -> R) -> R {
+        f(&mut self.shared.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Members {
+    /// Returns the listing as it was before the lag.
+    fn read(&mut self, now: Instant) -> Listing {
+        let lag = self.settings.lag.get() + self.faults.slow.get();
+        let past = &mut self.past;
+        while past.get(1).is_some_and(|(at, _)| now - *at >= lag) {
+            past.pop_front();
+        }
+        past.front().map(|(_, l)| l.clone()).unwrap_or_default()
+    }
+}
+
+fn routes(config: &mut ServiceConfig) {
+    config.route("/v1/instances", web::get().to(instances));
+}
+
+async fn instances(list: State<Arc<Mutex<Members>>>) -> HttpResponse {
+    let mut members = list.lock().unwrap_or_else(PoisonError::into_inner);
+    if members.faults.down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    HttpResponse::Ok().json(&members.read(Instant::now()))
+}
--- /dev/null
+++ b/crates/caraway-standin/src/service.rs
@@ -0,0 +1,223 @@
+//! [`Service`]: a stand-in for a plain service whose calls may not be repeated.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use caraway_types::{EndpointId, Millis};
+use caraway_wire::service::{ATTEMPT_HEADER, KEY_HEADER};
+use ntex::{
+    util::Bytes,
+    web::{self, HttpRequest, HttpResponse, ServiceConfig, types::State},
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{drop_io::drop_connection, host::Host};
+
+/// How a service behaves.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceSettings {
+    /// The service replica's id.
+    pub id: EndpointId,
+    /// Time that each call takes.
+    pub work: Millis,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            id: "service".into(),
+            work: Millis::new(5),
+        }
+    }
+}
+
+/// Faults of a service, none by default.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// Calls from now on that are carried out but lose their answer.
+    pub lose_answers: u32,
+    /// Calls from now on that are dropped before they are carried out.
+    pub die_early: u32,
+    /// Calls from now on that are carried out but get the answer of the call before.
+    pub cross_answers: u32,
+    /// Calls from now on that are carried out but never answered, on a connection that stays open.
+    pub silence: u32,
+    /// Time added to each call.
+    pub slow: Millis,
+    /// Refuses every call with status 503, without carrying it out.
+    pub down: bool,
+}
+
+/// A call that a service carried out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CallRecord {
+    /// The method.
+    pub method: Arc<str>,
+    /// The path with its query.
+    pub path: Arc<str>,
+    /// The idempotency key, if the call carried one.
+    pub key: Option<Arc<str>>,
+    /// The attempt's id, if the call carried one.
+    pub attempt: Option<Arc<str>>,
+    /// The body.
+    pub body: Arc<str>,
+}
+
+/// The body of an answer: the call that it belongs to.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServiceAnswer {
+    /// The service replica that carried the call out.
+    pub service: EndpointId,
+    /// The call.
+    pub call: CallRecord,
+}
+
+/// A running service.
+#[derive(Debug)]
+pub struct Service {
+    host: Host,
+    shared: Arc<Mutex<Inner>>,
+}
+
+/// What changes in a service.
+#[derive(Debug)]
+struct Inner {
+    settings: ServiceSettings,
+    faults: ServiceFaults,
+    calls: Vec<CallRecord>,
+}
+
+/// What becomes of a call.
+#[derive(Debug)]
+enum CallEnd {
+    Answer(CallRecord),
+    Lost,
+    Silent,
+    Down,
+}
+
+impl Service {
+    /// Starts a service.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting its server.
+    pub fn start(settings: ServiceSettings) -> io::Result<Self> {
+        let name = Arc::clone(&settings.id);
+        let shared = Arc::new(Mutex::new(Inner {
+            settings,
+            faults: ServiceFaults::default(),
+            calls: Vec::new(),
+        }));
+        let idle = |_| std::future::ready(());
+        let host = Host::start(&name, Arc::clone(&shared), routes, idle)?;
+        Ok(Self { host, shared })
+    }
+
+    /// Returns the address of the service.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.host.addr()
+    }
+
+    /// Closes the server and waits for its thread.
+    pub fn stop(&mut self) {
+        self.host.stop();
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        lock(&self.shared).faults = faults;
+    }
+
+    /// Returns the calls that were carried out, in order.
+    #[must_use]
+    pub fn ledger(&self) -> Vec<CallRecord> {
+        lock(&self.shared).calls.clone()
+    }
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Inner {
+    /// Carries a call out, as the faults allow.
+    fn call(&mut self, call: CallRecord) -> CallEnd {
+        if self.faults.down {
+            return CallEnd::Down;
+        }
+        if spend(&mut self.faults.die_early) {
+            return CallEnd::Lost;
+        }
+        let before = self.calls.last().cloned();
+        self.calls.push(call.clone());
+        if spend(&mut self.faults.lose_answers) {
+            return CallEnd::Lost;
+        }
+        if spend(&mut self.faults.silence) {
+            return CallEnd::Silent;
+        }
+        match before {
+            Some(before) if spend(&mut self.faults.cross_answers) => CallEnd::Answer(before),
+            _ => CallEnd::Answer(call),
+        }
+    }
+}
+
+/// Takes one from a count of faults and tells whether there was one.
+fn spend(count: &mut u32) -> bool {
+    let some = *count > 0;
+    *count = count.saturating_sub(1);
+    some
+}
+
+fn routes(config: &mut ServiceConfig) {
+    config.route("/{path}*", web::to(call));
+}
+
+async fn call(
+    service: State<Arc<Mutex<Inner>>>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let (id, time) = {
+        let inner = lock(&service);
+        let time = inner.settings.work.get() + inner.faults.slow.get();
+        (Arc::clone(&inner.settings.id), time)
+    };
+    tokio::time::sleep(time).await;
+    let end = lock(&service).call(record(&request, &body));
+    match end {
+        CallEnd::Answer(call) => answer(id, call),
+        CallEnd::Lost => drop_connection(&request),
+        CallEnd::Silent => std::future::pending().await,
+        CallEnd::Down => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+fn record(request: &HttpRequest, body: &[u8]) -> CallRecord {
+    let header = |name| request.headers().get(name)?.to_str().ok().map(Arc::from);
+    CallRecord {
+        method: request.method().as_str().into(),
+        path: request.uri().to_string().into(),
+        key: header(KEY_HEADER),
+        attempt: header(ATTEMPT_HEADER),
+        body: String::from_utf8_lossy(body).into(),
+    }
+}
+
+fn answer(service: EndpointId, call: CallRecord) -> HttpResponse {
+    let mut response = HttpResponse::Ok();
+    if let Some(attempt) = &call.attempt {
+        response.header(ATTEMPT_HEADER, &**attempt);
+    }
+    response.json(&ServiceAnswer { service, call })
+}
--- /dev/null
+++ b/crates/caraway-standin/tests/engine.rs
@@ -0,0 +1,298 @@
+//! What the engine stand-in does, and each of its faults.
+
+mod common;
+#[path = "common/tokens.rs"]
+mod tokens;
+
+use caraway_standin::{Engine, EngineFaults, EngineSettings, RunEnd, Violation, token};
+use caraway_types::{AdapterRef, Millis};
+use caraway_wire::engine::{CompletionRequest, EngineError, EngineErrorKind, EngineLoad};
+use common::{get, load, post, until};
+use ntex::http::StatusCode;
+use tokens::{complete, request, unload};
+
+fn quick() -> EngineSettings {
+    EngineSettings {
+        step_us: 500,
+        fill_us: 10,
+        prefill_us: 1,
+        report_lag: Millis::new(30),
+        ..EngineSettings::default()
+    }
+}
+
+async fn loaded(settings: EngineSettings) -> Engine {
+    let engine = Engine::start(settings).unwrap();
+    assert_eq!(
+        load(engine.addr(), "l1", "signs@v1", 1).await,
+        StatusCode::OK
+    );
+    engine
+}
+
+#[ntex::test]
+async fn streams_the_tokens_of_the_named_adapter() {
+    let engine = loaded(quick()).await;
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "hello", 5)).await;
+    let (chunks, whole) = tokens.rest().await;
+    assert!(whole);
+    let adapter = AdapterRef::new("signs", "v1");
+    for (index, chunk) in (0..).zip(&chunks) {
+        assert_eq!(chunk.index, index);
+        assert_eq!(*chunk.text, token(&adapter, "hello", index));
+        assert_eq!((&*chunk.request_id, &*chunk.model), ("a", "l1"));
+    }
+    assert_eq!(chunks.len(), 5);
+    assert_eq!(chunks[4].finish_reason.as_deref(), Some("length"));
+    let run = &engine.ledger().runs[0];
+    assert_eq!((run.generated, run.end), (5, Some(RunEnd::Finished)));
+}
+
+#[ntex::test]
+async fn refuses_unknown_loads_and_bad_bodies() {
+    let engine = loaded(quick()).await;
+    let unknown = post(
+        engine.addr(),
+        "/v1/completions",
+        &request("a", "l2", "p", 1),
+        &[],
+    )
+    .await
+    .unwrap();
+    assert_eq!(unknown.status, StatusCode::NOT_FOUND);
+    let error: EngineError = unknown.json();
+    assert_eq!(error.error, EngineErrorKind::UnknownModel);
+    let bad = post(engine.addr(), "/v1/completions", &"text", &[])
+        .await
+        .unwrap();
+    assert_eq!(bad.json::<EngineError>().error, EngineErrorKind::BadRequest);
+    assert!(engine.ledger().runs.is_empty());
+}
+
+#[ntex::test]
+async fn slots_are_few_and_orders_repeat() {
+    let engine = loaded(EngineSettings {
+        slots: 2,
+        ..quick()
+    })
+    .await;
+    let addr = engine.addr();
+    assert_eq!(load(addr, "l1", "signs@v1", 1).await, StatusCode::OK);
+    assert_eq!(
+        load(addr, "l1", "signs@v2", 1).await,
+        StatusCode::BAD_REQUEST
+    );
+    assert_eq!(load(addr, "l2", "signs@v2", 1).await, StatusCode::OK);
+    assert_eq!(load(addr, "l3", "signs@v3", 1).await, StatusCode::CONFLICT);
+    assert_eq!(unload(addr, "l2", 1).await, StatusCode::OK);
+    assert_eq!(unload(addr, "l2", 1).await, StatusCode::OK);
+    assert_eq!(load(addr, "l3", "signs@v3", 1).await, StatusCode::OK);
+}
+
+#[ntex::test]
+async fn checks_fencing_only_if_set() {
+    let checking = loaded(quick()).await;
+    assert_eq!(load(checking.addr(), "l2", "a@v1", 9).await, StatusCode::OK);
+    let stale = StatusCode::PRECONDITION_FAILED;
+    assert_eq!(load(checking.addr(), "l3", "b@v1", 8).await, stale);
+    assert_eq!(unload(checking.addr(), "l2", 8).await, stale);
+    let ignoring = loaded(EngineSettings {
+        checks_fencing: false,
+        ..quick()
+    })
+    .await;
+    assert_eq!(load(ignoring.addr(), "l2", "a@v1", 9).await, StatusCode::OK);
+    assert_eq!(unload(ignoring.addr(), "l2", 8).await, StatusCode::OK);
+}
+
+#[ntex::test]
+async fn resumes_a_dropped_attempt_without_doubling() {
+    let engine = loaded(quick()).await;
+    let ask = request("a", "l1", "hello", 60);
+    let mut first = complete(engine.addr(), &ask).await;
+    for _ in 0..3 {
+        first.next().await.unwrap();
+    }
+    drop(first);
+    let again = CompletionRequest {
+        resume_from: 3,
+        ..ask
+    };
+    let (chunks, whole) = complete(engine.addr(), &again).await.rest().await;
+    assert!(whole);
+    let indices: Vec<u32> = chunks.iter().map(|c| c.index).collect();
+    assert_eq!(indices, (3..60).collect::<Vec<_>>());
+    let ledger = engine.ledger();
+    assert_eq!(ledger.runs.len(), 1);
+    assert_eq!(ledger.runs[0].generated, 60);
+}
+
+#[ntex::test]
+async fn cancels_what_nobody_resumes() {
+    let engine = loaded(EngineSettings {
+        resume_window: Millis::new(50),
+        ..quick()
+    })
+    .await;
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 1_000_000)).await;
+    tokens.next().await.unwrap();
+    drop(tokens);
+    until(|| engine.ledger().runs[0].end == Some(RunEnd::Abandoned)).await;
+    let late = CompletionRequest {
+        resume_from: 1,
+        ..request("a", "l1", "p", 1_000_000)
+    };
+    let answer = post(engine.addr(), "/v1/completions", &late, &[])
+        .await
+        .unwrap();
+    assert_eq!(answer.status, StatusCode::GONE);
+}
+
+#[ntex::test]
+async fn cancel_ends_a_run_at_once() {
+    let engine = loaded(quick()).await;
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 1_000_000)).await;
+    tokens.next().await.unwrap();
+    let cancel = serde_json::json!({ "request_id": "a" });
+    post(engine.addr(), "/v1/completions/cancel", &cancel, &[])
+        .await
+        .unwrap();
+    let (_, whole) = tokens.rest().await;
+    assert!(!whole);
+    assert_eq!(engine.ledger().runs[0].end, Some(RunEnd::Cancelled));
+}
+
+#[ntex::test]
+async fn records_an_unload_that_hits_a_run() {
+    let engine = loaded(quick()).await;
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 1_000_000)).await;
+    tokens.next().await.unwrap();
+    assert_eq!(unload(engine.addr(), "l1", 1).await, StatusCode::OK);
+    let (_, whole) = tokens.rest().await;
+    assert!(!whole);
+    let expected = Violation::UnloadWhileRunning {
+        engine: "engine".into(),
+        load: "l1".into(),
+        running: 1,
+    };
+    assert_eq!(engine.ledger().violations, [expected]);
+}
+
+#[ntex::test]
+async fn restarts_empty_with_a_larger_incarnation() {
+    let engine = loaded(quick()).await;
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 1_000_000)).await;
+    tokens.next().await.unwrap();
+    engine.restart();
+    let (_, whole) = tokens.rest().await;
+    assert!(!whole);
+    assert_eq!(engine.ledger().runs[0].end, Some(RunEnd::Broken));
+    let gone = complete(engine.addr(), &request("b", "l1", "p", 1)).await;
+    assert_eq!(gone.status, StatusCode::NOT_FOUND);
+    loop {
+        let report: EngineLoad = get(engine.addr(), "/load").await.unwrap().json();
+        if report.incarnation == 2 {
+            assert!(report.residents.is_empty());
+            break;
+        }
+    }
+}
+
+#[ntex::test]
+async fn the_report_lags() {
+    let engine = Engine::start(EngineSettings {
+        report_lag: Millis::new(3_600_000),
+        ..quick()
+    })
+    .unwrap();
+    until(|| engine.reports() > 0).await;
+    assert_eq!(
+        load(engine.addr(), "l1", "signs@v1", 1).await,
+        StatusCode::OK
+    );
+    let report: EngineLoad = get(engine.addr(), "/load").await.unwrap().json();
+    assert!(report.residents.is_empty());
+}
+
+#[ntex::test]
+async fn batches_are_bounded_and_honour_priorities() {
+    let engine = loaded(EngineSettings {
+        max_batch: 1,
+        max_waiting: 2,
+        ..quick()
+    })
+    .await;
+    let addr = engine.addr();
+    let mut first = complete(addr, &request("a", "l1", "p", 1_000_000)).await;
+    first.next().await.unwrap();
+    let slow = CompletionRequest {
+        priority: 9,
+        ..request("slow", "l1", "p", 2)
+    };
+    let mut slow = complete(addr, &slow).await;
+    let mut fast = complete(addr, &request("fast", "l1", "p", 400)).await;
+    let full = post(addr, "/v1/completions", &request("c", "l1", "p", 1), &[])
+        .await
+        .unwrap();
+    assert_eq!(full.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(
+        full.json::<EngineError>().error,
+        EngineErrorKind::Overloaded
+    );
+    let cancel = serde_json::json!({ "request_id": "a" });
+    post(addr, "/v1/completions/cancel", &cancel, &[])
+        .await
+        .unwrap();
+    fast.next().await.unwrap();
+    assert!(!engine.ledger().runs[1].started);
+    assert!(fast.rest().await.1);
+    assert!(slow.rest().await.1);
+}
+
+#[ntex::test]
+async fn the_prefix_cache_saves_prefill() {
+    let engine = loaded(quick()).await;
+    let prompt = "a prompt that fills more than two blocks";
+    for id in ["a", "b"] {
+        let mut tokens = complete(engine.addr(), &request(id, "l1", prompt, 1)).await;
+        assert!(tokens.rest().await.1);
+    }
+    let ledger = engine.ledger();
+    assert_eq!(ledger.prefix_hits, 32);
+    assert_eq!(ledger.prefilled, 2 * prompt.len() as u64 - 32);
+}
+
+#[ntex::test]
+async fn faults_fail_loads_break_runs_and_fail_reports() {
+    let engine = loaded(quick()).await;
+    let addr = engine.addr();
+    engine.set_faults(EngineFaults {
+        fail_loads: 1,
+        break_runs: 1,
+        fail_reports: 1,
+        ..EngineFaults::default()
+    });
+    assert_eq!(load(addr, "l2", "a@v1", 1).await, StatusCode::BAD_GATEWAY);
+    assert_eq!(load(addr, "l2", "a@v1", 1).await, StatusCode::OK);
+    let mut tokens = complete(addr, &request("a", "l1", "p", 9)).await;
+    let (chunks, whole) = tokens.rest().await;
+    assert_eq!((chunks.len(), whole), (1, false));
+    let failed = get(addr, "/load").await.unwrap();
+    assert_eq!(failed.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(get(addr, "/load").await.unwrap().status, StatusCode::OK);
+}
+
+#[ntex::test]
+async fn a_stalled_engine_accepts_but_makes_no_progress() {
+    let engine = loaded(quick()).await;
+    engine.set_faults(EngineFaults {
+        stalled: true,
+        ..EngineFaults::default()
+    });
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 3)).await;
+    assert_eq!(tokens.status, StatusCode::OK);
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    assert_eq!(engine.ledger().runs[0].generated, 0);
+    engine.set_faults(EngineFaults::default());
+    assert!(tokens.rest().await.1);
+}
