--- a/crates/caraway-records/src/head.rs
+++ b/crates/caraway-records/src/head.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use caraway_types::Offset;
 
 use crate::{digest, limits::KEPT_TEXTS};
@@ -36,7 +38,8 @@
 }
 
 /// What an accepted record counts for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub(crate) enum Standing {
     /// It was in force from its offset on.
     Valid,
--- a/crates/caraway-records/src/ids.rs
+++ b/crates/caraway-records/src/ids.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns the remembered ids, the oldest first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &SeenId> {
+        self.order.iter()
+    }
+
     /// Returns the part of the digest.
     pub(crate) fn sum(&self) -> u64 {
         self.sum
--- a/crates/caraway-records/src/lib.rs
+++ b/crates/caraway-records/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`State`] folds records by offset; [`Outcome`] says what became of each.
 //! - [`Adapter`], [`AdapterVersion`], [`Account`], [`Routing`], [`Objective`] and [`Service`] are
 //!   the bodies in their newest schema; older schemas are upgraded when they are read.
+//! - [`Snapshot`] cuts a state into records of the log; [`Assembly`] restores it.
 //!
 //! Nothing here does I/O or reads a clock.
 
@@ -16,6 +17,7 @@
 mod outcome;
 mod record;
 mod resolve;
+mod snapshot;
 mod state;
 mod values;
 
@@ -26,4 +28,5 @@
 pub use outcome::{Outcome, RefusedRecord};
 pub use record::Record;
 pub use resolve::ResolveError;
+pub use snapshot::{Assembly, Snapshot, SnapshotError, SnapshotId};
 pub use state::State;
--- a/crates/caraway-records/src/record.rs
+++ b/crates/caraway-records/src/record.rs
@@ -105,15 +105,16 @@
         format!("{}/{}", self.kind, self.key).into()
     }
 
-    /// Reads the body.
-    pub(crate) fn read(&self) -> Result<Reading, Findings> {
+    /// Reads the body, in schemas up to `limit` of those that this program knows.
+    pub(crate) fn read(&self, limit: Option<u32>) -> Result<Reading, Findings> {
         let Ok(kind) = self.kind.parse::<Kind>() else {
             return Ok(Reading::Newer);
         };
         if self.body.is_null() {
             return Ok(Reading::Tombstone(kind));
         }
-        if self.schema > kind.schema() {
+        let newest = limit.map_or(kind.schema(), |l| l.min(kind.schema()));
+        if self.schema > newest {
             return Ok(Reading::Newer);
         }
         let mut found = Findings::default();
--- a/crates/caraway-records/src/state.rs
+++ b/crates/caraway-records/src/state.rs
@@ -27,6 +27,7 @@
     pub(crate) heads: BTreeMap<Arc<str>, Arc<Head>>,
     pub(crate) ids: Ids,
     pub(crate) values: Values,
+    pub(crate) limit: Option<u32>,
     tombstones: BTreeMap<Offset, Arc<str>>,
     sum: u64,
     bytes: usize,
@@ -40,6 +41,17 @@
 }
 
 impl State {
+    /// Makes an empty state that holds records of schemas above `limit` as newer ones.
+    ///
+    /// So a new schema can be kept out of force until every instance knows it.
+    #[must_use]
+    pub fn limited(limit: Option<u32>) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
     /// Folds the record at `offset`.
     ///
     /// Records are folded in the order of their offsets; one that was already folded and one that
@@ -199,7 +211,7 @@
     /// Puts a body in force if it is valid; returns whether the key is deleted.
     fn enforce(&mut self, record: &Record) -> (Outcome, Standing, bool) {
         let mut found = Findings::default();
-        match record.read() {
+        match record.read(self.limit) {
             Err(found) => return (Outcome::Void(found), Standing::Void, false),
             Ok(Reading::Newer) => {
                 return (Outcome::Held, Standing::Held, record.body.is_null());
