Prove the thin whole path through separate processes

Cause: the path from a caller to an engine had no proof across processes. Change: a small testbed (entry instances as processes, stand-ins as threads) and two tests: every instance answers from the named adapter version, whole and streamed; bad input gets a typed answer with its place and runs nothing.

--- /dev/null
+++ b/crates/caraway-entry/tests/path.rs
@@ -0,0 +1,117 @@
+//! The whole path through daemons as separate processes.
+
+mod testbed;
+
+use testbed::{
+    Plan, Testbed,
+    caller::{complete, expected, send, stream},
+};
+
+#[test]
+fn each_instance_answers_from_the_named_adapter_version() {
+    let bed = Testbed::start(Plan::default());
+    for (i, entry) in bed.entries.iter().enumerate() {
+        for n in 0..6 {
+            let (model, prompt) = (format!("adapter-{n}@v1"), format!("banner {i} {n}"));
+            let whole = complete(entry.addr, &model, &prompt, 5).expect("an answer");
+            assert_eq!(whole.status, 200, "{}", whole.body);
+            assert_eq!(whole.text(), expected(&model, &prompt, 5).concat());
+            assert_eq!(whole.json()["model"], model);
+            let streamed = stream(entry.addr, &model, &prompt, 7, |_| ());
+            assert!(streamed.whole, "{streamed:?}");
+            assert_eq!(streamed.tokens, expected(&model, &prompt, 7));
+        }
+    }
+    assert_eq!(bed.violations(), 0);
+}
+
+#[test]
+fn bad_input_gets_a_typed_answer_and_runs_nothing() {
+    let bed = Testbed::start(Plan::default());
+    let addr = bed.entries[0].addr;
+    let account = ("x-client-account", "co-op");
+    let good = r#"{"model":"adapter-0@v1","prompt":"x","max_tokens":2}"#;
+    let cases = [
+        (vec![], good, 400, "bad_request"),
+        (
+            vec![("x-client-account", "nobody")],
+            good,
+            401,
+            "unknown_account",
+        ),
+        (vec![account, ("x-class", "fast")], good, 400, "bad_request"),
+        (
+            vec![account, ("x-deadline-ms", "soon")],
+            good,
+            400,
+            "bad_request",
+        ),
+        (
+            vec![account, ("x-request-id", "a b")],
+            good,
+            400,
+            "bad_request",
+        ),
+        (
+            vec![account],
+            r#"{"model":"adapter-0@v1""#,
+            400,
+            "bad_request",
+        ),
+        (
+            vec![account],
+            r#"{"model":"adapter-0@v9","prompt":"x"}"#,
+            404,
+            "unknown_adapter",
+        ),
+        (
+            vec![account],
+            r#"{"model":"nothing","prompt":"x"}"#,
+            404,
+            "unknown_adapter",
+        ),
+        (
+            vec![account],
+            r#"{"model":"adapter-0@v1"}"#,
+            400,
+            "bad_request",
+        ),
+        (
+            vec![account],
+            r#"{"model":"adapter-0@v1","prompt":"x","max_tokens":0}"#,
+            400,
+            "bad_request",
+        ),
+    ];
+    for (headers, body, status, reason) in cases {
+        let answer = send(
+            "POST",
+            addr,
+            "/v1/completions",
+            &headers,
+            Some(body.to_owned()),
+        );
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, status, "{headers:?} {body} {}", answer.body);
+        assert_eq!(
+            answer.json()["error"]["reason"],
+            reason,
+            "{headers:?} {body}"
+        );
+        assert_eq!(answer.certainty.as_deref(), Some("not_run"));
+    }
+    let large = format!(
+        r#"{{"model":"adapter-0@v1","prompt":"{}"}}"#,
+        "x".repeat(2 << 20)
+    );
+    let answer = send("POST", addr, "/v1/completions", &[account], Some(large));
+    assert_eq!(answer.expect("an answer").status, 413);
+    let runs: usize = bed.engines.iter().map(|e| e.ledger().runs.len()).sum();
+    assert_eq!(runs, 0);
+    assert_eq!(
+        complete(addr, "adapter-0", "x", 2)
+            .expect("an answer")
+            .status,
+        200
+    );
+}
--- /dev/null
+++ b/crates/caraway-entry/tests/testbed/mod.rs
@@ -0,0 +1,233 @@
+//! Entry instances as processes of their own, before stand-ins as threads of the test.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub(crate) mod caller;
+pub(crate) mod process;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use caraway_standin::{
+    Engine, EngineSettings, InstanceList, ListSettings, LogService, LogSettings, Service,
+    ServiceSettings, Store, StoreSettings,
+};
+use caraway_types::Millis;
+use caraway_wire::{
+    list::{Listed, Role},
+    log::CONFIG_STREAM,
+};
+use serde_json::{Value, json};
+
+use self::{
+    caller::{eventually, get},
+    process::EntryProcess,
+};
+
+/// What to build.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) zones: usize,
+    pub(crate) entries: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) adapters: usize,
+    pub(crate) slots: u32,
+    pub(crate) checks_fencing: bool,
+    pub(crate) engine: EngineSettings,
+    pub(crate) times: Value,
+    pub(crate) limits: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            zones: 1,
+            entries: 2,
+            engines: 2,
+            services: 1,
+            adapters: 6,
+            slots: 4,
+            checks_fencing: false,
+            engine: EngineSettings {
+                step_us: 2_000,
+                report_lag: Millis::new(50),
+                ..EngineSettings::default()
+            },
+            times: json!({ "report_ms": 50, "follow_ms": 50, "list_ms": 50 }),
+            limits: json!({}),
+        }
+    }
+}
+
+/// A running deployment; entries, engines and services are spread over the zones in turn.
+pub(crate) struct Testbed {
+    pub(crate) plan: Plan,
+    pub(crate) log: LogService,
+    pub(crate) list: InstanceList,
+    pub(crate) store: Arc<Store>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) services: Vec<Service>,
+    pub(crate) entries: Vec<EntryProcess>,
+}
+
+impl Testbed {
+    /// Starts everything, publishes the records and waits until each instance has them.
+    pub(crate) fn start(plan: Plan) -> Self {
+        let mut bed = Self::bare(plan);
+        bed.publish_records();
+        for i in 0..bed.plan.entries {
+            bed.add_entry(i);
+        }
+        bed.wait_ready();
+        bed
+    }
+
+    /// Starts the stand-ins only.
+    pub(crate) fn bare(plan: Plan) -> Self {
+        let store = Store::new(StoreSettings {
+            rate: 1_000.0,
+            places: 100,
+            transfer: Millis::new(5),
+            ..StoreSettings::default()
+        });
+        let engine = |i: usize| {
+            Engine::start(EngineSettings {
+                id: engine_id(i).into(),
+                slots: plan.slots,
+                checks_fencing: plan.checks_fencing,
+                store: Some(Arc::clone(&store)),
+                ..plan.engine.clone()
+            })
+            .expect("an engine starts")
+        };
+        let service = |i: usize| {
+            let id = format!("quotes-{i}").into();
+            let settings = ServiceSettings {
+                id,
+                ..ServiceSettings::default()
+            };
+            Service::start(settings).expect("a service starts")
+        };
+        let engines = (0..plan.engines).map(engine).collect();
+        let services = (0..plan.services).map(service).collect();
+        let lag = Millis::new(0);
+        Self {
+            log: LogService::start(LogSettings::default()).expect("the log starts"),
+            list: InstanceList::start(ListSettings { lag }, Vec::new()).expect("the list starts"),
+            store,
+            engines,
+            services,
+            entries: Vec::new(),
+            plan,
+        }
+    }
+
+    /// Publishes a client account, the adapters and the plain service.
+    pub(crate) fn publish_records(&self) {
+        let mut records = vec![
+            record(
+                "account",
+                "co-op",
+                &json!({ "rate": 10_000.0, "burst": 10_000 }),
+            ),
+            record("service", "quotes", &json!({})),
+        ];
+        for i in 0..self.plan.adapters {
+            let key = format!("adapter-{i}");
+            records.push(record("adapter_version", &format!("{key}@v1"), &json!({})));
+            records.push(record("adapter", &key, &json!({ "version": "v1" })));
+        }
+        self.log.append(CONFIG_STREAM, &records);
+    }
+
+    /// Starts entry `i` and lists it.
+    pub(crate) fn add_entry(&mut self, i: usize) {
+        let entry = EntryProcess::start(&self.settings(i));
+        self.list.set(self.listed(i, entry.addr));
+        if i < self.entries.len() {
+            self.entries[i] = entry;
+        } else {
+            self.entries.push(entry);
+        }
+    }
+
+    /// Waits until each instance has the configuration.
+    pub(crate) fn wait_ready(&self) {
+        for entry in &self.entries {
+            eventually("an instance is ready", || {
+                get(entry.addr, "/readyz").is_some_and(|a| a.status == 200)
+            });
+        }
+    }
+
+    /// Returns the settings of entry `i`.
+    pub(crate) fn settings(&self, i: usize) -> Value {
+        let engine = |(n, e): (usize, &Engine)| {
+            json!({
+                "id": engine_id(n), "kind": "engine", "zone": self.zone(n), "addr": e.addr(),
+                "slots": self.plan.slots, "checks_fencing": self.plan.checks_fencing,
+            })
+        };
+        let service = |(n, s): (usize, &Service)| {
+            json!({
+                "id": format!("quotes-{n}"), "kind": "service", "zone": self.zone(n),
+                "addr": s.addr(), "service": "quotes",
+            })
+        };
+        let engines = self.engines.iter().enumerate().map(engine);
+        let services = self.services.iter().enumerate().map(service);
+        json!({
+            "instance": entry_id(i),
+            "zone": self.zone(i),
+            "listen": "127.0.0.1:0",
+            "log": self.log.addr(),
+            "list": self.list.addr(),
+            "store_rate": 1000.0,
+            "store_places": 100,
+            "endpoints": engines.chain(services).collect::<Vec<_>>(),
+            "times": self.plan.times,
+            "limits": self.plan.limits,
+        })
+    }
+
+    /// Returns the zone of the `i`th entry, engine or service.
+    pub(crate) fn zone(&self, i: usize) -> String {
+        format!("zone-{}", i % self.plan.zones)
+    }
+
+    /// Counts the rules that engines saw broken.
+    pub(crate) fn violations(&self) -> usize {
+        self.engines
+            .iter()
+            .map(|e| e.ledger().violations.len())
+            .sum()
+    }
+
+    fn listed(&self, i: usize, addr: SocketAddr) -> Listed {
+        Listed {
+            id: entry_id(i).into(),
+            role: Role::Entry,
+            zone: self.zone(i).into(),
+            addr,
+            incarnation: 1,
+            leaving: false,
+        }
+    }
+}
+
+/// Returns the id of the `i`th entry.
+pub(crate) fn entry_id(i: usize) -> String {
+    format!("entry-{i}")
+}
+
+/// Returns the id of the `i`th engine.
+pub(crate) fn engine_id(i: usize) -> String {
+    format!("engine-{i}")
+}
+
+/// Writes a first record of its key.
+pub(crate) fn record(kind: &str, key: &str, body: &Value) -> Arc<str> {
+    let id = format!("{kind}-{key}-1");
+    json!({ "schema": 1, "kind": kind, "key": key, "base": null, "id": id, "body": body })
+        .to_string()
+        .into()
+}
