--- /dev/null
+++ b/crates/caraway-records/src/follower/fold.rs
@@ -0,0 +1,55 @@
+//! How a [`Follower`] takes records and snapshots into its state.
+
+use std::{sync::Arc, time::Instant};
+
+use super::{Follower, FollowerOutput, LogRecord, Source};
+use crate::{Outcome, State};
+
+impl Follower {
+    /// Folds a record that is next; others change nothing.
+    pub(crate) fn fold(
+        &mut self,
+        now: Instant,
+        record: &LogRecord,
+        source: Source,
+        out: &mut Vec<FollowerOutput>,
+    ) {
+        if record.offset != self.state.next() {
+            return;
+        }
+        let state = Arc::make_mut(&mut self.state);
+        let outcome = state.apply(record.offset, &record.data);
+        self.checkpoints.push(state.next(), state.digest());
+        self.tail.push(record, outcome == Outcome::Chunk);
+        if source == Source::Log {
+            self.peers.on_log_progress();
+        }
+        if outcome == Outcome::Chunk {
+            let watched = self.reader.at_end();
+            self.writer
+                .on_chunk(now, record, watched, &self.checkpoints);
+            return;
+        }
+        self.note_change(&outcome);
+        out.push(FollowerOutput::Judged {
+            offset: record.offset,
+            outcome,
+        });
+    }
+
+    /// Replaces the state by one that covers more; any other changes nothing.
+    pub(crate) fn install(&mut self, state: State, source: Source, out: &mut Vec<FollowerOutput>) {
+        if state.next() <= self.state.next() {
+            return;
+        }
+        self.state = state.into();
+        self.tail.restart(self.state.next());
+        self.checkpoints
+            .restart(self.state.next(), self.state.digest());
+        self.changed = true;
+        out.push(FollowerOutput::Installed {
+            covered: self.state.next(),
+            source,
+        });
+    }
+}
--- /dev/null
+++ b/crates/caraway-records/src/follower/snapshot_writer.rs
@@ -0,0 +1,247 @@
+//! [`SnapshotWriter`] decides when a snapshot is due and writes it if nobody else does.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::Range,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use caraway_types::{InstanceId, Offset};
+
+use super::{FollowerSettings, LogRecord, checkpoints::Checkpoints};
+use crate::{Snapshot, SnapshotId, State, snapshot};
+
+/// Chunks in one append.
+const BATCH: usize = 16;
+/// Failed appends after which a snapshot is given up.
+const FAILURES_MAX: u32 = 8;
+/// Snapshots whose chunks are counted at once.
+const COUNTED_MAX: usize = 8;
+
+/// Watches the snapshots in the log and writes one when it is due.
+///
+/// Every instance waits for a time that depends on its id and on the latest snapshot, and writes
+/// only if no other one was appended meanwhile. Two that write at once do no harm.
+#[derive(Debug)]
+pub(crate) struct SnapshotWriter {
+    id: InstanceId,
+    started: Instant,
+    counted: BTreeMap<SnapshotId, Counted>,
+    latest: Option<Lying>,
+    due: Option<Instant>,
+    quiet: Option<Instant>,
+    writing: Option<Writing>,
+}
+
+/// Chunks of a snapshot that were seen in the log.
+#[derive(Debug)]
+struct Counted {
+    first: Offset,
+    seen: BTreeSet<u32>,
+}
+
+/// The complete snapshot in the log that covers most.
+#[derive(Debug)]
+struct Lying {
+    covered: Offset,
+    first: Offset,
+    since: Instant,
+    chunks: u64,
+    watched: bool,
+}
+
+/// A snapshot that is being appended.
+#[derive(Debug)]
+struct Writing {
+    covered: Offset,
+    batches: VecDeque<Vec<Arc<str>>>,
+    sent: Option<Instant>,
+    retry: Option<Instant>,
+    failures: u32,
+}
+
+impl SnapshotWriter {
+    pub(crate) fn new(id: &InstanceId, now: Instant) -> Self {
+        Self {
+            id: id.clone(),
+            started: now,
+            counted: BTreeMap::new(),
+            latest: None,
+            due: None,
+            quiet: None,
+            writing: None,
+        }
+    }
+
+    /// Takes in a record of the log that may be a chunk.
+    ///
+    /// `watched` tells that it was read soon after its append. A snapshot whose digest is not the
+    /// one of the own fold does not count.
+    pub(crate) fn on_chunk(
+        &mut self,
+        now: Instant,
+        record: &LogRecord,
+        watched: bool,
+        own: &Checkpoints,
+    ) {
+        let Some((id, index, count)) = snapshot::peek(&record.data) else {
+            return;
+        };
+        let wrong = own.digest(id.covered).is_some_and(|d| d != id.digest);
+        if wrong || id.covered > record.offset {
+            return;
+        }
+        let counted = self.counted.entry(id).or_insert_with(|| Counted {
+            first: record.offset,
+            seen: BTreeSet::new(),
+        });
+        counted.seen.insert(index);
+        let complete = u32::try_from(counted.seen.len()) == Ok(count);
+        let first = counted.first;
+        if self.counted.len() > COUNTED_MAX {
+            self.counted.pop_first();
+        }
+        let better = self.latest.as_ref().is_none_or(|l| l.covered < id.covered);
+        if complete && better {
+            self.latest = Some(Lying {
+                covered: id.covered,
+                first,
+                since: now,
+                chunks: count.into(),
+                watched,
+            });
+        }
+    }
+
+    /// Takes in the end of an append.
+    pub(crate) fn on_appended(&mut self, now: Instant, done: bool) {
+        let Some(writing) = &mut self.writing else {
+            return;
+        };
+        writing.sent = None;
+        if done {
+            writing.batches.pop_front();
+            writing.failures = 0;
+        } else {
+            writing.failures += 1;
+            writing.retry = Some(now + Duration::from_secs(1));
+        }
+    }
+
+    /// Puts off writing while the log or the state is not ready for it.
+    pub(crate) fn wait(&mut self) {
+        self.due = None;
+    }
+
+    /// Returns the next chunks to append, if any.
+    pub(crate) fn write(
+        &mut self,
+        now: Instant,
+        state: &State,
+        kept: Range<Offset>,
+        settings: &FollowerSettings,
+    ) -> Option<Vec<Arc<str>>> {
+        if self.writing.is_none() && self.is_time(now, state, kept, settings) {
+            self.writing = Some(Writing::new(state));
+        }
+        let writing = self.writing.as_mut()?;
+        writing.expire(now, settings);
+        let latest = self.latest.as_ref();
+        let done = latest.is_some_and(|l| l.covered >= writing.covered);
+        if done || writing.is_over() {
+            self.writing = None;
+            self.quiet = Some(now + settings.snapshot_spread_ms.get());
+            return None;
+        }
+        writing.next(now)
+    }
+
+    /// Tells whether a snapshot is due and the own wait is over.
+    fn is_time(
+        &mut self,
+        now: Instant,
+        state: &State,
+        kept: Range<Offset>,
+        settings: &FollowerSettings,
+    ) -> bool {
+        let quiet = self.quiet.is_some_and(|until| now < until);
+        if quiet || !self.is_due(now, state, kept, settings) {
+            self.due = None;
+            return false;
+        }
+        let wait = self.spread(settings.snapshot_spread_ms.get());
+        let due = *self.due.get_or_insert(now + wait);
+        if now < due {
+            return false;
+        }
+        self.due = None;
+        true
+    }
+
+    /// Tells whether the log needs a newer snapshot.
+    fn is_due(
+        &self,
+        now: Instant,
+        state: &State,
+        kept: Range<Offset>,
+        settings: &FollowerSettings,
+    ) -> bool {
+        let age = settings.snapshot_age_ms.get();
+        let Some(latest) = &self.latest else {
+            let many = state.next() >= settings.snapshot_every;
+            return many || kept.start > 0 || now >= self.started + age;
+        };
+        let records = state.next().saturating_sub(latest.covered + latest.chunks);
+        let age = if latest.watched { age } else { age / 2 };
+        let middle = kept.start + (kept.end - kept.start) / 2;
+        let fading = kept.start > 0 && latest.first < middle;
+        records >= settings.snapshot_every || now >= latest.since + age || fading
+    }
+
+    /// Returns the own part of the wait, by instance and latest snapshot.
+    fn spread(&self, over: Duration) -> Duration {
+        let covered = self.latest.as_ref().map_or(0, |l| l.covered);
+        let share = xxh3_64_with_seed(self.id.as_bytes(), covered) % 1024;
+        over * u32::try_from(share).unwrap_or(0) / 1024
+    }
+}
+
+impl Writing {
+    fn new(state: &State) -> Self {
+        let snapshot = Snapshot::of(state);
+        let batches = snapshot.chunks.chunks(BATCH);
+        Self {
+            covered: snapshot.id.covered,
+            batches: batches.map(<[_]>::to_vec).collect(),
+            sent: None,
+            retry: None,
+            failures: 0,
+        }
+    }
+
+    /// Counts an append without an answer as failed.
+    fn expire(&mut self, now: Instant, settings: &FollowerSettings) {
+        let sent = self.sent;
+        if sent.is_some_and(|at| now >= at + settings.request_ms.get()) {
+            self.sent = None;
+            self.failures += 1;
+        }
+    }
+
+    /// Tells whether everything is appended or it failed too often.
+    fn is_over(&self) -> bool {
+        self.batches.is_empty() || self.failures > FAILURES_MAX
+    }
+
+    /// Returns the next batch unless one is under way.
+    fn next(&mut self, now: Instant) -> Option<Vec<Arc<str>>> {
+        if self.sent.is_some() || self.retry.is_some_and(|at| now < at) {
+            return None;
+        }
+        self.sent = Some(now);
+        self.batches.front().cloned()
+    }
+}
--- /dev/null
+++ b/crates/caraway-records/src/follower/tail.rs
@@ -0,0 +1,69 @@
+//! [`Tail`] keeps the latest records for peers.
+
+use std::collections::VecDeque;
+
+use caraway_types::Offset;
+
+use super::LogRecord;
+
+/// Most records that are kept.
+const RECORDS_MAX: usize = 2_048;
+/// Most bytes that are kept.
+const BYTES_MAX: usize = 4 * 1024 * 1024;
+/// Most bytes in one answer.
+const ANSWER_BYTES: usize = 1024 * 1024;
+/// Stands for a snapshot chunk, which folds to nothing.
+const CHUNK: &str = r#"{"schema":1,"kind":"snapshot"}"#;
+
+/// The latest records, without the content of snapshots.
+#[derive(Debug, Default)]
+pub(crate) struct Tail {
+    records: VecDeque<LogRecord>,
+    bytes: usize,
+    next: Offset,
+}
+
+impl Tail {
+    /// Adds the next record.
+    pub(crate) fn push(&mut self, record: &LogRecord, chunk: bool) {
+        let mut record = record.clone();
+        if chunk {
+            record.data = CHUNK.into();
+        }
+        self.next = record.offset + 1;
+        self.bytes += record.data.len();
+        self.records.push_back(record);
+        while self.records.len() > RECORDS_MAX || self.bytes > BYTES_MAX {
+            let dropped = self.records.pop_front();
+            self.bytes -= dropped.map_or(0, |r| r.data.len());
+        }
+    }
+
+    /// Forgets all records; the next one has offset `next`.
+    pub(crate) fn restart(&mut self, next: Offset) {
+        self.records.clear();
+        self.bytes = 0;
+        self.next = next;
+    }
+
+    /// Tells whether all records from `from` on are kept.
+    pub(crate) fn covers(&self, from: Offset) -> bool {
+        let first = self.records.front().map_or(self.next, |r| r.offset);
+        from >= first
+    }
+
+    /// Returns the records from `from` on, as many as fit one answer and at least one.
+    pub(crate) fn from(&self, from: Offset) -> Option<Vec<LogRecord>> {
+        if !self.covers(from) {
+            return None;
+        }
+        let mut bytes = 0;
+        let fits = |r: &&LogRecord| {
+            let first = bytes == 0;
+            bytes += r.data.len();
+            first || bytes <= ANSWER_BYTES
+        };
+        let rest = self.records.iter().filter(|r| r.offset >= from);
+        Some(rest.take_while(fits).cloned().collect())
+    }
+}
--- a/crates/caraway-records/src/lib.rs
+++ b/crates/caraway-records/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`Adapter`], [`AdapterVersion`], [`Account`], [`Routing`], [`Objective`] and [`Service`] are
 //!   the bodies in their newest schema; older schemas are upgraded when they are read.
 //! - [`Snapshot`] cuts a state into records of the log; [`Assembly`] restores it.
+//! - [`Follower`] keeps a state up to date from the log and from peers.
 //!
 //! Nothing here does I/O or reads a clock.
 
 mod body;
 mod digest;
 mod fields;
+mod follower;
 mod head;
 mod ids;
 mod limits;
@@ -24,6 +26,10 @@
 pub use body::{
     Account, Adapter, AdapterVersion, Body, Kind, Measure, Objective, Routing, Service,
 };
+pub use follower::{
+    Follower, FollowerInput, FollowerOutput, FollowerSettings, LogPage, LogRecord, Notice, Offer,
+    PeerAnswer, Source,
+};
 pub use limits::{CHUNK_LIMIT, ID_WINDOW, KEY_LIMIT, RECORD_LIMIT, TEXT_LIMIT, TOMBSTONE_WINDOW};
 pub use outcome::{Outcome, RefusedRecord};
 pub use record::Record;
--- a/crates/caraway-records/src/snapshot/mod.rs
+++ b/crates/caraway-records/src/snapshot/mod.rs
@@ -25,6 +25,12 @@
     pub chunks: Vec<Arc<str>>,
 }
 
+/// Reads which part of which snapshot a record is: the snapshot, the index and the count.
+pub(crate) fn peek(text: &str) -> Option<(SnapshotId, u32, u32)> {
+    let chunk = chunk::read(text)?;
+    Some((chunk.snapshot, chunk.index, chunk.count))
+}
+
 impl Snapshot {
     /// Makes the snapshot of `state`.
     #[must_use]
--- a/crates/caraway-records/src/state.rs
+++ b/crates/caraway-records/src/state.rs
@@ -74,6 +74,12 @@
         self.next
     }
 
+    /// Tells whether no record was accepted.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.heads.is_empty()
+    }
+
     /// Returns the hash by which instances compare their states at the same offset.
     ///
     /// Covers the accepted records and the remembered ids; it does not depend on which schemas
