Count service-level objectives and join them into burn rates

Cause: operators without a team that watches need to know which objective burns, from instances that keep nothing. Change: caraway-burn counts requests by objective in three rings of buckets (61 x 1 min, 37 x 10 min, 37 x 2 h), writes a closed ten-minute bucket as one record for the log, and joins live answers with the records of lost instances, each life once. Conclusion: an instance's loss costs at most the ten minutes that were not yet written.

--- /dev/null
+++ b/crates/caraway-burn/src/series.rs
@@ -0,0 +1,75 @@
+//! [`Series`]: counts over time, fine for the last hour and coarse for the days before.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Counts, UnixSeconds};
+
+/// Width of the buckets that pass through the log, in seconds.
+pub const LOG_WIDTH_SECONDS: u64 = 600;
+
+/// Width and number of the buckets of each resolution, the finest first.
+const RESOLUTIONS: [(u64, u64); 3] = [(60, 61), (LOG_WIDTH_SECONDS, 37), (7200, 37)];
+
+/// Counts over time in bounded memory: 61 minutes, 37 times ten minutes, 37 times two hours.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Series {
+    rings: [BTreeMap<u64, Counts>; 3],
+}
+
+impl Series {
+    /// Counts one request that ended at `now`.
+    pub fn add(&mut self, now: UnixSeconds, good: bool) {
+        let mut counts = Counts::default();
+        counts.add(good);
+        self.merge_at(now, counts, 0);
+    }
+
+    /// Adds a closed bucket of [`LOG_WIDTH_SECONDS`] that starts at `start`.
+    pub fn add_bucket(&mut self, start: UnixSeconds, counts: Counts) {
+        self.merge_at(start, counts, 1);
+    }
+
+    /// Adds another series.
+    pub fn merge(&mut self, other: &Self) {
+        for (ring, from) in self.rings.iter_mut().zip(&other.rings) {
+            for (bucket, counts) in from {
+                *ring.entry(*bucket).or_default() += *counts;
+            }
+        }
+    }
+
+    /// Returns the counts of the last `window` seconds, from the finest ring that covers them.
+    #[must_use]
+    pub fn window(&self, now: UnixSeconds, window: u64) -> Counts {
+        let covers = |(width, kept): &(u64, u64)| width * (kept - 1) >= window;
+        let index = RESOLUTIONS.iter().position(covers).unwrap_or(2);
+        let (width, _) = RESOLUTIONS[index];
+        let first = now.saturating_sub(window) / width + 1;
+        let mut sum = Counts::default();
+        for counts in self.rings[index].range(first..=now / width) {
+            sum += *counts.1;
+        }
+        sum
+    }
+
+    /// Returns the counts of the log bucket that starts at `start`.
+    #[must_use]
+    pub fn bucket(&self, start: UnixSeconds) -> Counts {
+        let bucket = self.rings[1].get(&(start / LOG_WIDTH_SECONDS));
+        bucket.copied().unwrap_or_default()
+    }
+
+    /// Adds `counts` to the rings from the `from`th on and drops what is too old.
+    fn merge_at(&mut self, at: UnixSeconds, counts: Counts, from: usize) {
+        let rings = self.rings.iter_mut().zip(RESOLUTIONS).skip(from);
+        for (ring, (width, kept)) in rings {
+            *ring.entry(at / width).or_default() += counts;
+            while ring.len() as u64 > kept {
+                ring.pop_first();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/caraway-burn/tests/burn.rs
@@ -0,0 +1,160 @@
+//! Compares burn rates with computations by hand, and reports with sources missing or odd.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use caraway_burn::{Alarm, Ledger, Report, Sample, Sources, render_text};
+use caraway_records::{Measure, Objective};
+use caraway_types::{Class, InstanceId, Millis};
+
+/// The last second of a bucket of a minute, so that an hour is 60 whole buckets.
+const NOW: u64 = 1_800_000_059;
+
+fn objective(measure: Measure, threshold_ms: u64) -> Objective {
+    Objective {
+        account: None,
+        class: Some(Class::Interactive),
+        measure,
+        threshold_ms: Millis::new(threshold_ms),
+        target: 0.95,
+        window_ms: Millis::new(3 * 24 * 3600 * 1000),
+    }
+}
+
+fn objectives() -> BTreeMap<Arc<str>, Objective> {
+    BTreeMap::from([
+        ("answered".into(), objective(Measure::Answered, 0)),
+        ("first-token".into(), objective(Measure::FirstToken, 1900)),
+    ])
+}
+
+fn sample(first_token_ms: u64) -> Sample {
+    Sample {
+        account: "co-op".into(),
+        answered: true,
+        first_token: Some(Duration::from_millis(first_token_ms)),
+        whole: Duration::from_secs(3),
+        ..Sample::default()
+    }
+}
+
+/// Counts a request a second for an hour, of which every `slow`th is slow.
+fn ledger(slow: u64) -> Ledger {
+    let objectives = objectives();
+    let mut ledger = Ledger::default();
+    for second in NOW - 3599..=NOW {
+        let wait = if second % slow == 0 { 2500 } else { 400 };
+        ledger.add(second, objectives.iter(), &sample(wait));
+    }
+    ledger
+}
+
+fn instance(name: &str) -> InstanceId {
+    name.into()
+}
+
+#[test]
+fn burn_rates_agree_with_a_computation_by_hand() {
+    let sources = Sources {
+        objectives: objectives(),
+        snapshots: vec![
+            ledger(1).snapshot(NOW, &instance("tt-1"), 1),
+            ledger(4).snapshot(NOW, &instance("tt-2"), 1),
+        ],
+        ..Sources::default()
+    };
+    let report = Report::new(NOW, &sources);
+    assert_eq!(report.notes, []);
+    let [answered, first] = &report.rows[..] else {
+        panic!("two objectives");
+    };
+    // All of 3,600 and a quarter of 3,600 are slow: 4,500 of 7,200 is 0.625, over 0.05 is 12.5.
+    let hour = first
+        .windows
+        .iter()
+        .find(|w| w.seconds == 3600)
+        .expect("an hour");
+    assert_eq!((hour.counts.bad, hour.counts.good), (4500, 2700));
+    assert!((hour.rate.expect("requests") - 12.5).abs() < 1e-9);
+    // 12.5 is under the page's 14.4 and over the 6 of the next rule.
+    assert_eq!(first.alarm, Some(Alarm::Urgent));
+    assert!((first.budget_left.expect("requests") + 11.5).abs() < 1e-9);
+    assert_eq!(first.spent_in, Some(Millis::new(0)));
+    // The fault burns the objective that it concerns, and only that one.
+    assert_eq!(answered.alarm, None);
+    assert!((answered.budget_left.expect("requests") - 1.0).abs() < 1e-9);
+    assert_eq!(answered.spent_in, None);
+}
+
+#[test]
+fn a_lost_instance_is_counted_from_its_records_once() {
+    let mut ledger = ledger(1);
+    let lost = instance("tt-1");
+    let mut records: Vec<Arc<str>> = Vec::new();
+    // It closed the bucket before the current one, twice read, and one of another life.
+    let record = ledger
+        .take_record(NOW, &lost, 7, false)
+        .expect("a closed bucket");
+    assert_eq!(ledger.take_record(NOW, &lost, 7, false), None);
+    let text: Arc<str> = serde_json::to_string(&record).expect("it encodes").into();
+    records.extend([
+        Arc::clone(&text),
+        text,
+        "{".into(),
+        r#"{"schema":9}"#.into(),
+    ]);
+    let sources = Sources {
+        objectives: objectives(),
+        silent: BTreeMap::from([(lost, "no answer in time".into())]),
+        records,
+        ..Sources::default()
+    };
+    let report = Report::new(NOW, &sources);
+    let first = &report.rows[1];
+    let long = first.windows.last().expect("windows");
+    assert_eq!(long.counts.bad, 600);
+    let places: Vec<_> = report.notes.iter().map(|n| &*n.place).collect();
+    assert_eq!(places, ["tt-1", "record 2", "record 3"]);
+}
+
+#[test]
+fn odd_sources_are_noted_and_the_rest_is_given() {
+    let mut newer = ledger(1).snapshot(NOW, &instance("tt-9"), 1);
+    newer.schema = 2;
+    let mut late = ledger(u64::MAX).snapshot(NOW, &instance("tt-2"), 1);
+    late.now = NOW - 90;
+    let sources = Sources {
+        objectives: objectives(),
+        snapshots: vec![newer, late],
+        log_error: Some("no answer in time".into()),
+        ..Sources::default()
+    };
+    let text = render_text(&Report::new(NOW, &sources));
+    let notes: Vec<_> = text.lines().filter(|l| l.starts_with("note:")).collect();
+    assert_eq!(
+        notes,
+        [
+            "note: tt-9: schema 2 is not known; left out",
+            "note: tt-2: its clock differs by 90 s",
+            "note: log: not read (no answer in time); instances that ended are missing",
+        ]
+    );
+    assert!(
+        text.contains("first-token               95.00%      3600   0.00"),
+        "{text}"
+    );
+}
+
+#[test]
+fn an_empty_window_has_no_rate() {
+    let sources = Sources {
+        objectives: objectives(),
+        ..Sources::default()
+    };
+    let report = Report::new(NOW, &sources);
+    assert!(
+        report
+            .rows
+            .iter()
+            .all(|r| r.alarm.is_none() && r.budget_left.is_none())
+    );
+}
--- a/crates/caraway-records/src/body/objective.rs
+++ b/crates/caraway-records/src/body/objective.rs
@@ -20,6 +20,8 @@
     Answered,
     /// Time to the first token.
     FirstToken,
+    /// Longest time between two tokens.
+    BetweenTokens,
     /// Time to the whole answer.
     WholeAnswer,
     /// Time it waited for its adapter.
@@ -45,9 +47,10 @@
 }
 
 impl Measure {
-    const ALL: [(&'static str, Self); 4] = [
+    const ALL: [(&'static str, Self); 5] = [
         ("answered", Self::Answered),
         ("first_token", Self::FirstToken),
+        ("between_tokens", Self::BetweenTokens),
         ("whole_answer", Self::WholeAnswer),
         ("load_stall", Self::LoadStall),
     ];
@@ -65,7 +68,7 @@
         let class = fields.optional_text("class", "interactive, summary or batch", class, found);
         let measure = fields.text(
             "measure",
-            "answered, first_token, whole_answer or load_stall",
+            "answered, first_token, between_tokens, whole_answer or load_stall",
             |t| Measure::find(t).is_some(),
             found,
         );
