Give daemons a burn thread and the path /admin/burn

Cause: objectives were counted by a library that no daemon used. Change: a tally times each request once (verdict, first token, gaps, end) for metrics and for objectives; the burn thread counts samples, answers reports and appends closed buckets. Conclusion: metrics and objectives now come from the same times.

--- /dev/null
+++ b/crates/caraway-entry/src/burn.rs
@@ -0,0 +1,121 @@
+//! The burn thread: counts samples by objective and writes closed buckets to the log.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use caraway_burn::{BurnRecord, Ledger, Sample, Snapshot, UnixSeconds};
+use caraway_ring::Receiver;
+use caraway_wire::{CallError, Http, LogClient, log::BURN_STREAM};
+use tokio::sync::oneshot;
+
+use crate::{events::emit, shared::Shared};
+
+/// Interval of looking for a closed bucket.
+const CLOSE_INTERVAL: Duration = Duration::from_secs(5);
+/// Most closed buckets that wait for the log.
+const BACKLOG_LIMIT: usize = 36;
+
+/// A message to the burn thread.
+#[derive(Debug)]
+pub(crate) enum BurnMessage {
+    /// A request ended.
+    Sample(Sample),
+    /// A report asks for the counts.
+    Ask(oneshot::Sender<Snapshot>),
+    /// The instance ends.
+    Stop,
+}
+
+/// The burn thread's state.
+struct BurnThread {
+    shared: Arc<Shared>,
+    log: LogClient,
+    ledger: Ledger,
+    backlog: Vec<BurnRecord>,
+}
+
+/// Counts until told to stop, then writes what is open.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    mut inbox: Receiver<BurnMessage>,
+) -> Result<(), CallError> {
+    let limit = shared.settings.times.control_ms.get();
+    let log = LogClient::new(Http::new().await?, shared.settings.log, limit);
+    let mut thread = BurnThread {
+        shared,
+        log,
+        ledger: Ledger::default(),
+        backlog: Vec::new(),
+    };
+    let mut tick = tokio::time::interval(CLOSE_INTERVAL);
+    loop {
+        let message = tokio::select! {
+            message = inbox.recv() => message,
+            _ = tick.tick() => {
+                thread.close(false).await;
+                continue;
+            }
+        };
+        match message {
+            Some(BurnMessage::Sample(sample)) => thread.count(&sample),
+            Some(BurnMessage::Ask(reply)) => {
+                let _ = reply.send(thread.snapshot());
+            }
+            Some(BurnMessage::Stop) | None => {
+                thread.close(true).await;
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl BurnThread {
+    fn count(&mut self, sample: &Sample) {
+        let state = self.shared.state();
+        self.ledger.add(now(), state.objectives(), sample);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let instance = &self.shared.settings.instance;
+        self.ledger
+            .snapshot(now(), instance, self.shared.incarnation)
+    }
+
+    /// Writes closed buckets; what the log does not take waits for the next round.
+    async fn close(&mut self, last: bool) {
+        let instance = &self.shared.settings.instance;
+        let incarnation = self.shared.incarnation;
+        // At the end the bucket before may still be open to the log, too.
+        let records = [
+            self.ledger.take_record(now(), instance, incarnation, false),
+            last.then(|| self.ledger.take_record(now(), instance, incarnation, true))
+                .flatten(),
+        ];
+        self.backlog.extend(records.into_iter().flatten());
+        if self.backlog.is_empty() {
+            return;
+        }
+        let excess = self.backlog.len().saturating_sub(BACKLOG_LIMIT);
+        self.backlog.drain(..excess);
+        let encode = |r: &BurnRecord| serde_json::to_string(r).ok().map(Arc::from);
+        let texts: Vec<Arc<str>> = self.backlog.iter().filter_map(encode).collect();
+        let bytes = texts.iter().map(|t| t.len()).sum();
+        // A lost answer may append a bucket twice; reports count each bucket once.
+        match self.log.append(BURN_STREAM, texts).await {
+            Ok(_) => {
+                self.shared.metrics.control_bytes("burn_appended", bytes);
+                self.backlog.clear();
+            }
+            Err(error) => {
+                emit!(self.shared.log, warn, LogUnreachable; "error" => %error);
+            }
+        }
+    }
+}
+
+fn now() -> UnixSeconds {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.unwrap_or_default().as_secs()
+}
--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     EndpointKind, EndpointSettings, Settings,
+    burn::{self, BurnMessage},
     control::ControlThread,
     events::emit,
     follow,
@@ -52,9 +53,18 @@
         let (control, inbox) = ring(capacity);
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
+        let (burn, burn_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
-        let shared = Shared::new(settings, addr, incarnation(), control, config, log, metrics);
+        let shared = Shared::new(
+            settings,
+            addr,
+            incarnation(),
+            (control, burn),
+            config,
+            log,
+            metrics,
+        );
         let shared = Arc::new(shared);
 
         let mut threads = Vec::new();
@@ -74,6 +84,10 @@
         threads.push(threads::spawn_system("log", move || {
             report(Arc::clone(&own), "log", follow::run(own, publish))
         })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("burn", move || {
+            report(Arc::clone(&own), "burn", burn::run(own, burn_inbox))
+        })?);
         let (server, thread) = http::start(&shared, listener)?;
         threads.push(thread);
         emit!(shared.log, info, Started; "addr" => %addr);
@@ -106,6 +120,7 @@
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
+        let _ = self.shared.burn.push(BurnMessage::Stop);
         let _ = self.shared.control.push(Control::Stop);
         emit!(self.shared.log, info, Stopped);
         let Self {
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -5,8 +5,10 @@
 use caraway_types::{InstanceId, Offset, ZoneId};
 use ntex::web::{HttpResponse, types::State};
 use serde::Serialize;
+use tokio::sync::oneshot;
 
 use super::gate::Gate;
+use crate::burn::BurnMessage;
 
 /// Answers `GET /admin/status`.
 #[derive(Clone, Debug, Serialize)]
@@ -47,6 +49,18 @@
     HttpResponse::Ok().body("ready")
 }
 
+/// `GET /admin/burn`: the service-level counts since this instance's start.
+pub(crate) async fn burn(gate: State<Gate>) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    if gate.shared.burn.push(BurnMessage::Ask(reply)).is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match answer.await {
+        Ok(snapshot) => HttpResponse::Ok().json(&snapshot),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 /// `GET /metrics`: every metric in the text format that scrapers read.
 pub(crate) async fn metrics(gate: State<Gate>) -> HttpResponse {
     HttpResponse::Ok()
--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -4,7 +4,7 @@
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::{Certainty, Reason, Refusal};
+use caraway_types::{Reason, Refusal};
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -15,7 +15,7 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::{Instant, timeout},
+    time::timeout,
 };
 
 use super::{
@@ -24,6 +24,7 @@
     gate::Gate,
     reply::{event, events, refuse},
     source::{Fault, Source},
+    tally::Tally,
 };
 use crate::{events::emit, guard::Guard, metrics::Outcome, shared::Verdict};
 
@@ -59,6 +60,8 @@
     pub(crate) first: Token,
     /// Ends the request.
     pub(crate) guard: Guard,
+    /// Times and counts it.
+    pub(crate) tally: Tally,
 }
 
 /// Brings a request to its first token, over as many verdicts as the node gives.
@@ -67,12 +70,15 @@
 ///
 /// Returns the request's final refusal.
 pub(crate) async fn open(gate: &Gate, ask: &Ask) -> Result<Opened, Refusal> {
+    let mut tally = Tally::new(gate, ask);
     let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
-    let metrics = &gate.shared.metrics;
-    metrics.verdict(ask.class, ask.start.elapsed());
+    tally.verdict();
     loop {
         let source = match verdict {
-            Verdict::Refuse(refusal) => return Err(refusal),
+            Verdict::Refuse(refusal) => {
+                tally.refused(ask, &refusal);
+                return Err(refusal);
+            }
             Verdict::Start {
                 attempt,
                 endpoint,
@@ -86,17 +92,19 @@
         };
         match first {
             Ok((source, Some(first))) => {
-                metrics.first_token(ask.class, ask.start.elapsed());
+                tally.token();
                 return Ok(Opened {
                     source,
                     first,
                     guard,
+                    tally,
                 });
             }
             Ok((_, None)) => verdict = guard.again(Done::NotRun).await,
             Err(Fault::Again(done)) => verdict = guard.again(done).await,
             Err(Fault::Refused(refusal)) => {
                 guard.finish(Done::Failed);
+                tally.refused(ask, &refusal);
                 return Err(refusal);
             }
         }
@@ -105,63 +113,42 @@
 
 async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
     match open(gate, &ask).await {
-        Err(refusal) => {
-            give_up(gate, &ask, &refusal);
-            refuse(Some(&ask.request), refusal)
-        }
+        Err(refusal) => refuse(Some(&ask.request), refusal),
         Ok(opened) if ask.shape.stream => stream(gate, ask, opened),
-        Ok(opened) => whole(gate, ask, opened).await,
+        Ok(opened) => whole(ask, opened).await,
     }
 }
 
-async fn whole(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
+async fn whole(ask: Ask, opened: Opened) -> HttpResponse {
     let Opened {
         mut source,
         first,
         guard,
+        mut tally,
     } = opened;
     let mut tokens = vec![first];
     loop {
-        match timed(gate, &ask, &mut source).await {
-            Ok(Some(token)) => tokens.push(token),
+        match source.next().await.map_err(last_word) {
+            Ok(Some(token)) => {
+                tally.token();
+                tokens.push(token);
+            }
             Ok(None) => break,
             Err(refusal) => {
                 guard.finish(Done::Failed);
-                give_up(gate, &ask, &refusal);
+                tally.refused(&ask, &refusal);
                 return refuse(Some(&ask.request), refusal);
             }
         }
     }
     guard.finish(Done::Complete);
-    gate.shared.metrics.request(ask.class, Outcome::Complete);
+    tally.end(Outcome::Complete);
     let answer = CallerAnswer::whole(&ask.request, &ask.adapter, ask.shape.chat, &tokens);
     HttpResponse::Ok()
         .header(REQUEST_HEADER, &*ask.request)
         .json(&answer)
 }
 
-/// Waits for the next token and counts the wait.
-async fn timed(gate: &Gate, ask: &Ask, source: &mut Source) -> Result<Option<Token>, Refusal> {
-    let start = Instant::now();
-    let token = source.next().await.map_err(last_word)?;
-    if token.is_some() {
-        let metrics = &gate.shared.metrics;
-        metrics.next_token(ask.class, start.elapsed());
-    }
-    Ok(token)
-}
-
-/// Logs and counts a refusal.
-pub(crate) fn give_up(gate: &Gate, ask: &Ask, refusal: &Refusal) {
-    let outcome = match refusal.certainty {
-        Certainty::NotRun => Outcome::NotRun,
-        Certainty::InDoubt => Outcome::InDoubt,
-    };
-    gate.shared.metrics.request(ask.class, outcome);
-    emit!(gate.shared.log, info, Refused;
-        "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
-}
-
 fn stream(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
     let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
     let response = events(&ask.request, body);
@@ -186,6 +173,7 @@
         mut source,
         first,
         guard,
+        mut tally,
     } = opened;
     let limit = gate.shared.settings.times.slow_caller_ms.get();
     let mut token = Some(first);
@@ -197,20 +185,25 @@
         let sent = timeout(limit, parts.send(part)).await;
         if !matches!(sent, Ok(Ok(()))) {
             emit!(gate.shared.log, info, CallerLeft; "request" => &*ask.request);
-            gate.shared.metrics.request(ask.class, Outcome::CallerLeft);
+            tally.end(Outcome::CallerLeft);
             source.cancel().await;
             guard.finish(Done::Cancelled);
             return;
         }
         if last {
-            gate.shared.metrics.request(ask.class, Outcome::Complete);
+            tally.end(Outcome::Complete);
             guard.finish(Done::Complete);
             return;
         }
-        match timed(&gate, &ask, &mut source).await {
-            Ok(next) => token = next,
+        match source.next().await.map_err(last_word) {
+            Ok(next) => {
+                if next.is_some() {
+                    tally.token();
+                }
+                token = next;
+            }
             Err(refusal) => {
-                give_up(&gate, &ask, &refusal);
+                tally.refused(&ask, &refusal);
                 let body = CallerError {
                     error: refusal,
                     id: Some(ask.request),
--- a/crates/caraway-entry/src/http/mod.rs
+++ b/crates/caraway-entry/src/http/mod.rs
@@ -9,5 +9,6 @@
 mod reply;
 mod server;
 mod source;
+mod tally;
 
 pub(crate) use server::{Server, start};
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -24,7 +24,7 @@
 use super::{
     ask::{self, Ask, bad},
     caller::{CallerError, Shape},
-    completions::{give_up, open, pump},
+    completions::{open, pump},
     gate::Gate,
     reply::{event, events, refuse},
     source::Fault,
@@ -120,10 +120,7 @@
         Err(refusal) => return refuse(None, refusal),
     };
     match open(&gate, &ask).await {
-        Err(refusal) => {
-            give_up(&gate, &ask, &refusal);
-            refuse(Some(&ask.request), refusal)
-        }
+        Err(refusal) => refuse(Some(&ask.request), refusal),
         Ok(opened) => {
             let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
             let response = events(&ask.request, body);
--- a/crates/caraway-entry/src/http/server.rs
+++ b/crates/caraway-entry/src/http/server.rs
@@ -89,6 +89,7 @@
         .service(web::resource("/peer/gossip").route(web::post().to(peer::gossip)))
         .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
         .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
+        .service(web::resource("/admin/burn").route(web::get().to(admin::burn)))
         .service(web::resource("/metrics").route(web::get().to(admin::metrics)))
         .service(web::resource("/admin/status").route(web::get().to(admin::status)));
 }
--- a/crates/caraway-entry/src/peers.rs
+++ b/crates/caraway-entry/src/peers.rs
@@ -52,11 +52,11 @@
 }
 
 async fn send(shared: Arc<Shared>, http: Http, busy: Busy, beat: Beat) {
-    if let Some(addr) = shared.peer(&beat.peer) {
-        if let Err(error) = deliver(&shared, http, addr, &beat.gossip).await {
-            emit!(shared.log, debug, PeerUnreachable;
-                "peer" => &*beat.peer, "error" => %error);
-        }
+    if let Some(addr) = shared.peer(&beat.peer)
+        && let Err(error) = deliver(&shared, http, addr, &beat.gossip).await
+    {
+        emit!(shared.log, debug, PeerUnreachable;
+            "peer" => &*beat.peer, "error" => %error);
     }
     lock(&busy).remove(&beat.peer);
 }
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -16,7 +16,7 @@
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
-use crate::{EndpointSettings, Settings, metrics::Metrics};
+use crate::{EndpointSettings, Settings, burn::BurnMessage, metrics::Metrics};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -62,6 +62,8 @@
     pub(crate) incarnation: u64,
     /// The way to the control thread.
     pub(crate) control: Sender<Control>,
+    /// The way to the burn thread.
+    pub(crate) burn: Sender<BurnMessage>,
     /// The configuration in force.
     pub(crate) config: watch::Receiver<Arc<State>>,
     /// Addresses of the peers, as last heard of.
@@ -85,7 +87,7 @@
         settings: Settings,
         addr: SocketAddr,
         incarnation: u64,
-        control: Sender<Control>,
+        (control, burn): (Sender<Control>, Sender<BurnMessage>),
         config: watch::Receiver<Arc<State>>,
         log: Logger,
         metrics: Metrics,
@@ -99,6 +101,7 @@
             addr,
             incarnation,
             control,
+            burn,
             config,
             peers: RwLock::new(peers),
             endpoints,
