Relay connections, and switch every fault over a control port

Cause: failures need connections that are cut, one-way, delayed or silent, and tests with separate processes need the faults from outside. Conclusion: a cut holds data as TCP does; closing is a mode of its own.

--- a/crates/caraway-standin/src/engine/core.rs
+++ b/crates/caraway-standin/src/engine/core.rs
@@ -1,6 +1,7 @@
 //! [`Core`]: the engine's state, without I/O.
 
 use std::{
+    mem,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -132,6 +133,14 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Replaces the faults in force.
+    pub(crate) fn set_faults(&mut self, mut faults: EngineFaults) {
+        if mem::take(&mut faults.restart) {
+            self.restart();
+        }
+        self.faults = faults;
+    }
+
     /// Restarts empty.
     pub(crate) fn restart(&mut self) {
         self.end_where(RunEnd::Broken, |_| true);
@@ -162,10 +171,14 @@
     pub(crate) fn end_step(&mut self, now: Instant) {
         self.ledger.steps += 1;
         self.ledger.fill_sum += self.batch.len() as u64;
+        let crossed = self.cross_sinks();
         for run in &mut self.batch {
             run.advance();
             self.ledger.runs[run.record].generated = run.generated;
         }
+        if crossed {
+            swap_sinks(&mut self.batch);
+        }
         for mut run in self.batch.extract_if(.., |run| run.finished()) {
             self.ledger.runs[run.record].end = Some(RunEnd::Finished);
             run.detached = Some(now);
@@ -202,6 +215,18 @@
         bytes * self.settings.prefill_us
     }
 
+    /// Swaps the listeners of two runs that go on after this step, as the faults ask.
+    fn cross_sinks(&mut self) -> bool {
+        let lasting = |run: &Run| run.generated + 1 < run.max_tokens;
+        let can = self.batch.len() > 1 && self.batch[..2].iter().all(lasting);
+        let cross = can && self.faults.cross_tokens > 0;
+        if cross {
+            self.faults.cross_tokens -= 1;
+            swap_sinks(&mut self.batch);
+        }
+        cross
+    }
+
     /// Breaks off runs as the faults ask.
     fn break_runs(&mut self) {
         while self.faults.break_runs > 0 && !self.batch.is_empty() {
@@ -253,3 +278,10 @@
         }
     }
 }
+
+/// Swaps the listeners of the first two runs.
+fn swap_sinks(batch: &mut [Run]) {
+    if let [first, second, ..] = batch {
+        mem::swap(&mut first.sink, &mut second.sink);
+    }
+}
--- a/crates/caraway-standin/src/engine/mod.rs
+++ b/crates/caraway-standin/src/engine/mod.rs
@@ -65,11 +65,12 @@
     /// Returns the error of starting its server.
     pub fn start(settings: EngineSettings) -> io::Result<Self> {
         let name = settings.id.clone();
+        let port = settings.port;
         let shared = Arc::new(Shared {
             core: Mutex::new(Core::new(settings)),
             wake: Notify::new(),
         });
-        let host = Host::start(&name, Arc::clone(&shared), server::routes, step_loop)?;
+        let host = Host::start(&name, port, Arc::clone(&shared), server::routes, step_loop)?;
         Ok(Self { host, shared })
     }
 
@@ -91,7 +92,7 @@
 
     /// Replaces the faults in force.
     pub fn set_faults(&self, faults: EngineFaults) {
-        self.shared.with(|c| c.faults = faults);
+        self.shared.with(|c| c.set_faults(faults));
         self.shared.wake();
     }
 
--- a/crates/caraway-standin/src/engine/settings.rs
+++ b/crates/caraway-standin/src/engine/settings.rs
@@ -9,10 +9,12 @@
 
 /// How an engine behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// The engine's id.
     pub id: EndpointId,
+    /// Port of the server; zero lets the operating system choose.
+    pub port: u16,
     /// Adapter slots.
     pub slots: u32,
     /// Most requests in a batch.
@@ -42,6 +44,7 @@
     fn default() -> Self {
         Self {
             id: "engine".into(),
+            port: 0,
             slots: 8,
             max_batch: 16,
             max_waiting: 64,
@@ -59,7 +62,7 @@
 
 /// Faults of an engine, none by default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// Loads that fail from now on.
     pub fail_loads: u32,
@@ -69,6 +72,10 @@
     pub slow_step: Millis,
     /// Runs that break off after their first token.
     pub break_runs: u32,
+    /// Tokens from now on that go to another run of the batch, and that run's to this one.
+    pub cross_tokens: u32,
+    /// Restarts the engine empty, once.
+    pub restart: bool,
     /// Load reports that fail from now on.
     pub fail_reports: u32,
 }
--- /dev/null
+++ b/crates/caraway-standin/src/fleet/mod.rs
@@ -0,0 +1,200 @@
+//! [`Fleet`]: the stand-ins of one settings file, with a control port.
+
+mod control;
+mod settings;
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Weak},
+};
+
+use caraway_wire::list::{Listed, Role};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{
+    Engine, EngineSettings, InstanceList, LogService, Relay, Relays, Service, Store, host::Host,
+};
+
+pub use control::{FaultOrder, ListChange};
+pub use settings::{FleetSettings, ListedEngine, ListedService, RelaySettings};
+
+/// Target name of the log on the control port.
+pub(crate) const LOG: &str = "log";
+/// Target name of the list on the control port.
+pub(crate) const LIST: &str = "list";
+/// Target name of the weight store on the control port.
+pub(crate) const STORE: &str = "store";
+
+/// Running stand-ins.
+#[derive(Debug)]
+pub struct Fleet {
+    parts: Arc<Parts>,
+    control: Host,
+}
+
+/// The stand-ins by id.
+#[derive(Debug)]
+pub struct Parts {
+    /// The engines.
+    pub engines: BTreeMap<Arc<str>, Engine>,
+    /// The plain services.
+    pub services: BTreeMap<Arc<str>, Service>,
+    /// The relays.
+    pub relays: BTreeMap<Arc<str>, Relay>,
+    /// The log.
+    pub log: LogService,
+    /// The list.
+    pub list: InstanceList,
+    /// The weight store.
+    pub store: Arc<Store>,
+    threads: Relays,
+}
+
+impl Fleet {
+    /// Starts everything that the settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first server that does not start, or of a relay whose target is
+    /// unknown.
+    pub fn start(settings: FleetSettings) -> io::Result<Self> {
+        let port = settings.control_port;
+        let parts = Arc::new(Parts::start(settings)?);
+        let idle = |_| std::future::ready(());
+        let shared: Arc<Weak<Parts>> = Arc::new(Arc::downgrade(&parts));
+        let control = Host::start("control", port, shared, control::routes, idle)?;
+        Ok(Self { parts, control })
+    }
+
+    /// Returns the stand-ins.
+    #[must_use]
+    pub fn parts(&self) -> &Parts {
+        &self.parts
+    }
+
+    /// Returns the address of the control port.
+    #[must_use]
+    pub fn control(&self) -> SocketAddr {
+        self.control.addr()
+    }
+
+    /// Returns every address by id.
+    #[must_use]
+    pub fn addresses(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+        let mut all = self.parts.addresses();
+        all.insert("control".into(), self.control());
+        all
+    }
+}
+
+impl Parts {
+    fn start(settings: FleetSettings) -> io::Result<Self> {
+        let store = Store::new(settings.store);
+        let mut members = settings.members;
+        let mut engines = BTreeMap::new();
+        for ListedEngine { zone, mut engine } in settings.engines {
+            engine.store = Some(Arc::clone(&store));
+            let id = Arc::clone(&engine.id);
+            let started = Engine::start(engine)?;
+            members.push(listed(&id, Role::Engine, &zone, started.addr()));
+            engines.insert(id, started);
+        }
+        let mut services = BTreeMap::new();
+        for ListedService { zone, service } in settings.services {
+            let id = Arc::clone(&service.id);
+            let started = Service::start(service)?;
+            members.push(listed(&id, Role::Service, &zone, started.addr()));
+            services.insert(id, started);
+        }
+        let mut parts = Self {
+            engines,
+            services,
+            relays: BTreeMap::new(),
+            log: LogService::start(settings.log)?,
+            list: InstanceList::start(settings.list, members)?,
+            store,
+            threads: Relays::start()?,
+        };
+        parts.add_relays(settings.relays)?;
+        Ok(parts)
+    }
+
+    fn add_relays(&mut self, relays: Vec<RelaySettings>) -> io::Result<()> {
+        let addresses = self.addresses();
+        for relay in relays {
+            let target = addresses.get(&relay.target).copied();
+            let target = target.or_else(|| relay.target.parse().ok());
+            let unknown = || io::Error::other(format!("relay {}: unknown target", relay.id));
+            let target = target.ok_or_else(unknown)?;
+            let started = self.threads.add(target, relay.port)?;
+            self.relays.insert(relay.id, started);
+        }
+        Ok(())
+    }
+
+    fn addresses(&self) -> BTreeMap<Arc<str>, SocketAddr> {
+        let mut all = BTreeMap::new();
+        all.extend(self.engines.iter().map(|(id, e)| (id.clone(), e.addr())));
+        all.extend(self.services.iter().map(|(id, s)| (id.clone(), s.addr())));
+        all.extend(self.relays.iter().map(|(id, r)| (id.clone(), r.addr())));
+        all.insert(LOG.into(), self.log.addr());
+        all.insert(LIST.into(), self.list.addr());
+        all
+    }
+
+    /// Replaces the faults of a target.
+    ///
+    /// # Errors
+    ///
+    /// Says that the target is unknown or the faults do not parse.
+    pub(crate) fn set_faults(&self, order: FaultOrder) -> Result<(), Arc<str>> {
+        let FaultOrder { target, faults } = order;
+        if let Some(engine) = self.engines.get(&target) {
+            engine.set_faults(parse(faults)?);
+        } else if let Some(service) = self.services.get(&target) {
+            service.set_faults(parse(faults)?);
+        } else if let Some(relay) = self.relays.get(&target) {
+            relay.set_faults(parse(faults)?);
+        } else {
+            match &*target {
+                LOG => self.log.set_faults(parse(faults)?),
+                LIST => self.list.set_faults(parse(faults)?),
+                STORE => self.store.set_faults(parse(faults)?),
+                _ => return Err("/target: unknown".into()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns what a target did, as JSON.
+    pub(crate) fn ledger(&self, target: &str) -> Option<Value> {
+        if let Some(engine) = self.engines.get(target) {
+            return serde_json::to_value(engine.ledger()).ok();
+        }
+        if let Some(service) = self.services.get(target) {
+            return serde_json::to_value(service.ledger()).ok();
+        }
+        match target {
+            STORE => serde_json::to_value(self.store.ledger()).ok(),
+            _ => None,
+        }
+    }
+}
+
+fn listed(id: &Arc<str>, role: Role, zone: &Arc<str>, addr: SocketAddr) -> Listed {
+    Listed {
+        id: Arc::clone(id),
+        role,
+        zone: Arc::clone(zone),
+        addr,
+        incarnation: 1,
+        leaving: false,
+    }
+}
+
+fn parse<T: DeserializeOwned>(faults: Value) -> Result<T, Arc<str>> {
+    serde_json::from_value(faults).map_err(|e| format!("/faults: {e}").into())
+}
--- /dev/null
+++ b/crates/caraway-standin/src/fleet/settings.rs
@@ -0,0 +1,101 @@
+//! [`FleetSettings`]: which stand-ins to start.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use caraway_types::{Findings, ZoneId};
+use caraway_wire::list::Listed;
+use serde::{Deserialize, Serialize};
+
+use super::{EngineSettings, LIST, LOG, STORE};
+use crate::{ListSettings, LogSettings, ServiceSettings, StoreSettings};
+
+/// The stand-ins of one deployment; ports of zero are chosen by the operating system.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetSettings {
+    /// Port of the control server.
+    pub control_port: u16,
+    /// The weight store.
+    pub store: StoreSettings,
+    /// The log.
+    pub log: LogSettings,
+    /// The list.
+    pub list: ListSettings,
+    /// Members of the list besides the engines and services.
+    pub members: Vec<Listed>,
+    /// The engines.
+    pub engines: Vec<ListedEngine>,
+    /// The plain services.
+    pub services: Vec<ListedService>,
+    /// The relays.
+    pub relays: Vec<RelaySettings>,
+}
+
+/// An engine and where it stands.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ListedEngine {
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// How it behaves.
+    pub engine: EngineSettings,
+}
+
+/// A service replica and where it stands.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ListedService {
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// How it behaves.
+    pub service: ServiceSettings,
+}
+
+/// A relay.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelaySettings {
+    /// The relay's id.
+    pub id: Arc<str>,
+    /// Id of a stand-in, or an address.
+    pub target: Arc<str>,
+    /// Port of the relay.
+    pub port: u16,
+}
+
+impl FleetSettings {
+    /// Checks that every id is given and unique.
+    ///
+    /// # Errors
+    ///
+    /// Returns every id that is not.
+    pub fn check(self) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let mut seen = BTreeSet::from([LOG, LIST, STORE, "control"]);
+        let engines = self.engines.iter().map(|e| &*e.engine.id);
+        let services = self.services.iter().map(|s| &*s.service.id);
+        let relays = self.relays.iter().map(|r| &*r.id);
+        let all = (0..)
+            .zip(engines)
+            .map(|(i, id)| (format!("/engines/{i}/engine/id"), id));
+        let all = all.chain(
+            (0..)
+                .zip(services)
+                .map(|(i, id)| (format!("/services/{i}/service/id"), id)),
+        );
+        let all = all.chain(
+            (0..)
+                .zip(relays)
+                .map(|(i, id)| (format!("/relays/{i}/id"), id)),
+        );
+        for (place, id) in all {
+            if id.is_empty() {
+                findings.add(place, "an id is missing");
+            } else if !seen.insert(id) {
+                findings.add(place, format!("the id {id} is taken"));
+            }
+        }
+        drop(seen);
+        findings.into_result(()).map(|()| self)
+    }
+}
--- a/crates/caraway-standin/src/host.rs
+++ b/crates/caraway-standin/src/host.rs
@@ -24,14 +24,15 @@
 }
 
 impl Host {
-    /// Serves `routes` over `state` on a loopback port from the operating system, with `duty`
-    /// running beside the server until the host stops.
+    /// Serves `routes` over `state` on `port` of the loopback, zero for any, with `duty` running
+    /// beside the server until the host stops.
     ///
     /// # Errors
     ///
     /// Returns the error of binding the port or starting the server.
     pub(crate) fn start<T, D>(
         name: &str,
+        port: u16,
         state: Arc<T>,
         routes: fn(&mut ServiceConfig),
         duty: impl FnOnce(Arc<T>) -> D + Send + 'static,
@@ -40,7 +41,7 @@
         T: Send + Sync + 'static,
         D: Future<Output = ()> + 'static,
     {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
         let addr = listener.local_addr()?;
         let stop = Arc::new(Notify::new());
         let stopped = Arc::clone(&stop);
--- a/crates/caraway-standin/src/lib.rs
+++ b/crates/caraway-standin/src/lib.rs
@@ -5,14 +5,18 @@
 //! - [`LogService`]: the platform's append-only log.
 //! - [`InstanceList`]: the platform's lagging list.
 //! - [`Service`]: a plain service with calls that may not be repeated.
+//! - [`Relays`]: TCP relays that can be cut, made one-way, delayed or silent.
+//! - [`Fleet`]: all of them from one settings file, with a control port.
 //! - [`Store`]: the weight store that the engines load from.
 //! - [`token`]: the text that an engine generates, so that a caller can check an answer.
 
 mod drop_io;
 mod engine;
+mod fleet;
 mod host;
 mod list;
 mod log_service;
+mod relay;
 mod service;
 mod store;
 
@@ -20,7 +24,11 @@
     Engine, EngineFaults, EngineLedger, EngineSettings, OrderKind, OrderRecord, RunEnd, RunRecord,
     Violation, token,
 };
+pub use fleet::{
+    FaultOrder, Fleet, FleetSettings, ListChange, ListedEngine, ListedService, Parts, RelaySettings,
+};
 pub use list::{InstanceList, ListFaults, ListSettings};
 pub use log_service::{LogFaults, LogService, LogSettings};
+pub use relay::{Relay, RelayFaults, RelayMode, Relays};
 pub use service::{CallRecord, Service, ServiceAnswer, ServiceFaults, ServiceSettings};
 pub use store::{Store, StoreDown, StoreFaults, StoreLedger, StoreSettings};
--- a/crates/caraway-standin/src/list.rs
+++ b/crates/caraway-standin/src/list.rs
@@ -17,8 +17,10 @@
 
 /// How the list behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ListSettings {
+    /// Port of the server; zero lets the operating system choose.
+    pub port: u16,
     /// Age of what it answers.
     pub lag: Millis,
 }
@@ -26,6 +28,7 @@
 impl Default for ListSettings {
     fn default() -> Self {
         Self {
+            port: 0,
             lag: Millis::new(1_000),
         }
     }
@@ -33,7 +36,7 @@
 
 /// Faults of the list, none by default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ListFaults {
     /// Fails every call.
     pub down: bool,
@@ -64,6 +67,7 @@
     ///
     /// Returns the error of starting its server.
     pub fn start(settings: ListSettings, members: Vec<Listed>) -> io::Result<Self> {
+        let port = settings.port;
         let first = Listing { members };
         let shared = Arc::new(Mutex::new(Members {
             settings,
@@ -72,7 +76,7 @@
             now: first,
         }));
         let idle = |_| std::future::ready(());
-        let host = Host::start("list", Arc::clone(&shared), routes, idle)?;
+        let host = Host::start("list", port, Arc::clone(&shared), routes, idle)?;
         Ok(Self { host, shared })
     }
 
--- a/crates/caraway-standin/src/log_service.rs
+++ b/crates/caraway-standin/src/log_service.rs
@@ -20,8 +20,10 @@
 
 /// How the log behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
+    /// Port of the server; zero lets the operating system choose.
+    pub port: u16,
     /// Records of a stream that are kept at most.
     pub keep_records: usize,
     /// How long a record is kept.
@@ -35,6 +37,7 @@
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
+            port: 0,
             keep_records: 1_000_000,
             keep_time: Millis::new(24 * 3_600 * 1_000),
             rate: 300,
@@ -45,7 +48,7 @@
 
 /// Faults of the log, none by default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct LogFaults {
     /// Fails every call.
     pub down: bool,
@@ -95,6 +98,7 @@
     ///
     /// Returns the error of starting its server.
     pub fn start(settings: LogSettings) -> io::Result<Self> {
+        let port = settings.port;
         let shared = Arc::new(Mutex::new(Log {
             settings,
             faults: LogFaults::default(),
@@ -103,7 +107,7 @@
             second: None,
         }));
         let idle = |_| std::future::ready(());
-        let host = Host::start("log", Arc::clone(&shared), server::routes, idle)?;
+        let host = Host::start("log", port, Arc::clone(&shared), server::routes, idle)?;
         Ok(Self { host, shared })
     }
 
--- a/crates/caraway-standin/src/service.rs
+++ b/crates/caraway-standin/src/service.rs
@@ -18,10 +18,12 @@
 
 /// How a service behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ServiceSettings {
     /// The service replica's id.
     pub id: EndpointId,
+    /// Port of the server; zero lets the operating system choose.
+    pub port: u16,
     /// Time that each call takes.
     pub work: Millis,
 }
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             id: "service".into(),
+            port: 0,
             work: Millis::new(5),
         }
     }
@@ -37,7 +40,7 @@
 
 /// Faults of a service, none by default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Calls from now on that are carried out but lose their answer.
     pub lose_answers: u32,
@@ -111,13 +114,14 @@
     /// Returns the error of starting its server.
     pub fn start(settings: ServiceSettings) -> io::Result<Self> {
         let name = Arc::clone(&settings.id);
+        let port = settings.port;
         let shared = Arc::new(Mutex::new(Inner {
             settings,
             faults: ServiceFaults::default(),
             calls: Vec::new(),
         }));
         let idle = |_| std::future::ready(());
-        let host = Host::start(&name, Arc::clone(&shared), routes, idle)?;
+        let host = Host::start(&name, port, Arc::clone(&shared), routes, idle)?;
         Ok(Self { host, shared })
     }
 
--- a/crates/caraway-standin/src/store.rs
+++ b/crates/caraway-standin/src/store.rs
@@ -13,7 +13,7 @@
 
 /// How the weight store behaves.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct StoreSettings {
     /// Loads that it starts a second.
     pub rate: f64,
@@ -41,7 +41,7 @@
 
 /// Faults of the weight store, none by default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(default, deny_unknown_fields)]
 pub struct StoreFaults {
     /// Fails every load.
     pub down: bool,
--- a/crates/caraway-standin/tests/common/tokens.rs
+++ b/crates/caraway-standin/tests/common/tokens.rs
@@ -9,7 +9,7 @@
     util::stream_recv,
 };
 
-use crate::common::{PATIENCE, order_at};
+use crate::common::{PATIENCE, order_at, post};
 
 /// Orders an unload.
 pub(crate) async fn unload(addr: SocketAddr, name: &str, fence: u64) -> StatusCode {
@@ -80,3 +80,11 @@
         buffer: String::new(),
     }
 }
+
+/// Cancels an attempt.
+pub(crate) async fn cancel(addr: SocketAddr, id: &str) {
+    let order = serde_json::json!({ "request_id": id });
+    post(addr, "/v1/completions/cancel", &order, &[])
+        .await
+        .expect("an answer to the cancellation");
+}
--- a/crates/caraway-standin/tests/engine.rs
+++ b/crates/caraway-standin/tests/engine.rs
@@ -9,7 +9,7 @@
 use caraway_wire::engine::{CompletionRequest, EngineError, EngineErrorKind, EngineLoad};
 use common::{get, load, post, until};
 use ntex::http::StatusCode;
-use tokens::{complete, request, unload};
+use tokens::{cancel, complete, request, unload};
 
 fn quick() -> EngineSettings {
     EngineSettings {
@@ -153,10 +153,7 @@
     let engine = loaded(quick()).await;
     let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 1_000_000)).await;
     tokens.next().await.unwrap();
-    let cancel = serde_json::json!({ "request_id": "a" });
-    post(engine.addr(), "/v1/completions/cancel", &cancel, &[])
-        .await
-        .unwrap();
+    cancel(engine.addr(), "a").await;
     let (_, whole) = tokens.rest().await;
     assert!(!whole);
     assert_eq!(engine.ledger().runs[0].end, Some(RunEnd::Cancelled));
@@ -230,7 +227,7 @@
         ..request("slow", "l1", "p", 2)
     };
     let mut slow = complete(addr, &slow).await;
-    let mut fast = complete(addr, &request("fast", "l1", "p", 400)).await;
+    let mut fast = complete(addr, &request("fast", "l1", "p", 1_000_000)).await;
     let full = post(addr, "/v1/completions", &request("c", "l1", "p", 1), &[])
         .await
         .unwrap();
@@ -239,13 +236,10 @@
         full.json::<EngineError>().error,
         EngineErrorKind::Overloaded
     );
-    let cancel = serde_json::json!({ "request_id": "a" });
-    post(addr, "/v1/completions/cancel", &cancel, &[])
-        .await
-        .unwrap();
+    cancel(addr, "a").await;
     fast.next().await.unwrap();
     assert!(!engine.ledger().runs[1].started);
-    assert!(fast.rest().await.1);
+    cancel(addr, "fast").await;
     assert!(slow.rest().await.1);
 }
 
@@ -296,3 +290,26 @@
     engine.set_faults(EngineFaults::default());
     assert!(tokens.rest().await.1);
 }
+
+#[ntex::test]
+async fn crossed_tokens_go_to_another_run() {
+    let engine = loaded(quick()).await;
+    let addr = engine.addr();
+    let mut first = complete(addr, &request("a", "l1", "p", 1_000_000)).await;
+    let mut second = complete(addr, &request("b", "l1", "q", 1_000_000)).await;
+    first.next().await.unwrap();
+    second.next().await.unwrap();
+    engine.set_faults(EngineFaults {
+        cross_tokens: 1,
+        ..EngineFaults::default()
+    });
+    let stray = loop {
+        let chunk = first.next().await.unwrap();
+        if &*chunk.request_id != "a" {
+            break chunk;
+        }
+    };
+    let adapter = AdapterRef::new("signs", "v1");
+    assert_eq!(*stray.text, token(&adapter, "q", stray.index));
+    assert_eq!(&*first.next().await.unwrap().request_id, "a");
+}
--- a/crates/caraway-standin/tests/platform.rs
+++ b/crates/caraway-standin/tests/platform.rs
@@ -116,6 +116,13 @@
     }
 }
 
+fn list_of(lag: Millis) -> ListSettings {
+    ListSettings {
+        lag,
+        ..ListSettings::default()
+    }
+}
+
 async fn listing(list: &InstanceList) -> Listing {
     get(list.addr(), "/v1/instances").await.unwrap().json()
 }
@@ -123,7 +130,7 @@
 #[ntex::test]
 async fn the_list_lags() {
     let hour = Millis::new(3_600_000);
-    let list = InstanceList::start(ListSettings { lag: hour }, vec![member("e1")]).unwrap();
+    let list = InstanceList::start(list_of(hour), vec![member("e1")]).unwrap();
     list.set(member("e2"));
     list.mark_leaving("e1");
     assert_eq!(listing(&list).await.members, [member("e1")]);
@@ -132,7 +139,7 @@
 #[ntex::test]
 async fn the_list_shows_changes_and_goes_down() {
     let none = Millis::new(0);
-    let list = InstanceList::start(ListSettings { lag: none }, vec![member("e1")]).unwrap();
+    let list = InstanceList::start(list_of(none), vec![member("e1")]).unwrap();
     list.mark_leaving("e1");
     assert!(listing(&list).await.members[0].leaving);
     list.remove("e1");
