--- a/crates/caraway-standin/tests/binary.rs
+++ b/crates/caraway-standin/tests/standin/binary.rs
@@ -1,7 +1,5 @@
 //! The `caraway-standin` program.
 
-mod common;
-
 use std::{
     collections::BTreeMap,
     fs,
@@ -11,7 +9,7 @@
     process::{Command, Stdio},
 };
 
-use common::{get, post};
+use crate::common::{get, post};
 use serde_json::json;
 
 fn settings(name: &str, text: &str) -> PathBuf {
--- a/crates/caraway-standin/tests/engine.rs
+++ b/crates/caraway-standin/tests/standin/engine.rs
@@ -1,15 +1,11 @@
 //! What the engine stand-in does, and each of its faults.
 
-mod common;
-#[path = "common/tokens.rs"]
-mod tokens;
-
+use crate::common::{get, load, post, until};
+use crate::tokens::{cancel, complete, request, unload};
 use caraway_standin::{Engine, EngineFaults, EngineSettings, RunEnd, Violation, token};
 use caraway_types::{AdapterRef, Millis};
 use caraway_wire::engine::{CompletionRequest, EngineError, EngineErrorKind, EngineLoad};
-use common::{get, load, post, until};
 use ntex::http::StatusCode;
-use tokens::{cancel, complete, request, unload};
 
 fn quick() -> EngineSettings {
     EngineSettings {
--- a/crates/caraway-standin/tests/fleet.rs
+++ b/crates/caraway-standin/tests/standin/fleet.rs
@@ -1,18 +1,14 @@
 //! Relays, and the control port of a whole fleet.
 
-mod common;
-#[path = "common/tokens.rs"]
-mod tokens;
-
 use std::{net::SocketAddr, time::Duration};
 
+use crate::common::{get, load, post, until};
+use crate::tokens::{cancel, complete, request, unload};
 use caraway_standin::{Fleet, FleetSettings, RelayFaults, RelayMode, Relays};
 use caraway_types::Millis;
 use caraway_wire::{engine::EngineLoad, list::Listing};
-use common::{get, load, post, until};
 use ntex::http::StatusCode;
 use serde_json::{Value, json};
-use tokens::{cancel, complete, request, unload};
 
 /// Tokens that only a connection that still flows brings.
 const FLOWING: u32 = 2_000;
--- /dev/null
+++ b/crates/caraway-standin/tests/standin/main.rs
@@ -0,0 +1,8 @@
+//! What the stand-ins do, and each of their faults.
+
+mod binary;
+mod common;
+mod engine;
+mod fleet;
+mod platform;
+mod tokens;
--- a/crates/caraway-standin/tests/platform.rs
+++ b/crates/caraway-standin/tests/standin/platform.rs
@@ -1,12 +1,11 @@
 //! What the stand-ins of log, list, service and weight store do, and each of their faults.
 
-mod common;
-
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use crate::common::{Answer, get, load, post, until};
 use caraway_standin::{
     Engine, EngineSettings, InstanceList, ListFaults, ListSettings, LogFaults, LogService,
     LogSettings, Service, ServiceAnswer, ServiceFaults, ServiceSettings, Store, StoreFaults,
@@ -18,7 +17,6 @@
     log::{Append, Appended, Page},
     service::{ATTEMPT_HEADER, KEY_HEADER},
 };
-use common::{Answer, get, load, post, until};
 use ntex::http::StatusCode;
 
 const APPEND: &str = "/v1/streams/config/append";
