--- a/crates/caraway-standin/tests/platform.rs
+++ b/crates/caraway-standin/tests/standin/platform.rs
@@ -1,12 +1,11 @@
 //! What the stand-ins of log, list, service and weight store do, and each of their faults.
 
-mod common;
-
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use crate::common::{Answer, get, load, post, until};
 use caraway_standin::{
     Engine, EngineSettings, InstanceList, ListFaults, ListSettings, LogFaults, LogService,
     LogSettings, Service, ServiceAnswer, ServiceFaults, ServiceSettings, Store, StoreFaults,
@@ -18,7 +17,6 @@
     log::{Append, Appended, Page},
     service::{ATTEMPT_HEADER, KEY_HEADER},
 };
-use common::{Answer, get, load, post, until};
 use ntex::http::StatusCode;
 
 const APPEND: &str = "/v1/streams/config/append";
@@ -116,6 +114,13 @@
     }
 }
 
+fn list_of(lag: Millis) -> ListSettings {
+    ListSettings {
+        lag,
+        ..ListSettings::default()
+    }
+}
+
 async fn listing(list: &InstanceList) -> Listing {
     get(list.addr(), "/v1/instances").await.unwrap().json()
 }
@@ -123,7 +128,7 @@
 #[ntex::test]
 async fn the_list_lags() {
     let hour = Millis::new(3_600_000);
-    let list = InstanceList::start(ListSettings { lag: hour }, vec![member("e1")]).unwrap();
+    let list = InstanceList::start(list_of(hour), vec![member("e1")]).unwrap();
     list.set(member("e2"));
     list.mark_leaving("e1");
     assert_eq!(listing(&list).await.members, [member("e1")]);
@@ -132,7 +137,7 @@
 #[ntex::test]
 async fn the_list_shows_changes_and_goes_down() {
     let none = Millis::new(0);
-    let list = InstanceList::start(ListSettings { lag: none }, vec![member("e1")]).unwrap();
+    let list = InstanceList::start(list_of(none), vec![member("e1")]).unwrap();
     list.mark_leaving("e1");
     assert!(listing(&list).await.members[0].leaving);
     list.remove("e1");
