--- /dev/null
+++ b/crates/caraway-members/src/claims.rs
@@ -0,0 +1,313 @@
+//! How [`Members`] claims, keeps and releases replicas of its zone.
+//!
+//! A heartbeat that tells of a claim, once acknowledged, keeps the peer from ordering on that
+//! replica until the lease and the guard have passed in silence.
+
+use std::{collections::BTreeSet, time::Instant};
+
+use caraway_types::{EndpointId, Fence, InstanceId};
+
+use crate::{
+    MemberEvent, Members, Phase, Presence, Stage, fences, peer::Peer, rendezvous, replica::Rival,
+};
+
+impl Members {
+    /// Doubts the holdings after a pause, and gives peers time to be heard again.
+    pub(crate) fn notice_pause(&mut self, now: Instant) {
+        if !self.paused(now) {
+            return;
+        }
+        self.doubt = Some(now);
+        let until = now + self.settings.lease.get();
+        for peer in self.peers.values_mut() {
+            peer.promised = peer.promised.max(until);
+        }
+    }
+
+    /// Ends the doubt once the peers of the zone were heard since, or could have been.
+    ///
+    /// A listing that names this instance is waited for as well, since peers may have taken over
+    /// after the list dropped it; without the list, all peers must be heard.
+    pub(crate) fn resolve_doubt(&mut self, now: Instant) {
+        let Some(since) = self.doubt else {
+            return;
+        };
+        let listed = self.missing == 0 && self.last_listing.is_some_and(|at| at >= since);
+        let heard = |p: &Peer| p.heard.is_some_and(|at| at >= since);
+        let all_heard = self.zone_peers().all(|(_, p)| heard(p));
+        let passed = now > since + self.settings.lease.get() + self.guard();
+        let named = self.listed && listed;
+        let settled = now >= since + self.guard();
+        let sure = all_heard && named && settled;
+        if sure || passed && (all_heard || named || !self.listed) {
+            self.doubt = None;
+        }
+    }
+
+    /// Tells whether the list has dropped this instance and some peer may act on that.
+    pub(crate) fn outcast(&self, now: Instant) -> bool {
+        let trusts = |p: &Peer| p.granted.is_some_and(|end| now < end);
+        let may_act = |(id, p): (&InstanceId, &Peer)| {
+            let ended = self.marks.stage(id, p.incarnation) == Some(Stage::Ended);
+            p.zone == self.me.zone && !ended && !trusts(p)
+        };
+        self.dropped() && self.peers.iter().any(may_act)
+    }
+
+    /// Tells whether no peer can order an eviction on a claimed replica.
+    pub(crate) fn granted(
+        &self,
+        now: Instant,
+        endpoint: &EndpointId,
+        claim_seq: u64,
+        checks: bool,
+    ) -> bool {
+        let guard = self.guard();
+        let fenced = |p: &Peer| checks && p.silent(now, guard);
+        let keeps_away = |p: &Peer| fenced(p) || p.grants(now, endpoint, claim_seq);
+        (checks || self.listed) && self.zone_peers().all(|(_, p)| keeps_away(p))
+    }
+
+    /// Tells whether no peer can have requests or orders under way on a replica.
+    pub(crate) fn all_clear(&self, now: Instant, endpoint: &EndpointId) -> bool {
+        let clear = |p: &Peer| self.heard(now, p) && p.holding(endpoint).is_none();
+        self.zone_peers().all(|(_, p)| clear(p))
+    }
+
+    /// Chooses and tells holders, claims and releases.
+    pub(crate) fn tick_replicas(&mut self, now: Instant, events: &mut Vec<MemberEvent>) {
+        self.choose_candidates(now);
+        let ids: Vec<EndpointId> = self.replicas.keys().cloned().collect();
+        let mut changed = false;
+        for endpoint in ids {
+            if self.replicas[&endpoint].info.zone == self.me.zone {
+                changed |= self.tick_replica(now, &endpoint, events);
+            } else {
+                self.guess_holder(&endpoint);
+            }
+        }
+        if changed {
+            self.hurry(now);
+        }
+    }
+
+    /// Takes another tag while a known peer of the zone with a smaller id has the same.
+    pub(crate) fn settle_tag(&mut self) {
+        let idle = self.replicas.values().all(|r| r.held.is_none());
+        let taken = |tag: u32| {
+            self.zone_peers()
+                .any(|(id, p)| p.tag == tag && *id < self.me.id)
+        };
+        if !idle || !taken(self.tag) {
+            return;
+        }
+        self.salt += 1;
+        self.tag = fences::tag(&self.me.id, self.me.incarnation, self.salt);
+    }
+
+    fn heard(&self, now: Instant, peer: &Peer) -> bool {
+        peer.heard.is_some() && !peer.silent(now, self.guard())
+    }
+
+    /// Chooses the candidates for new claims from all live instances, and those to release to
+    /// from the ones that were up for a lease.
+    fn choose_candidates(&mut self, now: Instant) {
+        let lease = self.settings.lease.get();
+        let for_a_lease = |since| now.saturating_duration_since(since) >= lease;
+        self.candidates = self.candidates_of(now, |p| p.up.is_some());
+        self.steady = self.candidates_of(now, |p| p.up.is_some_and(for_a_lease));
+    }
+
+    /// Returns this instance and the peers that `eligible` accepts, unless they leave; of those,
+    /// the ones that the list has named if there are any.
+    fn candidates_of(
+        &self,
+        now: Instant,
+        eligible: impl Fn(&Peer) -> bool,
+    ) -> BTreeSet<InstanceId> {
+        let staying = |id: &str| self.presence(now, id) != Some(Presence::Leaving);
+        let peers = self
+            .zone_peers()
+            .filter(|(id, p)| eligible(p) && staying(id))
+            .map(|(id, p)| (id.clone(), p.listed));
+        let own = (!self.leaving).then(|| (self.me.id.clone(), self.listed));
+        let all: Vec<_> = peers.chain(own).collect();
+        let any_listed = all.iter().any(|(_, listed)| *listed);
+        let chosen = all.into_iter().filter(|(_, listed)| *listed || !any_listed);
+        chosen.map(|(id, _)| id).collect()
+    }
+
+    fn tick_replica(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        events: &mut Vec<MemberEvent>,
+    ) -> bool {
+        let holding = self.replicas[endpoint].holding().map(|h| h.fence);
+        let changed = match holding {
+            Some(fence) if self.must_release(now, endpoint, fence) => {
+                self.release(endpoint, events);
+                true
+            }
+            Some(_) => {
+                self.report_clearance(now, endpoint, events);
+                false
+            }
+            None if self.may_claim(now, endpoint) => {
+                self.claim(now, endpoint, events);
+                true
+            }
+            None => false,
+        };
+        self.tell_holder(now, endpoint);
+        changed
+    }
+
+    fn must_release(&self, now: Instant, endpoint: &EndpointId, fence: Fence) -> bool {
+        let replica = &self.replicas[endpoint];
+        let outranked = |p: &Peer| {
+            let rival = p.holding(endpoint).filter(|h| h.phase == Phase::Holding);
+            rival.is_some_and(|h| h.fence > fence)
+        };
+        let rival = self
+            .zone_peers()
+            .any(|(_, p)| self.heard(now, p) && outranked(p));
+        let fenced = replica.rival.is_some();
+        let elsewhere = self.doubt.is_none() && !self.prefers_me(endpoint, &self.steady);
+        rival || fenced || elsewhere || self.outcast(now)
+    }
+
+    fn release(&mut self, endpoint: &EndpointId, events: &mut Vec<MemberEvent>) {
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.release();
+        }
+        events.push(MemberEvent::Lost {
+            endpoint: endpoint.clone(),
+        });
+    }
+
+    /// A replica is claimed when it falls to this instance and nobody else orders on it, as far
+    /// as can be told. Silent peers had their lease and guard.
+    fn may_claim(&self, now: Instant, endpoint: &EndpointId) -> bool {
+        let replica = &self.replicas[endpoint];
+        let ready = self.doubt.is_none() && !self.leaving && !self.outcast(now);
+        let draining = replica.held.is_some();
+        let blocked = replica.rival.is_some_and(|r| self.blocked_by(now, r));
+        let free = |p: &Peer| {
+            let quiet = p.quiet.is_none_or(|until| now >= until);
+            let known = self.heard(now, p) || p.silent(now, self.guard());
+            let taken = self.heard(now, p) && p.orders(endpoint);
+            quiet && known && !taken
+        };
+        let free = || self.zone_peers().all(|(_, p)| free(p));
+        ready && !draining && !blocked && self.prefers_me(endpoint, &self.candidates) && free()
+    }
+
+    /// A larger token keeps this instance away while its maker may still use it.
+    fn blocked_by(&self, now: Instant, rival: Rival) -> bool {
+        match self.zone_peers().find(|(_, p)| p.tag == rival.tag) {
+            Some((_, peer)) => !self.heard(now, peer),
+            None => now < rival.since + self.settings.lease.get() + self.guard(),
+        }
+    }
+
+    fn claim(&mut self, now: Instant, endpoint: &EndpointId, events: &mut Vec<MemberEvent>) {
+        let floor = self.inherited_floor(now, endpoint);
+        let fence = self.fences.next(endpoint, self.tag);
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.claim(fence, floor.unwrap_or(fence), self.seq + 1);
+        }
+        events.push(MemberEvent::Acquired {
+            endpoint: endpoint.clone(),
+            fence,
+            adopt: floor.is_some(),
+        });
+        self.report_clearance(now, endpoint, events);
+    }
+
+    /// Returns the floor of the last holder when its orders are known to have settled.
+    ///
+    /// After any other end, an order of the last holder may still come, however late, and would
+    /// unload a load by the name that it knows.
+    fn inherited_floor(&self, now: Instant, endpoint: &EndpointId) -> Option<Fence> {
+        let settled = self.replicas[endpoint].settled?;
+        let newest = self.fences.largest(endpoint) == settled.fence;
+        let all_heard = self.zone_peers().all(|(_, p)| self.heard(now, p));
+        (newest && all_heard).then_some(settled.floor)
+    }
+
+    /// Uses every earlier load once a checking engine has accepted the own token: it refuses all
+    /// earlier orders from then on.
+    fn adopt_fenced(&mut self, endpoint: &EndpointId) -> bool {
+        let Some(replica) = self.replicas.get_mut(endpoint) else {
+            return false;
+        };
+        let Some(held) = &mut replica.held else {
+            return false;
+        };
+        let fenced = replica.info.checks_fencing && replica.accepted == held.fence;
+        if !fenced || held.adopted {
+            return false;
+        }
+        held.adopted = true;
+        held.floor = 0;
+        true
+    }
+
+    fn report_clearance(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        events: &mut Vec<MemberEvent>,
+    ) {
+        if self.adopt_fenced(endpoint) {
+            events.push(MemberEvent::Adopt {
+                endpoint: endpoint.clone(),
+            });
+        }
+        let cleared = self.cleared(now, endpoint);
+        let replica = self.replicas.get_mut(endpoint);
+        let Some(held) = replica.and_then(|r| r.held.as_mut()) else {
+            return;
+        };
+        if cleared && !held.cleared {
+            events.push(MemberEvent::Cleared {
+                endpoint: endpoint.clone(),
+            });
+        }
+        held.cleared = cleared;
+    }
+
+    fn prefers_me(&self, endpoint: &EndpointId, candidates: &BTreeSet<InstanceId>) -> bool {
+        let chosen = rendezvous::choose(endpoint, candidates.iter().map(|id| &**id));
+        chosen == Some(&*self.me.id)
+    }
+
+    fn tell_holder(&mut self, now: Instant, endpoint: &EndpointId) {
+        let mine = self.replicas[endpoint].holding();
+        let own = mine.map(|h| (h.fence, &self.me.id));
+        let peers = self.zone_peers().filter(|(_, p)| self.heard(now, p));
+        let theirs = peers.filter_map(|(id, p)| {
+            let holding = p.holding(endpoint).filter(|h| h.phase == Phase::Holding)?;
+            Some((holding.fence, id))
+        });
+        let holder = theirs.chain(own).max().map(|(_, id)| id.clone());
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.holder = holder;
+        }
+    }
+
+    fn guess_holder(&mut self, endpoint: &EndpointId) {
+        let zone = &self.replicas[endpoint].info.zone;
+        let there = self.peers.iter().filter(|(id, p)| {
+            p.zone == *zone
+                && p.up.is_some()
+                && self.marks.stage(id, p.incarnation) < Some(Stage::Leaving)
+        });
+        let holder = rendezvous::choose(endpoint, there.map(|(id, _)| &**id));
+        let holder = holder.map(InstanceId::from);
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.holder = holder;
+        }
+    }
+}
--- a/crates/caraway-members/src/event.rs
+++ b/crates/caraway-members/src/event.rs
@@ -14,7 +14,9 @@
         endpoint: EndpointId,
         /// The fencing token of every order to it.
         fence: Fence,
-        /// Whether loads of earlier holders may be used; [`Self::Adopt`] follows later if not.
+        /// Whether loads of earlier holders may be used, as
+        /// [`Members::usable`](crate::Members::usable) says of each; [`Self::Adopt`] may follow
+        /// later if not.
         adopt: bool,
     },
     /// Loads of earlier holders on a held replica may be used from now on.
@@ -22,13 +24,16 @@
         /// The replica.
         endpoint: EndpointId,
     },
-    /// Loads of earlier holders on a held replica may be evicted from now on.
+    /// Loads of earlier holders on a held replica may be evicted from now on, once the engine
+    /// reports nothing running on them; [`Members::cleared`](crate::Members::cleared) says
+    /// whether that still holds.
     Cleared {
         /// The replica.
         endpoint: EndpointId,
     },
     /// This instance no longer holds the replica: it starts no request and gives no order there.
-    /// Requests in flight go on; the caller reports their end with
+    /// The caller reports the end of its orders with
+    /// [`Members::orders_done`](crate::Members::orders_done) and of its requests with
     /// [`Members::drained`](crate::Members::drained).
     Lost {
         /// The replica.
--- a/crates/caraway-members/src/heartbeat.rs
+++ b/crates/caraway-members/src/heartbeat.rs
@@ -26,23 +26,32 @@
     pub tag: u32,
     /// The newest heartbeats that the sender has heard, of peers in its zone.
     pub acks: Vec<Ack>,
+    /// What the sender knows of its zone, told to other zones.
+    pub vouched: Vec<Vouch>,
     /// The replicas that the sender holds or drains.
     pub held: Vec<Holding>,
-    /// Members that are leaving or gone.
+    /// Members that started to leave or ended a short while ago.
     pub marks: Vec<Mark>,
 }
 
 /// Acknowledges a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ack {
-    /// Whose heartbeat was heard.
-    pub id: InstanceId,
-    /// Its incarnation.
-    pub incarnation: Incarnation,
+    /// Tag of the instance whose heartbeat was heard.
+    pub tag: u32,
     /// Its number.
     pub seq: u64,
 }
 
+/// Says how long ago an instance of the sender's zone was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Vouch {
+    /// Tag of the instance.
+    pub tag: u32,
+    /// Time since it was heard.
+    pub age: Millis,
+}
+
 /// A replica that an instance holds or drains.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Holding {
@@ -50,18 +59,44 @@
     pub endpoint: EndpointId,
     /// The holder's fencing token, which its loads carry.
     pub fence: Fence,
-    /// Whether the holder only finishes what is in flight; the next holder may use the loads of
-    /// this token and every earlier one.
-    pub draining: bool,
+    /// Smallest token whose loads the holder uses; the next holder may go on from there.
+    pub floor: Fence,
+    /// How far the holder has given it up.
+    pub phase: Phase,
+}
+
+/// How far a holder has given up a replica; it only advances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// It starts requests and gives orders.
+    Holding,
+    /// It starts nothing, but orders may be under way.
+    Stopping,
+    /// Its orders were all answered; only requests may be in flight. The next holder may use the
+    /// loads, but not evict them.
+    Draining,
 }
 
-/// Says that one incarnation of an instance or endpoint is leaving or gone; never withdrawn.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// Says that one incarnation of an instance or endpoint takes no new work.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Mark {
     /// Instance or endpoint id.
     pub id: Arc<str>,
     /// The incarnation.
     pub incarnation: Incarnation,
-    /// Whether the platform's list has dropped it; otherwise it is leaving.
-    pub gone: bool,
+    /// How far it is.
+    pub stage: Stage,
+}
+
+/// Stage of an incarnation's end; it only advances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// It finishes its work and takes none.
+    Leaving,
+    /// The platform's list no longer names it and it was not heard; hearing it refutes this.
+    Dropped,
+    /// It said itself that it holds nothing and has no work in flight.
+    Ended,
 }
--- a/crates/caraway-members/src/lib.rs
+++ b/crates/caraway-members/src/lib.rs
@@ -7,15 +7,23 @@
 //! - [`Right`] says what this instance may order on a replica now.
 //! - [`Presence`] is the state of an instance or endpoint.
 
+mod claims;
 mod event;
+mod fences;
 mod heartbeat;
+mod marks;
 mod members;
+mod peer;
+mod presence;
 mod rendezvous;
+mod replica;
 mod right;
+mod schedule;
+mod sent;
 mod settings;
 
 pub use event::MemberEvent;
-pub use heartbeat::{Ack, Heartbeat, Holding, Mark};
+pub use heartbeat::{Ack, Heartbeat, Holding, Mark, Phase, Stage, Vouch};
 pub use members::Members;
 pub use right::{Presence, Right};
 pub use settings::{EndpointInfo, ListedMember, Me, MemberSettings};
--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -9,36 +9,56 @@
 use caraway_types::{EndpointId, Fence, Incarnation, InstanceId, ZoneId};
 
 use crate::{
-    EndpointInfo, Heartbeat, Holding, ListedMember, Mark, Me, MemberEvent, MemberSettings, Right,
-    rendezvous,
+    EndpointInfo, Mark, Me, MemberEvent, MemberSettings, Presence, Right, Stage,
+    fences::{self, Fences},
+    marks::Marks,
+    peer::Peer,
+    replica::Replica,
+    schedule::Schedule,
+    sent::SentLog,
 };
 
-/// Low bits of a fencing token that tell instances apart.
-const TAG_BITS: u32 = 32;
-
-/// A peer as heard.
-#[derive(Clone, Debug)]
-struct Peer {
-    zone: ZoneId,
-    incarnation: Incarnation,
-    heard: Instant,
-    up: bool,
-}
+/// How long a mark of an id that nothing else names is kept.
+const MARK_AGE: Duration = Duration::from_hours(1);
 
 /// Knows who is live and which replicas this instance holds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub struct Members {
-    me: Me,
-    settings: MemberSettings,
-    endpoints: BTreeMap<EndpointId, EndpointInfo>,
-    peers: BTreeMap<InstanceId, Peer>,
-    marks: BTreeSet<Mark>,
-    held: BTreeMap<EndpointId, Fence>,
-    fences: BTreeMap<EndpointId, Fence>,
-    holders: BTreeMap<EndpointId, InstanceId>,
-    leaving: bool,
-    seq: u64,
-    tag: u32,
+    pub(crate) me: Me,
+    pub(crate) settings: MemberSettings,
+    /// Distinguishes this instance's fencing tokens.
+    pub(crate) tag: u32,
+    pub(crate) salt: u32,
+    pub(crate) seq: u64,
+    pub(crate) sent: SentLog,
+    pub(crate) schedule: Schedule,
+    pub(crate) peers: BTreeMap<InstanceId, Peer>,
+    pub(crate) marks: Marks,
+    pub(crate) fences: Fences,
+    pub(crate) replicas: BTreeMap<EndpointId, Replica>,
+    pub(crate) listed_endpoints: BTreeMap<EndpointId, ListedEndpoint>,
+    /// Whether a listing has named this incarnation.
+    pub(crate) listed: bool,
+    /// Listings in a row without this incarnation since.
+    pub(crate) missing: u8,
+    pub(crate) last_listing: Option<Instant>,
+    pub(crate) last_tick: Instant,
+    /// Since when holdings may be out of date because this instance was paused or is new.
+    pub(crate) doubt: Option<Instant>,
+    pub(crate) leaving: bool,
+    /// The instances among which a free replica's holder is chosen, as of the last tick.
+    pub(crate) candidates: BTreeSet<InstanceId>,
+    /// The instances that a holder hands over to, as of the last tick.
+    pub(crate) steady: BTreeSet<InstanceId>,
+}
+
+/// An endpoint as the list shows it.
+#[derive(Clone, Debug, Hash)]
+pub(crate) struct ListedEndpoint {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) missing: u8,
+    /// Whether the last call to it succeeded or failed, and when.
+    pub(crate) answered: Option<(bool, Instant)>,
 }
 
 impl Members {
@@ -50,214 +70,247 @@
         endpoints: Vec<EndpointInfo>,
         now: Instant,
     ) -> Self {
-        let _ = now;
-        let key = format!("{}/{}", me.id, me.incarnation);
-        let tag = u32::try_from(rendezvous::weight("tag", &key) >> TAG_BITS).unwrap_or(0);
+        let replica = |e: EndpointInfo| (e.id.clone(), Replica::new(e));
         Self {
+            tag: fences::tag(&me.id, me.incarnation, 0),
             me,
             settings,
-            endpoints: endpoints.into_iter().map(|e| (e.id.clone(), e)).collect(),
+            salt: 0,
+            seq: 0,
+            sent: SentLog::default(),
+            schedule: Schedule::default(),
             peers: BTreeMap::new(),
-            marks: BTreeSet::new(),
-            held: BTreeMap::new(),
-            fences: BTreeMap::new(),
-            holders: BTreeMap::new(),
+            marks: Marks::default(),
+            fences: Fences::default(),
+            replicas: endpoints.into_iter().map(replica).collect(),
+            listed_endpoints: BTreeMap::new(),
+            listed: false,
+            missing: 0,
+            last_listing: None,
+            last_tick: now,
+            doubt: Some(now),
             leaving: false,
-            seq: 0,
-            tag,
+            candidates: BTreeSet::new(),
+            steady: BTreeSet::new(),
         }
     }
 
-    /// Takes a peer's heartbeat.
-    pub fn on_heartbeat(&mut self, now: Instant, beat: &Heartbeat) {
-        if beat.from == self.me.id {
-            return;
-        }
-        let up = self.peers.get(&beat.from).is_some_and(|p| p.up);
-        let peer = Peer {
-            zone: beat.zone.clone(),
-            incarnation: beat.incarnation,
-            heard: now,
-            up,
-        };
-        self.peers.insert(beat.from.clone(), peer);
-        self.marks.extend(beat.marks.iter().cloned());
-        for holding in &beat.held {
-            self.on_fence(now, &holding.endpoint, holding.fence);
+    /// Learns a fencing token that an engine has seen: of a report, of a resident load's name, of
+    /// a refusal, or of an own order that was accepted.
+    pub fn on_fence(&mut self, now: Instant, endpoint: &EndpointId, fence: Fence) {
+        self.fences.see(endpoint, fence);
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.see_fence(now, fence);
         }
     }
 
-    /// Takes what the platform's list shows.
-    pub fn on_listing(&mut self, now: Instant, list: &[ListedMember]) {
-        let _ = now;
-        for member in list.iter().filter(|m| m.leaving) {
-            self.marks.insert(Mark {
-                id: member.id.clone(),
-                incarnation: member.incarnation,
-                gone: false,
-            });
+    /// Learns whether a call to an instance or endpoint was answered.
+    pub fn on_answer(&mut self, now: Instant, id: &str, answered: bool) {
+        if let Some(peer) = self.peers.get_mut(id) {
+            peer.failed = !answered;
+        }
+        if let Some(endpoint) = self.listed_endpoints.get_mut(id) {
+            endpoint.answered = Some((answered, now));
+            if answered {
+                self.marks.refute_drop(id, endpoint.incarnation);
+            }
         }
-    }
-
-    /// Learns the largest fencing token that an engine has seen.
-    pub fn on_fence(&mut self, now: Instant, endpoint: &EndpointId, fence: Fence) {
-        let _ = now;
-        let largest = self.fences.entry(endpoint.clone()).or_default();
-        *largest = fence.max(*largest);
     }
 
     /// Brings states and holdings up to `now`.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
         let mut events = Vec::new();
+        self.notice_pause(now);
+        self.drop_missing(now);
         self.tick_peers(now, &mut events);
-        let ids: Vec<EndpointId> = self.endpoints.keys().cloned().collect();
-        for id in ids {
-            self.tick_endpoint(&id, &mut events);
-        }
+        self.settle_tag();
+        self.resolve_doubt(now);
+        self.tick_replicas(now, &mut events);
+        self.forget(now);
+        self.last_tick = now;
         events
     }
 
-    /// Makes the heartbeat to send to every peer.
-    pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
-        let _ = now;
-        self.seq += 1;
-        Heartbeat {
-            from: self.me.id.clone(),
-            zone: self.me.zone.clone(),
-            incarnation: self.me.incarnation,
-            seq: self.seq,
-            lease: self.settings.lease,
-            listed: true,
-            tag: self.tag,
-            acks: Vec::new(),
-            held: self.holdings(),
-            marks: self.marks.iter().cloned().collect(),
-        }
-    }
-
     /// Says what this instance may do on the replica at `now`.
     #[must_use]
     pub fn right(&self, now: Instant, endpoint: &EndpointId) -> Right {
-        let _ = now;
-        if self.held.contains_key(endpoint) {
+        let Some(replica) = self.replicas.get(endpoint) else {
+            return Right::None;
+        };
+        let Some(held) = replica.holding() else {
+            return Right::None;
+        };
+        if self.doubt.is_some() || self.paused(now) || self.outcast(now) {
+            return Right::None;
+        }
+        let checks = replica.info.checks_fencing;
+        if self.granted(now, endpoint, held.claim_seq, checks) {
             Right::Full
         } else {
-            Right::None
+            Right::Fill
         }
     }
 
     /// Returns the token of a held replica.
     #[must_use]
     pub fn fence(&self, endpoint: &EndpointId) -> Option<Fence> {
-        self.held.get(endpoint).copied()
+        let held = self.replicas.get(endpoint)?.holding()?;
+        Some(held.fence)
+    }
+
+    /// Tells whether a load of the given token may be used on a held replica: an own one, or an
+    /// earlier one that no order under way can unload.
+    #[must_use]
+    pub fn usable(&self, endpoint: &EndpointId, load: Fence) -> bool {
+        let held = self.replicas.get(endpoint).and_then(Replica::holding);
+        held.is_some_and(|h| h.floor <= load && load <= h.fence)
     }
 
-    /// Returns the instance that holds the replica, as far as is known here.
+    /// Tells whether loads of earlier holders on a held replica may be evicted, once the engine
+    /// reports nothing running on them.
+    #[must_use]
+    pub fn cleared(&self, now: Instant, endpoint: &EndpointId) -> bool {
+        self.right(now, endpoint) == Right::Full && self.all_clear(now, endpoint)
+    }
+
+    /// Returns the instance that holds the replica, as far as is known here. In another zone it
+    /// is the instance that most likely does.
     #[must_use]
     pub fn holder(&self, endpoint: &EndpointId) -> Option<&InstanceId> {
-        self.holders.get(endpoint)
+        self.replicas.get(endpoint)?.holder.as_ref()
     }
 
     /// Tells whether an instance or endpoint may get new work.
     #[must_use]
     pub fn accepts_work(&self, now: Instant, id: &str) -> bool {
-        let _ = now;
-        let leaving = id == &*self.me.id && self.leaving;
-        !leaving && !self.marks.iter().any(|m| &*m.id == id)
+        matches!(
+            self.presence(now, id),
+            None | Some(Presence::Live | Presence::Suspected)
+        )
+    }
+
+    /// Returns the state of an instance or endpoint, if it is known.
+    #[must_use]
+    pub fn presence(&self, now: Instant, id: &str) -> Option<Presence> {
+        if id == &*self.me.id {
+            return Some(self.own_presence(now));
+        }
+        let (incarnation, up) = match (self.peers.get(id), self.listed_endpoints.get(id)) {
+            (Some(peer), _) => (peer.incarnation, peer.up.is_some()),
+            (_, Some(e)) => (e.incarnation, e.answered.is_none_or(|(ok, _)| ok)),
+            _ => return None,
+        };
+        Some(match self.marks.stage(id, incarnation) {
+            Some(Stage::Leaving) => Presence::Leaving,
+            Some(Stage::Dropped | Stage::Ended) => Presence::Gone,
+            None if up => Presence::Live,
+            None => Presence::Suspected,
+        })
     }
 
     /// Iterates over live peers and their zones.
     pub fn peers(&self) -> impl Iterator<Item = (&InstanceId, &ZoneId)> {
-        self.peers
-            .iter()
-            .filter(|(_, p)| p.up)
-            .map(|(id, p)| (id, &p.zone))
+        let live = |(id, p): &(&InstanceId, &Peer)| {
+            p.up.is_some() && self.marks.stage(id, p.incarnation).is_none()
+        };
+        self.peers.iter().filter(live).map(|(id, p)| (id, &p.zone))
+    }
+
+    /// Returns this instance's tag in fencing tokens.
+    #[must_use]
+    pub fn tag(&self) -> u32 {
+        self.tag
     }
 
     /// Starts to hand over everything that this instance holds.
     pub fn leave(&mut self, now: Instant) {
-        let _ = now;
         self.leaving = true;
-        self.marks.insert(Mark {
-            id: self.me.id.clone(),
-            incarnation: self.me.incarnation,
-            gone: false,
-        });
+        self.mark(now, &self.own_mark(Stage::Leaving));
+    }
+
+    /// Learns that every order to a lost replica was answered, or can no longer take effect.
+    pub fn orders_done(&mut self, now: Instant, endpoint: &EndpointId) {
+        let replica = self.replicas.get_mut(endpoint);
+        if replica.is_some_and(Replica::settle) {
+            self.hurry(now);
+        }
     }
 
-    /// Learns that no request or order of a lost replica is in flight any more.
+    /// Learns that no request to a lost replica is in flight any more, nor any order.
     pub fn drained(&mut self, now: Instant, endpoint: &EndpointId) {
-        let _ = (now, endpoint);
+        let replica = self.replicas.get_mut(endpoint);
+        if replica.is_some_and(Replica::finish_drain) {
+            self.hurry(now);
+        }
     }
 
-    fn holdings(&self) -> Vec<Holding> {
-        let holding = |(endpoint, fence): (&EndpointId, &Fence)| Holding {
-            endpoint: endpoint.clone(),
-            fence: *fence,
-            draining: false,
-        };
-        self.held.iter().map(holding).collect()
+    /// Tells whether this instance has handed over everything; from then on its heartbeats say
+    /// that it has ended, and it may exit after one to each peer.
+    #[must_use]
+    pub fn handed_over(&self) -> bool {
+        self.leaving && self.replicas.values().all(|r| r.held.is_none())
     }
 
-    fn tick_peers(&mut self, now: Instant, events: &mut Vec<MemberEvent>) {
-        let silence: Duration = self.settings.lease.get() + self.settings.guard.get();
-        for (id, peer) in &mut self.peers {
-            let up = now.saturating_duration_since(peer.heard) <= silence;
-            if up == peer.up {
-                continue;
-            }
-            peer.up = up;
-            let instance = id.clone();
-            events.push(if up {
-                MemberEvent::PeerUp { instance }
-            } else {
-                MemberEvent::PeerDown { instance }
-            });
-        }
+    /// Tells whether so much time has passed since the last tick that others may have acted.
+    pub(crate) fn paused(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_tick) > self.settings.lease.get()
+    }
+
+    pub(crate) fn guard(&self) -> Duration {
+        self.settings.guard.get()
     }
 
-    fn tick_endpoint(&mut self, id: &EndpointId, events: &mut Vec<MemberEvent>) {
-        if self.endpoints[id].zone != self.me.zone {
-            return;
+    pub(crate) fn own_mark(&self, stage: Stage) -> Mark {
+        Mark {
+            id: self.me.id.clone(),
+            incarnation: self.me.incarnation,
+            stage,
         }
-        let holder = self.preferred(id);
-        let mine = holder.as_ref() == Some(&self.me.id);
-        match holder {
-            Some(holder) => self.holders.insert(id.clone(), holder),
-            None => self.holders.remove(id),
-        };
-        let endpoint = id.clone();
-        if mine && !self.held.contains_key(id) {
-            let fence = self.next_fence(id);
-            self.held.insert(id.clone(), fence);
-            events.push(MemberEvent::Acquired {
-                endpoint,
-                fence,
-                adopt: true,
-            });
-        } else if !mine && self.held.remove(id).is_some() {
-            events.push(MemberEvent::Lost { endpoint });
+    }
+
+    /// Takes a mark; news of it goes out at once.
+    pub(crate) fn mark(&mut self, now: Instant, mark: &Mark) {
+        if self.marks.add(now, mark) {
+            self.spread(now, &mark.id);
         }
     }
 
-    fn preferred(&self, id: &EndpointId) -> Option<InstanceId> {
-        let leaving = |id: &Arc<str>, inc| {
-            self.marks
-                .iter()
-                .any(|m| &m.id == id && m.incarnation >= inc)
+    /// Iterates over the peers of this zone that have not ended.
+    pub(crate) fn zone_peers(&self) -> impl Iterator<Item = (&InstanceId, &Peer)> {
+        let ended = |id: &Arc<str>, p: &Peer| {
+            matches!(
+                self.marks.stage(id, p.incarnation),
+                Some(Stage::Dropped | Stage::Ended)
+            )
         };
-        let peers = self
-            .peers
+        self.peers
             .iter()
-            .filter(|(id, p)| p.up && p.zone == self.me.zone && !leaving(id, p.incarnation))
-            .map(|(id, _)| &**id);
-        let own = (!self.leaving).then_some(&*self.me.id);
-        rendezvous::choose(id, peers.chain(own)).map(Arc::from)
+            .filter(move |(id, p)| p.zone == self.me.zone && !ended(id, p))
+    }
+
+    /// Counts the known peers of this zone that have not ended.
+    pub(crate) fn zone_size(&self) -> usize {
+        self.zone_peers().count()
+    }
+
+    fn own_presence(&self, now: Instant) -> Presence {
+        if self.leaving {
+            Presence::Leaving
+        } else if self.paused(now) {
+            Presence::Suspected
+        } else {
+            Presence::Live
+        }
     }
 
-    fn next_fence(&mut self, id: &EndpointId) -> Fence {
-        let largest = self.fences.entry(id.clone()).or_default();
-        *largest = (((*largest >> TAG_BITS) + 1) << TAG_BITS) | Fence::from(self.tag);
-        *largest
+    fn forget(&mut self, now: Instant) {
+        let old = |id: &str, inc| self.marks.ended_for(now, id, inc) > Some(MARK_AGE);
+        self.peers.retain(|id, p| !old(id, p.incarnation));
+        self.listed_endpoints
+            .retain(|id, e| !old(id, e.incarnation));
+        let (peers, endpoints) = (&self.peers, &self.listed_endpoints);
+        self.marks.forget(now, MARK_AGE, |id| {
+            peers.contains_key(id) || endpoints.contains_key(id)
+        });
     }
 }
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -1,13 +1,16 @@
 //! Settings and the outside facts that a [`Members`](crate::Members) starts from.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use caraway_types::{EndpointId, Incarnation, InstanceId, Millis, ZoneId};
 
+/// Heartbeats to a peer within a lease.
+const BEATS_PER_LEASE: u32 = 4;
+
 /// The instance itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Me {
     /// Its id.
     pub id: InstanceId,
@@ -18,7 +21,7 @@
 }
 
 /// Periods of liveness and leases.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(default)]
 pub struct MemberSettings {
     /// Shortest time between two heartbeats to one peer of the zone.
@@ -30,12 +33,14 @@
     pub lease: Millis,
     /// Time that a peer waits beyond another's lease; longer than an order takes to its engine.
     pub guard: Millis,
-    /// Time between two heartbeats to an instance of another zone.
+    /// Time between two heartbeats to other zones, each to one instance there.
     pub remote_beat: Millis,
     /// Silence after which a peer of another zone counts as down.
     pub remote_timeout: Millis,
-    /// Peers that are told at once of a member that starts to leave.
+    /// Peers, besides two neighbours, that are told at once of a member that starts to leave.
     pub fanout: u32,
+    /// How long heartbeats repeat that a member leaves or ended.
+    pub mark_spread: Millis,
 }
 
 impl Default for MemberSettings {
@@ -46,14 +51,15 @@
             lease: Millis::new(4_000),
             guard: Millis::new(1_000),
             remote_beat: Millis::new(1_000),
-            remote_timeout: Millis::new(10_000),
+            remote_timeout: Millis::new(15_000),
             fanout: 4,
+            mark_spread: Millis::new(60_000),
         }
     }
 }
 
 /// An endpoint as the settings name it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointInfo {
     /// Its id.
     pub id: EndpointId,
@@ -64,7 +70,7 @@
 }
 
 /// An entry of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ListedMember {
     /// Instance or endpoint id.
     pub id: Arc<str>,
@@ -77,3 +83,17 @@
     /// Whether it is an endpoint; otherwise it is an entry instance.
     pub endpoint: bool,
 }
+
+impl MemberSettings {
+    /// Returns the time between two heartbeats to one of `peers` peers of the zone.
+    pub(crate) fn interval(&self, peers: usize) -> Duration {
+        let peers = u32::try_from(peers).unwrap_or(u32::MAX);
+        let paced = Duration::from_secs(1) * peers / self.beat_rate.max(1);
+        paced.max(self.beat.get())
+    }
+
+    /// Returns the lease in a zone of `peers` peers: several heartbeats may be lost in it.
+    pub(crate) fn lease_for(&self, peers: usize) -> Duration {
+        (self.interval(peers) * BEATS_PER_LEASE).max(self.lease.get())
+    }
+}
