Report service-level burn from instances and the log

Cause: operators need one report that says which objective burns, also when instances are lost or don't answer. Change: caraway-burn-report asks the listed instances, adds the records of lost ones and prints text, JSON or one page with SVG plots; instances give their objectives with it.

--- /dev/null
+++ b/crates/caraway-burn-report/src/html.rs
@@ -0,0 +1,37 @@
+//! [`render_html`]: one self-contained page.
+
+use anyhow::Result;
+use caraway_burn::{Report, render_text};
+
+use crate::plot;
+
+/// Renders a report as a page that needs nothing else.
+///
+/// # Errors
+///
+/// Returns an error when a plot can't be drawn.
+pub fn render_html(report: &Report) -> Result<String> {
+    let mut page = String::from(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Service-level burn</title>\
+         <style>body{font-family:sans-serif;margin:2em}pre{background:#f4f4f4;padding:1em}</style>\
+         <h1>Service-level burn</h1>",
+    );
+    page.push_str("<pre>");
+    page.push_str(&escape(&render_text(report)));
+    page.push_str("</pre>");
+    page.push_str("<p>Each plot shows the burn rate by minute; 1 (red) spends the budget exactly over its period.</p>");
+    for row in &report.rows {
+        page.push_str("<h2>");
+        page.push_str(&escape(&row.name));
+        page.push_str("</h2>");
+        page.push_str(&plot::last_hour(row)?);
+    }
+    page.push_str("</html>\n");
+    Ok(page)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+}
--- a/crates/caraway-burn-report/src/main.rs
+++ b/crates/caraway-burn-report/src/main.rs
@@ -1,3 +1,64 @@
-//! Placeholder.
+//! Prints the report on service-level burn.
 
-fn main() {}
+use std::{process::ExitCode, time::Duration};
+
+use anyhow::{Context, Result};
+use caraway_burn::{Report, render_text};
+use caraway_burn_report::{Places, collect, render_html, unix_now};
+
+/// Most time for each call, in milliseconds, where none is given.
+const LIMIT_MS: u64 = 2000;
+
+mod flags {
+    use std::{net::SocketAddr, path::PathBuf};
+
+    xflags::xflags! {
+        /// Reports how fast the error budgets of the objectives in force burn.
+        cmd caraway-burn-report {
+            /// Address of the platform's list.
+            required --list addr: SocketAddr
+            /// Address of the platform's log.
+            required --log addr: SocketAddr
+            /// Most time for each call, in milliseconds.
+            optional --limit-ms ms: u64
+            /// Print JSON.
+            optional --json
+            /// Write one self-contained page here.
+            optional --html file: PathBuf
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(&flags::CarawayBurnReport::from_env_or_exit()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("caraway-burn-report: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &flags::CarawayBurnReport) -> Result<()> {
+    let places = Places {
+        list: flags.list,
+        log: flags.log,
+        limit: Duration::from_millis(flags.limit_ms.unwrap_or(LIMIT_MS)),
+    };
+    let sources = ntex::rt::System::build()
+        .name("report")
+        .build(ntex::rt::DefaultRuntime)
+        .block_on(collect(places))
+        .context("--list: the list of instances can't be read")?;
+    let report = Report::new(unix_now(), &sources);
+    if let Some(file) = &flags.html {
+        let page = render_html(&report)?;
+        std::fs::write(file, page).with_context(|| format!("--html: {}", file.display()))?;
+    }
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{}", render_text(&report));
+    }
+    Ok(())
+}
--- a/crates/caraway-burn/src/ledger.rs
+++ b/crates/caraway-burn/src/ledger.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use caraway_records::Objective;
-use caraway_types::{Incarnation, InstanceId};
+use caraway_types::{Incarnation, InstanceId, Offset};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -23,7 +23,7 @@
 }
 
 /// A ledger as an instance gives it to a report.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Snapshot {
     /// Schema of this message.
@@ -34,6 +34,10 @@
     pub incarnation: Incarnation,
     /// Its clock.
     pub now: UnixSeconds,
+    /// Offset after the last record in force there.
+    pub offset: Offset,
+    /// The objectives in force there.
+    pub objectives: BTreeMap<ObjectiveName, Objective>,
     /// Its counts by objective.
     pub series: BTreeMap<ObjectiveName, Series>,
 }
@@ -54,7 +58,7 @@
         }
     }
 
-    /// Returns what a report needs.
+    /// Returns what a report needs, without the objectives.
     #[must_use]
     pub fn snapshot(
         &self,
@@ -68,6 +72,7 @@
             incarnation,
             now,
             series: self.series.clone(),
+            ..Snapshot::default()
         }
     }
 
--- a/crates/caraway-burn/src/report.rs
+++ b/crates/caraway-burn/src/report.rs
@@ -22,9 +22,7 @@
 /// Everything that a report is made from.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
-    /// The objectives in force.
-    pub objectives: BTreeMap<ObjectiveName, Objective>,
-    /// Instances that answered.
+    /// Instances that answered; the objectives are those of the largest offset.
     pub snapshots: Vec<Snapshot>,
     /// Instances that did not, each with the reason.
     pub silent: BTreeMap<InstanceId, Arc<str>>,
@@ -61,6 +59,8 @@
     pub budget_left: Option<f64>,
     /// Time until the budget is spent at the rate of the last hour, if it burns.
     pub spent_in: Option<Millis>,
+    /// What was counted in each minute of the last hour, the oldest first.
+    pub last_hour: Vec<Counts>,
 }
 
 /// The burn over one window.
@@ -93,11 +93,17 @@
         let mut notes = Vec::new();
         let series = join(now, sources, &mut notes);
         let empty = Series::default();
+        let newest = sources
+            .snapshots
+            .iter()
+            .filter(|s| s.schema == SNAPSHOT_SCHEMA);
+        let newest = newest.max_by_key(|s| s.offset);
+        let objectives = newest.map(|s| &s.objectives).into_iter().flatten();
         let row = |(name, objective): (&ObjectiveName, &Objective)| {
             let series = series.get(name).unwrap_or(&empty);
             Row::new(now, Arc::clone(name), objective.clone(), series)
         };
-        let rows = sources.objectives.iter().map(row).collect();
+        let rows = objectives.map(row).collect();
         Self { now, rows, notes }
     }
 }
@@ -125,6 +131,7 @@
             alarm: rule.map(|r| r.alarm),
             budget_left,
             spent_in,
+            last_hour: series.last_hour(now),
         }
     }
 }
--- a/crates/caraway-burn/src/series.rs
+++ b/crates/caraway-burn/src/series.rs
@@ -62,6 +62,14 @@
         bucket.copied().unwrap_or_default()
     }
 
+    /// Returns the counts of each minute of the last hour, the oldest first.
+    #[must_use]
+    pub fn last_hour(&self, now: UnixSeconds) -> Vec<Counts> {
+        let minute = now / 60;
+        let at = |m: u64| self.rings[0].get(&m).copied().unwrap_or_default();
+        (minute.saturating_sub(59)..=minute).map(at).collect()
+    }
+
     /// Adds `counts` to the rings from the `from`th on and drops what is too old.
     fn merge_at(&mut self, at: UnixSeconds, counts: Counts, from: usize) {
         let rings = self.rings.iter_mut().zip(RESOLUTIONS).skip(from);
--- a/crates/caraway-entry/src/burn.rs
+++ b/crates/caraway-entry/src/burn.rs
@@ -79,8 +79,16 @@
 
     fn snapshot(&self) -> Snapshot {
         let instance = &self.shared.settings.instance;
-        self.ledger
-            .snapshot(now(), instance, self.shared.incarnation)
+        let state = self.shared.state();
+        let objectives = state.objectives().map(|(n, o)| (Arc::clone(n), o.clone()));
+        let counts = self
+            .ledger
+            .snapshot(now(), instance, self.shared.incarnation);
+        Snapshot {
+            offset: state.next(),
+            objectives: objectives.collect(),
+            ..counts
+        }
     }
 
     /// Writes closed buckets; what the log does not take waits for the next round.
