--- a/crates/caraway-records/src/follower/mod.rs
+++ b/crates/caraway-records/src/follower/mod.rs
@@ -175,7 +175,7 @@
     /// Takes in what a peer says of its state.
     fn on_offer(&mut self, peer: InstanceId, offer: Offer, out: &mut Vec<FollowerOutput>) {
         let own = self.checkpoints.digest(offer.next);
-        if own.is_some_and(|own| own != offer.digest) && self.peers.is_news(&peer, offer) {
+        if own.is_some_and(|own| own != offer.digest) && self.peers.diverge(&peer, offer.next) {
             out.push(FollowerOutput::Notice(Notice::Diverged {
                 peer: peer.clone(),
                 offset: offer.next,
--- a/crates/caraway-records/src/follower/peers.rs
+++ b/crates/caraway-records/src/follower/peers.rs
@@ -12,6 +12,7 @@
     known: BTreeMap<InstanceId, Known>,
     asked: Option<(InstanceId, Instant)>,
     behind: Option<Instant>,
+    told: BTreeMap<InstanceId, Offset>,
 }
 
 /// What one peer has.
@@ -22,9 +23,9 @@
 }
 
 impl Peers {
-    /// Tells whether an offer differs from the last one of the peer.
-    pub(crate) fn is_news(&self, peer: &InstanceId, offer: Offer) -> bool {
-        self.known.get(peer).is_none_or(|k| k.offer != offer)
+    /// Notes that a peer has another digest at an offset; tells whether that is new.
+    pub(crate) fn diverge(&mut self, peer: &InstanceId, offset: Offset) -> bool {
+        self.told.insert(peer.clone(), offset) != Some(offset)
     }
 
     /// Tells whether some peer has records, and none has more than those below `next`.
@@ -42,6 +43,7 @@
     /// Forgets a peer.
     pub(crate) fn remove(&mut self, peer: &InstanceId) {
         self.known.remove(peer);
+        self.told.remove(peer);
         if self.asked.as_ref().is_some_and(|(asked, _)| asked == peer) {
             self.asked = None;
         }
