--- a/crates/caraway-members/src/claims.rs
+++ b/crates/caraway-members/src/claims.rs
@@ -68,10 +68,15 @@
         (checks || self.listed) && self.zone_peers().all(|(_, p)| keeps_away(p))
     }
 
-    /// Tells whether no peer can have requests or orders under way on a replica.
+    /// Tells whether no peer can start requests or give orders on a replica.
     pub(crate) fn all_clear(&self, now: Instant, endpoint: &EndpointId) -> bool {
         let clear = |p: &Peer| self.heard(now, p) && p.holding(endpoint).is_none();
-        self.zone_peers().all(|(_, p)| clear(p))
+        let dropped_now = |(id, p): (&InstanceId, &Peer)| {
+            let dropped = self.marks.stage(id, p.incarnation) == Some(Stage::Dropped);
+            let age = self.marks.ended_for(now, id, p.incarnation);
+            dropped && p.zone == self.me.zone && age < Some(self.settings.idle.get())
+        };
+        self.zone_peers().all(|(_, p)| clear(p)) && !self.peers.iter().any(dropped_now)
     }
 
     /// Chooses and tells holders, claims and releases.
--- a/crates/caraway-members/src/event.rs
+++ b/crates/caraway-members/src/event.rs
@@ -25,7 +25,7 @@
         endpoint: EndpointId,
     },
     /// Loads of earlier holders on a held replica may be evicted from now on, once the engine
-    /// reports nothing running on them; [`Members::cleared`](crate::Members::cleared) says
+    /// has reported them as idle for [`idle`](crate::MemberSettings::idle); [`Members::cleared`](crate::Members::cleared) says
     /// whether that still holds.
     Cleared {
         /// The replica.
--- a/crates/caraway-members/src/heartbeat.rs
+++ b/crates/caraway-members/src/heartbeat.rs
@@ -7,7 +7,7 @@
 use caraway_types::{EndpointId, Fence, Incarnation, InstanceId, Millis, ZoneId};
 
 /// Says that an instance lives, what it holds and what it has heard.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The sender.
     pub from: InstanceId,
--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -166,8 +166,21 @@
         held.is_some_and(|h| h.floor <= load && load <= h.fence)
     }
 
+    /// Returns how long a load may have been idle and still be used, if that is limited.
+    ///
+    /// It is while this instance may have been dropped from the list without knowing it: another
+    /// holder may then evict what was idle for [`idle`](MemberSettings::idle).
+    #[must_use]
+    pub fn idle_limit(&self, now: Instant, endpoint: &EndpointId) -> Option<Duration> {
+        let half = self.settings.idle.get() / 2;
+        let recent = |at| now.saturating_duration_since(at) < half;
+        let named = self.missing == 0 && self.last_listing.is_some_and(recent);
+        let limited = !named && self.right(now, endpoint) == Right::Fill;
+        limited.then_some(half)
+    }
+
     /// Tells whether loads of earlier holders on a held replica may be evicted, once the engine
-    /// reports nothing running on them.
+    /// has reported them as idle for [`idle`](MemberSettings::idle).
     #[must_use]
     pub fn cleared(&self, now: Instant, endpoint: &EndpointId) -> bool {
         self.right(now, endpoint) == Right::Full && self.all_clear(now, endpoint)
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -33,6 +33,9 @@
     pub lease: Millis,
     /// Time that a peer waits beyond another's lease; longer than an order takes to its engine.
     pub guard: Millis,
+    /// How long the engine must have reported a load of an earlier holder as idle before it is
+    /// evicted; the lag of the platform's list stays below half of it.
+    pub idle: Millis,
     /// Time between two heartbeats to other zones, each to one instance there.
     pub remote_beat: Millis,
     /// Silence after which a peer of another zone counts as down.
@@ -50,6 +53,7 @@
             beat_rate: 8,
             lease: Millis::new(4_000),
             guard: Millis::new(1_000),
+            idle: Millis::new(10_000),
             remote_beat: Millis::new(1_000),
             remote_timeout: Millis::new(15_000),
             fanout: 4,
