--- a/crates/caraway-measure/src/policy/mod.rs
+++ b/crates/caraway-measure/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod baseline;
 mod engine;
 mod figures;
+mod nodes;
 mod scenario;
 mod store;
 mod world;
@@ -17,13 +18,14 @@
     arrivals::Request,
     baseline::{Central, Choice},
     figures::Figures,
+    nodes::Nodes,
     scenario::Plan,
     world::World,
 };
 use crate::flags::Policy;
 
 /// The policies that can run.
-const POLICIES: [&str; 3] = ["least-loaded", "hashing", "offline"];
+const POLICIES: [&str; 4] = ["carawayworks", "least-loaded", "hashing", "offline"];
 
 /// Runs the subcommand.
 ///
@@ -50,15 +52,18 @@
 }
 
 fn measure(policy: &'static str, plan: &Plan, requests: &[Request]) -> Figures {
-    let tally = {
-        let choice = match policy {
-            "least-loaded" => Choice::LeastLoaded,
-            "hashing" => Choice::Hashing,
-            _ => Choice::Offline,
-        };
+    let choice = match policy {
+        "least-loaded" => Some(Choice::LeastLoaded),
+        "hashing" => Some(Choice::Hashing),
+        "offline" => Some(Choice::Offline),
+        _ => None,
+    };
+    let tally = if let Some(choice) = choice {
         let world = World::new(plan, requests);
         let mut driver = Central::new(choice, plan, &world);
         world.run(&mut driver)
+    } else {
+        World::new(plan, requests).run(&mut Nodes::new(plan))
     };
     Figures::new(policy, plan, requests, &tally)
 }
--- a/crates/caraway-measure/src/policy/world.rs
+++ b/crates/caraway-measure/src/policy/world.rs
@@ -57,23 +57,29 @@
     type Message;
 
     /// Prepares the run.
-    fn begin(&mut self, world: &mut World<Self::Message>);
+    fn begin(&mut self, world: &mut World<'_, Self::Message>);
     /// A request reaches its instance.
-    fn arrived(&mut self, world: &mut World<Self::Message>, request: usize);
+    fn arrived(&mut self, world: &mut World<'_, Self::Message>, request: usize);
     /// A message is due.
-    fn message(&mut self, world: &mut World<Self::Message>, message: Self::Message);
+    fn message(&mut self, world: &mut World<'_, Self::Message>, message: Self::Message);
     /// An attempt has ended.
-    fn finished(&mut self, world: &mut World<Self::Message>, engine: usize, run: &Run, done: Done);
+    fn finished(
+        &mut self,
+        world: &mut World<'_, Self::Message>,
+        engine: usize,
+        run: &Run,
+        done: Done,
+    );
     /// A load has ended.
     fn loaded(
         &mut self,
-        world: &mut World<Self::Message>,
+        world: &mut World<'_, Self::Message>,
         engine: usize,
         load: &LoadName,
         result: LoadResult,
     );
     /// An engine came back empty.
-    fn restarted(&mut self, _world: &mut World<Self::Message>, _engine: usize) {}
+    fn restarted(&mut self, _world: &mut World<'_, Self::Message>, _engine: usize) {}
 }
 
 #[derive(Debug)]
--- a/crates/caraway-node/src/gossip.rs
+++ b/crates/caraway-node/src/gossip.rs
@@ -1,27 +1,65 @@
 //! [`Gossip`]: what nodes tell each other.
 
+use caraway_members::Heartbeat;
+use caraway_routing::Delta;
+use caraway_slots::{Grant, Return, Want};
+use caraway_types::{InstanceId, Offset};
 use serde::{Deserialize, Serialize};
 
-use caraway_types::{AdapterRef, EndpointId, Incarnation, InstanceId, ZoneId};
-
-/// A message from one node to another.
+/// A message from one node to another; every part may be absent.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
 pub struct Gossip {
     /// The sender.
     pub from: InstanceId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Its life.
-    pub incarnation: Incarnation,
-    /// Residents of the replicas that the sender holds.
-    pub residents: Vec<Residents>,
+    /// The sender's life and holdings.
+    pub heartbeat: Option<Box<Heartbeat>>,
+    /// Changes of what is resident on the replicas that the sender holds.
+    pub delta: Option<Delta>,
+    /// Asks for a delta that lists everything.
+    pub resend: bool,
+    /// What loads on the sender's replicas would cost.
+    pub room: Option<Room>,
+    /// How urgently the sender wants permits to load.
+    pub want: Option<Want>,
+    /// Permits that the sender lends.
+    pub grants: Vec<Grant>,
+    /// Permits that the sender gives back.
+    pub returns: Vec<Return>,
+    /// Configuration that is in force at the sender.
+    pub config: Option<ConfigMark>,
+}
+
+/// What further loads on an instance's replicas would cost.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Room {
+    /// Requests per second of the loads that would be evicted, the cheapest first; zero for a
+    /// free slot.
+    pub costs: Vec<f32>,
+}
+
+/// Identifies a configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigMark {
+    /// Offset of the next record.
+    pub next: Offset,
+    /// Digest of the state.
+    pub digest: u64,
 }
 
-/// What one replica holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Residents {
-    /// The replica.
-    pub endpoint: EndpointId,
-    /// The adapter versions that are resident.
-    pub adapters: Vec<AdapterRef>,
+impl Default for Gossip {
+    fn default() -> Self {
+        Self {
+            from: "".into(),
+            heartbeat: None,
+            delta: None,
+            resend: false,
+            room: None,
+            want: None,
+            grants: Vec::new(),
+            returns: Vec::new(),
+            config: None,
+        }
+    }
 }
--- a/crates/caraway-node/src/input.rs
+++ b/crates/caraway-node/src/input.rs
@@ -8,7 +8,9 @@
     AccountId, AdapterRef, Class, EndpointId, Fence, Incarnation, InstanceId, LoadName, Ticket,
 };
 
-use crate::{Gossip, ListedMember};
+use caraway_members::ListedMember;
+
+use crate::Gossip;
 
 /// An event for a node.
 #[derive(Clone, Debug)]
--- a/crates/caraway-node/src/lib.rs
+++ b/crates/caraway-node/src/lib.rs
@@ -6,18 +6,22 @@
 //! - [`NodeSettings`], [`EndpointSettings`] and [`EndpointKind`] say what a node knows at first.
 //! - [`Input`], [`Submission`], [`Done`], [`LoadResult`], [`EngineReport`], [`ReportedLoad`] and
 //!   [`ListedMember`] are what happens to it; [`Output`] is what it asks for.
-//! - [`Gossip`] and [`Residents`] pass between nodes.
+//! - [`Gossip`] passes between nodes, with [`Room`] and [`ConfigMark`].
 
+mod engine;
 mod gossip;
 mod input;
-mod listing;
+mod job;
 mod node;
+mod orders;
 mod output;
+mod requests;
 mod settings;
+mod talk;
 
-pub use gossip::{Gossip, Residents};
+pub use caraway_members::ListedMember;
+pub use gossip::{ConfigMark, Gossip, Room};
 pub use input::{Done, EngineReport, Input, LoadResult, ReportedLoad, Submission};
-pub use listing::ListedMember;
 pub use node::Node;
 pub use output::Output;
 pub use settings::{EndpointKind, EndpointSettings, NodeSettings};
--- a/crates/caraway-node/src/settings.rs
+++ b/crates/caraway-node/src/settings.rs
@@ -1,8 +1,9 @@
 //! [`NodeSettings`]: what a node knows before anything happens.
 
-use serde::{Deserialize, Serialize};
-
+use caraway_members::MemberSettings;
+use caraway_slots::StoreLimits;
 use caraway_types::{EndpointId, Incarnation, InstanceId, Millis, ZoneId};
+use serde::{Deserialize, Serialize};
 
 /// What a node knows before anything happens.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,10 +17,12 @@
     pub incarnation: Incarnation,
     /// The endpoints of all availability zones.
     pub endpoints: Vec<EndpointSettings>,
+    /// What the weight store allows.
+    pub store: StoreLimits,
+    /// Periods of liveness and leases.
+    pub members: MemberSettings,
     /// Time between two gossips to a peer.
     pub gossip_interval: Millis,
-    /// A peer is down after this time without gossip.
-    pub peer_timeout: Millis,
 }
 
 /// One endpoint.
@@ -58,8 +61,9 @@
             zone: "zone-1".into(),
             incarnation: 1,
             endpoints: Vec::new(),
+            store: StoreLimits::default(),
+            members: MemberSettings::default(),
             gossip_interval: Millis::new(200),
-            peer_timeout: Millis::new(1000),
         }
     }
 }
--- /dev/null
+++ b/crates/caraway-node/src/talk.rs
@@ -0,0 +1,218 @@
+//! How a [`Node`] talks with its peers.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use caraway_routing::Change;
+use caraway_types::{AdapterRef, EndpointId, InstanceId};
+
+use crate::{Gossip, Node, Output, Room, engine::store_id, orders::narrow};
+
+/// Peers that hear of room in one turn.
+const FANOUT: usize = 8;
+/// Up to this many peers, each hears of all residents; beyond, only of those it is the home of.
+const BROADCAST: usize = 16;
+/// A want that has not changed is repeated after this time.
+const WANT_REPEAT: Duration = Duration::from_millis(100);
+/// A want of a peer is forgotten after this time.
+const WANT_AGE: Duration = Duration::from_millis(300);
+/// Scores that a want carries.
+const WANT_DEPTH: usize = 4;
+
+impl Node {
+    pub(crate) fn on_gossip(&mut self, now: Instant, gossip: Gossip) {
+        let from = gossip.from;
+        if let Some(beat) = &gossip.heartbeat {
+            self.members.on_heartbeat(now, beat);
+        }
+        if gossip.resend {
+            self.journal.resend(&from);
+        }
+        if let Some(delta) = &gossip.delta
+            && self.directory.apply(&from, delta).is_err()
+        {
+            self.message(&from).resend = true;
+        }
+        if let Some(room) = gossip.room {
+            self.rooms.insert(from.clone(), (room, now));
+        }
+        if let Some(want) = gossip.want {
+            self.wants.insert(from.clone(), (want, now));
+        }
+        for back in gossip.returns {
+            self.budget.on_return(now, &from, back);
+        }
+        for grant in gossip.grants {
+            if let Some(back) = self.budget.on_grant(now, &from, grant) {
+                self.message(&from).returns.push(back);
+            }
+        }
+    }
+
+    /// Returns the message to a peer that goes out at the end of this input.
+    pub(crate) fn message(&mut self, peer: &InstanceId) -> &mut Gossip {
+        self.outbox.entry(peer.clone()).or_default()
+    }
+
+    /// Notes that an adapter version came to a replica or left it.
+    pub(crate) fn note_change(
+        &mut self,
+        endpoint: &EndpointId,
+        adapter: &AdapterRef,
+        gained: bool,
+    ) {
+        let change = Change {
+            endpoint: endpoint.clone(),
+            adapter: adapter.clone(),
+            gained,
+        };
+        let peers: Vec<InstanceId> = self.members.peers().map(|(id, _)| id.clone()).collect();
+        if peers.len() <= BROADCAST {
+            for peer in &peers {
+                self.journal.add(peer, &change);
+            }
+        } else if let Some(home) = self.home_now(adapter) {
+            self.journal.add(&home, &change);
+        }
+    }
+
+    fn home_now(&self, adapter: &AdapterRef) -> Option<InstanceId> {
+        self.home(self.next_gossip, adapter)
+    }
+
+    /// Gives back borrowed permits beyond `needed`.
+    pub(crate) fn give_back(&mut self, now: Instant, needed: usize) {
+        for (owner, back) in self.budget.give_back(now, needed) {
+            self.message(&owner).returns.push(back);
+        }
+    }
+
+    /// Tells the owners of permits how urgently this instance wants some.
+    pub(crate) fn want(&mut self, now: Instant, mut scores: Vec<f32>) {
+        scores.truncate(WANT_DEPTH);
+        let age = |at: Instant| now.saturating_duration_since(at);
+        let told = self.wanted.as_ref().is_some_and(|(at, told)| {
+            let same = told.len() == scores.len();
+            let close = told.iter().zip(&scores).all(|(a, b)| (a - b).abs() < 0.3);
+            same && close && age(*at) < WANT_REPEAT
+        });
+        let nothing = scores.is_empty() && self.wanted.as_ref().is_none_or(|(_, s)| s.is_empty());
+        if told || nothing {
+            return;
+        }
+        self.wanted = Some((now, scores.clone()));
+        let want = self.budget.want(now, scores);
+        let zones: Vec<_> = self.zones.iter().cloned().collect();
+        for zone in zones {
+            let owner = self.members.holder(&store_id(&zone)).cloned();
+            if let Some(owner) = owner.filter(|o| *o != self.settings.id) {
+                self.message(&owner).want = Some(want.clone());
+            }
+        }
+    }
+
+    /// Lends permits to peers whose wants are more urgent than this instance's own.
+    pub(crate) fn lend(&mut self, now: Instant) {
+        if self.wants.is_empty() || self.budget.lendable(now) == 0 {
+            return;
+        }
+        self.wants
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < WANT_AGE);
+        let mut own = self
+            .wanted_loads(now)
+            .into_iter()
+            .map(|(s, _)| narrow(s))
+            .peekable();
+        let mut lendable = self.budget.lendable(now);
+        while lendable > 0 {
+            let best = self
+                .wants
+                .iter()
+                .filter_map(|(peer, (want, _))| Some((*want.scores.first()?, peer)))
+                .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+            let Some((score, peer)) = best else {
+                return;
+            };
+            lendable -= 1;
+            if own.peek().is_some_and(|s| *s >= score) {
+                own.next();
+                continue;
+            }
+            let peer = peer.clone();
+            self.lend_to(now, &peer);
+        }
+    }
+
+    fn lend_to(&mut self, now: Instant, peer: &InstanceId) {
+        let Some((want, _)) = self.wants.get_mut(peer) else {
+            return;
+        };
+        want.scores.remove(0);
+        let number = want.number;
+        if let Some(grant) = self.budget.lend(now, peer, number) {
+            self.message(peer).grants.push(grant);
+        }
+    }
+
+    /// Sends what must go out now.
+    pub(crate) fn flush_gossip(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let due = self.members.due(now);
+        for peer in &due {
+            let beat = self.members.heartbeat_to(now, peer);
+            self.message(peer).heartbeat = Some(Box::new(beat));
+        }
+        if now >= self.next_gossip {
+            self.next_gossip = now + self.settings.gossip_interval.get();
+            self.tell_room(now);
+        }
+        for (peer, mut gossip) in std::mem::take(&mut self.outbox) {
+            gossip.from = self.settings.id.clone();
+            if self.journal.is_behind(&peer) {
+                gossip.delta = Some(self.delta(now, &peer));
+            }
+            out.push(Output::Gossip { peer, gossip });
+        }
+    }
+
+    /// Tells some peers, in turn, what loads here would cost, and all that miss changes.
+    fn tell_room(&mut self, now: Instant) {
+        let costs = self.room_costs(now);
+        let config = self.config_mark;
+        let peers: Vec<InstanceId> = self.members.peers().map(|(id, _)| id.clone()).collect();
+        let count = peers.len().min(FANOUT);
+        let turn = (0..count).map(|i| peers[(self.turn + i) % peers.len()].clone());
+        let turn: BTreeSet<InstanceId> = turn.collect();
+        self.turn = self.turn.wrapping_add(count);
+        for peer in &peers {
+            if turn.contains(peer) {
+                let room = Room {
+                    costs: costs.clone(),
+                };
+                let message = self.message(peer);
+                message.room = Some(room);
+                message.config = Some(config);
+            } else if self.journal.is_behind(peer) {
+                self.message(peer);
+            }
+        }
+    }
+
+    fn delta(&mut self, now: Instant, peer: &InstanceId) -> caraway_routing::Delta {
+        let all_peers = self.members.peers().count() <= BROADCAST;
+        let mut all = Vec::new();
+        for (endpoint, engine) in self.engines.iter().filter(|(_, e)| e.fence.is_some()) {
+            for adapter in engine.expected() {
+                if all_peers || self.home(now, adapter).as_ref() == Some(peer) {
+                    all.push(Change {
+                        endpoint: endpoint.clone(),
+                        adapter: adapter.clone(),
+                        gained: true,
+                    });
+                }
+            }
+        }
+        self.journal.delta(peer, || all)
+    }
+}
--- a/crates/caraway-node/tests/thin.rs
+++ b/crates/caraway-node/tests/thin.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use caraway_node::{
-    Done, EndpointSettings, Input, LoadResult, Node, NodeSettings, Output, Submission,
+    Done, EndpointSettings, EngineReport, Input, ListedMember, LoadResult, Node, NodeSettings,
+    Output, Submission,
 };
 use caraway_types::{AdapterRef, Class};
 
@@ -21,6 +22,30 @@
     }
 }
 
+/// Lets a lone node live for so long that it holds everything in its zone.
+fn settle(node: &mut Node, mut now: Instant) -> Instant {
+    let mut out = Vec::new();
+    let listed = |id: &str, endpoint| ListedMember {
+        id: id.into(),
+        zone: "zone-1".into(),
+        incarnation: 1,
+        leaving: false,
+        endpoint,
+    };
+    for _ in 0..200 {
+        now += Duration::from_millis(100);
+        let list = vec![listed("entry-1", false), listed("engine-1", true)];
+        node.handle(now, Input::Listing(list), &mut out);
+        let report = EngineReport {
+            incarnation: 1,
+            slots: 4,
+            ..EngineReport::default()
+        };
+        node.handle(now, Input::Report("engine-1".into(), report), &mut out);
+    }
+    now
+}
+
 #[test]
 fn serves_one_request() {
     let now = Instant::now();
@@ -29,6 +54,7 @@
         ..NodeSettings::default()
     };
     let mut node = Node::new(settings, now);
+    let now = settle(&mut node, now);
     let mut out = Vec::new();
     node.handle(now, Input::Submit(submission(now)), &mut out);
     let Some(Output::Load {
@@ -41,11 +67,8 @@
         panic!("expected a load, got {out:?}");
     };
     assert_eq!(adapter, AdapterRef::new("banner", "3"));
-    node.handle(
-        now,
-        Input::Loaded(endpoint, load.clone(), LoadResult::Resident),
-        &mut out,
-    );
+    let loaded = Input::Loaded(endpoint, load.clone(), LoadResult::Resident);
+    node.handle(now, loaded, &mut out);
     let Some(Output::Start {
         ticket: 1,
         load: started,
--- a/crates/caraway-slots/src/load.rs
+++ b/crates/caraway-slots/src/load.rs
@@ -24,8 +24,12 @@
     pub adapter: AdapterRef,
     /// What is known of it.
     pub state: LoadState,
-    /// Attempts that run on it.
+    /// Own attempts that run on it.
     pub pins: u32,
+    /// Requests of other holders that run on it, as last reported.
+    pub foreign: u32,
+    /// Whether this holder ordered it in its present holding.
+    pub own: bool,
     /// When it entered its state.
     pub since: Instant,
     /// When an attempt last used it.
@@ -36,6 +40,6 @@
     /// Tells whether the load may be unloaded now: resident, and no attempt runs on it.
     #[must_use]
     pub fn is_idle(&self) -> bool {
-        self.state == LoadState::Resident && self.pins == 0
+        self.state == LoadState::Resident && self.pins == 0 && self.foreign == 0
     }
 }
--- a/crates/caraway-slots/src/replica.rs
+++ b/crates/caraway-slots/src/replica.rs
@@ -127,6 +127,8 @@
             adapter,
             state: LoadState::Loading,
             pins: 0,
+            foreign: 0,
+            own: true,
             since: now,
             used: now,
         };
@@ -191,40 +193,44 @@
         Some(load)
     }
 
-    /// Forgets all loads, as a holder does that lost the replica.
+    /// Forgets all loads, as a new holder does: the next [`Snapshot`] names them again.
     pub fn clear(&mut self) {
         self.loads.clear();
     }
 
+    /// Tells whether an order has no known outcome or has not ended.
+    #[must_use]
+    pub fn has_orders(&self) -> bool {
+        let ended = |l: &Load| l.state == LoadState::Resident || !l.own;
+        !self.loads.values().all(ended)
+    }
+
     /// Compares the slots with what the engine reports.
     ///
-    /// `adopt` tells whether loads that this holder did not order may be used and evicted; where
-    /// they may not, they still take their slots.
-    pub fn settle(&mut self, now: Instant, seen: &Snapshot, adopt: bool) -> Changes {
+    /// Loads that this holder did not order take their slots as well; whether they may be used
+    /// or evicted is for the caller to know.
+    pub fn settle(&mut self, now: Instant, seen: &Snapshot) -> Changes {
         let mut changes = Changes::default();
-        if seen.slots > 0 {
-            self.slots = seen.slots;
-        }
         if seen.incarnation < self.incarnation {
             return changes;
         }
+        if seen.slots > 0 {
+            self.slots = seen.slots;
+        }
         if seen.incarnation > self.incarnation {
-            changes.restarted = self.incarnation > 0;
             self.restart(seen, &mut changes);
         }
         self.settle_known(now, seen, &mut changes);
         self.tombstones
             .retain(|_, t| now.saturating_duration_since(*t) < TOMBSTONE_LIFE);
-        if adopt {
-            self.adopt(now, seen, &mut changes);
-        }
+        self.find_foreign(now, seen, &mut changes);
         changes
     }
 
     fn restart(&mut self, seen: &Snapshot, changes: &mut Changes) {
-        let first = self.incarnation == 0;
+        changes.restarted = self.incarnation > 0;
         self.incarnation = seen.incarnation;
-        if first {
+        if !changes.restarted {
             return;
         }
         for (name, load) in std::mem::take(&mut self.loads) {
@@ -235,29 +241,32 @@
     fn settle_known(&mut self, now: Instant, seen: &Snapshot, changes: &mut Changes) {
         let mut gone = Vec::new();
         for (name, load) in &mut self.loads {
-            let there = seen.loads.iter().any(|s| s.name == *name);
+            let there = seen.loads.iter().find(|s| s.name == *name);
+            if let Some(seen) = there.filter(|_| !load.own) {
+                load.foreign = seen.running.saturating_sub(load.pins);
+            }
             let settled = now.saturating_duration_since(load.since) >= REPORT_LAG;
             match load.state {
-                LoadState::InDoubt if there && settled => {
+                LoadState::InDoubt if there.is_some() && settled => {
                     load.state = LoadState::Resident;
                     load.since = now;
                     changes.resident.push(name.clone());
                 }
-                LoadState::InDoubt if !there && settled => gone.push(name.clone()),
-                LoadState::Resident if !there && settled && load.pins == 0 => {
+                LoadState::InDoubt if there.is_none() && settled => gone.push(name.clone()),
+                LoadState::Resident if there.is_none() && settled && load.pins == 0 => {
                     gone.push(name.clone());
                 }
                 _ => {}
             }
         }
         for name in gone {
-            if let Some(load) = self.loads.remove(&name) {
+            if let Some(load) = self.remove(now, &name) {
                 changes.gone.push((name, load.adapter));
             }
         }
     }
 
-    fn adopt(&mut self, now: Instant, seen: &Snapshot, changes: &mut Changes) {
+    fn find_foreign(&mut self, now: Instant, seen: &Snapshot, changes: &mut Changes) {
         for s in &seen.loads {
             if self.loads.contains_key(&s.name) || self.tombstones.contains_key(&s.name) {
                 continue;
@@ -266,6 +275,8 @@
                 adapter: s.adapter.clone(),
                 state: LoadState::Resident,
                 pins: 0,
+                foreign: s.running,
+                own: false,
                 since: now,
                 used: now,
             };
