Join the daemon with leases, budget and configuration of the node

Cause: the node has holders with leases and a shared load budget now; the daemon neither set them nor passed the configuration on, and said that it is ready before any replica had a holder, so that first requests were refused as not run. Change: settings for store, lease, guard and gossip; /readyz waits for a holder of each replica of the zone; a graceful stop waits until every replica is handed over. Conclusion: an instance enters the balancer only once its zone can serve.

--- a/crates/caraway-entry/src/control.rs
+++ b/crates/caraway-entry/src/control.rs
@@ -1,6 +1,9 @@
 //! The control thread: owns the [`Node`] and carries its outputs out.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+};
 
 use caraway_node::{Input, Node, Output};
 use caraway_ring::{Receiver, Sender};
@@ -59,9 +62,21 @@
                 Some(message) => self.take(message),
             }
             self.carry_out();
+            self.publish();
         }
     }
 
+    /// Lets the other threads see what the node knows of itself.
+    fn publish(&self) {
+        let now = Instant::now().into_std();
+        let ready = self.node.is_ready(now);
+        self.shared.ready.store(ready, Ordering::Release);
+        let handed_over = self.node.handed_over();
+        self.shared
+            .handed_over
+            .store(handed_over, Ordering::Release);
+    }
+
     fn take(&mut self, message: Control) {
         let now = Instant::now().into_std();
         match message {
@@ -81,7 +96,8 @@
                 }
                 self.node.handle(now, input, &mut self.outputs);
             }
-            Control::Config(_) | Control::Stop => {}
+            Control::Config(state) => self.node.set_config(now, state, &mut self.outputs),
+            Control::Stop => {}
         }
     }
 
--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -8,9 +8,11 @@
 };
 
 use anyhow::{Context, Result};
+use caraway_members::MemberSettings;
 use caraway_node::{Input, Node, NodeSettings};
 use caraway_records::State;
 use caraway_ring::ring;
+use caraway_slots::StoreLimits;
 use caraway_wire::CallError;
 use slog::Logger;
 use tokio::sync::watch;
@@ -111,12 +113,18 @@
         let _ = self.shared.control.push(Control::Input(Input::Leave));
         let limit = self.shared.settings.times.drain_ms.get();
         let start = std::time::Instant::now();
-        while self.shared.in_flight.load(Ordering::Acquire) > 0 && start.elapsed() < limit {
+        while self.is_busy() && start.elapsed() < limit {
             std::thread::sleep(DRAIN_POLL);
         }
         self.stop();
     }
 
+    /// Tells whether requests are in flight or replicas not handed over.
+    fn is_busy(&self) -> bool {
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire) > 0;
+        in_flight || !self.shared.handed_over.load(Ordering::Acquire)
+    }
+
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
@@ -146,12 +154,24 @@
             EndpointKind::Service => caraway_node::EndpointKind::Service,
         },
     };
+    let times = &shared.settings.times;
     let settings = NodeSettings {
         id: Arc::clone(&shared.settings.instance),
         zone: Arc::clone(&shared.settings.zone),
         incarnation: shared.incarnation,
         endpoints: shared.settings.endpoints.iter().map(endpoint).collect(),
-        ..NodeSettings::default()
+        store: StoreLimits {
+            rate: shared.settings.store_rate,
+            transit: shared.settings.store_transit,
+            instances: shared.settings.instances,
+        },
+        members: MemberSettings {
+            beat: times.beat_ms,
+            lease: times.lease_ms,
+            guard: times.guard_ms,
+            ..MemberSettings::default()
+        },
+        gossip_interval: times.gossip_ms,
     };
     Node::new(settings, tokio::time::Instant::now().into_std())
 }
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -38,15 +38,14 @@
 pub(crate) async fn readyz(gate: State<Gate>) -> HttpResponse {
     let leaving = gate.shared.leaving.load(Ordering::Acquire);
     let empty = gate.shared.state().next() == 0;
-    if leaving || empty {
-        let why = if leaving {
-            "leaving"
-        } else {
-            "no configuration yet"
-        };
-        return HttpResponse::ServiceUnavailable().body(why);
-    }
-    HttpResponse::Ok().body("ready")
+    let held = gate.shared.ready.load(Ordering::Acquire);
+    let why = match (leaving, empty, held) {
+        (true, ..) => "leaving",
+        (_, true, _) => "no configuration yet",
+        (.., false) => "a replica has no holder yet",
+        _ => return HttpResponse::Ok().body("ready"),
+    };
+    HttpResponse::ServiceUnavailable().body(why)
 }
 
 /// `GET /admin/burn`: the service-level counts since this instance's start.
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -33,9 +33,12 @@
     /// Loads that the weight store allows in a second, over all availability zones.
     #[garde(range(min = 0.01, max = 10_000.0))]
     pub store_rate: f64,
-    /// Loads that the weight store serves at full speed at once, over all availability zones.
+    /// Loads in transit at full speed, over all availability zones.
     #[garde(range(min = 1, max = 10_000))]
-    pub store_places: u32,
+    pub store_transit: u32,
+    /// Most entry instances that live at once; each may use an equal part of the transit.
+    #[garde(range(min = 1, max = 10_000))]
+    pub instances: u32,
     /// Limits of size and number.
     #[serde(default)]
     #[garde(dive)]
@@ -142,6 +145,14 @@
     pub follow_ms: Millis,
     /// Interval of reading the list.
     pub list_ms: Millis,
+    /// Shortest interval of heartbeats to a peer of the same availability zone.
+    pub beat_ms: Millis,
+    /// Shortest lease of a held replica.
+    pub lease_ms: Millis,
+    /// Time that a peer waits beyond another's lease before it takes over.
+    pub guard_ms: Millis,
+    /// Interval of gossip.
+    pub gossip_ms: Millis,
     /// Interval of the decisions' tick.
     pub tick_ms: Millis,
     /// Most time for a graceful stop.
@@ -178,6 +189,10 @@
             report_ms: Millis::new(250),
             follow_ms: Millis::new(200),
             list_ms: Millis::new(500),
+            beat_ms: Millis::new(1_000),
+            lease_ms: Millis::new(4_000),
+            guard_ms: Millis::new(1_000),
+            gossip_ms: Millis::new(200),
             tick_ms: Millis::new(20),
             drain_ms: Millis::new(60_000),
             interactive_ms: Millis::new(10_000),
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -76,6 +76,10 @@
     pub(crate) metrics: Metrics,
     /// Requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Whether each replica of the zone has a holder.
+    pub(crate) ready: AtomicBool,
+    /// Whether every held replica was handed over.
+    pub(crate) handed_over: AtomicBool,
     /// Whether new requests are refused because the instance stops.
     pub(crate) leaving: AtomicBool,
     tickets: AtomicU64,
@@ -108,6 +112,8 @@
             log,
             metrics,
             in_flight: AtomicUsize::new(0),
+            ready: AtomicBool::new(false),
+            handed_over: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             tickets: AtomicU64::new(1),
         }
--- a/crates/caraway-entry/tests/testbed/mod.rs
+++ b/crates/caraway-entry/tests/testbed/mod.rs
@@ -52,7 +52,10 @@
                 report_lag: Millis::new(50),
                 ..EngineSettings::default()
             },
-            times: json!({ "report_ms": 50, "follow_ms": 50, "list_ms": 50 }),
+            times: json!({
+                "report_ms": 50, "follow_ms": 50, "list_ms": 50, "gossip_ms": 50,
+                "beat_ms": 200, "lease_ms": 1000, "guard_ms": 300,
+            }),
             limits: json!({}),
         }
     }
@@ -189,7 +192,8 @@
             "log": self.log.addr(),
             "list": self.list.addr(),
             "store_rate": 1000.0,
-            "store_places": 100,
+            "store_transit": 100,
+            "instances": 8,
             "endpoints": engines.chain(services).collect::<Vec<_>>(),
             "times": self.plan.times,
             "limits": self.plan.limits,
--- a/crates/caraway-measure/src/deployment.rs
+++ b/crates/caraway-measure/src/deployment.rs
@@ -138,7 +138,8 @@
             "log": self.log.addr(),
             "list": self.list.addr(),
             "store_rate": 1000.0,
-            "store_places": 100,
+            "store_transit": 100,
+            "instances": 8,
             "endpoints": engines,
         })
     }
--- a/crates/caraway-node/src/node.rs
+++ b/crates/caraway-node/src/node.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use caraway_members::{EndpointInfo, Me, MemberEvent, Members};
+use caraway_members::{EndpointInfo, Me, MemberEvent, Members, Right};
 use caraway_records::State;
 use caraway_routing::{Directory, Journal, Limits, Waiting, replica_hash};
 use caraway_slots::{Backoffs, Budget, Popularity, Want};
@@ -131,6 +131,17 @@
         self.settle(now, out);
     }
 
+    /// Tells whether each replica of this zone has a holder that may use it, as far as is known
+    /// here, so that requests need not wait for one.
+    #[must_use]
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.engines.keys().all(|id| {
+            let holder = self.members.holder(id);
+            let other = holder.is_some_and(|h| *h != self.settings.id);
+            other || self.members.right(now, id) >= Right::Fill
+        })
+    }
+
     /// Tells whether this instance has handed over every replica, so that it may exit once its
     /// last gossip is sent.
     #[must_use]
