Run a whole deployment with one command and check what must hold

Cause: a newcomer needs one command that shows the system and proves it. Change: caraway-demo with both deployments as threads of one process; requests drawn from a seed, compared token by token; ledgers checked; a change published halfway; a table or JSON. Engine ledgers tell when a run arrived.

--- /dev/null
+++ b/crates/caraway-demo/src/checker.rs
@@ -0,0 +1,139 @@
+//! [`check`] compares the outcomes with the ledgers of the stand-ins.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
+
+use caraway_standin::{CallRecord, EngineLedger, OrderKind, StoreLedger};
+
+use crate::{
+    deployment::Deployment,
+    outcome::{Ending, Outcome},
+    rules::{Rule, Rules},
+    schedule::Work,
+};
+
+/// What the stand-ins recorded.
+#[derive(Clone, Debug)]
+pub(crate) struct Ledgers {
+    /// Of each engine.
+    pub(crate) engines: Vec<EngineLedger>,
+    /// Of each service replica.
+    pub(crate) services: Vec<Vec<CallRecord>>,
+    /// Of the weight store.
+    pub(crate) store: StoreLedger,
+}
+
+/// Checks every rule that outcomes and ledgers can tell.
+pub(crate) fn check(
+    deployment: &Deployment,
+    outcomes: &[Outcome],
+    ledgers: &Ledgers,
+    rules: &mut Rules,
+) {
+    for rule in Rule::ALL {
+        rules.add(rule, 0, None);
+    }
+    check_answers(outcomes, rules);
+    check_not_run(outcomes, ledgers, rules);
+    check_writes(outcomes, ledgers, rules);
+    check_engines(&ledgers.engines, rules);
+    check_store(&ledgers.store, rules);
+    check_workloads(deployment, outcomes, rules);
+}
+
+fn check_answers(outcomes: &[Outcome], rules: &mut Rules) {
+    for outcome in outcomes {
+        let wrong = outcome.wrong.iter().cloned();
+        rules.add(Rule::RightAnswer, outcome.compared, wrong);
+        let whole = match &outcome.ending {
+            Ending::Answered | Ending::NotRun(_) | Ending::InDoubt(_) => None,
+            ending => ending
+                .detail()
+                .map(|d| format!("{}: {d}", name(&outcome.work))),
+        };
+        rules.check(Rule::WholeAnswer, whole);
+    }
+}
+
+fn check_not_run(outcomes: &[Outcome], ledgers: &Ledgers, rules: &mut Rules) {
+    let runs = ledgers.engines.iter().flat_map(|e| &e.runs);
+    let ran: HashSet<&str> = runs.filter(|r| r.started).map(|r| &*r.prompt).collect();
+    let carried = carried_out(ledgers);
+    for outcome in outcomes.iter().filter(|o| o.ending.not_run()) {
+        let found = match &outcome.work {
+            Work::Completion(prompt) => ran.contains(&*prompt.as_sent()),
+            Work::Write { key, twice, .. } => !twice && carried.contains_key(key),
+            Work::Read { .. } => continue,
+        };
+        let broken = found.then(|| format!("{} is in a ledger", name(&outcome.work)));
+        rules.check(Rule::NotRun, broken);
+    }
+}
+
+fn check_writes(outcomes: &[Outcome], ledgers: &Ledgers, rules: &mut Rules) {
+    let carried = carried_out(ledgers);
+    for (key, count) in &carried {
+        let broken = (*count > 1).then(|| format!("{key} was carried out {count} times"));
+        rules.check(Rule::AtMostOnce, broken);
+    }
+    for outcome in outcomes {
+        let Work::Write { key, .. } = &outcome.work else {
+            continue;
+        };
+        if outcome.ending == Ending::Answered {
+            let lost = !carried.contains_key(key);
+            let broken = lost.then(|| format!("{key} was answered but not carried out"));
+            rules.check(Rule::AtMostOnce, broken);
+        }
+    }
+}
+
+fn check_engines(engines: &[EngineLedger], rules: &mut Rules) {
+    for engine in engines {
+        let unloads = engine
+            .orders
+            .iter()
+            .filter(|o| o.kind == OrderKind::Unload && o.error.is_none());
+        let broken = engine.violations.iter().map(|v| format!("{v:?}"));
+        rules.add(Rule::NoEviction, unloads.count() as u64, broken);
+    }
+}
+
+fn check_store(store: &StoreLedger, rules: &mut Rules) {
+    let rate = (0..store.rate_exceeded).map(|_| "a load beyond the rate".to_owned());
+    let transit = (0..store.transit_exceeded).map(|_| "a load beyond the transit".to_owned());
+    let loads = store.loads.len() as u64;
+    rules.add(Rule::StoreLimit, loads, rate.chain(transit));
+}
+
+fn check_workloads(deployment: &Deployment, outcomes: &[Outcome], rules: &mut Rules) {
+    for (index, workload) in deployment.workloads.iter().enumerate() {
+        let mut own = outcomes.iter().filter(|o| o.workload == index);
+        let sent = own.clone().count();
+        let answered = own.any(|o| o.ending == Ending::Answered);
+        let broken = (sent > 0 && !answered).then(|| format!("no answer to {}", workload.label));
+        rules.check(Rule::EveryWorkload, broken);
+    }
+}
+
+/// Counts how often each idempotency key was carried out.
+fn carried_out(ledgers: &Ledgers) -> HashMap<Arc<str>, u32> {
+    let mut carried = HashMap::new();
+    for call in ledgers.services.iter().flatten() {
+        if let Some(key) = &call.key {
+            *carried.entry(Arc::clone(key)).or_default() += 1;
+        }
+    }
+    carried
+}
+
+/// Names a request in the report.
+fn name(work: &Work) -> String {
+    match work {
+        Work::Completion(prompt) => format!("{} {:?}", prompt.adapter, prompt.text),
+        Work::Write { key, .. } => key.to_string(),
+        Work::Read { path } => path.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/caraway-demo/src/driver.rs
@@ -0,0 +1,83 @@
+//! [`drive`] sends the planned requests at their times.
+
+use std::{cell::RefCell, io::Write, rc::Rc, time::Duration};
+
+use caraway_wire::Http;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::{
+    caller::Caller,
+    deployment::Deployment,
+    floor::Floor,
+    outcome::{Column, Outcome},
+    schedule::Planned,
+};
+
+/// Interval of the progress lines.
+const PROGRESS: Duration = Duration::from_secs(1);
+/// Interval at which the end of the last requests is awaited.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Sends every planned request and waits until each has an outcome.
+///
+/// # Errors
+///
+/// Returns an error when the client can't be set up.
+pub(crate) async fn drive(
+    deployment: &Deployment,
+    floor: &Floor,
+    planned: Vec<Planned>,
+) -> anyhow::Result<Vec<Outcome>> {
+    let caller = Caller {
+        http: Http::new().await?,
+        account: deployment.account,
+        service: deployment.service,
+    };
+    let addrs = floor.addrs();
+    let total = planned.len();
+    let outcomes = Rc::new(RefCell::new(Vec::new()));
+    let start = Instant::now();
+    let mut next = start + PROGRESS;
+    for (sent, request) in planned.into_iter().enumerate() {
+        let at = start + request.at;
+        while next < at {
+            sleep_until(next).await;
+            progress(start, sent, &outcomes.borrow());
+            next += PROGRESS;
+        }
+        sleep_until(at).await;
+        let (caller, outcomes) = (caller.clone(), Rc::clone(&outcomes));
+        let addr = addrs[request.entry];
+        ntex::rt::spawn(async move {
+            let outcome = caller.send(addr, request).await;
+            outcomes.borrow_mut().push(outcome);
+        });
+    }
+    while outcomes.borrow().len() < total {
+        sleep(POLL).await;
+        if Instant::now() >= next {
+            progress(start, total, &outcomes.borrow());
+            next += PROGRESS;
+        }
+    }
+    Ok(outcomes.take())
+}
+
+/// Writes a line of progress.
+fn progress(start: Instant, sent: usize, outcomes: &[Outcome]) {
+    let count = |column| {
+        let in_column = |o: &&Outcome| o.ending.column() == column;
+        outcomes.iter().filter(in_column).count()
+    };
+    let line = format!(
+        "{:>3} s: {sent} sent, {} answered, {} not run, {} in doubt, {} failed, {} in flight",
+        start.elapsed().as_secs(),
+        count(Column::Answered),
+        count(Column::NotRun),
+        count(Column::InDoubt),
+        count(Column::Failed),
+        sent - outcomes.len(),
+    );
+    // The report does not depend on the progress lines.
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
--- /dev/null
+++ b/crates/caraway-demo/src/floor.rs
@@ -0,0 +1,216 @@
+//! [`Floor`]: the stand-ins and entry instances of a deployment, as threads of this process.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::{Context, Result, anyhow, bail};
+use caraway_entry::{Entry, Settings};
+use caraway_standin::{
+    Engine, EngineSettings, InstanceList, ListSettings, LogService, LogSettings, Service,
+    ServiceSettings, Store,
+};
+use caraway_types::Millis;
+use caraway_wire::{
+    Http, LogClient,
+    list::{Listed, Role},
+    log::CONFIG_STREAM,
+};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::{deployment::Deployment, records::records};
+
+/// Records in one append.
+const APPEND_RECORDS: usize = 500;
+/// Age of what the list answers.
+const LIST_LAG: Millis = Millis::new(500);
+/// Most time for one call to log or daemon.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+/// Most time until every instance is ready.
+const READY_LIMIT: Duration = Duration::from_mins(1);
+/// Interval at which the instances are asked whether they are ready.
+const READY_POLL: Duration = Duration::from_millis(50);
+
+/// A running deployment.
+#[derive(Debug)]
+pub(crate) struct Floor {
+    /// The weight store.
+    pub(crate) store: Arc<Store>,
+    /// The model engines.
+    pub(crate) engines: Vec<Engine>,
+    /// The replicas of the plain service.
+    pub(crate) services: Vec<Service>,
+    /// The entry instances.
+    pub(crate) entries: Vec<Entry>,
+    log: LogService,
+    list: InstanceList,
+}
+
+impl Floor {
+    /// Starts the stand-ins and the entry instances.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the first that does not start.
+    pub(crate) fn start(deployment: &Deployment) -> Result<Self> {
+        let store = Store::new(deployment.store.clone());
+        let engine = |n| {
+            Engine::start(EngineSettings {
+                id: engine_id(n).into(),
+                store: Some(Arc::clone(&store)),
+                ..deployment.engine.clone()
+            })
+        };
+        let service = |n| {
+            Service::start(ServiceSettings {
+                id: service_id(deployment, n).into(),
+                ..ServiceSettings::default()
+            })
+        };
+        let engines = (0..deployment.engines).map(engine);
+        let services = (0..deployment.replicas).map(service);
+        let list = ListSettings {
+            lag: LIST_LAG,
+            ..ListSettings::default()
+        };
+        let mut floor = Self {
+            engines: engines.collect::<Result<_, _>>().context("engines")?,
+            services: services.collect::<Result<_, _>>().context("services")?,
+            entries: Vec::new(),
+            log: LogService::start(LogSettings::default()).context("log")?,
+            list: InstanceList::start(list, Vec::new()).context("list")?,
+            store,
+        };
+        for n in 0..deployment.entries {
+            let entry = floor.start_entry(deployment, n)?;
+            floor.list.set(listed(deployment, n, entry.addr()));
+            floor.entries.push(entry);
+        }
+        Ok(floor)
+    }
+
+    fn start_entry(&self, deployment: &Deployment, n: usize) -> Result<Entry> {
+        let settings = self.settings(deployment, n).to_string();
+        let settings = Settings::parse(&settings).map_err(|f| anyhow!("entry settings: {f}"))?;
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        Entry::start(settings, log).with_context(|| entry_id(deployment, n))
+    }
+
+    fn settings(&self, deployment: &Deployment, n: usize) -> Value {
+        let engine = |(n, engine): (usize, &Engine)| {
+            json!({
+                "id": engine_id(n), "kind": "engine", "zone": zone(deployment, n),
+                "addr": engine.addr(), "slots": deployment.engine.slots,
+                "max_batch": deployment.engine.max_batch,
+                "checks_fencing": deployment.engine.checks_fencing,
+            })
+        };
+        let service = |(n, service): (usize, &Service)| {
+            json!({
+                "id": service_id(deployment, n), "kind": "service",
+                "zone": zone(deployment, n), "addr": service.addr(),
+                "service": deployment.service,
+            })
+        };
+        let engines = self.engines.iter().enumerate().map(engine);
+        let services = self.services.iter().enumerate().map(service);
+        json!({
+            "instance": entry_id(deployment, n),
+            "zone": zone(deployment, n),
+            "listen": "127.0.0.1:0",
+            "log": self.log.addr(),
+            "list": self.list.addr(),
+            "store_rate": deployment.store.rate,
+            "store_places": deployment.store.places,
+            "endpoints": engines.chain(services).collect::<Vec<_>>(),
+        })
+    }
+
+    /// Stops the entry instances, then the stand-ins.
+    pub(crate) fn stop(self) {
+        self.entries.into_iter().for_each(Entry::stop);
+    }
+
+    /// Returns the addresses of the entry instances.
+    pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Entry::addr).collect()
+    }
+
+    /// Returns the address of the log.
+    pub(crate) fn log_addr(&self) -> SocketAddr {
+        self.log.addr()
+    }
+}
+
+/// Publishes the records of a deployment and waits until every instance is ready.
+///
+/// # Errors
+///
+/// Returns the error of the log, or says which instance is not ready in time.
+pub(crate) async fn open(
+    deployment: &Deployment,
+    log: SocketAddr,
+    entries: &[SocketAddr],
+) -> Result<()> {
+    let http = Http::new().await?;
+    let client = LogClient::new(http.clone(), log, CALL_LIMIT);
+    let records = records(deployment);
+    for part in records.chunks(APPEND_RECORDS) {
+        let appended = client.append(CONFIG_STREAM, part.to_vec()).await;
+        appended.context("publishing the records")?;
+    }
+    let end = records.len() as u64;
+    let start = Instant::now();
+    for &entry in entries {
+        while offset(&http, entry).await.is_none_or(|offset| offset < end) {
+            if start.elapsed() > READY_LIMIT {
+                bail!("{entry} is not ready after {READY_LIMIT:?}");
+            }
+            sleep(READY_POLL).await;
+        }
+    }
+    Ok(())
+}
+
+/// Returns the offset in force at an instance, if it answers.
+pub(crate) async fn offset(http: &Http, entry: SocketAddr) -> Option<u64> {
+    let status: Value = http.get(entry, "/admin/status", CALL_LIMIT).await.ok()?;
+    status["offset"].as_u64()
+}
+
+/// Publishes one record.
+///
+/// # Errors
+///
+/// Returns the error of the log.
+pub(crate) async fn publish(log: SocketAddr, record: Arc<str>) -> Result<u64> {
+    let client = LogClient::new(Http::new().await?, log, CALL_LIMIT);
+    let appended = client.append(CONFIG_STREAM, vec![record]).await?;
+    Ok(appended.next)
+}
+
+fn listed(deployment: &Deployment, n: usize, addr: SocketAddr) -> Listed {
+    Listed {
+        id: entry_id(deployment, n).into(),
+        role: Role::Entry,
+        zone: zone(deployment, n).into(),
+        addr,
+        incarnation: 1,
+        leaving: false,
+    }
+}
+
+fn zone(deployment: &Deployment, n: usize) -> &'static str {
+    deployment.zones[n % deployment.zones.len()]
+}
+
+fn entry_id(deployment: &Deployment, n: usize) -> String {
+    format!("{}-{}", deployment.name, n + 1)
+}
+
+fn engine_id(n: usize) -> String {
+    format!("engine-{}", n + 1)
+}
+
+fn service_id(deployment: &Deployment, n: usize) -> String {
+    format!("{}-{}", deployment.service, n + 1)
+}
--- /dev/null
+++ b/crates/caraway-demo/src/records.rs
@@ -0,0 +1,80 @@
+//! The records that put a deployment in force.
+
+use std::sync::Arc;
+
+use caraway_records::{Record, Routing};
+use caraway_types::{AdapterRef, Offset};
+use serde_json::{Value, json};
+
+use crate::deployment::Deployment;
+
+/// Offset of the routing record, which is published first.
+pub(crate) const ROUTING_OFFSET: Offset = 0;
+/// Requests a second that the client account may send.
+const ACCOUNT_RATE: f64 = 10_000.0;
+
+/// Returns all records, in the order in which they are published.
+pub(crate) fn records(deployment: &Deployment) -> Vec<Arc<str>> {
+    let account = json!({
+        "rate": ACCOUNT_RATE, "burst": 10_000, "max_queued": 10_000, "retry_ratio": 0.1,
+    });
+    let mut records = vec![
+        routing(deployment, None),
+        record("account", deployment.account, None, account),
+        record("service", deployment.service, None, json!({})),
+    ];
+    for index in 0..deployment.adapters {
+        let (adapter, served) = (name(deployment, index), served(index));
+        for version in ["v1", "v2"] {
+            let key = format!("{adapter}@{version}");
+            records.push(record("adapter_version", &key, None, json!({})));
+        }
+        records.push(record(
+            "adapter",
+            &adapter,
+            None,
+            json!({ "version": served }),
+        ));
+    }
+    records
+}
+
+/// Returns the routing record, as a change of the revision at `base` or as the first.
+pub(crate) fn routing(deployment: &Deployment, base: Option<Offset>) -> Arc<str> {
+    let routing = Routing {
+        stall_weight: deployment.stall_weight,
+        batch_weight: deployment.batch_weight,
+        ..Routing::default()
+    };
+    let body = serde_json::to_value(routing).unwrap_or_default();
+    record("routing", "default", base, body)
+}
+
+/// Returns the name of the adapter of this popularity rank.
+pub(crate) fn name(deployment: &Deployment, rank: u32) -> String {
+    format!("{}-{rank:04}", deployment.prefix)
+}
+
+/// Returns the version that answers for an adapter named without one.
+pub(crate) fn served(rank: u32) -> &'static str {
+    if rank.is_multiple_of(2) { "v1" } else { "v2" }
+}
+
+/// Returns one version of the adapter of this rank.
+pub(crate) fn adapter(deployment: &Deployment, rank: u32, version: &str) -> AdapterRef {
+    AdapterRef::new(name(deployment, rank), version)
+}
+
+fn record(kind: &str, key: &str, base: Option<Offset>, body: Value) -> Arc<str> {
+    let revision = base.map_or_else(|| "first".to_owned(), |base| format!("after-{base}"));
+    Record {
+        schema: 1,
+        kind: kind.into(),
+        key: key.into(),
+        base,
+        id: format!("demo-{kind}-{key}-{revision}").into(),
+        author: Some("caraway-demo".into()),
+        body,
+    }
+    .text()
+}
--- /dev/null
+++ b/crates/caraway-demo/src/report.rs
@@ -0,0 +1,235 @@
+//! [`Report`]: what a run came to.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, SystemTime},
+};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::{
+    checker::Ledgers,
+    deployment::Deployment,
+    outcome::{Column, Outcome},
+    rules::Rules,
+    schedule::Work,
+};
+
+/// Longest time that a histogram holds, in microseconds.
+const LONGEST_US: u64 = 120_000_000;
+/// Significant digits of a histogram.
+const DIGITS: u8 = 3;
+/// A wait for an adapter from which on a request counts as stalled.
+const STALLED: Duration = Duration::from_millis(50);
+
+/// A run.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Report {
+    /// The deployment's name.
+    pub(crate) deployment: &'static str,
+    /// The seed of the requests.
+    pub(crate) seed: u64,
+    /// Seconds from the first request to the last outcome.
+    pub(crate) seconds: f64,
+    /// Each kind of work.
+    pub(crate) workloads: Vec<Line>,
+    /// Endings other than answers, with their counts.
+    pub(crate) endings: BTreeMap<String, u64>,
+    /// The engines.
+    pub(crate) engines: EngineSums,
+    /// What must hold.
+    pub(crate) rules: Rules,
+}
+
+/// One kind of work.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Line {
+    /// Its name.
+    pub(crate) label: &'static str,
+    /// Requests sent.
+    pub(crate) sent: u64,
+    /// Whole answers.
+    pub(crate) answered: u64,
+    /// Refused as not run.
+    pub(crate) not_run: u64,
+    /// Refused as in doubt.
+    pub(crate) in_doubt: u64,
+    /// Without a typed ending.
+    pub(crate) failed: u64,
+    /// Time to the first token of a streamed answer.
+    pub(crate) first_token: Times,
+    /// Time between tokens of a streamed answer.
+    pub(crate) between_tokens: Times,
+    /// Time from the request to its arrival on an engine.
+    pub(crate) load_stall: Times,
+    /// Requests that stalled noticeably.
+    pub(crate) stalled: u64,
+}
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Times {
+    /// Values.
+    pub(crate) count: u64,
+    /// Median.
+    pub(crate) p50: f64,
+    /// 95th percentile.
+    pub(crate) p95: f64,
+    /// 99th percentile.
+    pub(crate) p99: f64,
+}
+
+/// Sums over all engines.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct EngineSums {
+    /// Runs.
+    pub(crate) runs: u64,
+    /// Tokens generated.
+    pub(crate) tokens: u64,
+    /// Steps of a batch.
+    pub(crate) steps: u64,
+    /// Requests in a batch, averaged over the steps.
+    pub(crate) mean_fill: f64,
+    /// Share of the batch places that were filled, averaged over the steps.
+    pub(crate) fill_share: f64,
+    /// Share of prompt bytes that the prefix caches saved.
+    pub(crate) prefix_share: f64,
+    /// Loads from the weight store.
+    pub(crate) loads: u64,
+    /// Loads that the weight store failed.
+    pub(crate) failed_loads: u64,
+}
+
+impl Report {
+    /// Sums a run up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a histogram can't be made.
+    pub(crate) fn new(
+        deployment: &Deployment,
+        seed: u64,
+        length: Duration,
+        outcomes: &[Outcome],
+        ledgers: &Ledgers,
+        rules: Rules,
+    ) -> anyhow::Result<Self> {
+        let arrivals = arrivals(ledgers);
+        let line = |(index, workload): (usize, &crate::deployment::Workload)| {
+            let own: Vec<_> = outcomes.iter().filter(|o| o.workload == index).collect();
+            Line::new(workload.label, &own, &arrivals)
+        };
+        let workloads = deployment.workloads.iter().enumerate().map(line);
+        let mut endings = BTreeMap::new();
+        for detail in outcomes.iter().filter_map(|o| o.ending.detail()) {
+            *endings.entry(detail).or_default() += 1;
+        }
+        Ok(Self {
+            deployment: deployment.name,
+            seed,
+            seconds: length.as_secs_f64(),
+            workloads: workloads.collect::<anyhow::Result<_>>()?,
+            endings,
+            engines: EngineSums::new(deployment, ledgers),
+            rules,
+        })
+    }
+}
+
+impl Line {
+    fn new(
+        label: &'static str,
+        outcomes: &[&Outcome],
+        arrivals: &HashMap<&str, SystemTime>,
+    ) -> anyhow::Result<Self> {
+        let count = |column| {
+            let in_column = |o: &&&Outcome| o.ending.column() == column;
+            outcomes.iter().filter(in_column).count() as u64
+        };
+        let stalls: Vec<Duration> = outcomes
+            .iter()
+            .filter_map(|outcome| stall(outcome, arrivals))
+            .collect();
+        Ok(Self {
+            label,
+            sent: outcomes.len() as u64,
+            answered: count(Column::Answered),
+            not_run: count(Column::NotRun),
+            in_doubt: count(Column::InDoubt),
+            failed: count(Column::Failed),
+            first_token: Times::new(outcomes.iter().filter_map(|o| o.first))?,
+            between_tokens: Times::new(outcomes.iter().flat_map(|o| o.gaps.iter().copied()))?,
+            stalled: stalls.iter().filter(|s| **s >= STALLED).count() as u64,
+            load_stall: Times::new(stalls)?,
+        })
+    }
+}
+
+impl Times {
+    fn new(times: impl IntoIterator<Item = Duration>) -> anyhow::Result<Self> {
+        let mut histogram = Histogram::<u64>::new_with_bounds(1, LONGEST_US, DIGITS)?;
+        for time in times {
+            histogram.saturating_record(u64::try_from(time.as_micros()).unwrap_or(LONGEST_US));
+        }
+        let quantile = |q| {
+            let time = Duration::from_micros(histogram.value_at_quantile(q));
+            time.as_secs_f64() * 1e3
+        };
+        Ok(Self {
+            count: histogram.len(),
+            p50: quantile(0.5),
+            p95: quantile(0.95),
+            p99: quantile(0.99),
+        })
+    }
+}
+
+impl EngineSums {
+    fn new(deployment: &Deployment, ledgers: &Ledgers) -> Self {
+        let engines = || ledgers.engines.iter();
+        let steps: u64 = engines().map(|e| e.steps).sum();
+        let filled: u64 = engines().map(|e| e.fill_sum).sum();
+        let prefilled: u64 = engines().map(|e| e.prefilled).sum();
+        let saved: u64 = engines().map(|e| e.prefix_hits).sum();
+        let runs = || engines().flat_map(|e| &e.runs);
+        let mean_fill = ratio(filled, steps);
+        Self {
+            runs: runs().count() as u64,
+            tokens: runs().map(|r| u64::from(r.generated)).sum(),
+            steps,
+            mean_fill,
+            fill_share: mean_fill / f64::from(deployment.engine.max_batch),
+            prefix_share: ratio(saved, saved + prefilled),
+            loads: ledgers.store.loads.len() as u64,
+            failed_loads: ledgers.store.failed,
+        }
+    }
+}
+
+/// Returns when each prompt first arrived on an engine.
+fn arrivals(ledgers: &Ledgers) -> HashMap<&str, SystemTime> {
+    let mut arrivals = HashMap::new();
+    for run in ledgers.engines.iter().flat_map(|e| &e.runs) {
+        let first = arrivals.entry(&*run.prompt).or_insert(run.arrived);
+        *first = run.arrived.min(*first);
+    }
+    arrivals
+}
+
+/// Returns how long a completion waited before it reached an engine.
+fn stall(outcome: &Outcome, arrivals: &HashMap<&str, SystemTime>) -> Option<Duration> {
+    let Work::Completion(prompt) = &outcome.work else {
+        return None;
+    };
+    let arrived = arrivals.get(&*prompt.as_sent())?;
+    arrived.duration_since(outcome.sent).ok()
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the counts of one run are far below 2^52"
+)]
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
--- /dev/null
+++ b/crates/caraway-demo/src/run.rs
@@ -0,0 +1,87 @@
+//! [`run`] builds a deployment, drives it and reports.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use caraway_standin::{Engine, Service};
+use ntex::rt::{DefaultRuntime, System};
+use tokio::time::Instant;
+
+use crate::{
+    checker::{self, Ledgers},
+    deployment::Deployment,
+    driver,
+    floor::{self, Floor},
+    outcome::Outcome,
+    report::Report,
+    rules::Rules,
+    schedule::schedule,
+    watch::watch,
+};
+
+/// What a run is told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Plan {
+    /// Time over which requests arrive.
+    pub(crate) length: Duration,
+    /// Seed of the requests.
+    pub(crate) seed: u64,
+}
+
+/// Runs a deployment on loopback and returns what it came to.
+///
+/// # Errors
+///
+/// Returns an error when a part does not start or the records are not in force in time.
+pub(crate) fn run(deployment: Deployment, plan: Plan) -> Result<Report> {
+    let floor = Floor::start(&deployment)?;
+    let system = System::build().disable_signals().build(DefaultRuntime);
+    let (floor, driven) = system.block_on(async move {
+        let driven = drive(&deployment, &floor, plan).await;
+        let report = driven.and_then(|driven| report(&deployment, &floor, plan, driven));
+        (floor, report)
+    });
+    floor.stop();
+    driven
+}
+
+/// What the callers saw.
+struct Driven {
+    outcomes: Vec<Outcome>,
+    rules: Rules,
+    length: Duration,
+}
+
+/// Opens the deployment and drives its work.
+async fn drive(deployment: &Deployment, floor: &Floor, plan: Plan) -> Result<Driven> {
+    let entries = floor.addrs();
+    eprintln!("publishing {} adapters", deployment.adapters);
+    floor::open(deployment, floor.log_addr(), &entries).await?;
+    eprintln!("driving requests for {} s", plan.length.as_secs());
+    let planned = schedule(deployment, plan.length, plan.seed)?;
+    let start = Instant::now();
+    let (change, end) = (start + plan.length / 2, start + plan.length);
+    let watch = watch(deployment, floor.log_addr(), &entries, change, end);
+    let (outcomes, rules) = tokio::join!(driver::drive(deployment, floor, planned), watch);
+    Ok(Driven {
+        outcomes: outcomes?,
+        rules: rules.context("publishing a change")?,
+        length: start.elapsed(),
+    })
+}
+
+/// Checks the ledgers and sums the run up.
+fn report(deployment: &Deployment, floor: &Floor, plan: Plan, driven: Driven) -> Result<Report> {
+    let Driven {
+        outcomes,
+        mut rules,
+        length,
+    } = driven;
+    let ledgers = Ledgers {
+        engines: floor.engines.iter().map(Engine::ledger).collect(),
+        services: floor.services.iter().map(Service::ledger).collect(),
+        store: floor.store.ledger(),
+    };
+    checker::check(deployment, &outcomes, &ledgers, &mut rules);
+    Report::new(deployment, plan.seed, length, &outcomes, &ledgers, rules)
+}
--- /dev/null
+++ b/crates/caraway-demo/tests/demo.rs
@@ -0,0 +1,67 @@
+//! The `caraway-demo` program.
+
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+fn demo(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_caraway-demo"))
+        .args(arguments)
+        .output()
+        .expect("the program runs")
+}
+
+fn report(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).expect("a report in JSON")
+}
+
+fn violations(report: &Value) -> u64 {
+    let rules = report["rules"].as_object().expect("rules");
+    let count = |rule: &Value| rule["violations"].as_u64().expect("a count");
+    rules.values().map(count).sum()
+}
+
+/// Checks that a short run reports in full and fails exactly when a rule is broken.
+fn short_run(deployment: &str) {
+    let output = demo(&["--deployment", deployment, "--seconds", "2", "--json"]);
+    let report = report(&output);
+    assert_eq!(output.status.success(), violations(&report) == 0);
+    assert_eq!(report["deployment"], deployment);
+    for rule in [
+        "right_answer",
+        "whole_answer",
+        "not_run",
+        "at_most_once",
+        "no_eviction",
+        "store_limit",
+        "configuration",
+        "every_workload",
+    ] {
+        assert!(report["rules"][rule]["checks"].is_u64(), "{rule}");
+    }
+    for workload in report["workloads"].as_array().expect("workloads") {
+        let count = |name: &str| workload[name].as_u64().expect("a count");
+        let ended = ["answered", "not_run", "in_doubt", "failed"].map(count);
+        assert_eq!(count("sent"), ended.iter().sum::<u64>());
+    }
+    let progress = String::from_utf8_lossy(&output.stderr);
+    assert!(progress.contains("in flight"), "{progress}");
+}
+
+#[test]
+fn the_cooperative_is_reported_in_full() {
+    short_run("cooperative");
+}
+
+#[test]
+fn rodopa_is_reported_in_full() {
+    short_run("rodopa");
+}
+
+#[test]
+fn refuses_an_unknown_deployment() {
+    let output = demo(&["--deployment", "bakery"]);
+    assert_eq!(output.status.code(), Some(2));
+    let message = String::from_utf8_lossy(&output.stderr);
+    assert!(message.contains("cooperative or rodopa"), "{message}");
+}
--- a/crates/caraway-standin/src/engine/core.rs
+++ b/crates/caraway-standin/src/engine/core.rs
@@ -3,7 +3,7 @@
 use std::{
     mem,
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use caraway_types::{Fence, Incarnation};
@@ -107,6 +107,7 @@
             load: Arc::clone(&request.model),
             adapter: adapter.clone(),
             prompt: Arc::clone(&request.prompt),
+            arrived: SystemTime::now(),
             started: false,
             generated: 0,
             end: None,
--- a/crates/caraway-standin/src/engine/ledger.rs
+++ b/crates/caraway-standin/src/engine/ledger.rs
@@ -1,6 +1,6 @@
 //! [`EngineLedger`]: what an engine did.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::SystemTime};
 
 use caraway_types::{AdapterRef, EndpointId, Fence, Incarnation, LoadName};
 use caraway_wire::engine::EngineErrorKind;
@@ -37,6 +37,8 @@
     pub adapter: AdapterRef,
     /// The prompt.
     pub prompt: Arc<str>,
+    /// When it arrived.
+    pub arrived: SystemTime,
     /// Whether it entered the batch.
     pub started: bool,
     /// Tokens generated, each once.
