Carry out keyed calls at most once, agreed through the log

Cause: a deposit or bid that is sent again, by its caller or through another instance, must not run twice, also when answers are lost, instances pause or are replaced. Change: CallFold folds the calls stream: the first intent of a key wins, a void intent keeps the key known, an unsent intent is released by its owner, an outcome ends it. Once proposes intents in batches, reads them back, sends only its own within the send window, records outcomes, answers repeats from the record, and answers questions about outcomes. Lost append answers are read back before anything is appended again. Known keys, recorded bodies and calls are bounded; evicted bodies are read back from the log. Without the check of the first intent: 'ran twice, at 0 and 1'; without the check of process and incarnation: 'sent before its intent was in the log'; directed tests fail without touching void intents, the send window, the sent mark and the in-doubt answer of a joined sending. The model found two faults, mended here: a read loop when the whole log had left the retention, and an outcome that was trimmed before it was read back and stayed in memory. Conclusion: a fold that forgets a key at its first intent is ruled out: folds that began at different offsets could then both elect a winner.

--- /dev/null
+++ b/crates/caraway-calls/src/once/log_pace.rs
@@ -0,0 +1,86 @@
+//! [`LogPace`]: when the log may be asked next, and whether it answers.
+
+use std::time::{Duration, Instant};
+
+use caraway_types::Offset;
+
+/// What the read under way is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reading {
+    /// Folds the stream on.
+    Follow,
+    /// Reads one recorded outcome back.
+    Fetch(Offset),
+}
+
+/// Keeps one append and one read under way at most, with gaps between them.
+#[derive(Debug, Default)]
+pub(super) struct LogPace {
+    pub(super) reading: Option<Reading>,
+    pub(super) is_appending: bool,
+    /// Number of the latest read that follows the stream.
+    pub(super) reads: u64,
+    /// When the latest read began that reached the end of the stream.
+    pub(super) caught_up: Option<Instant>,
+    pub(super) read_began: Option<Instant>,
+    last_append: Option<Instant>,
+    last_read: Option<Instant>,
+    failing_since: Option<Instant>,
+    retry_at: Option<Instant>,
+}
+
+impl LogPace {
+    /// Tells whether an append may start.
+    pub(super) fn may_append(&self, now: Instant, gap: Duration) -> bool {
+        !self.is_appending && self.is_due(now, self.last_append, gap)
+    }
+
+    /// Tells whether a read may start.
+    pub(super) fn may_read(&self, now: Instant, gap: Duration) -> bool {
+        self.reading.is_none() && self.is_due(now, self.last_read, gap)
+    }
+
+    fn is_due(&self, now: Instant, last: Option<Instant>, gap: Duration) -> bool {
+        let rested = self.retry_at.is_none_or(|at| now >= at);
+        rested && last.is_none_or(|last| now.saturating_duration_since(last) >= gap)
+    }
+
+    pub(super) fn begin_append(&mut self, now: Instant) {
+        self.is_appending = true;
+        self.last_append = Some(now);
+    }
+
+    pub(super) fn begin_read(&mut self, now: Instant, reading: Reading) {
+        self.read_began = Some(now);
+        self.reading = Some(reading);
+        if reading == Reading::Follow {
+            self.reads += 1;
+        }
+    }
+
+    /// Lets the next read start at once, as more records wait.
+    pub(super) fn hurry(&mut self) {
+        self.last_read = None;
+    }
+
+    pub(super) fn end_read(&mut self, now: Instant) -> Option<Reading> {
+        self.last_read = Some(now);
+        self.reading.take()
+    }
+
+    pub(super) fn on_success(&mut self) {
+        self.failing_since = None;
+        self.retry_at = None;
+    }
+
+    pub(super) fn on_failure(&mut self, now: Instant, backoff: Duration) {
+        self.failing_since.get_or_insert(now);
+        self.retry_at = Some(now + backoff);
+    }
+
+    /// Tells whether the log has failed for at least `wait`.
+    pub(super) fn is_down(&self, now: Instant, wait: Duration) -> bool {
+        self.failing_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= wait)
+    }
+}
--- /dev/null
+++ b/crates/caraway-calls/src/once/refusals.rs
@@ -0,0 +1,60 @@
+//! The refusals of calls that may not be repeated.
+
+use std::time::Duration;
+
+use caraway_types::{Reason, Refusal};
+
+/// When to ask again for an outcome that is not known yet.
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+/// When to come back after the limit of known keys is reached.
+const KEYS_FULL: Duration = Duration::from_mins(1);
+
+pub(super) fn key_reused() -> Refusal {
+    let detail = "idempotency-key: the key was used for another request";
+    Refusal::not_run(Reason::KeyReused, detail)
+}
+
+pub(super) fn unknown_outcome() -> Refusal {
+    let detail = "an earlier sending of this key has no known outcome; see /v1/outcomes";
+    Refusal::in_doubt(Reason::OutcomeUnknown, detail).after(ASK_AGAIN)
+}
+
+pub(super) fn still_running() -> Refusal {
+    let detail = "the deadline passed while the call runs; see /v1/outcomes";
+    Refusal::in_doubt(Reason::Deadline, detail).after(ASK_AGAIN)
+}
+
+pub(super) fn too_many_joined() -> Refusal {
+    let detail = "too many sendings of this key wait already";
+    Refusal::in_doubt(Reason::QueueFull, detail).after(ASK_AGAIN)
+}
+
+pub(super) fn too_old() -> Refusal {
+    let detail = "idempotency-key: the key is older than the log remembers";
+    Refusal::in_doubt(Reason::OutcomeUnknown, detail)
+}
+
+pub(super) fn undated() -> Refusal {
+    let detail = "idempotency-key: a UUID of version 7 is wanted, which carries its time";
+    Refusal::not_run(Reason::BadRequest, detail)
+}
+
+pub(super) fn deadline() -> Refusal {
+    let detail = "the deadline passed before the call was sent";
+    Refusal::not_run(Reason::Deadline, detail).after(ASK_AGAIN)
+}
+
+pub(super) fn too_many_calls() -> Refusal {
+    let detail = "too many calls with a key are in progress";
+    Refusal::not_run(Reason::QueueFull, detail).after(ASK_AGAIN)
+}
+
+pub(super) fn too_many_keys() -> Refusal {
+    let detail = "too many keys are remembered";
+    Refusal::not_run(Reason::QueueFull, detail).after(KEYS_FULL)
+}
+
+pub(super) fn no_log(wait: Duration) -> Refusal {
+    let detail = "this sending did not run: the platform's log cannot be reached";
+    Refusal::not_run(Reason::LogUnavailable, detail).after(wait)
+}
