Publish records with a tool that reads its outcome back

Cause: operators drive the floor by records only and race each other. Change: caraway-publish with check, apply (--wait), show, history and status, text or JSON, and documented exit codes. A lost append answer is read back before it is repeated, with the same ids. A conflict shows who changed what since. Record::check is stricter than the fold: unknown fields, kinds and schemas, and a body that is left out, are findings. Tests: 8 of the process against stand-ins of log and list and real instances.

--- a/crates/caraway-publish/src/main.rs
+++ b/crates/caraway-publish/src/main.rs
@@ -1,3 +1,53 @@
-//! Placeholder.
+//! The operators' tool: checks, publishes and shows the records that configure the floor.
+//!
+//! See docs/operators/configuration.md for its use and exit codes.
 
-fn main() {}
+mod apply;
+mod exit;
+mod feed;
+mod file;
+mod flags;
+mod floor;
+mod history;
+mod plan;
+mod report;
+mod show;
+mod status;
+
+use std::process::ExitCode;
+
+use anyhow::{Context, Result};
+use ntex::rt::{DefaultRuntime, System};
+
+use crate::{
+    exit::Exit,
+    flags::{CarawayPublish, CarawayPublishCmd},
+    report::Report,
+};
+
+fn main() -> ExitCode {
+    let flags = CarawayPublish::from_env_or_exit();
+    let json = flags.json;
+    let system = System::build().disable_signals().build(DefaultRuntime);
+    let end = system.block_on(run(flags));
+    let report = end.unwrap_or_else(|error| Report::failure(&error));
+    report.print(json);
+    report.exit.into()
+}
+
+/// Runs a command.
+async fn run(flags: CarawayPublish) -> Result<Report> {
+    match &flags.subcommand {
+        CarawayPublishCmd::Check(check) => apply::check(&flags, &check.file).await,
+        CarawayPublishCmd::Apply(apply) => apply::apply(&flags, apply).await,
+        CarawayPublishCmd::Show(show) => show::show(&flags, show.key.as_deref()).await,
+        CarawayPublishCmd::History(history) => history::history(&flags, &history.key).await,
+        CarawayPublishCmd::Status(_) => status::status(&flags).await,
+    }
+}
+
+/// Reads an address that a command needs.
+fn needed(addr: Option<std::net::SocketAddr>, name: &str) -> Result<std::net::SocketAddr> {
+    addr.with_context(|| format!("this needs {name} ADDR"))
+        .map_err(|e| e.context(Exit::Usage))
+}
--- /dev/null
+++ b/crates/caraway-publish/src/plan.rs
@@ -0,0 +1,130 @@
+//! [`Plan`]: what a file would publish on top of a state.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use caraway_records::{Outcome, Record, RefusedRecord, State};
+use caraway_types::{Findings, Offset};
+use serde_json::{Map, Value};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::file::Draft;
+
+/// What a file would publish.
+#[derive(Debug, Default)]
+pub(crate) struct Plan {
+    /// The records to append, in the order of the file.
+    pub(crate) records: Vec<Planned>,
+    /// Names of the keys that are already as the file wants them.
+    pub(crate) unchanged: Vec<String>,
+    /// What is wrong.
+    pub(crate) findings: Findings,
+    /// Keys whose record was made against an older revision, with that revision.
+    pub(crate) conflicts: Vec<(Record, Option<Offset>)>,
+}
+
+/// A record to append.
+#[derive(Clone, Debug)]
+pub(crate) struct Planned {
+    /// The record.
+    pub(crate) record: Record,
+    /// Its text.
+    pub(crate) text: Arc<str>,
+}
+
+impl Plan {
+    /// Plans to publish `drafts` on `state`; fills in what they leave out.
+    pub(crate) fn new(state: &State, drafts: Vec<Draft>, author: Option<&str>) -> Self {
+        let mut plan = Self::default();
+        let mut trial = state.clone();
+        let mut places: BTreeMap<String, String> = BTreeMap::new();
+        for mut draft in drafts {
+            complete(state, &mut draft.fields, author);
+            let value = Value::Object(draft.fields);
+            let record = match Record::check(&value) {
+                Ok(record) => record,
+                Err(found) => {
+                    plan.find(&draft.place, &found);
+                    continue;
+                }
+            };
+            let name = format!("{}/{}", record.kind, record.key);
+            if let Some(other) = places.insert(name.clone(), draft.place.clone()) {
+                let place = format!("{}/key", draft.place);
+                plan.findings.add(place, format!("also in {other}"));
+                continue;
+            }
+            if is_current(state, &record) {
+                plan.unchanged.push(name);
+                continue;
+            }
+            plan.add(&mut trial, &draft.place, record);
+        }
+        plan
+    }
+
+    /// Checks `drafts` by themselves, without what is published.
+    pub(crate) fn offline(drafts: Vec<Draft>, author: Option<&str>) -> Self {
+        let mut plan = Self::default();
+        for mut draft in drafts {
+            complete(&State::default(), &mut draft.fields, author);
+            match Record::check(&Value::Object(draft.fields)) {
+                Ok(record) => {
+                    let text = record.text();
+                    plan.records.push(Planned { record, text });
+                }
+                Err(found) => plan.find(&draft.place, &found),
+            }
+        }
+        plan
+    }
+
+    /// Adds a record and tries it on a copy of the state.
+    fn add(&mut self, trial: &mut State, place: &str, record: Record) {
+        let text = record.text();
+        match trial.apply(trial.next(), &text) {
+            Outcome::Applied | Outcome::Duplicate(_) => {
+                self.records.push(Planned { record, text });
+            }
+            Outcome::Refused(RefusedRecord::Conflict { current, .. }) => {
+                self.conflicts.push((record, current));
+            }
+            Outcome::Void(found) => self.find(place, &found),
+            Outcome::Refused(refused) => self.findings.add(place, refused.to_string()),
+            other => self.findings.add(place, format!("unexpected: {other:?}")),
+        }
+    }
+
+    /// Adds findings in the record at `place`.
+    fn find(&mut self, place: &str, found: &Findings) {
+        for finding in found.list() {
+            let at = format!("{place}{}", finding.place);
+            self.findings.add(at, finding.problem.clone());
+        }
+    }
+}
+
+/// Fills in the current revision, the author and an id where they are left out.
+fn complete(state: &State, fields: &mut Map<String, Value>, author: Option<&str>) {
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or("");
+    let current = state.revision(text("kind"), text("key"));
+    if let Some(author) = author {
+        fields.entry("author").or_insert_with(|| author.into());
+    }
+    if let Some(revision) = current {
+        fields.entry("base").or_insert_with(|| revision.into());
+    }
+    if !fields.contains_key("id") {
+        let hash = xxh3_128(Value::Object(fields.clone()).to_string().as_bytes());
+        fields.insert("id".into(), format!("{hash:032x}").into());
+    }
+}
+
+/// Tells whether the latest record of the key already says the same.
+fn is_current(state: &State, record: &Record) -> bool {
+    let current = state.current(&record.kind, &record.key);
+    current.map_or(record.body.is_null(), |c| {
+        let same = c.record.schema == record.schema && c.record.body == record.body;
+        let against_it = record.base.is_none_or(|b| b == c.revision) || c.record.id == record.id;
+        c.in_force && same && against_it
+    })
+}
--- /dev/null
+++ b/crates/caraway-publish/src/show.rs
@@ -0,0 +1,53 @@
+//! `show`.
+
+use anyhow::Result;
+use caraway_records::Current;
+
+use crate::{
+    exit::Exit,
+    feed::Feed,
+    flags::CarawayPublish,
+    needed,
+    report::{RecordLine, Report},
+};
+
+/// Shows the latest record of each key, or of one.
+pub(crate) async fn show(flags: &CarawayPublish, key: Option<&str>) -> Result<Report> {
+    let mut feed = Feed::new(needed(flags.log, "--log")?).await?;
+    feed.catch_up().await?;
+    let state = feed.state();
+    let current = state.all().filter(|c| key.is_none_or(|key| names(key, c)));
+    let records: Vec<RecordLine> = current.map(|c| line(&c)).collect();
+    let summary = format!(
+        "{} keys; offset {}, digest {:016x}",
+        records.len(),
+        state.next(),
+        state.digest()
+    );
+    let mut report = Report::new(Exit::Done, summary);
+    report.records = records;
+    Ok(report)
+}
+
+/// Describes the latest record of a key.
+pub(crate) fn line(current: &Current) -> RecordLine {
+    let record = &current.record;
+    let outcome = match (record.body.is_null(), current.in_force) {
+        (true, true) => "deleted",
+        (_, true) => "in force",
+        (_, false) => "not in force",
+    };
+    RecordLine {
+        offset: Some(current.revision),
+        name: format!("{}/{}", record.kind, record.key),
+        author: record.author.clone(),
+        outcome: outcome.into(),
+        body: record.body.clone(),
+    }
+}
+
+/// Tells whether `key`, which is KEY or KIND/KEY, names the record's key.
+fn names(key: &str, current: &Current) -> bool {
+    let record = &current.record;
+    *key == *record.key || key == format!("{}/{}", record.kind, record.key)
+}
--- /dev/null
+++ b/crates/caraway-publish/tests/cli.rs
@@ -0,0 +1,261 @@
+//! The operators' tool as a process, against stand-ins of log and list and real instances.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::Command,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use caraway_entry::{Entry, Settings};
+use caraway_standin::{InstanceList, ListSettings, LogFaults, LogService, LogSettings};
+use caraway_wire::{
+    list::{Listed, Role},
+    log::CONFIG_STREAM,
+};
+use serde_json::{Value, json};
+
+/// A log and a list.
+struct Platform {
+    log: LogService,
+    list: InstanceList,
+}
+
+/// How a command ended, and its report.
+struct End {
+    code: i32,
+    report: Value,
+}
+
+impl Platform {
+    fn start() -> Self {
+        Self {
+            log: LogService::start(LogSettings::default()).unwrap(),
+            list: InstanceList::start(
+                ListSettings {
+                    lag: 0.into(),
+                    ..ListSettings::default()
+                },
+                vec![],
+            )
+            .unwrap(),
+        }
+    }
+
+    /// Runs the tool.
+    fn run(&self, args: &[&str]) -> End {
+        let output = Command::new(env!("CARGO_BIN_EXE_caraway-publish"))
+            .args(["--json", "--author", "ann"])
+            .args(["--log", &self.log.addr().to_string()])
+            .args(["--list", &self.list.addr().to_string()])
+            .args(args)
+            .output()
+            .unwrap();
+        let text = String::from_utf8(output.stdout).unwrap();
+        End {
+            code: output.status.code().unwrap(),
+            report: serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}")),
+        }
+    }
+
+    /// Applies records from a file.
+    fn apply(&self, records: &Value) -> End {
+        self.run(&["apply", write(records).to_str().unwrap()])
+    }
+
+    /// Applies records from a file and waits for one second.
+    fn apply_and_wait(&self, records: &Value) -> End {
+        let file = write(records);
+        self.run(&["apply", file.to_str().unwrap(), "--wait", "--limit-s", "5"])
+    }
+
+    fn len(&self) -> usize {
+        self.log.page(CONFIG_STREAM).records.len()
+    }
+
+    /// Starts an instance and lists it.
+    fn start_entry(&self, id: &str) -> Entry {
+        let settings = json!({
+            "instance": id, "zone": "a", "listen": "127.0.0.1:0",
+            "log": self.log.addr(), "list": self.list.addr(),
+            "endpoints": [{"id": "e", "kind": "engine", "zone": "a", "addr": "127.0.0.1:9", "slots": 1}],
+            "store_rate": 1.0, "store_places": 1,
+        });
+        let settings = Settings::parse(&settings.to_string()).unwrap();
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let entry = Entry::start(settings, log).unwrap();
+        self.list_entry(id, entry.addr());
+        entry
+    }
+
+    fn list_entry(&self, id: &str, addr: SocketAddr) {
+        self.list.set(Listed {
+            id: id.into(),
+            role: Role::Entry,
+            zone: "a".into(),
+            addr,
+            incarnation: 1,
+            leaving: false,
+        });
+    }
+}
+
+/// Writes a file of records.
+fn write(records: &Value) -> PathBuf {
+    static FILES: AtomicU32 = AtomicU32::new(0);
+    let number = FILES.fetch_add(1, Ordering::Relaxed);
+    let name = format!("records-{}-{number}.json", std::process::id());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, records.to_string()).unwrap();
+    path
+}
+
+/// A version of an adapter, and the record that serves it.
+fn roll_out(adapter: &str, version: &str) -> Value {
+    json!([
+        {"schema": 1, "kind": "adapter_version", "key": format!("{adapter}@{version}"), "body": {}},
+        {"schema": 2, "kind": "adapter", "key": adapter, "body": {"serve": version}},
+    ])
+}
+
+#[test]
+fn check_reports_every_finding_with_its_place_and_publishes_nothing() {
+    let platform = Platform::start();
+    let records = json!([
+        {"schema": 0, "kind": "adapter", "key": "a/b", "colour": 1, "body": {}},
+        {"schema": 2, "kind": "adapter", "key": "sign", "body": {"serve": "9", "warm": [1]}},
+        {"schema": 2, "kind": "adapter", "key": "sign", "body": {"serve": "9"}},
+        {"schema": 1, "kind": "tariff", "key": "night", "body": {}},
+        {"schema": 1, "kind": "account", "key": "c"},
+        7,
+    ]);
+    let file = write(&records);
+    let end = platform.run(&["check", file.to_str().unwrap()]);
+    assert_eq!((end.code, platform.len()), (2, 0));
+    let records = json!(&records.as_array().unwrap()[..5]);
+    let end = platform.apply(&records);
+    assert_eq!((end.code, platform.len()), (2, 0));
+    let findings = end.report["findings"].as_array().unwrap();
+    let places: Vec<&str> = findings
+        .iter()
+        .map(|f| f["place"].as_str().unwrap())
+        .collect();
+    for place in [
+        "/0/schema",
+        "/0/key",
+        "/0/colour",
+        "/1/body/warm/0",
+        "/2/body/serve",
+        "/3/kind",
+        "/4/body",
+    ] {
+        assert!(places.contains(&place), "{place} not in {places:?}");
+    }
+}
+
+#[test]
+fn apply_waits_until_every_live_instance_has_it_in_force() {
+    let platform = Platform::start();
+    let entries = ["entry-1", "entry-2"].map(|id| platform.start_entry(id));
+    let end = platform.apply_and_wait(&roll_out("sign", "1"));
+    assert_eq!(end.code, 0, "{}", end.report);
+    for instance in end.report["instances"].as_array().unwrap() {
+        assert!(instance["offset"].as_u64().unwrap() >= 2);
+    }
+    assert_eq!(platform.run(&["status"]).code, 0);
+    for entry in entries {
+        entry.stop();
+    }
+}
+
+#[test]
+fn apply_names_the_instances_that_lag() {
+    let platform = Platform::start();
+    let entry = platform.start_entry("entry-1");
+    platform.list_entry("entry-2", "127.0.0.1:9".parse().unwrap());
+    let end = platform.apply_and_wait(&roll_out("sign", "1"));
+    assert_eq!(end.code, 5);
+    let summary = end.report["summary"].as_str().unwrap();
+    assert!(
+        summary.ends_with("not in force yet on: entry-2"),
+        "{summary}"
+    );
+    assert_eq!(platform.run(&["status"]).code, 5);
+    entry.stop();
+}
+
+#[test]
+fn an_append_with_a_lost_answer_is_published_once() {
+    let platform = Platform::start();
+    platform.log.set_faults(LogFaults {
+        lose_answers: 1,
+        ..LogFaults::default()
+    });
+    assert_eq!(platform.apply(&roll_out("sign", "1")).code, 0);
+    assert_eq!(platform.len(), 2);
+    platform.log.set_faults(LogFaults {
+        drop_appends: 2,
+        ..LogFaults::default()
+    });
+    assert_eq!(platform.apply(&roll_out("sign", "2")).code, 0);
+    assert_eq!(platform.len(), 4);
+}
+
+#[test]
+fn applying_a_file_again_changes_nothing() {
+    let platform = Platform::start();
+    assert_eq!(platform.apply(&roll_out("sign", "1")).code, 0);
+    assert_eq!(platform.apply(&roll_out("sign", "1")).code, 0);
+    assert_eq!(platform.len(), 2);
+}
+
+#[test]
+fn a_conflict_shows_who_changed_what_since() {
+    let platform = Platform::start();
+    let account = |base: Value, author: &str, rate: u32| {
+        json!({
+            "schema": 1, "kind": "account", "key": "c", "base": base, "author": author,
+            "body": {"rate": rate},
+        })
+    };
+    assert_eq!(platform.apply(&account(Value::Null, "ann", 1)).code, 0);
+    assert_eq!(platform.apply(&account(json!(0), "ben", 2)).code, 0);
+    let end = platform.apply(&account(json!(0), "ann", 3));
+    assert_eq!((end.code, platform.len()), (3, 2));
+    let conflict = &end.report["conflicts"][0];
+    assert_eq!(conflict["name"], "account/c");
+    assert_eq!(conflict["current"], 1);
+    assert_eq!(conflict["since"][0]["author"], "ben");
+    assert_eq!(conflict["since"][0]["body"]["rate"], 2);
+}
+
+#[test]
+fn show_and_history_tell_what_became_of_records() {
+    let platform = Platform::start();
+    platform.apply(&roll_out("sign", "1"));
+    platform.apply(&roll_out("sign", "2"));
+    let late = json!({
+        "schema": 2, "kind": "adapter", "key": "sign", "base": 1, "id": "late",
+        "author": "ben", "body": {"serve": "1"},
+    });
+    platform
+        .log
+        .append(CONFIG_STREAM, &[late.to_string().into()]);
+    let show = platform.run(&["show", "adapter/sign"]).report;
+    assert_eq!(show["records"][0]["body"]["serve"], "2");
+    let history = platform.run(&["history", "sign"]).report;
+    let outcomes = history["records"].as_array().unwrap().iter();
+    let outcomes: Vec<&str> = outcomes.map(|r| r["outcome"].as_str().unwrap()).collect();
+    let refused = "refused: made against Some(1), the current revision is 3 by ann";
+    assert_eq!(outcomes, ["applied", "applied", refused]);
+}
+
+#[test]
+fn without_a_log_nothing_is_claimed() {
+    let platform = Platform::start();
+    platform.log.set_faults(LogFaults {
+        down: true,
+        ..LogFaults::default()
+    });
+    assert_eq!(platform.apply(&roll_out("sign", "1")).code, 4);
+}
--- a/crates/caraway-records/src/fields.rs
+++ b/crates/caraway-records/src/fields.rs
@@ -161,3 +161,10 @@
         }
     }
 }
+
+/// Adds the findings of a part.
+pub(crate) fn merge(found: &mut Findings, more: &Findings) {
+    for finding in more.list() {
+        found.add(finding.place.clone(), finding.problem.clone());
+    }
+}
--- a/crates/caraway-records/src/lib.rs
+++ b/crates/caraway-records/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`Record`] is one record: an envelope that every program version reads, and a [`Body`].
 //! - [`State`] folds records by offset; [`Outcome`] says what became of each.
+//! - [`Current`] is the last accepted record of a key.
 //! - [`Adapter`], [`AdapterVersion`], [`Account`], [`Routing`], [`Objective`] and [`Service`] are
 //!   the bodies in their newest schema; older schemas are upgraded when they are read.
 //! - [`Snapshot`] cuts a state into records of the log; [`Assembly`] restores it.
@@ -10,6 +11,7 @@
 //! Nothing here does I/O or reads a clock.
 
 mod body;
+mod current;
 mod digest;
 mod fields;
 mod follower;
@@ -26,6 +28,7 @@
 pub use body::{
     Account, Adapter, AdapterVersion, Body, Kind, Measure, Objective, Routing, Service,
 };
+pub use current::Current;
 pub use follower::{
     Follower, FollowerInput, FollowerOutput, FollowerSettings, LogPage, LogRecord, Notice, Offer,
     PeerAnswer, Source,
--- a/crates/caraway-records/src/record.rs
+++ b/crates/caraway-records/src/record.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Body, Kind,
-    fields::Fields,
+    fields::{Fields, merge},
     limits::{ID_BYTES, KEY_BYTES, KIND_BYTES},
 };
 
@@ -72,26 +72,63 @@
     /// Returns every finding with its JSON pointer.
     pub fn from_value(value: &Value) -> Result<Self, Findings> {
         let mut found = Findings::default();
-        let Some(mut fields) = Fields::new(value, "", &mut found) else {
-            return Err(found);
+        let record = Self::read_envelope(value, false, &mut found);
+        found.into_result(record)
+    }
+
+    /// Checks a record before it is published, more strictly than the fold does.
+    ///
+    /// Also reports unknown fields of the envelope, kinds and schemas that this program does not
+    /// know, and a body that is left out rather than null.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding with its JSON pointer.
+    pub fn check(value: &Value) -> Result<Self, Findings> {
+        let mut found = Findings::default();
+        let record = Self::read_envelope(value, true, &mut found);
+        if value.get("body").is_none() {
+            found.add("/body", "missing; null deletes the key");
+        }
+        match record.kind.parse::<Kind>() {
+            Err(expected) if !record.kind.is_empty() => found.add("/kind", expected),
+            Ok(kind) if record.schema > kind.schema() => {
+                let newest = kind.schema();
+                found.add("/schema", format!("expected a schema from 1 to {newest}"));
+            }
+            _ => {
+                let body = record.read(None).err().unwrap_or_default();
+                merge(&mut found, &body);
+            }
+        }
+        found.into_result(record)
+    }
+
+    fn read_envelope(value: &Value, strict: bool, found: &mut Findings) -> Self {
+        let Some(mut fields) = Fields::new(value, "", found) else {
+            return Self::default();
         };
         let f = &mut fields;
-        let schema = f.whole("schema", u64::from(u32::MAX), 0, &mut found);
+        let schema = f.optional("schema").and_then(Value::as_u64);
+        let schema = schema.and_then(|s| u32::try_from(s).ok()).unwrap_or(0);
         if schema == 0 {
             found.add("/schema", "expected a schema version from 1");
         }
         let id = format!("a text of 1 to {ID_BYTES} bytes");
         let short = |t: &str| !t.is_empty() && t.len() <= ID_BYTES;
         let record = Self {
-            schema: u32::try_from(schema).unwrap_or_default(),
-            kind: f.text("kind", "a kind", is_kind, &mut found),
-            key: f.text("key", "a key", is_key, &mut found),
-            base: base(f, &mut found),
-            id: f.text("id", &id, short, &mut found),
-            author: f.optional_text("author", &id, short, &mut found),
+            schema,
+            kind: f.text("kind", "a kind", is_kind, found),
+            key: f.text("key", "a key", is_key, found),
+            base: base(f, found),
+            id: f.text("id", &id, short, found),
+            author: f.optional_text("author", &id, short, found),
             body: f.optional("body").cloned().unwrap_or_default(),
         };
-        found.into_result(record)
+        if strict {
+            fields.finish(found);
+        }
+        record
     }
 
     /// Returns the record as the text to publish.
@@ -122,9 +159,7 @@
         match Body::read(kind, self.schema, &self.body) {
             Ok(body) => found.into_result(Reading::Body(kind, Box::new(body))),
             Err(more) => {
-                for finding in more.list() {
-                    found.add(finding.place.clone(), finding.problem.clone());
-                }
+                merge(&mut found, &more);
                 Err(found)
             }
         }
