Let calls that wait for a connection be woken

Ruled out: the stand-in engine (480 of 480 streams over plain sockets were whole while the daemon's own calls hung) and the event reader. The client library's pool takes a limit of 0 for none, but its check for waiting calls compares acquired < limit, so a call that waited while another connected was never woken. Change: the pool has the largest limit instead of 0. A test with 24 callers at once failed first (21 of 24 callers without a token), then passes.

--- a/crates/caraway-entry/tests/path.rs
+++ b/crates/caraway-entry/tests/path.rs
@@ -29,6 +29,24 @@
     }
 }
 
+#[test]
+fn many_callers_at_once_all_get_their_answers() {
+    let bed = Testbed::start(Plan::default());
+    let addr = bed.entries[0].addr;
+    let callers: Vec<_> = (0..24)
+        .map(|n| {
+            std::thread::spawn(move || {
+                let (model, prompt) = (format!("adapter-{}@v1", n % 2), format!("caller {n}"));
+                let streamed = stream(addr, &model, &prompt, 8, |_| ());
+                assert_eq!(streamed.tokens, expected(&model, &prompt, 8));
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("the caller has its answer");
+    }
+}
+
 #[test]
 fn bad_input_gets_a_typed_answer_and_runs_nothing() {
     let bed = Testbed::start(Plan::default());
--- a/crates/caraway-wire/src/http.rs
+++ b/crates/caraway-wire/src/http.rs
@@ -13,6 +13,10 @@
 /// Largest body that a client reads whole, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 << 20;
 
+/// Most connections of a pool. The library takes 0 for no limit, but then never wakes a call that
+/// waited while another one connected.
+const CONNECTION_LIMIT: usize = usize::MAX;
+
 /// Says how far a failed call got.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -42,7 +46,7 @@
         let client = Client::builder()
             .disable_timeout()
             .response_payload_limit(BODY_LIMIT_BYTES)
-            .connector::<()>(Connector::default().limit(0))
+            .connector::<()>(Connector::default().limit(CONNECTION_LIMIT))
             .build(SharedCfg::default())
             .await
             .map_err(|e| CallError::NotSent(e.to_string().into()))?;
