--- a/crates/caraway-demo/src/floor.rs
+++ b/crates/caraway-demo/src/floor.rs
@@ -120,7 +120,8 @@
             "log": self.log.addr(),
             "list": self.list.addr(),
             "store_rate": deployment.store.rate,
-            "store_places": deployment.store.places,
+            "store_transit": deployment.store.transit_limit,
+            "instances": deployment.entries,
             "endpoints": engines.chain(services).collect::<Vec<_>>(),
         })
     }
