Follow the configuration from the log and from peers in the daemon

Cause: the log thread read the log only: an instance cut off from it, or started while it was down, had no way to the configuration, and a history past the retention was lost. Change: the log thread drives the Follower. Nothing is in force before the follower has once caught up, so a starting instance never serves a half-read history. Events 204 to 209. Tests: five with processes killed, frozen, cut off from the log (closed and silent), replaced while it is down, and a history of three times the retention.

--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -56,13 +56,14 @@
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
         let (burn, burn_inbox) = ring(capacity);
+        let (follow, follow_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
         let shared = Shared::new(
             settings,
             addr,
             incarnation(),
-            (control, burn),
+            (control, burn, follow),
             config,
             log,
             metrics,
@@ -84,7 +85,11 @@
         })?);
         let own = Arc::clone(&shared);
         threads.push(threads::spawn_system("log", move || {
-            report(Arc::clone(&own), "log", follow::run(own, publish))
+            report(
+                Arc::clone(&own),
+                "log",
+                follow::run(own, follow_inbox, publish),
+            )
         })?);
         let own = Arc::clone(&shared);
         threads.push(threads::spawn_system("burn", move || {
--- a/crates/caraway-entry/src/events.rs
+++ b/crates/caraway-entry/src/events.rs
@@ -51,6 +51,18 @@
     LogUnreachable = 202, "log unreachable";
     /// The log can be read again.
     LogReachable = 203, "log reachable";
+    /// A record of a newer schema or kind is kept; what it governs stays as it was.
+    RecordHeld = 204, "record held";
+    /// The configuration was taken from a snapshot.
+    SnapshotInstalled = 205, "snapshot installed";
+    /// A snapshot was not used.
+    SnapshotRejected = 206, "snapshot rejected";
+    /// The log dropped records that no snapshot covers.
+    HistoryLost = 207, "history lost";
+    /// The log ends before the records that were already folded.
+    LogBehind = 208, "log behind";
+    /// A peer has another configuration at the same offset.
+    Diverged = 209, "configuration differs";
     /// The list can't be read.
     ListUnreachable = 210, "list unreachable";
     /// The list can be read again.
--- a/crates/caraway-entry/src/follow.rs
+++ b/crates/caraway-entry/src/follow.rs
@@ -1,57 +1,224 @@
-//! The log thread: follows the operators' records.
+//! The log thread: follows the operators' records, from the log and from peers.
 
 use std::sync::Arc;
 
-use caraway_records::State;
-use caraway_wire::{CallError, Http, LogClient, log::CONFIG_STREAM};
-use tokio::sync::watch;
+use caraway_records::{
+    Follower, FollowerInput, FollowerOutput, FollowerSettings, LogPage, LogRecord, Offer,
+    PeerAnswer, State,
+};
+use caraway_ring::Receiver;
+use caraway_types::{InstanceId, Offset};
+use caraway_wire::{
+    CallError, Http, LogClient, PeerClient,
+    log::{CONFIG_STREAM, Page},
+};
+use ntex::{rt::spawn, util::Bytes};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::{
+        mpsc::{Receiver as Ended, Sender as Ends, channel},
+        oneshot, watch,
+    },
+    time::{Instant, MissedTickBehavior, interval},
+};
 
 use crate::{
     events::emit,
+    follow_events,
     shared::{Control, Shared},
 };
 
-/// Most records read at once.
-const PAGE_RECORDS: u32 = 1000;
+/// Calls whose ends wait to be taken in.
+const CALLS: usize = 8;
+
+/// A message to the log thread.
+#[derive(Debug)]
+pub(crate) enum Follow {
+    /// A peer says which configuration it has.
+    Offer(InstanceId, Offer),
+    /// A peer asks for records; the answer is an encoded [`PeerAnswer`].
+    Ask(PeerAsk, oneshot::Sender<Bytes>),
+}
+
+/// Asks a peer for its records.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct PeerAsk {
+    /// The first offset to send.
+    pub(crate) from: Offset,
+}
+
+/// The log thread's state.
+struct FollowThread {
+    shared: Arc<Shared>,
+    http: Http,
+    log: LogClient,
+    settings: FollowerSettings,
+    follower: Follower,
+    publish: watch::Sender<Arc<State>>,
+    ends: Ends<FollowerInput>,
+    reachable: bool,
+}
 
-/// Follows the log for ever.
+/// Follows the records until the control thread ends.
 pub(crate) async fn run(
     shared: Arc<Shared>,
+    mut inbox: Receiver<Follow>,
     publish: watch::Sender<Arc<State>>,
 ) -> Result<(), CallError> {
-    let times = &shared.settings.times;
-    let log = LogClient::new(
-        Http::new().await?,
-        shared.settings.log,
-        times.control_ms.get(),
-    );
-    let mut state = State::default();
-    let mut reachable = true;
-    while !shared.control.is_closed() {
-        match log.read(CONFIG_STREAM, state.next(), PAGE_RECORDS).await {
-            Ok(page) => {
-                if !reachable {
-                    emit!(shared.log, info, LogReachable);
-                }
-                reachable = true;
-                if !page.records.is_empty() {
-                    for entry in &page.records {
-                        let _ = state.apply(entry.offset, &entry.data);
-                    }
-                    let next = Arc::new(state.clone());
-                    publish.send_replace(Arc::clone(&next));
-                    let _ = shared.control.push(Control::Config(next));
-                    continue;
-                }
+    let (ends, mut ended) = channel(CALLS);
+    let mut thread = FollowThread::new(shared, publish, ends).await?;
+    let mut tick = interval(thread.shared.settings.times.tick_ms.get());
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    while !thread.shared.control.is_closed() {
+        tokio::select! {
+            _ = tick.tick() => thread.handle(FollowerInput::Tick),
+            Some(end) = ended.recv() => thread.take(end, &mut ended),
+            message = inbox.recv() => match message {
+                Some(message) => thread.hear(message),
+                None => return Ok(()),
+            },
+        }
+    }
+    Ok(())
+}
+
+impl FollowThread {
+    async fn new(
+        shared: Arc<Shared>,
+        publish: watch::Sender<Arc<State>>,
+        ends: Ends<FollowerInput>,
+    ) -> Result<Self, CallError> {
+        let http = Http::new().await?;
+        let settings = FollowerSettings {
+            poll_ms: shared.settings.times.follow_ms,
+            ..shared.settings.config.clone()
+        };
+        let limit = settings.request_ms.get();
+        let now = Instant::now().into_std();
+        Ok(Self {
+            log: LogClient::new(http.clone(), shared.settings.log, limit),
+            follower: Follower::new(&shared.settings.instance, settings.clone(), now),
+            http,
+            settings,
+            shared,
+            publish,
+            ends,
+            reachable: true,
+        })
+    }
+
+    /// Takes in a message of another thread.
+    fn hear(&mut self, message: Follow) {
+        match message {
+            Follow::Offer(peer, offer) => self.handle(FollowerInput::Offer(peer, offer)),
+            Follow::Ask(ask, reply) => {
+                let answer = self.follower.answer(ask.from);
+                let _ = reply.send(PeerClient::encode(&answer).unwrap_or_default());
+            }
+        }
+    }
+
+    /// Takes in the end of a call, and those that ended meanwhile.
+    fn take(&mut self, end: FollowerInput, ended: &mut Ended<FollowerInput>) {
+        self.note_reachable(&end);
+        self.handle(end);
+        while let Ok(end) = ended.try_recv() {
+            self.note_reachable(&end);
+            self.handle(end);
+        }
+    }
+
+    /// Logs when the log stops or begins to answer.
+    fn note_reachable(&mut self, end: &FollowerInput) {
+        let reachable = match end {
+            FollowerInput::Page(_) => true,
+            FollowerInput::LogFailed => false,
+            _ => return,
+        };
+        match (self.reachable, reachable) {
+            (true, false) => emit!(self.shared.log, warn, LogUnreachable),
+            (false, true) => emit!(self.shared.log, info, LogReachable),
+            _ => {}
+        }
+        self.reachable = reachable;
+    }
+
+    fn handle(&mut self, input: FollowerInput) {
+        let mut out = Vec::new();
+        let now = Instant::now().into_std();
+        self.follower.handle(now, input, &mut out);
+        for output in out {
+            self.carry_out(output);
+        }
+        self.publish();
+    }
+
+    fn carry_out(&self, output: FollowerOutput) {
+        match output {
+            FollowerOutput::ReadLog { from, max } => {
+                spawn(read(self.log.clone(), from, max, self.ends.clone()));
             }
-            Err(error) => {
-                if reachable {
-                    emit!(shared.log, warn, LogUnreachable; "error" => %error);
-                }
-                reachable = false;
+            FollowerOutput::AskPeer { peer, from } => {
+                let client = self.shared.peer(&peer);
+                let client = client.map(|addr| PeerClient::new(self.http.clone(), addr));
+                let limit = self.settings.request_ms.get();
+                let ends = self.ends.clone();
+                spawn(async move {
+                    let answer = match client {
+                        Some(client) => ask(client, PeerAsk { from }, limit).await,
+                        None => None,
+                    };
+                    let _ = ends.send(FollowerInput::Answer(peer, answer)).await;
+                });
             }
+            FollowerOutput::Append(records) => {
+                let (log, ends) = (self.log.clone(), self.ends.clone());
+                spawn(async move {
+                    let done = log.append(CONFIG_STREAM, records).await.is_ok();
+                    let _ = ends.send(FollowerInput::Appended(done)).await;
+                });
+            }
+            output => follow_events::note(&self.shared.log, self.follower.is_ready(), &output),
         }
-        tokio::time::sleep(times.follow_ms.get()).await;
     }
-    Ok(())
+
+    /// Puts a state that has moved on in force, once the follower has caught up.
+    fn publish(&self) {
+        let state = self.follower.state();
+        if !self.follower.is_ready() || state.next() <= self.publish.borrow().next() {
+            return;
+        }
+        self.publish.send_replace(Arc::clone(state));
+        let message = Control::Config(Arc::clone(state));
+        if self.shared.control.push(message).is_err() {
+            emit!(self.shared.log, warn, RingFull; "ring" => "control");
+        }
+    }
+}
+
+/// Reads the log.
+async fn read(log: LogClient, from: Offset, max: u32, ends: Ends<FollowerInput>) {
+    let end = match log.read(CONFIG_STREAM, from, max).await {
+        Ok(page) => FollowerInput::Page(convert(page)),
+        Err(_) => FollowerInput::LogFailed,
+    };
+    let _ = ends.send(end).await;
+}
+
+/// Asks a peer; none when it does not answer.
+async fn ask(client: PeerClient, ask: PeerAsk, limit: std::time::Duration) -> Option<PeerAnswer> {
+    let message = PeerClient::encode(&ask).ok()?;
+    client.exchange("records", message, limit).await.ok()
+}
+
+fn convert(page: Page) -> LogPage {
+    let record = |r: caraway_wire::log::Entry| LogRecord {
+        offset: r.offset,
+        data: r.data,
+    };
+    LogPage {
+        oldest: page.oldest,
+        end: page.end,
+        records: page.records.into_iter().map(record).collect(),
+    }
 }
--- /dev/null
+++ b/crates/caraway-entry/src/follow_events.rs
@@ -0,0 +1,46 @@
+//! Logs what becomes of the configuration.
+
+use caraway_records::{FollowerOutput, Notice, Outcome};
+use caraway_types::Offset;
+use slog::Logger;
+
+use crate::events::emit;
+
+/// Logs an output of the follower; accepted records only after the start.
+pub(crate) fn note(log: &Logger, ready: bool, output: &FollowerOutput) {
+    match output {
+        FollowerOutput::Judged { offset, outcome } => judged(log, ready, *offset, outcome),
+        FollowerOutput::Installed { covered, source } => {
+            emit!(log, info, SnapshotInstalled; "offset" => covered, "source" => ?source);
+        }
+        FollowerOutput::Notice(notice) => notify(log, notice),
+        _ => {}
+    }
+}
+
+fn judged(log: &Logger, ready: bool, offset: Offset, outcome: &Outcome) {
+    match outcome {
+        Outcome::Applied if ready => emit!(log, info, RecordAccepted; "offset" => offset),
+        Outcome::Held => emit!(log, warn, RecordHeld; "offset" => offset),
+        Outcome::Void(found) => {
+            emit!(log, warn, RecordRefused; "offset" => offset, "finding" => %found);
+        }
+        Outcome::Refused(refused) => {
+            emit!(log, warn, RecordRefused; "offset" => offset, "finding" => %refused);
+        }
+        _ => {}
+    }
+}
+
+fn notify(log: &Logger, notice: &Notice) {
+    match notice {
+        Notice::LogBehind(end) => emit!(log, error, LogBehind; "end" => end),
+        Notice::HistoryLost { oldest } => emit!(log, error, HistoryLost; "oldest" => oldest),
+        Notice::SnapshotRejected(error) => {
+            emit!(log, error, SnapshotRejected; "error" => %error);
+        }
+        Notice::Diverged { peer, offset } => {
+            emit!(log, error, Diverged; "peer" => &**peer, "offset" => offset);
+        }
+    }
+}
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use caraway_node::{Done, Gossip, Input};
+use caraway_records::Offer;
 use caraway_types::{
     AccountId, AdapterRef, Certainty, Class, InstanceId, Millis, Reason, Refusal, RequestId,
 };
@@ -17,7 +18,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
-    sync::mpsc::channel,
+    sync::{mpsc::channel, oneshot},
     time::{Instant, timeout},
 };
 
@@ -29,7 +30,10 @@
     reply::{event, events, refuse},
     source::Fault,
 };
-use crate::shared::Control;
+use crate::{
+    follow::{Follow, PeerAsk},
+    shared::Control,
+};
 
 /// A completion that is passed on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -145,6 +149,7 @@
 pub(crate) async fn gossip(payload: Payload, gate: State<Gate>) -> HttpResponse {
     match read::<Gossip>(&gate, payload).await {
         Ok(gossip) => {
+            offer(&gate, &gossip);
             let message = Control::Input(Input::Gossip(gossip));
             if gate.shared.control.push(message).is_err() {
                 return refuse(
@@ -158,6 +163,34 @@
     }
 }
 
+/// Tells the log thread which configuration a peer has.
+fn offer(gate: &Gate, gossip: &Gossip) {
+    if let Some(mark) = gossip.config {
+        let (next, digest) = (mark.next, mark.digest);
+        let message = Follow::Offer(Arc::clone(&gossip.from), Offer { next, digest });
+        // A dropped offer comes again with the next gossip.
+        let _ = gate.shared.follow.push(message);
+    }
+}
+
+/// `POST /peer/records`: gives a peer the records that it lacks.
+pub(crate) async fn records(payload: Payload, gate: State<Gate>) -> HttpResponse {
+    let ask = match read::<PeerAsk>(&gate, payload).await {
+        Ok(ask) => ask,
+        Err(refusal) => return refuse(None, refusal),
+    };
+    let (reply, answer) = oneshot::channel();
+    if gate.shared.follow.push(Follow::Ask(ask, reply)).is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match answer.await {
+        Ok(body) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(body),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 /// Answers a peer with a message.
 pub(crate) fn answer(message: &impl Serialize) -> HttpResponse {
     let body = rmp_serde::to_vec_named(message).unwrap_or_default();
--- a/crates/caraway-entry/src/http/server.rs
+++ b/crates/caraway-entry/src/http/server.rs
@@ -86,6 +86,7 @@
         .service(web::resource("/v1/completions").route(web::post().to(completions::text)))
         .service(web::resource("/v1/chat/completions").route(web::post().to(completions::chat)))
         .service(web::resource("/peer/completions").route(web::post().to(peer::completions)))
+        .service(web::resource("/peer/records").route(web::post().to(peer::records)))
         .service(web::resource("/peer/gossip").route(web::post().to(peer::gossip)))
         .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
         .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
--- a/crates/caraway-entry/src/lib.rs
+++ b/crates/caraway-entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod events;
 mod follow;
+mod follow_events;
 mod guard;
 mod http;
 mod metrics;
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -16,7 +16,7 @@
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
-use crate::{EndpointSettings, Settings, burn::BurnMessage, metrics::Metrics};
+use crate::{EndpointSettings, Settings, burn::BurnMessage, follow::Follow, metrics::Metrics};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -64,6 +64,8 @@
     pub(crate) control: Sender<Control>,
     /// The way to the burn thread.
     pub(crate) burn: Sender<BurnMessage>,
+    /// The way to the log thread.
+    pub(crate) follow: Sender<Follow>,
     /// The configuration in force.
     pub(crate) config: watch::Receiver<Arc<State>>,
     /// Addresses of the peers, as last heard of.
@@ -91,7 +93,7 @@
         settings: Settings,
         addr: SocketAddr,
         incarnation: u64,
-        (control, burn): (Sender<Control>, Sender<BurnMessage>),
+        (control, burn, follow): (Sender<Control>, Sender<BurnMessage>, Sender<Follow>),
         config: watch::Receiver<Arc<State>>,
         log: Logger,
         metrics: Metrics,
@@ -106,6 +108,7 @@
             incarnation,
             control,
             burn,
+            follow,
             config,
             peers: RwLock::new(peers),
             endpoints,
--- /dev/null
+++ b/crates/caraway-entry/tests/config_follow.rs
@@ -0,0 +1,208 @@
+//! Configuration is in force on every instance and never reverts, with instances as processes
+//! that are killed, frozen, cut off from the log or replaced while it is down.
+
+mod testbed;
+
+use std::{sync::Arc, thread};
+
+use caraway_records::State;
+use caraway_standin::{LogFaults, LogService, LogSettings, RelayFaults, RelayMode, Relays};
+use caraway_wire::{
+    list::{Listed, Role},
+    log::CONFIG_STREAM,
+};
+use serde_json::{Value, json};
+use testbed::{
+    Plan, Testbed,
+    caller::{eventually, get},
+    entry_id,
+    process::EntryProcess,
+};
+
+fn plan(entries: usize) -> Plan {
+    Plan {
+        entries,
+        zones: 3,
+        engines: 3,
+        ..Plan::default()
+    }
+}
+
+/// Makes a record of a client account.
+fn account(key: &str, base: Option<u64>, id: &str, rate: usize) -> Arc<str> {
+    let record = json!({
+        "schema": 1, "kind": "account", "key": key, "base": base, "id": id,
+        "body": {"rate": rate},
+    });
+    record.to_string().into()
+}
+
+/// Publishes `count` changes of one client account.
+fn publish(bed: &Testbed, key: &str, count: usize) {
+    let mut base = None;
+    for i in 0..count {
+        let record = account(key, base, &format!("{key}-{i}"), i);
+        bed.log.append(CONFIG_STREAM, &[record]);
+        base = bed.log.page(CONFIG_STREAM).end.checked_sub(1);
+    }
+}
+
+/// Returns offset and digest of an instance.
+fn status(entry: &EntryProcess) -> Option<(u64, String)> {
+    let status: Value = get(entry.addr, "/admin/status")?.json();
+    Some((
+        status["offset"].as_u64()?,
+        status["digest"].as_str()?.into(),
+    ))
+}
+
+/// Waits until every instance has what the whole log gives.
+fn agree(bed: &Testbed) {
+    let mut truth = State::default();
+    for entry in bed.log.page(CONFIG_STREAM).records {
+        truth.apply(entry.offset, &entry.data);
+    }
+    let wanted = (truth.next(), format!("{:016x}", truth.digest()));
+    for entry in &bed.entries {
+        eventually("an instance has the whole configuration", || {
+            status(entry).as_ref() == Some(&wanted)
+        });
+    }
+}
+
+/// Lists an instance that has settings of its own.
+fn add(bed: &mut Testbed, i: usize, settings: &Value) {
+    let entry = EntryProcess::start(settings);
+    bed.list.set(Listed {
+        id: entry_id(i).into(),
+        role: Role::Entry,
+        zone: bed.zone(i).into(),
+        addr: entry.addr,
+        incarnation: 1,
+        leaving: false,
+    });
+    bed.entries.push(entry);
+}
+
+fn set_down(bed: &Testbed, down: bool) {
+    bed.log.set_faults(LogFaults {
+        down,
+        ..LogFaults::default()
+    });
+}
+
+#[test]
+fn a_frozen_and_a_killed_instance_catch_up() {
+    let mut bed = Testbed::start(plan(3));
+    bed.entries[0].freeze();
+    bed.entries[1].kill();
+    publish(&bed, "c", 50);
+    bed.entries[0].thaw();
+    bed.add_entry(1);
+    agree(&bed);
+}
+
+#[test]
+fn a_zone_cut_off_from_the_log_keeps_up_through_peers() {
+    let relays = Relays::start().unwrap();
+    let mut bed = Testbed::bare(plan(0));
+    bed.publish_records();
+    bed.add_entry(0);
+    bed.add_entry(1);
+    let relay = relays.add(bed.log.addr(), 0).unwrap();
+    let mut settings = bed.settings(2);
+    settings["log"] = json!(relay.addr());
+    add(&mut bed, 2, &settings);
+    agree(&bed);
+    for (i, mode) in [RelayMode::Closed, RelayMode::Cut].into_iter().enumerate() {
+        relay.set_faults(RelayFaults {
+            mode,
+            ..RelayFaults::default()
+        });
+        publish(&bed, &format!("c{i}"), 20);
+        agree(&bed);
+    }
+}
+
+#[test]
+fn instances_replaced_while_the_log_is_down_take_the_state_from_a_peer() {
+    let mut bed = Testbed::start(plan(3));
+    publish(&bed, "c", 50);
+    agree(&bed);
+    set_down(&bed, true);
+    for i in 1..3 {
+        bed.entries[i].kill();
+    }
+    for i in 1..3 {
+        bed.add_entry(i);
+    }
+    agree(&bed);
+    set_down(&bed, false);
+    publish(&bed, "d", 5);
+    agree(&bed);
+}
+
+#[test]
+fn a_history_longer_than_the_retention_survives_in_snapshots() {
+    let mut bed = Testbed::bare(plan(0));
+    bed.log = LogService::start(LogSettings {
+        keep_records: 60,
+        ..LogSettings::default()
+    })
+    .unwrap();
+    let config = json!({ "snapshot_every": 20, "snapshot_spread_ms": 100 });
+    let start = |bed: &mut Testbed, i| {
+        let mut settings = bed.settings(i);
+        settings["config"] = config.clone();
+        add(bed, i, &settings);
+    };
+    for i in 0..3 {
+        start(&mut bed, i);
+    }
+    let mut truth = State::default();
+    for key in 0..10 {
+        publish(&bed, &format!("c{key}"), 20);
+        for entry in bed.log.page(CONFIG_STREAM).records {
+            truth.apply(entry.offset, &entry.data);
+        }
+        let covered = truth.next() - 10;
+        eventually("a snapshot is in the log", || {
+            let records = bed.log.page(CONFIG_STREAM).records;
+            let chunk = |r: &&caraway_wire::log::Entry| r.data.contains(r#""kind":"snapshot""#);
+            let last = records.iter().rfind(chunk);
+            last.is_some_and(|r| r.offset >= covered)
+        });
+        for entry in bed.log.page(CONFIG_STREAM).records {
+            truth.apply(entry.offset, &entry.data);
+        }
+    }
+    assert!(bed.log.page(CONFIG_STREAM).oldest > 120);
+    bed.entries.clear();
+    start(&mut bed, 0);
+    eventually("the new instance has the configuration", || {
+        let digest = format!("{:016x}", truth.digest());
+        status(&bed.entries[0]).is_some_and(|s| s.1 == digest)
+    });
+}
+
+#[test]
+fn two_operators_race_on_200_keys_while_answers_are_lost() {
+    let bed = Testbed::start(plan(3));
+    thread::scope(|scope| {
+        for operator in 0..2 {
+            let log = &bed.log;
+            scope.spawn(move || {
+                for key in 0..200 {
+                    let name = format!("k{key}");
+                    let id = format!("{operator}-{key}");
+                    let record = account(&name, None, &id, operator + 1);
+                    log.append(CONFIG_STREAM, std::slice::from_ref(&record));
+                    if key % 3 == 0 {
+                        log.append(CONFIG_STREAM, &[record]);
+                    }
+                }
+            });
+        }
+    });
+    agree(&bed);
+}
