--- a/crates/caraway-measure/src/deployment.rs
+++ b/crates/caraway-measure/src/deployment.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result};
 use caraway_entry::{Entry, Settings};
 use caraway_standin::{
-    Engine, EngineSettings, InstanceList, ListSettings, LogService, LogSettings,
+    Engine, EngineSettings, InstanceList, ListSettings, LogService, LogSettings, Relay, Relays,
 };
 use caraway_types::Millis;
 use caraway_wire::{
@@ -25,6 +25,9 @@
     pub(crate) engines: Vec<Engine>,
     /// The platform's log.
     pub(crate) log: LogService,
+    /// Through which the instances of the first of several zones reach the log.
+    pub(crate) relay: Relay,
+    _relays: Relays,
     list: InstanceList,
 }
 
@@ -72,6 +75,8 @@
     pub(crate) fn start(plan: &Plan) -> Result<Self> {
         let log = LogService::start(LogSettings::default())?;
         log.append(CONFIG_STREAM, &records(plan.adapters));
+        let relays = Relays::start()?;
+        let relay = relays.add(log.addr(), 0)?;
         let list = InstanceList::start(ListSettings::default(), Vec::new())?;
         let engine = |i: usize| {
             let id = format!("engine-{i}").into();
@@ -85,6 +90,8 @@
             entries: Vec::new(),
             engines,
             log,
+            relay,
+            _relays: relays,
             list,
         };
         for i in 0..plan.entries {
@@ -131,11 +138,17 @@
             })
         };
         let engines: Vec<_> = self.engines.iter().enumerate().map(engine).collect();
+        let relayed = plan.zones > 1 && i.is_multiple_of(plan.zones);
+        let log = if relayed {
+            self.relay.addr()
+        } else {
+            self.log.addr()
+        };
         json!({
             "instance": &*entry_id(i),
             "zone": zone(plan, i),
             "listen": "127.0.0.1:0",
-            "log": self.log.addr(),
+            "log": log,
             "list": self.list.addr(),
             "store_rate": 1000.0,
             "store_transit": 100,
--- a/crates/caraway-measure/src/flags.rs
+++ b/crates/caraway-measure/src/flags.rs
@@ -26,6 +26,17 @@
             /// Writes an SVG plot here.
             optional --plot plot: PathBuf
         }
+        /// Measures the configuration: the fold, and how soon a change is in force everywhere.
+        cmd config {
+            /// Changes in each scenario.
+            optional --changes changes: u32
+            /// Adapters that are published before.
+            optional --adapters adapters: u32
+            /// Length of the log's outage, in seconds.
+            optional --outage-s seconds: u32
+            /// Prints JSON.
+            optional --json
+        }
         /// Compares the engine called directly with the path through the daemon.
         cmd path {
             /// Requests for each way.
--- a/crates/caraway-measure/src/main.rs
+++ b/crates/caraway-measure/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each subcommand is a module of its own with a `run` function; [`flags`] lists them.
 
+mod config;
 mod cpu;
 mod deployment;
 mod flags;
@@ -10,6 +11,7 @@
 
 fn main() -> anyhow::Result<()> {
     match flags::Measure::from_env_or_exit().subcommand {
+        flags::MeasureCmd::Config(args) => config::run(&args),
         flags::MeasureCmd::Path(args) => path::run(&args),
         flags::MeasureCmd::Policy(args) => policy::run(&args),
     }
--- a/crates/caraway-measure/src/path.rs
+++ b/crates/caraway-measure/src/path.rs
@@ -139,7 +139,7 @@
 }
 
 /// Runs `work` on a system of its own.
-fn system<T: 'static>(work: impl Future<Output = Result<T>> + 'static) -> Result<T> {
+pub(crate) fn system<T: 'static>(work: impl Future<Output = Result<T>> + 'static) -> Result<T> {
     ntex::rt::System::build()
         .name("measure")
         .build(ntex::rt::DefaultRuntime)
--- a/crates/caraway-records/src/follower/mod.rs
+++ b/crates/caraway-records/src/follower/mod.rs
@@ -98,7 +98,7 @@
             FollowerInput::Page(page) => self.on_page(now, &page, out),
             FollowerInput::LogFailed => self.reader.on_failure(now, &self.settings),
             FollowerInput::Appended(done) => self.writer.on_appended(now, done),
-            FollowerInput::Offer(peer, offer) => self.on_offer(peer, offer, out),
+            FollowerInput::Offer(peer, offer) => self.on_offer(now, peer, offer, out),
             FollowerInput::Answer(peer, answer) => {
                 self.on_answer(now, &peer, answer.as_ref(), out);
             }
@@ -173,7 +173,13 @@
     }
 
     /// Takes in what a peer says of its state.
-    fn on_offer(&mut self, peer: InstanceId, offer: Offer, out: &mut Vec<FollowerOutput>) {
+    fn on_offer(
+        &mut self,
+        now: Instant,
+        peer: InstanceId,
+        offer: Offer,
+        out: &mut Vec<FollowerOutput>,
+    ) {
         let own = self.checkpoints.digest(offer.next);
         if own.is_some_and(|own| own != offer.digest) && self.peers.diverge(&peer, offer.next) {
             out.push(FollowerOutput::Notice(Notice::Diverged {
@@ -181,7 +187,7 @@
                 offset: offer.next,
             }));
         }
-        self.peers.on_offer(peer, offer);
+        self.peers.on_offer(now, peer, offer);
     }
 
     /// Takes in a peer's answer; none says that the peer did not answer.
@@ -202,7 +208,7 @@
         let advanced = self.state.next() > before;
         self.peers.on_answer(now, peer, advanced, &self.settings);
         if let Some(answer) = answer {
-            self.on_offer(peer.clone(), answer.offer, out);
+            self.on_offer(now, peer.clone(), answer.offer, out);
         }
         if self.scan.is_some() && self.state.next() >= self.log_oldest {
             self.scan = None;
--- a/crates/caraway-records/src/follower/peers.rs
+++ b/crates/caraway-records/src/follower/peers.rs
@@ -1,11 +1,17 @@
 //! [`Peers`] decides whom to ask for records that the log does not give.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
 use caraway_types::{InstanceId, Offset};
 
 use super::{FollowerSettings, Offer};
 
+/// Time after which an offer that is not repeated no longer counts.
+const OFFER_LIFE: Duration = Duration::from_mins(1);
+
 /// What the peers have.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -19,6 +25,7 @@
 #[derive(Debug)]
 struct Known {
     offer: Offer,
+    heard: Instant,
     retry: Option<Instant>,
 }
 
@@ -35,9 +42,14 @@
     }
 
     /// Takes in an offer.
-    pub(crate) fn on_offer(&mut self, peer: InstanceId, offer: Offer) {
+    pub(crate) fn on_offer(&mut self, now: Instant, peer: InstanceId, offer: Offer) {
         let retry = self.known.get(&peer).and_then(|k| k.retry);
-        self.known.insert(peer, Known { offer, retry });
+        let known = Known {
+            offer,
+            heard: now,
+            retry,
+        };
+        self.known.insert(peer, known);
     }
 
     /// Forgets a peer.
@@ -95,8 +107,9 @@
         Some(peer)
     }
 
-    /// Counts a question without an answer as failed.
+    /// Counts a question without an answer as failed, and drops old offers.
     fn expire(&mut self, now: Instant, settings: &FollowerSettings) {
+        self.known.retain(|_, k| now < k.heard + OFFER_LIFE);
         let late = |at: Instant| now >= at + settings.request_ms.get();
         if let Some((peer, _)) = self.asked.clone().filter(|(_, at)| late(*at)) {
             self.on_answer(now, &peer, false, settings);
--- a/crates/caraway-records/tests/follower.rs
+++ b/crates/caraway-records/tests/follower.rs
@@ -4,7 +4,9 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use caraway_records::{FollowerSettings, Notice, Outcome, RefusedRecord, Snapshot};
+use caraway_records::{
+    FollowerInput, FollowerSettings, Notice, Offer, Outcome, RefusedRecord, Snapshot,
+};
 use common::Floor;
 use serde_json::{Value, json};
 
@@ -270,3 +272,20 @@
     assert_eq!(floor.members[i].notices, [lost]);
     assert!(!floor.members[i].follower.is_ready());
 }
+
+#[test]
+fn the_offer_of_a_peer_that_is_gone_holds_nobody_back() {
+    let mut floor = floor(ALL);
+    publish_versions(&mut floor, "sign", 2);
+    floor.settle(IN_FORCE);
+    floor.log.down = true;
+    floor.members.truncate(1);
+    let i = floor.start();
+    let offer = Offer {
+        next: 1_000,
+        digest: 1,
+    };
+    floor.handle(i, FollowerInput::Offer("gone".into(), offer));
+    floor.run(2 * MINUTE);
+    assert!(floor.members[i].follower.is_ready());
+}
