Count a whole fleet's heartbeats and spread leaving through it

A mark of leaving reached all 380 within one second of virtual time. Evaluation without news is limited to one in 100 ms, replicas of other zones and preferences are no longer worked through in each tick.

--- a/crates/caraway-members/src/claims.rs
+++ b/crates/caraway-members/src/claims.rs
@@ -3,12 +3,18 @@
 //! A heartbeat that tells of a claim, once acknowledged, keeps the peer from ordering on that
 //! replica until the lease and the guard have passed in silence.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
 
 use caraway_types::{EndpointId, Fence, InstanceId};
 
 use crate::{
-    MemberEvent, Members, Phase, Presence, Stage, fences, peer::Peer, rendezvous, replica::Rival,
+    EndpointInfo, MemberEvent, Members, Phase, Presence, Stage, fences,
+    peer::Peer,
+    rendezvous,
+    replica::{Preferred, Replica, Rival},
 };
 
 impl Members {
@@ -49,7 +55,7 @@
         let trusts = |p: &Peer| p.granted.is_some_and(|end| now < end);
         let may_act = |(id, p): (&InstanceId, &Peer)| {
             let ended = self.marks.stage(id, p.incarnation) == Some(Stage::Ended);
-            p.zone == self.me.zone && !ended && !trusts(p)
+            p.local && !ended && !trusts(p)
         };
         self.dropped() && self.peers.iter().any(may_act)
     }
@@ -74,7 +80,7 @@
         let dropped_now = |(id, p): (&InstanceId, &Peer)| {
             let dropped = self.marks.stage(id, p.incarnation) == Some(Stage::Dropped);
             let age = self.marks.ended_for(now, id, p.incarnation);
-            dropped && p.zone == self.me.zone && age < Some(self.settings.idle.get())
+            dropped && p.local && age < Some(self.settings.idle.get())
         };
         self.zone_peers().all(|(_, p)| clear(p)) && !self.peers.iter().any(dropped_now)
     }
@@ -85,12 +91,9 @@
         let ids: Vec<EndpointId> = self.replicas.keys().cloned().collect();
         let mut changed = false;
         for endpoint in ids {
-            if self.replicas[&endpoint].info.zone == self.me.zone {
-                changed |= self.tick_replica(now, &endpoint, events);
-            } else {
-                self.guess_holder(&endpoint);
-            }
+            changed |= self.tick_replica(now, &endpoint, events);
         }
+        self.tell_holders(now);
         if changed {
             self.hurry(now);
         }
@@ -119,8 +122,27 @@
     fn choose_candidates(&mut self, now: Instant) {
         let lease = self.settings.lease.get();
         let for_a_lease = |since| now.saturating_duration_since(since) >= lease;
-        self.candidates = self.candidates_of(now, |p| p.up.is_some());
-        self.steady = self.candidates_of(now, |p| p.up.is_some_and(for_a_lease));
+        let candidates = self.candidates_of(now, |p| p.up.is_some());
+        let steady = self.candidates_of(now, |p| p.up.is_some_and(for_a_lease));
+        if candidates != self.candidates || steady != self.steady {
+            self.candidates = candidates;
+            self.steady = steady;
+            self.choose_preferred();
+        }
+    }
+
+    fn choose_preferred(&mut self) {
+        let me = &*self.me.id;
+        for replica in self.replicas.values_mut() {
+            let mine = |candidates: &BTreeSet<InstanceId>| {
+                let ids = candidates.iter().map(|id| &**id);
+                rendezvous::choose(&replica.info.id, ids) == Some(me)
+            };
+            replica.preferred = Preferred {
+                to_claim: mine(&self.candidates),
+                to_keep: mine(&self.steady),
+            };
+        }
     }
 
     /// Returns this instance and the peers that `eligible` accepts, unless they leave; of those,
@@ -149,7 +171,7 @@
         events: &mut Vec<MemberEvent>,
     ) -> bool {
         let holding = self.replicas[endpoint].holding().map(|h| h.fence);
-        let changed = match holding {
+        match holding {
             Some(fence) if self.must_release(now, endpoint, fence) => {
                 self.release(endpoint, events);
                 true
@@ -163,9 +185,7 @@
                 true
             }
             None => false,
-        };
-        self.tell_holder(now, endpoint);
-        changed
+        }
     }
 
     fn must_release(&self, now: Instant, endpoint: &EndpointId, fence: Fence) -> bool {
@@ -178,7 +198,7 @@
             .zone_peers()
             .any(|(_, p)| self.heard(now, p) && outranked(p));
         let fenced = replica.rival.is_some();
-        let elsewhere = self.doubt.is_none() && !self.prefers_me(endpoint, &self.steady);
+        let elsewhere = self.doubt.is_none() && !replica.preferred.to_keep;
         rival || fenced || elsewhere || self.outcast(now)
     }
 
@@ -205,7 +225,7 @@
             quiet && known && !taken
         };
         let free = || self.zone_peers().all(|(_, p)| free(p));
-        ready && !draining && !blocked && self.prefers_me(endpoint, &self.candidates) && free()
+        ready && !draining && !blocked && replica.preferred.to_claim && free()
     }
 
     /// A larger token keeps this instance away while its maker may still use it.
@@ -283,36 +303,33 @@
         held.cleared = cleared;
     }
 
-    fn prefers_me(&self, endpoint: &EndpointId, candidates: &BTreeSet<InstanceId>) -> bool {
-        let chosen = rendezvous::choose(endpoint, candidates.iter().map(|id| &**id));
-        chosen == Some(&*self.me.id)
-    }
-
-    fn tell_holder(&mut self, now: Instant, endpoint: &EndpointId) {
-        let mine = self.replicas[endpoint].holding();
-        let own = mine.map(|h| (h.fence, &self.me.id));
+    /// Notes who holds each replica of the zone.
+    fn tell_holders(&mut self, now: Instant) {
+        let mut holders: BTreeMap<EndpointId, (Fence, InstanceId)> = BTreeMap::new();
+        let own = self.replicas.values().filter_map(Replica::told);
+        let own = own.map(|h| (h, &self.me.id));
         let peers = self.zone_peers().filter(|(_, p)| self.heard(now, p));
-        let theirs = peers.filter_map(|(id, p)| {
-            let holding = p.holding(endpoint).filter(|h| h.phase == Phase::Holding)?;
-            Some((holding.fence, id))
-        });
-        let holder = theirs.chain(own).max().map(|(_, id)| id.clone());
-        if let Some(replica) = self.replicas.get_mut(endpoint) {
-            replica.holder = holder;
+        let theirs = peers.flat_map(|(id, p)| p.held.iter().map(move |h| (h.clone(), id)));
+        for (holding, id) in theirs.chain(own) {
+            if holding.phase == Phase::Holding {
+                let next = (holding.fence, id.clone());
+                let entry = holders.entry(holding.endpoint).or_insert(next.clone());
+                *entry = next.max(entry.clone());
+            }
+        }
+        for replica in self.replicas.values_mut() {
+            replica.holder = holders.remove(&replica.info.id).map(|(_, id)| id);
         }
     }
 
-    fn guess_holder(&mut self, endpoint: &EndpointId) {
-        let zone = &self.replicas[endpoint].info.zone;
-        let there = self.peers.iter().filter(|(id, p)| {
-            p.zone == *zone
-                && p.up.is_some()
-                && self.marks.stage(id, p.incarnation) < Some(Stage::Leaving)
-        });
-        let holder = rendezvous::choose(endpoint, there.map(|(id, _)| &**id));
-        let holder = holder.map(InstanceId::from);
-        if let Some(replica) = self.replicas.get_mut(endpoint) {
-            replica.holder = holder;
-        }
+    /// Returns the instance of another zone that a replica there falls to, as seen from here.
+    pub(crate) fn likely_holder(&self, replica: &EndpointInfo) -> Option<&InstanceId> {
+        let there = |(id, p): &(&InstanceId, &Peer)| {
+            let staying = self.marks.stage(id, p.incarnation).is_none();
+            p.zone == replica.zone && p.up.is_some() && staying
+        };
+        let ids = self.peers.iter().filter(there).map(|(id, _)| &**id);
+        let chosen = rendezvous::choose(&replica.id, ids)?;
+        self.peers.get_key_value(chosen).map(|(id, _)| id)
     }
 }
--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -18,6 +18,8 @@
     sent::SentLog,
 };
 
+/// Least time between two evaluations of states without news.
+const QUIET_TICK: Duration = Duration::from_millis(100);
 /// How long a mark of an id that nothing else names is kept.
 const MARK_AGE: Duration = Duration::from_hours(1);
 
@@ -35,7 +37,10 @@
     pub(crate) peers: BTreeMap<InstanceId, Peer>,
     pub(crate) marks: Marks,
     pub(crate) fences: Fences,
+    /// The replicas of this zone.
     pub(crate) replicas: BTreeMap<EndpointId, Replica>,
+    /// The replicas of other zones.
+    pub(crate) remote: BTreeMap<EndpointId, EndpointInfo>,
     pub(crate) listed_endpoints: BTreeMap<EndpointId, ListedEndpoint>,
     /// Whether a listing has named this incarnation.
     pub(crate) listed: bool,
@@ -43,6 +48,8 @@
     pub(crate) missing: u8,
     pub(crate) last_listing: Option<Instant>,
     pub(crate) last_tick: Instant,
+    /// When states were last evaluated, unless there was news since.
+    pub(crate) evaluated: Option<Instant>,
     /// Since when holdings may be out of date because this instance was paused or is new.
     pub(crate) doubt: Option<Instant>,
     pub(crate) leaving: bool,
@@ -70,6 +77,8 @@
         endpoints: Vec<EndpointInfo>,
         now: Instant,
     ) -> Self {
+        let (local, remote): (Vec<_>, Vec<_>) =
+            endpoints.into_iter().partition(|e| e.zone == me.zone);
         let replica = |e: EndpointInfo| (e.id.clone(), Replica::new(e));
         Self {
             tag: fences::tag(&me.id, me.incarnation, 0),
@@ -82,12 +91,14 @@
             peers: BTreeMap::new(),
             marks: Marks::default(),
             fences: Fences::default(),
-            replicas: endpoints.into_iter().map(replica).collect(),
+            replicas: local.into_iter().map(replica).collect(),
+            remote: remote.into_iter().map(|e| (e.id.clone(), e)).collect(),
             listed_endpoints: BTreeMap::new(),
             listed: false,
             missing: 0,
             last_listing: None,
             last_tick: now,
+            evaluated: None,
             doubt: Some(now),
             leaving: false,
             candidates: BTreeSet::new(),
@@ -99,6 +110,7 @@
     /// a refusal, or of an own order that was accepted.
     pub fn on_fence(&mut self, now: Instant, endpoint: &EndpointId, fence: Fence) {
         self.fences.see(endpoint, fence);
+        self.evaluated = None;
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.see_fence(now, fence);
         }
@@ -107,7 +119,7 @@
     /// Learns whether a call to an instance or endpoint was answered.
     pub fn on_answer(&mut self, now: Instant, id: &str, answered: bool) {
         if let Some(peer) = self.peers.get_mut(id) {
-            peer.failed = !answered;
+            peer.failed = (!answered).then_some(now);
         }
         if let Some(endpoint) = self.listed_endpoints.get_mut(id) {
             endpoint.answered = Some((answered, now));
@@ -120,6 +132,12 @@
     /// Brings states and holdings up to `now`.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
         let mut events = Vec::new();
+        let quiet = |at| now.saturating_duration_since(at) < QUIET_TICK;
+        if self.evaluated.is_some_and(quiet) {
+            self.last_tick = now;
+            return events;
+        }
+        self.evaluated = Some(now);
         self.notice_pause(now);
         self.drop_missing(now);
         self.tick_peers(now, &mut events);
@@ -190,7 +208,10 @@
     /// is the instance that most likely does.
     #[must_use]
     pub fn holder(&self, endpoint: &EndpointId) -> Option<&InstanceId> {
-        self.replicas.get(endpoint)?.holder.as_ref()
+        match self.replicas.get(endpoint) {
+            Some(replica) => replica.holder.as_ref(),
+            None => self.likely_holder(self.remote.get(endpoint)?),
+        }
     }
 
     /// Tells whether an instance or endpoint may get new work.
@@ -238,6 +259,7 @@
     /// Starts to hand over everything that this instance holds.
     pub fn leave(&mut self, now: Instant) {
         self.leaving = true;
+        self.evaluated = None;
         self.mark(now, &self.own_mark(Stage::Leaving));
     }
 
@@ -298,7 +320,7 @@
         };
         self.peers
             .iter()
-            .filter(move |(id, p)| p.zone == self.me.zone && !ended(id, p))
+            .filter(move |(id, p)| p.local && !ended(id, p))
     }
 
     /// Counts the known peers of this zone that have not ended.
--- a/crates/caraway-members/src/peer.rs
+++ b/crates/caraway-members/src/peer.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Peer {
     pub(crate) zone: ZoneId,
+    /// Whether it is in this instance's zone.
+    pub(crate) local: bool,
     pub(crate) incarnation: Incarnation,
     pub(crate) tag: u32,
     /// When it was last heard, directly.
@@ -35,8 +37,8 @@
     pub(crate) missing: u8,
     /// No claim before this time, while orders of an earlier incarnation may be under way.
     pub(crate) quiet: Option<Instant>,
-    /// Whether the last call to it failed, until it is heard again.
-    pub(crate) failed: bool,
+    /// When the last call to it failed, unless it was heard since.
+    pub(crate) failed: Option<Instant>,
     /// When the next heartbeat to it is due.
     pub(crate) due: Instant,
 }
@@ -45,18 +47,20 @@
     /// Makes a peer that was not heard yet.
     pub(crate) fn new(
         zone: ZoneId,
+        local: bool,
         incarnation: Incarnation,
         tag: u32,
+        promised: Instant,
         now: Instant,
-        lease: Duration,
     ) -> Self {
         Self {
             zone,
+            local,
             incarnation,
             tag,
             heard: None,
             vouched: None,
-            promised: now + lease,
+            promised,
             up: None,
             seq: 0,
             listed: false,
@@ -66,7 +70,7 @@
             named: false,
             missing: 0,
             quiet: None,
-            failed: false,
+            failed: None,
             due: now,
         }
     }
@@ -77,7 +81,7 @@
         self.tag = beat.tag;
         self.listed = beat.listed;
         self.heard = Some(now);
-        self.failed = false;
+        self.failed = None;
         self.missing = if self.named { self.missing } else { 0 };
         self.promised = self.promised.max(now + beat.lease.get());
         self.held.clone_from(&beat.held);
--- a/crates/caraway-members/src/presence.rs
+++ b/crates/caraway-members/src/presence.rs
@@ -1,8 +1,11 @@
 //! How [`Members`] learns who is live, leaving or gone.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
-use caraway_types::InstanceId;
+use caraway_types::{Incarnation, InstanceId, ZoneId};
 
 use crate::{
     Heartbeat, Holding, ListedMember, Mark, MemberEvent, Members, Phase, Stage, fences,
@@ -66,6 +69,7 @@
             }
         }
         self.last_listing = Some(now);
+        self.evaluated = None;
     }
 
     /// Marks members that the list has dropped and that are not heard.
@@ -157,6 +161,14 @@
         }
     }
 
+    /// Makes a peer that was not heard yet; it may rely on what an earlier life of this instance
+    /// acknowledged to it, for a lease.
+    fn new_peer(&self, now: Instant, zone: &ZoneId, incarnation: Incarnation, tag: u32) -> Peer {
+        let local = *zone == self.me.zone;
+        let promised = now + self.settings.lease_for(self.zone_size());
+        Peer::new(zone.clone(), local, incarnation, tag, promised, now)
+    }
+
     /// Takes a new incarnation of a peer in place of the known one.
     fn renew(&mut self, now: Instant, id: &InstanceId, mut fresh: Peer) {
         let known = self.peers.get(id).map(|p| p.incarnation);
@@ -191,10 +203,9 @@
 
     /// Takes what a heartbeat says of its sender; tells whether it was new.
     fn hear(&mut self, now: Instant, beat: &Heartbeat) -> bool {
-        let lease = self.settings.lease.get();
         let known = self.peers.get(&beat.from).map(|p| p.incarnation);
         if known.is_none_or(|k| k < beat.incarnation) {
-            let fresh = Peer::new(beat.zone.clone(), beat.incarnation, beat.tag, now, lease);
+            let fresh = self.new_peer(now, &beat.zone, beat.incarnation, beat.tag);
             self.renew(now, &beat.from, fresh);
         }
         let Some(peer) = self.peers.get_mut(&beat.from) else {
@@ -211,6 +222,7 @@
             peer.acked = peer.acked.max(ack.seq);
             peer.granted = peer.granted.max(self.sent.lease_end(ack.seq));
         }
+        self.evaluated = self.evaluated.filter(|_| !local);
         if news && local {
             peer.due = now;
             self.note_settled(&before, &beat.held);
@@ -220,16 +232,18 @@
     }
 
     fn take_vouches(&mut self, now: Instant, beat: &Heartbeat) {
-        for vouch in &beat.vouched {
-            let Some(at) = now.checked_sub(vouch.age.get()) else {
+        if beat.vouched.is_empty() || beat.zone == self.me.zone {
+            return;
+        }
+        let ages: BTreeMap<u32, Duration> =
+            beat.vouched.iter().map(|v| (v.tag, v.age.get())).collect();
+        for peer in self.peers.values_mut().filter(|p| p.zone == beat.zone) {
+            let age = ages.get(&peer.tag);
+            let Some(at) = age.and_then(|a| now.checked_sub(*a)) else {
                 continue;
             };
-            let peers = self.peers.values_mut();
-            let vouched = peers.filter(|p| p.zone == beat.zone && p.tag == vouch.tag);
-            for peer in vouched {
-                peer.failed &= peer.vouched.is_some_and(|old| old >= at);
-                peer.vouched = peer.vouched.max(Some(at));
-            }
+            peer.failed = peer.failed.filter(|failed| at <= *failed);
+            peer.vouched = peer.vouched.max(Some(at));
         }
     }
 
@@ -272,10 +286,9 @@
 
     fn see_instance(&mut self, now: Instant, member: &ListedMember) {
         let tag = fences::tag(&member.id, member.incarnation, 0);
-        let lease = self.settings.lease.get();
         let known = self.peers.get(&member.id).map(|p| p.incarnation);
         if known.is_none_or(|k| k < member.incarnation) {
-            let fresh = Peer::new(member.zone.clone(), member.incarnation, tag, now, lease);
+            let fresh = self.new_peer(now, &member.zone, member.incarnation, tag);
             self.renew(now, &member.id, fresh);
         }
         let Some(peer) = self.peers.get_mut(&member.id) else {
@@ -294,12 +307,12 @@
         if stage.is_some_and(|s| s >= Stage::Dropped) {
             return false;
         }
-        if peer.zone == self.me.zone {
+        if peer.local {
             return peer.heard.is_some() && !peer.silent(now, self.guard());
         }
         let timeout = self.settings.remote_timeout.get();
         let recent = |at| now.saturating_duration_since(at) <= timeout;
         let heard = peer.heard.max(peer.vouched).is_some_and(recent);
-        !peer.failed && (heard || peer.named && peer.missing == 0)
+        peer.failed.is_none() && (heard || peer.named && peer.missing == 0)
     }
 }
--- a/crates/caraway-members/src/replica.rs
+++ b/crates/caraway-members/src/replica.rs
@@ -35,11 +35,21 @@
     pub(crate) floor: Fence,
 }
 
+/// Whether a replica falls to this instance.
+#[derive(Clone, Copy, Debug, Default, Hash)]
+pub(crate) struct Preferred {
+    /// Among all live candidates, for a new claim.
+    pub(crate) to_claim: bool,
+    /// Among the steady ones, to go on holding.
+    pub(crate) to_keep: bool,
+}
+
 /// One replica.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct Replica {
     pub(crate) info: EndpointInfo,
     pub(crate) holder: Option<InstanceId>,
+    pub(crate) preferred: Preferred,
     pub(crate) held: Option<Held>,
     pub(crate) rival: Option<Rival>,
     /// Largest token that the engine has accepted, as far as is known.
@@ -54,6 +64,7 @@
         Self {
             info,
             holder: None,
+            preferred: Preferred::default(),
             held: None,
             rival: None,
             accepted: 0,
--- a/crates/caraway-members/src/schedule.rs
+++ b/crates/caraway-members/src/schedule.rs
@@ -53,7 +53,7 @@
         let Some(peer) = self.peers.get(peer) else {
             return self.heartbeat(now);
         };
-        if peer.zone == self.me.zone {
+        if peer.local {
             let acks = ack(peer).into_iter().collect();
             self.make_beat(now, acks, Vec::new())
         } else {
@@ -73,8 +73,8 @@
 
     /// Makes heartbeats to every peer of the zone due at once.
     pub(crate) fn hurry(&mut self, now: Instant) {
-        let zone = self.me.zone.clone();
-        for peer in self.peers.values_mut().filter(|p| p.zone == zone) {
+        self.evaluated = None;
+        for peer in self.peers.values_mut().filter(|p| p.local) {
             peer.due = now;
         }
     }
@@ -151,11 +151,10 @@
         self.schedule.remote_due = Some(now + self.settings.remote_beat.get());
         self.schedule.turn += 1;
         let turn = self.schedule.turn;
-        let remote = |p: &Peer| p.zone != self.me.zone;
         let zones: BTreeSet<&ZoneId> = self
             .peers
             .values()
-            .filter(|p| remote(p))
+            .filter(|p| !p.local)
             .map(|p| &p.zone)
             .collect();
         let at = usize::try_from(turn).ok()?.checked_rem(zones.len())?;
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -7,7 +7,7 @@
 use caraway_types::{EndpointId, Incarnation, InstanceId, Millis, ZoneId};
 
 /// Heartbeats to a peer within a lease.
-const BEATS_PER_LEASE: u32 = 4;
+const BEATS_PER_LEASE: u32 = 3;
 
 /// The instance itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             beat: Millis::new(1_000),
-            beat_rate: 8,
+            beat_rate: 4,
             lease: Millis::new(4_000),
             guard: Millis::new(1_000),
             idle: Millis::new(10_000),
--- /dev/null
+++ b/crates/caraway-members/tests/fleet.rs
@@ -0,0 +1,144 @@
+//! The whole fleet of the target: 380 instances in 7 zones before 600 replicas.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use caraway_members::{
+    EndpointInfo, Heartbeat, ListedMember, Me, MemberSettings, Members, Presence, Right,
+};
+use caraway_types::{EndpointId, InstanceId, ZoneId};
+
+const INSTANCES: usize = 380;
+const ENDPOINTS: usize = 600;
+const ZONES: usize = 7;
+const STEP: Duration = Duration::from_secs(1);
+/// Length of a step while news spreads.
+const FAST_STEP: Duration = Duration::from_millis(100);
+/// Bytes that HTTP and TCP add to one heartbeat and its empty answer, both ways together.
+const EXCHANGE_BYTES: usize = 420;
+/// Bytes of control traffic that a daemon may send and receive in a second, by the target.
+const CONTROL_BYTES: usize = 7_000;
+/// Time in which every instance meets all peers of its zone.
+const SETTLE_SECONDS: u64 = 20;
+
+struct Fleet {
+    now: Instant,
+    members: BTreeMap<InstanceId, Members>,
+    bytes: usize,
+    messages: usize,
+}
+
+fn zone(n: usize) -> ZoneId {
+    format!("region-{}-{}", n % ZONES / 3, n % ZONES).into()
+}
+
+fn instance(n: usize) -> InstanceId {
+    format!("entry-{n:03}").into()
+}
+
+fn endpoint(n: usize) -> EndpointId {
+    format!("engine-{n:03}").into()
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Instant::now();
+        let endpoints: Vec<EndpointInfo> = (0..ENDPOINTS)
+            .map(|n| EndpointInfo {
+                id: endpoint(n),
+                zone: zone(n),
+                checks_fencing: false,
+            })
+            .collect();
+        let member = |n: usize| {
+            let me = Me {
+                id: instance(n),
+                zone: zone(n),
+                incarnation: 1_764_800_000_000,
+            };
+            let settings = MemberSettings::default();
+            let members = Members::new(me, settings, endpoints.clone(), now);
+            (instance(n), members)
+        };
+        Self {
+            now,
+            members: (0..INSTANCES).map(member).collect(),
+            bytes: 0,
+            messages: 0,
+        }
+    }
+
+    fn list(&mut self) {
+        let list: Vec<ListedMember> = (0..INSTANCES)
+            .map(|n| ListedMember {
+                id: instance(n),
+                zone: zone(n),
+                incarnation: 1_764_800_000_000,
+                leaving: false,
+                endpoint: false,
+            })
+            .collect();
+        for members in self.members.values_mut() {
+            members.on_listing(self.now, &list);
+        }
+    }
+
+    fn run(&mut self, time: Duration, step: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += step;
+            let now = self.now;
+            let mut beats: Vec<(InstanceId, Heartbeat)> = Vec::new();
+            for members in self.members.values_mut() {
+                members.tick(now);
+                for peer in members.due(now) {
+                    let beat = members.heartbeat_to(now, &peer);
+                    beats.push((peer, beat));
+                }
+            }
+            for (to, beat) in beats {
+                self.messages += 1;
+                self.bytes += rmp_serde::to_vec(&beat).expect("encodes").len();
+                let members = self.members.get_mut(&to).expect("known");
+                members.on_heartbeat(now, &beat);
+            }
+        }
+    }
+}
+
+#[test]
+fn fits_the_control_budget_and_spreads_leaving_in_time() {
+    let mut fleet = Fleet::new();
+    fleet.list();
+    fleet.run(Duration::from_secs(SETTLE_SECONDS), STEP);
+    let now = fleet.now;
+    for n in 0..ENDPOINTS {
+        let id = endpoint(n);
+        let full = |m: &&Members| m.right(now, &id) == Right::Full;
+        assert_eq!(fleet.members.values().filter(full).count(), 1, "{id}");
+    }
+
+    (fleet.bytes, fleet.messages) = (0, 0);
+    let quiet = Duration::from_secs(14);
+    fleet.run(quiet, STEP);
+    let per_second = INSTANCES * 14;
+    let payload = fleet.bytes / per_second;
+    let hundredths = 100 * fleet.messages / per_second;
+    // Each exchange is sent by one daemon and received by another.
+    let sent = (fleet.bytes + fleet.messages * EXCHANGE_BYTES) / per_second;
+    println!(
+        "a daemon sends {hundredths} heartbeats in 100 s, {payload} B/s of payload, \
+         {sent} B/s with HTTP and TCP, and receives as much"
+    );
+    assert!(2 * sent < CONTROL_BYTES, "{sent} B/s each way");
+
+    let leaver = instance(100);
+    let now = fleet.now;
+    fleet.members.get_mut(&leaver).expect("known").leave(now);
+    fleet.run(Duration::from_secs(1), FAST_STEP);
+    let now = fleet.now;
+    let unaware = |m: &&Members| m.presence(now, &leaver) == Some(Presence::Live);
+    assert_eq!(fleet.members.values().filter(unaware).count(), 0);
+}
