Take the list's numbering of lives apart from the instances' own

A daemon numbers its lives by its start time and the platform's list by its own counter, so the list named no live instance and an engine that does not check fencing tokens was never evicted from. The list now names ids; a leaving entry counts only for the life that it can mean.

--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -42,9 +42,11 @@
     /// The replicas of other zones.
     pub(crate) remote: BTreeMap<EndpointId, EndpointInfo>,
     pub(crate) listed_endpoints: BTreeMap<EndpointId, ListedEndpoint>,
-    /// Whether a listing has named this incarnation.
+    /// Whether a listing has named this instance since it started.
     pub(crate) listed: bool,
-    /// Listings in a row without this incarnation since.
+    /// This instance's newest entry of the list.
+    pub(crate) own_entry: Option<ListEntry>,
+    /// Listings in a row without this instance since.
     pub(crate) missing: u8,
     pub(crate) last_listing: Option<Instant>,
     pub(crate) last_tick: Instant,
@@ -59,6 +61,13 @@
     pub(crate) steady: BTreeSet<InstanceId>,
 }
 
+/// An entry of the list.
+#[derive(Clone, Copy, Debug, Hash)]
+pub(crate) struct ListEntry {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) leaving: bool,
+}
+
 /// An endpoint as the list shows it.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct ListedEndpoint {
@@ -95,6 +104,7 @@
             remote: remote.into_iter().map(|e| (e.id.clone(), e)).collect(),
             listed_endpoints: BTreeMap::new(),
             listed: false,
+            own_entry: None,
             missing: 0,
             last_listing: None,
             last_tick: now,
--- a/crates/caraway-members/src/peer.rs
+++ b/crates/caraway-members/src/peer.rs
@@ -31,8 +31,12 @@
     pub(crate) acked: u64,
     /// When the lease from that acknowledgement ends.
     pub(crate) granted: Option<Instant>,
-    /// Whether a listing has named this incarnation.
+    /// Whether a listing has named it.
     pub(crate) named: bool,
+    /// The list's number of its life, as far as shown.
+    pub(crate) entry: Option<Incarnation>,
+    /// The list's number of the life before.
+    pub(crate) past_entry: Option<Incarnation>,
     /// Listings in a row without it since.
     pub(crate) missing: u8,
     /// No claim before this time, while orders of an earlier incarnation may be under way.
@@ -68,6 +72,8 @@
             acked: 0,
             granted: None,
             named: false,
+            entry: None,
+            past_entry: None,
             missing: 0,
             quiet: None,
             failed: None,
--- a/crates/caraway-members/src/presence.rs
+++ b/crates/caraway-members/src/presence.rs
@@ -9,9 +9,12 @@
 
 use crate::{
     Heartbeat, Holding, ListedMember, Mark, MemberEvent, Members, Phase, Stage, fences,
-    members::ListedEndpoint, peer::Peer,
+    members::{ListEntry, ListedEndpoint},
+    peer::Peer,
 };
 
+/// Incarnation of an instance that the list names and that was not heard yet.
+const UNHEARD: Incarnation = 0;
 /// Listings in a row that must miss a member before it counts as dropped.
 const MISSED_LISTINGS: u8 = 2;
 /// Listings in a row that must miss a silent instance that no listing ever named.
@@ -53,20 +56,12 @@
         self.count_missing();
         for member in list {
             if member.id == self.me.id {
-                self.see_self(member);
+                self.see_self(now, member);
             } else if member.endpoint {
-                self.see_endpoint(member);
+                self.see_endpoint(now, member);
             } else {
                 self.see_instance(now, member);
             }
-            if member.leaving {
-                let mark = Mark {
-                    id: member.id.clone(),
-                    incarnation: member.incarnation,
-                    stage: Stage::Leaving,
-                };
-                self.mark(now, &mark);
-            }
         }
         self.last_listing = Some(now);
         self.evaluated = None;
@@ -171,12 +166,16 @@
 
     /// Takes a new incarnation of a peer in place of the known one.
     fn renew(&mut self, now: Instant, id: &InstanceId, mut fresh: Peer) {
-        let known = self.peers.get(id).map(|p| p.incarnation);
-        if let Some(known) = known {
-            let ended = self.marks.stage(id, known) == Some(Stage::Ended);
+        if let Some(known) = self.peers.get_mut(id) {
+            if known.incarnation == UNHEARD {
+                known.incarnation = fresh.incarnation;
+                return;
+            }
+            fresh.past_entry = known.entry;
+            let ended = self.marks.stage(id, known.incarnation) == Some(Stage::Ended);
             if !ended {
                 self.distrust();
-                fresh.quiet = Some(now + self.guard());
+                fresh.quiet = Some(now + self.settings.guard.get());
             }
         }
         self.peers.insert(id.clone(), fresh);
@@ -259,16 +258,29 @@
         }
     }
 
-    fn see_self(&mut self, member: &ListedMember) {
-        if member.incarnation == self.me.incarnation {
-            self.listed = true;
-            self.missing = 0;
-            self.leaving |= member.leaving;
-            self.marks.refute_drop(&member.id, member.incarnation);
+    /// Takes its own entry of the list. The list numbers lives in its own way, and may still show
+    /// an earlier life: that one's leaving is not meant.
+    fn see_self(&mut self, now: Instant, member: &ListedMember) {
+        self.listed = true;
+        self.missing = 0;
+        self.marks.refute_drop(&member.id, self.me.incarnation);
+        let first = self.own_entry.is_none();
+        let entry = self.own_entry.get_or_insert(ListEntry {
+            incarnation: member.incarnation,
+            leaving: member.leaving,
+        });
+        let newer = member.incarnation > entry.incarnation;
+        let turned = member.leaving && (newer || !entry.leaving);
+        *entry = ListEntry {
+            incarnation: member.incarnation,
+            leaving: member.leaving,
+        };
+        if turned && !first {
+            self.leave(now);
         }
     }
 
-    fn see_endpoint(&mut self, member: &ListedMember) {
+    fn see_endpoint(&mut self, now: Instant, member: &ListedMember) {
         let entry = self
             .listed_endpoints
             .entry(member.id.clone())
@@ -282,22 +294,40 @@
             entry.missing = 0;
             self.marks.refute_drop(&member.id, member.incarnation);
         }
+        if member.leaving {
+            let mark = Mark {
+                id: member.id.clone(),
+                incarnation: member.incarnation,
+                stage: Stage::Leaving,
+            };
+            self.mark(now, &mark);
+        }
     }
 
+    /// Takes a peer's entry of the list, which numbers lives in its own way. An entry that an
+    /// earlier life had is not believed to say that this one leaves.
     fn see_instance(&mut self, now: Instant, member: &ListedMember) {
-        let tag = fences::tag(&member.id, member.incarnation, 0);
-        let known = self.peers.get(&member.id).map(|p| p.incarnation);
-        if known.is_none_or(|k| k < member.incarnation) {
-            let fresh = self.new_peer(now, &member.zone, member.incarnation, tag);
-            self.renew(now, &member.id, fresh);
+        if !self.peers.contains_key(&member.id) {
+            let tag = fences::tag(&member.id, UNHEARD, 0);
+            let fresh = self.new_peer(now, &member.zone, UNHEARD, tag);
+            self.peers.insert(member.id.clone(), fresh);
         }
         let Some(peer) = self.peers.get_mut(&member.id) else {
             return;
         };
-        if member.incarnation == peer.incarnation {
-            peer.named = true;
-            peer.missing = 0;
-            self.marks.refute_drop(&member.id, member.incarnation);
+        peer.named = true;
+        peer.missing = 0;
+        peer.entry = peer.entry.max(Some(member.incarnation));
+        let earlier = peer.past_entry >= Some(member.incarnation);
+        let incarnation = peer.incarnation;
+        self.marks.refute_drop(&member.id, incarnation);
+        if member.leaving && !earlier {
+            let mark = Mark {
+                id: member.id.clone(),
+                incarnation,
+                stage: Stage::Leaving,
+            };
+            self.mark(now, &mark);
         }
     }
 
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -80,7 +80,7 @@
     pub id: Arc<str>,
     /// Its availability zone.
     pub zone: ZoneId,
-    /// Its incarnation.
+    /// The list's number of its life, which need not be the one that the instance itself uses.
     pub incarnation: Incarnation,
     /// Whether it is leaving.
     pub leaving: bool,
