--- a/crates/caraway-members/src/presence.rs
+++ b/crates/caraway-members/src/presence.rs
@@ -1,14 +1,20 @@
 //! How [`Members`] learns who is live, leaving or gone.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
-use caraway_types::InstanceId;
+use caraway_types::{Incarnation, InstanceId, ZoneId};
 
 use crate::{
     Heartbeat, Holding, ListedMember, Mark, MemberEvent, Members, Phase, Stage, fences,
-    members::ListedEndpoint, peer::Peer,
+    members::{ListEntry, ListedEndpoint},
+    peer::Peer,
 };
 
+/// Incarnation of an instance that the list names and that was not heard yet.
+const UNHEARD: Incarnation = 0;
 /// Listings in a row that must miss a member before it counts as dropped.
 const MISSED_LISTINGS: u8 = 2;
 /// Listings in a row that must miss a silent instance that no listing ever named.
@@ -50,22 +56,15 @@
         self.count_missing();
         for member in list {
             if member.id == self.me.id {
-                self.see_self(member);
+                self.see_self(now, member);
             } else if member.endpoint {
-                self.see_endpoint(member);
+                self.see_endpoint(now, member);
             } else {
                 self.see_instance(now, member);
             }
-            if member.leaving {
-                let mark = Mark {
-                    id: member.id.clone(),
-                    incarnation: member.incarnation,
-                    stage: Stage::Leaving,
-                };
-                self.mark(now, &mark);
-            }
         }
         self.last_listing = Some(now);
+        self.evaluated = None;
     }
 
     /// Marks members that the list has dropped and that are not heard.
@@ -157,14 +156,26 @@
         }
     }
 
+    /// Makes a peer that was not heard yet; it may rely on what an earlier life of this instance
+    /// acknowledged to it, for a lease.
+    fn new_peer(&self, now: Instant, zone: &ZoneId, incarnation: Incarnation, tag: u32) -> Peer {
+        let local = *zone == self.me.zone;
+        let promised = now + self.settings.lease_for(self.zone_size());
+        Peer::new(zone.clone(), local, incarnation, tag, promised, now)
+    }
+
     /// Takes a new incarnation of a peer in place of the known one.
     fn renew(&mut self, now: Instant, id: &InstanceId, mut fresh: Peer) {
-        let known = self.peers.get(id).map(|p| p.incarnation);
-        if let Some(known) = known {
-            let ended = self.marks.stage(id, known) == Some(Stage::Ended);
+        if let Some(known) = self.peers.get_mut(id) {
+            if known.incarnation == UNHEARD {
+                known.incarnation = fresh.incarnation;
+                return;
+            }
+            fresh.past_entry = known.entry;
+            let ended = self.marks.stage(id, known.incarnation) == Some(Stage::Ended);
             if !ended {
                 self.distrust();
-                fresh.quiet = Some(now + self.guard());
+                fresh.quiet = Some(now + self.settings.guard.get());
             }
         }
         self.peers.insert(id.clone(), fresh);
@@ -191,10 +202,9 @@
 
     /// Takes what a heartbeat says of its sender; tells whether it was new.
     fn hear(&mut self, now: Instant, beat: &Heartbeat) -> bool {
-        let lease = self.settings.lease.get();
         let known = self.peers.get(&beat.from).map(|p| p.incarnation);
         if known.is_none_or(|k| k < beat.incarnation) {
-            let fresh = Peer::new(beat.zone.clone(), beat.incarnation, beat.tag, now, lease);
+            let fresh = self.new_peer(now, &beat.zone, beat.incarnation, beat.tag);
             self.renew(now, &beat.from, fresh);
         }
         let Some(peer) = self.peers.get_mut(&beat.from) else {
@@ -211,6 +221,7 @@
             peer.acked = peer.acked.max(ack.seq);
             peer.granted = peer.granted.max(self.sent.lease_end(ack.seq));
         }
+        self.evaluated = self.evaluated.filter(|_| !local);
         if news && local {
             peer.due = now;
             self.note_settled(&before, &beat.held);
@@ -220,16 +231,18 @@
     }
 
     fn take_vouches(&mut self, now: Instant, beat: &Heartbeat) {
-        for vouch in &beat.vouched {
-            let Some(at) = now.checked_sub(vouch.age.get()) else {
+        if beat.vouched.is_empty() || beat.zone == self.me.zone {
+            return;
+        }
+        let ages: BTreeMap<u32, Duration> =
+            beat.vouched.iter().map(|v| (v.tag, v.age.get())).collect();
+        for peer in self.peers.values_mut().filter(|p| p.zone == beat.zone) {
+            let age = ages.get(&peer.tag);
+            let Some(at) = age.and_then(|a| now.checked_sub(*a)) else {
                 continue;
             };
-            let peers = self.peers.values_mut();
-            let vouched = peers.filter(|p| p.zone == beat.zone && p.tag == vouch.tag);
-            for peer in vouched {
-                peer.failed &= peer.vouched.is_some_and(|old| old >= at);
-                peer.vouched = peer.vouched.max(Some(at));
-            }
+            peer.failed = peer.failed.filter(|failed| at <= *failed);
+            peer.vouched = peer.vouched.max(Some(at));
         }
     }
 
@@ -245,16 +258,29 @@
         }
     }
 
-    fn see_self(&mut self, member: &ListedMember) {
-        if member.incarnation == self.me.incarnation {
-            self.listed = true;
-            self.missing = 0;
-            self.leaving |= member.leaving;
-            self.marks.refute_drop(&member.id, member.incarnation);
+    /// Takes its own entry of the list. The list numbers lives in its own way, and may still show
+    /// an earlier life: that one's leaving is not meant.
+    fn see_self(&mut self, now: Instant, member: &ListedMember) {
+        self.listed = true;
+        self.missing = 0;
+        self.marks.refute_drop(&member.id, self.me.incarnation);
+        let first = self.own_entry.is_none();
+        let entry = self.own_entry.get_or_insert(ListEntry {
+            incarnation: member.incarnation,
+            leaving: member.leaving,
+        });
+        let newer = member.incarnation > entry.incarnation;
+        let turned = member.leaving && (newer || !entry.leaving);
+        *entry = ListEntry {
+            incarnation: member.incarnation,
+            leaving: member.leaving,
+        };
+        if turned && !first {
+            self.leave(now);
         }
     }
 
-    fn see_endpoint(&mut self, member: &ListedMember) {
+    fn see_endpoint(&mut self, now: Instant, member: &ListedMember) {
         let entry = self
             .listed_endpoints
             .entry(member.id.clone())
@@ -268,23 +294,40 @@
             entry.missing = 0;
             self.marks.refute_drop(&member.id, member.incarnation);
         }
+        if member.leaving {
+            let mark = Mark {
+                id: member.id.clone(),
+                incarnation: member.incarnation,
+                stage: Stage::Leaving,
+            };
+            self.mark(now, &mark);
+        }
     }
 
+    /// Takes a peer's entry of the list, which numbers lives in its own way. An entry that an
+    /// earlier life had is not believed to say that this one leaves.
     fn see_instance(&mut self, now: Instant, member: &ListedMember) {
-        let tag = fences::tag(&member.id, member.incarnation, 0);
-        let lease = self.settings.lease.get();
-        let known = self.peers.get(&member.id).map(|p| p.incarnation);
-        if known.is_none_or(|k| k < member.incarnation) {
-            let fresh = Peer::new(member.zone.clone(), member.incarnation, tag, now, lease);
-            self.renew(now, &member.id, fresh);
+        if !self.peers.contains_key(&member.id) {
+            let tag = fences::tag(&member.id, UNHEARD, 0);
+            let fresh = self.new_peer(now, &member.zone, UNHEARD, tag);
+            self.peers.insert(member.id.clone(), fresh);
         }
         let Some(peer) = self.peers.get_mut(&member.id) else {
             return;
         };
-        if member.incarnation == peer.incarnation {
-            peer.named = true;
-            peer.missing = 0;
-            self.marks.refute_drop(&member.id, member.incarnation);
+        peer.named = true;
+        peer.missing = 0;
+        peer.entry = peer.entry.max(Some(member.incarnation));
+        let earlier = peer.past_entry >= Some(member.incarnation);
+        let incarnation = peer.incarnation;
+        self.marks.refute_drop(&member.id, incarnation);
+        if member.leaving && !earlier {
+            let mark = Mark {
+                id: member.id.clone(),
+                incarnation,
+                stage: Stage::Leaving,
+            };
+            self.mark(now, &mark);
         }
     }
 
@@ -294,12 +337,12 @@
         if stage.is_some_and(|s| s >= Stage::Dropped) {
             return false;
         }
-        if peer.zone == self.me.zone {
+        if peer.local {
             return peer.heard.is_some() && !peer.silent(now, self.guard());
         }
         let timeout = self.settings.remote_timeout.get();
         let recent = |at| now.saturating_duration_since(at) <= timeout;
         let heard = peer.heard.max(peer.vouched).is_some_and(recent);
-        !peer.failed && (heard || peer.named && peer.missing == 0)
+        peer.failed.is_none() && (heard || peer.named && peer.missing == 0)
     }
 }
