Notice shifts of popularity by the evidence of all instances

Change: expected against observed requests for regularly used adapters, summed over instances by gossip; below 0.4 popularity has shifted and what was not asked for since counts a twentieth. Also: a peer that did not take a request is passed over for a second, so that a cut-off zone finds another home at once.

--- a/crates/caraway-node/src/gossip.rs
+++ b/crates/caraway-node/src/gossip.rs
@@ -2,7 +2,7 @@
 
 use caraway_members::Heartbeat;
 use caraway_routing::Delta;
-use caraway_slots::{Grant, Return, Want};
+use caraway_slots::{Evidence, Grant, Return, Want};
 use caraway_types::{InstanceId, Offset};
 use serde::{Deserialize, Serialize};
 
@@ -37,6 +37,8 @@
     /// Requests per second of the loads that would be evicted, the cheapest first; zero for a
     /// free slot.
     pub costs: Vec<f32>,
+    /// Whether popularity seems to shift there.
+    pub evidence: Evidence,
 }
 
 /// Identifies a configuration.
--- a/crates/caraway-node/src/node.rs
+++ b/crates/caraway-node/src/node.rs
@@ -9,7 +9,7 @@
 use caraway_members::{EndpointInfo, Me, MemberEvent, Members};
 use caraway_records::State;
 use caraway_routing::{Directory, Journal, Limits, Waiting, replica_hash};
-use caraway_slots::{Backoffs, Budget, Popularity, Want};
+use caraway_slots::{Backoffs, Budget, Evidence, Popularity, Want};
 use caraway_types::{AdapterRef, AttemptId, EndpointId, InstanceId, Ticket, ZoneId};
 
 use crate::{
@@ -21,6 +21,9 @@
 /// Time that must pass before leases and permits are looked at again.
 const TICK: Duration = Duration::from_millis(5);
 
+/// Interval of looking whether popularity shifts.
+const SURVEY: Duration = Duration::from_secs(1);
+
 /// The decisions of one entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -50,6 +53,8 @@
     pub(crate) wants: BTreeMap<InstanceId, (Want, Instant)>,
     /// Loads that this instance, as their home, passed on to a peer, and until when.
     pub(crate) assigned: HashMap<AdapterRef, (InstanceId, Instant)>,
+    /// Peers that did not take a request, and until when they are passed over.
+    pub(crate) shunned: BTreeMap<InstanceId, Instant>,
     /// Parts of messages that go out at the end of this input.
     pub(crate) outbox: BTreeMap<InstanceId, Gossip>,
     pub(crate) attempts: AttemptId,
@@ -57,6 +62,8 @@
     pub(crate) turn: usize,
     pub(crate) wanted: Option<(Instant, Vec<f32>)>,
     pub(crate) next_gossip: Instant,
+    pub(crate) evidence: Evidence,
+    next_survey: Instant,
     last_tick: Option<Instant>,
 }
 
@@ -92,12 +99,15 @@
             rooms: BTreeMap::new(),
             wants: BTreeMap::new(),
             assigned: HashMap::new(),
+            shunned: BTreeMap::new(),
             outbox: BTreeMap::new(),
             attempts: 0,
             loads: 0,
             turn: 0,
             wanted: None,
             next_gossip: now,
+            evidence: Evidence::default(),
+            next_survey: now,
             last_tick: None,
             settings,
         }
@@ -161,6 +171,11 @@
         self.finish_releases(now);
         self.budget.tick(now);
         self.backoffs.tick(now);
+        if now >= self.next_survey {
+            self.next_survey = now + SURVEY;
+            self.survey(now);
+        }
+        self.shunned.retain(|_, until| now < *until);
         self.expire(now, out);
         if changed {
             self.route_again(now, out);
@@ -168,6 +183,17 @@
         self.route_parked(now, out);
     }
 
+    /// Looks whether popularity shifts, by the evidence of all instances.
+    fn survey(&mut self, now: Instant) {
+        self.evidence = self.popularity.survey(now);
+        let mut all = self.evidence;
+        for (room, _) in self.rooms.values() {
+            all.expected += room.evidence.expected;
+            all.observed += room.evidence.observed;
+        }
+        self.popularity.judge(now, all);
+    }
+
     fn on_member_event(&mut self, now: Instant, event: MemberEvent) {
         match event {
             MemberEvent::Acquired {
--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -21,6 +21,8 @@
 /// A home passes requests to the peer that it chose for a load for this time, until the peer
 /// tells that the adapter is resident.
 const ASSIGNED: Duration = Duration::from_secs(2);
+/// A peer that did not take a request is passed over for this time.
+const SHUN: Duration = Duration::from_secs(1);
 /// A load goes to a peer when it would cost less than this part of what it costs here.
 const ROOM_GAIN: f64 = 0.5;
 
@@ -115,6 +117,7 @@
             && again
         {
             job.tried.push(peer.clone());
+            self.shunned.insert(peer.clone(), now + SHUN);
         }
         let freed = match place {
             Place::Running { endpoint, load } => {
@@ -310,20 +313,35 @@
         {
             return Some(location.instance.clone());
         }
-        let home = self.home(now, adapter);
-        match home {
-            Some(home) if home == self.settings.id => self.assign(now, adapter, &tried),
-            Some(home) if via.as_ref() != Some(&home) && open(&home) => Some(home),
-            _ => None,
+        if via.is_some() && self.home(now, adapter, |_| true) == via {
+            return None;
         }
+        let home = self.home(now, adapter, open)?;
+        if home == self.settings.id {
+            self.assign(now, adapter, &tried)
+        } else {
+            Some(home)
+        }
+    }
+
+    /// Tells whether a peer may be given work.
+    fn is_open(&self, now: Instant, peer: &InstanceId) -> bool {
+        let shunned = self.shunned.get(peer).is_some_and(|until| now < *until);
+        !shunned && self.members.accepts_work(now, peer)
     }
 
-    /// Returns the instance where requests for an adapter version meet while it is not resident.
-    pub(crate) fn home(&self, now: Instant, adapter: &AdapterRef) -> Option<InstanceId> {
+    /// Returns the instance where requests for an adapter version meet while it is not resident,
+    /// among those that `open` accepts.
+    pub(crate) fn home(
+        &self,
+        now: Instant,
+        adapter: &AdapterRef,
+        open: impl Fn(&InstanceId) -> bool,
+    ) -> Option<InstanceId> {
         let hash = adapter_hash(adapter);
         let held = self.replicas.iter().filter_map(|(h, id)| {
             let holder = self.members.holder(id)?;
-            let open = self.members.accepts_work(now, id);
+            let open = self.members.accepts_work(now, id) && open(holder);
             open.then_some((*h, holder))
         });
         home(hash, held).cloned()
@@ -336,7 +354,7 @@
         adapter: &AdapterRef,
         tried: &[InstanceId],
     ) -> Option<InstanceId> {
-        let open = |p: &InstanceId| !tried.contains(p) && self.members.accepts_work(now, p);
+        let open = |p: &InstanceId| !tried.contains(p) && self.is_open(now, p);
         if let Some((peer, until)) = self.assigned.get(adapter)
             && now < *until
             && open(peer)
--- a/crates/caraway-node/src/talk.rs
+++ b/crates/caraway-node/src/talk.rs
@@ -79,7 +79,7 @@
     }
 
     fn home_now(&self, adapter: &AdapterRef) -> Option<InstanceId> {
-        self.home(self.next_gossip, adapter)
+        self.home(self.next_gossip, adapter, |_| true)
     }
 
     /// Gives back borrowed permits beyond `needed`.
@@ -189,6 +189,7 @@
             if turn.contains(peer) {
                 let room = Room {
                     costs: costs.clone(),
+                    evidence: self.evidence,
                 };
                 let message = self.message(peer);
                 message.room = Some(room);
@@ -204,7 +205,7 @@
         let mut all = Vec::new();
         for (endpoint, engine) in self.engines.iter().filter(|(_, e)| e.fence.is_some()) {
             for adapter in engine.expected() {
-                if all_peers || self.home(now, adapter).as_ref() == Some(peer) {
+                if all_peers || self.home(now, adapter, |_| true).as_ref() == Some(peer) {
                     all.push(Change {
                         endpoint: endpoint.clone(),
                         adapter: adapter.clone(),
--- a/crates/caraway-slots/src/lib.rs
+++ b/crates/caraway-slots/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`Replica`] keeps the slots of one replica; [`Load`] is one of them, in a [`LoadState`].
 //! - [`Snapshot`] of [`Seen`] loads is what an engine reports; [`Changes`] is what it settles.
-//! - [`Popularity`] estimates how often each adapter version is asked for.
+//! - [`Popularity`] estimates how often each adapter version is asked for, and notices by the
+//!   [`Evidence`] of all instances when popularity shifts.
 //! - [`Backoffs`] keep failed loads from being repeated at once.
 //! - [`Budget`] is this instance's part of the [`StoreLimits`]; instances share it by [`Want`],
 //!   [`Grant`] and [`Return`].
@@ -18,5 +19,5 @@
 pub use backoff::Backoffs;
 pub use budget::{Budget, Grant, Return, StoreLimits, Want};
 pub use load::{Load, LoadState};
-pub use popularity::Popularity;
+pub use popularity::{Evidence, Popularity};
 pub use replica::{Changes, Replica, Seen, Snapshot};
