Keep one client account from crowding out the others

Change: an account that took more than its share of recent loads weighs by the inverse square, and its queue counts once per group; its adapters are evicted first while they take more than a quarter of the slots.

--- a/crates/caraway-node/src/orders.rs
+++ b/crates/caraway-node/src/orders.rs
@@ -1,10 +1,13 @@
 //! How a [`Node`] orders loads and unloads and learns their ends.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
 
 use caraway_members::Right;
 use caraway_slots::{Load, LoadState, Seen, Snapshot};
-use caraway_types::{AdapterRef, EndpointId, LoadName, Reason, Refusal, Ticket};
+use caraway_types::{AccountId, AdapterRef, EndpointId, LoadName, Reason, Refusal, Ticket};
 
 use crate::{
     EngineReport, LoadResult, Node, Output,
@@ -17,6 +20,10 @@
 const MAX_FAILURES: u32 = 4;
 /// A group whose adapter is resident, but whose batch is full, waits this long for a copy.
 const COPY_WAIT: Duration = Duration::from_secs(1);
+/// Share of the slots that one account's adapters may take before they are evicted first.
+const FAIR_SLOTS: f64 = 0.25;
+/// What remains of the cost of evicting an adapter of an account that takes more.
+const CROWDING_PART: f64 = 0.05;
 /// Costs that are told to peers.
 const ROOM_DEPTH: usize = 6;
 
@@ -313,6 +320,7 @@
 
     /// Returns the loads that may be evicted, the cheapest first.
     fn victims(&self, now: Instant) -> Vec<Victim<'_>> {
+        let crowding = self.crowding_accounts();
         let mut victims = Vec::new();
         for (endpoint, engine) in &self.engines {
             if engine.fence.is_none() || self.members.right(now, endpoint) != Right::Full {
@@ -321,8 +329,10 @@
             let cleared = self.members.cleared(now, endpoint);
             for (name, load) in engine.replica.loads() {
                 if load.is_idle() && (load.own || cleared) {
+                    let crowds = load.account.as_ref().is_some_and(|a| crowding.contains(a));
+                    let part = if crowds { CROWDING_PART } else { 1.0 };
                     victims.push(Victim {
-                        cost: self.cost(now, &load.adapter),
+                        cost: self.cost(now, &load.adapter) * part,
                         endpoint,
                         load: name,
                     });
@@ -336,6 +346,20 @@
         victims
     }
 
+    /// Returns the accounts whose adapters take more than a fair share of the slots here.
+    fn crowding_accounts(&self) -> BTreeSet<&AccountId> {
+        let held = self.engines.values().filter(|e| e.fence.is_some());
+        let loads = held.clone().flat_map(|e| e.replica.loads());
+        let mut slots: BTreeMap<&AccountId, u32> = BTreeMap::new();
+        for account in loads.filter_map(|(_, l)| l.account.as_ref()) {
+            *slots.entry(account).or_default() += 1;
+        }
+        let all: u32 = held.map(|e| e.replica.slots()).sum();
+        let limit = (f64::from(all) * FAIR_SLOTS).max(1.0);
+        let over = slots.into_iter().filter(|(_, n)| f64::from(*n) > limit);
+        over.map(|(account, _)| account).collect()
+    }
+
     /// Returns what evicting an adapter version costs: how often it is asked for, by copies.
     fn cost(&self, now: Instant, adapter: &AdapterRef) -> f64 {
         let here = |e: &&Engine| e.fence.is_some() && e.replica.resident(adapter).is_some();
--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -432,10 +432,13 @@
         out: &mut Vec<Output>,
     ) {
         self.count(now, ticket);
+        let Some(job) = self.jobs.get(&ticket) else {
+            return;
+        };
         let Some(engine) = self.engines.get_mut(&endpoint) else {
             return;
         };
-        if !engine.replica.pin(now, &load) {
+        if !engine.replica.pin(now, &load, &job.submission.account) {
             return;
         }
         engine.running += 1;
--- a/crates/caraway-routing/src/fairness.rs
+++ b/crates/caraway-routing/src/fairness.rs
@@ -9,7 +9,8 @@
 
 /// A charge halves in this time.
 const HALF_LIFE: Duration = Duration::from_secs(30);
-/// An account that took this share of the recent loads counts half.
+/// An account that took this share of the recent loads counts half, one that took more falls with
+/// the square.
 const FAIR_SHARE: f64 = 0.15;
 /// Charges below this are dropped.
 const NEGLIGIBLE: f64 = 0.01;
@@ -52,7 +53,7 @@
     pub fn weight(&self, account: &AccountId) -> f64 {
         let charge = self.accounts.get(account).copied().unwrap_or(0.0);
         let share = charge / (self.total + PRIOR * self.scale);
-        1.0 / (1.0 + share / FAIR_SHARE)
+        1.0 / (1.0 + (share / FAIR_SHARE).powi(2))
     }
 
     fn age(&mut self, now: Instant) {
--- a/crates/caraway-routing/src/waiting.rs
+++ b/crates/caraway-routing/src/waiting.rs
@@ -12,6 +12,9 @@
 /// A group's weight grows by that of one more waiter in this time.
 const AGEING: Duration = Duration::from_secs(20);
 
+/// An account whose weight is below this took more than its share.
+const CROWDING_WEIGHT: f64 = 0.5;
+
 /// A request that waits.
 #[derive(Clone, Debug)]
 pub struct Waiter {
@@ -112,11 +115,24 @@
     #[must_use]
     pub fn score(&self, now: Instant, adapter: &AdapterRef) -> f64 {
         let group = self.group(adapter);
-        let weight = |w: &Waiter| class_weight(w.class) * self.charges.weight(&w.account);
-        let weights: f64 = group.iter().map(weight).sum();
+        let weight: f64 = self.weights(group).sum();
         let oldest = group.iter().map(|w| w.since).min().unwrap_or(now);
         let age = now.saturating_duration_since(oldest).as_secs_f64() / AGEING.as_secs_f64();
-        weights + age * weights / f64::from(u32::try_from(group.len().max(1)).unwrap_or(1))
+        let size = f64::from(u32::try_from(group.len().max(1)).unwrap_or(1));
+        weight * (1.0 + age / size)
+    }
+
+    /// Weighs each waiter of a group; of an account that took more than its share, only the first
+    /// counts, so that a long queue of its own does not make up for that.
+    fn weights<'a>(&'a self, group: &'a [Waiter]) -> impl Iterator<Item = f64> + 'a {
+        group.iter().enumerate().map(|(i, waiter)| {
+            let fair = self.charges.weight(&waiter.account);
+            let earlier = || group[..i].iter().any(|w| w.account == waiter.account);
+            if fair < CROWDING_WEIGHT && earlier() {
+                return 0.0;
+            }
+            class_weight(waiter.class) * fair
+        })
     }
 
     /// Charges the accounts of a group with the load that serves it.
--- a/crates/caraway-slots/src/load.rs
+++ b/crates/caraway-slots/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use caraway_types::AdapterRef;
+use caraway_types::{AccountId, AdapterRef};
 
 /// What is known of a load that takes a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     pub pins: u32,
     /// Requests of other holders that run on it, as last reported.
     pub foreign: u32,
+    /// The client account that it was last used for.
+    pub account: Option<AccountId>,
     /// Whether this holder ordered it in its present holding.
     pub own: bool,
     /// When it entered its state.
--- a/crates/caraway-slots/src/replica.rs
+++ b/crates/caraway-slots/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration, time::Instant};
 
-use caraway_types::{AdapterRef, Incarnation, LoadName};
+use caraway_types::{AccountId, AdapterRef, Incarnation, LoadName};
 
 use crate::{Load, LoadState};
 
@@ -128,6 +128,7 @@
             state: LoadState::Loading,
             pins: 0,
             foreign: 0,
+            account: None,
             own: true,
             since: now,
             used: now,
@@ -148,11 +149,12 @@
         }
     }
 
-    /// Pins a resident load for an attempt; false when it is not resident.
-    pub fn pin(&mut self, now: Instant, name: &str) -> bool {
+    /// Pins a resident load for an attempt of an account; false when it is not resident.
+    pub fn pin(&mut self, now: Instant, name: &str, account: &AccountId) -> bool {
         match self.loads.get_mut(name) {
             Some(load) if load.state == LoadState::Resident => {
                 load.pins += 1;
+                load.account = Some(account.clone());
                 load.used = now;
                 true
             }
@@ -276,6 +278,7 @@
                 state: LoadState::Resident,
                 pins: 0,
                 foreign: s.running,
+                account: None,
                 own: false,
                 since: now,
                 used: now,
