--- /dev/null
+++ b/crates/caraway-entry/src/calls_log.rs
@@ -0,0 +1,237 @@
+//! The calls thread: agrees keyed calls through the platform's log.
+
+use std::{
+    collections::HashMap,
+    hash::{BuildHasher, RandomState},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use caraway_calls::{
+    Appending, CallKey, Ended, Found, KeyedCall, LogPage, LogRecord, Once, OnceAction, Reply,
+};
+use caraway_ring::Receiver;
+use caraway_types::Ticket;
+use caraway_wire::{
+    CallError, Http, LogClient,
+    log::{CALLS_STREAM, Page},
+};
+use ntex::rt::spawn;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, sleep},
+};
+
+use crate::shared::Shared;
+
+/// Interval of the decisions' tick while calls are in progress.
+const BUSY_TICK: Duration = Duration::from_millis(5);
+/// Interval of the decisions' tick otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+/// Events that a sending can get: at most one [`CallEvent::Send`] and one [`CallEvent::Reply`].
+pub(crate) const CALL_EVENTS: usize = 2;
+
+/// A message to the calls thread.
+#[derive(Debug)]
+pub(crate) enum CallsMessage {
+    /// A caller sends a keyed call.
+    Call(KeyedCall, mpsc::Sender<CallEvent>),
+    /// A call that was handed out has ended.
+    Ended(u64, Ended),
+    /// A caller has left.
+    Gone(Ticket),
+    /// A caller asks for an outcome.
+    Lookup(Ticket, CallKey, oneshot::Sender<Found>),
+    /// Ends the thread.
+    Stop,
+}
+
+/// What a sending gets back.
+#[derive(Debug)]
+pub(crate) enum CallEvent {
+    /// The call is to be sent now.
+    Send {
+        /// Names the call in [`CallsMessage::Ended`].
+        nonce: u64,
+        /// The call ends as not run when it was not written by then.
+        until: std::time::Instant,
+    },
+    /// The final answer.
+    Reply(Reply),
+}
+
+/// What the log answered.
+enum LogAnswer {
+    Appended(Appending),
+    Read(Option<LogPage>),
+}
+
+/// The calls thread's state.
+struct CallsThread {
+    shared: Arc<Shared>,
+    once: Once,
+    log: LogClient,
+    answers: mpsc::UnboundedSender<LogAnswer>,
+    callers: HashMap<Ticket, mpsc::Sender<CallEvent>>,
+    askers: HashMap<Ticket, oneshot::Sender<Found>>,
+}
+
+/// Agrees calls until told to stop.
+pub(crate) async fn run(
+    shared: Arc<Shared>,
+    mut inbox: Receiver<CallsMessage>,
+) -> Result<(), CallError> {
+    let limit = shared.settings.times.control_ms.get();
+    let log = LogClient::new(Http::new().await?, shared.settings.log, limit);
+    // One append and one read are under way at most, so this queue holds two answers at most.
+    let (answers, mut answered) = mpsc::unbounded_channel();
+    let mut thread = CallsThread {
+        once: Once::new(
+            shared.settings.calls,
+            Arc::clone(&shared.settings.instance),
+            shared.incarnation,
+            RandomState::new().hash_one(shared.incarnation),
+        ),
+        shared,
+        log,
+        answers,
+        callers: HashMap::new(),
+        askers: HashMap::new(),
+    };
+    loop {
+        let idle = thread.once.is_idle();
+        thread.shared.calls_open.store(!idle, Ordering::Release);
+        let tick = if idle { IDLE_TICK } else { BUSY_TICK };
+        let mut out = Vec::new();
+        tokio::select! {
+            message = inbox.recv() => match message {
+                None | Some(CallsMessage::Stop) => return Ok(()),
+                Some(message) => thread.take(message, &mut out),
+            },
+            Some(answer) = answered.recv() => thread.heard(answer, &mut out),
+            () = sleep(tick) => thread.once.on_tick(now(), &mut out),
+        }
+        thread.carry_out(out);
+    }
+}
+
+impl CallsThread {
+    fn take(&mut self, message: CallsMessage, out: &mut Vec<OnceAction>) {
+        match message {
+            CallsMessage::Call(call, caller) => {
+                self.callers.insert(call.ticket, caller);
+                self.once.on_call(now(), call, out);
+            }
+            CallsMessage::Ended(nonce, ended) => self.once.on_ended(now(), nonce, ended, out),
+            CallsMessage::Gone(ticket) => {
+                self.callers.remove(&ticket);
+                self.askers.remove(&ticket);
+                self.once.on_gone(ticket);
+            }
+            CallsMessage::Lookup(ticket, key, asker) => {
+                self.askers.insert(ticket, asker);
+                self.once.on_lookup(now(), ticket, key, out);
+            }
+            CallsMessage::Stop => {}
+        }
+    }
+
+    fn heard(&mut self, answer: LogAnswer, out: &mut Vec<OnceAction>) {
+        match answer {
+            LogAnswer::Appended(ended) => self.once.on_append(now(), ended, out),
+            LogAnswer::Read(Some(page)) => self.once.on_page(now(), &page, out),
+            LogAnswer::Read(None) => self.once.on_read_failed(now(), out),
+        }
+    }
+
+    fn carry_out(&mut self, mut actions: Vec<OnceAction>) {
+        while !actions.is_empty() {
+            let mut more = Vec::new();
+            for action in actions {
+                self.act(action, &mut more);
+            }
+            actions = more;
+        }
+    }
+
+    fn act(&mut self, action: OnceAction, more: &mut Vec<OnceAction>) {
+        match action {
+            OnceAction::Append(records) => {
+                let (log, answers) = (self.log.clone(), self.answers.clone());
+                spawn(async move {
+                    let ended = appended(log.append(CALLS_STREAM, records).await);
+                    let _ = answers.send(LogAnswer::Appended(ended));
+                });
+            }
+            OnceAction::Read { from, max } => {
+                let (log, answers) = (self.log.clone(), self.answers.clone());
+                spawn(async move {
+                    let page = log.read(CALLS_STREAM, from, max).await.ok().map(page);
+                    let _ = answers.send(LogAnswer::Read(page));
+                });
+            }
+            OnceAction::Send {
+                ticket,
+                nonce,
+                until,
+            } => self.hand_out(ticket, nonce, until, more),
+            OnceAction::Reply { ticket, reply } => {
+                if let Some(caller) = self.callers.remove(&ticket) {
+                    let _ = caller.try_send(CallEvent::Reply(reply));
+                }
+            }
+            OnceAction::Found { ticket, found } => {
+                if let Some(asker) = self.askers.remove(&ticket) {
+                    let _ = asker.send(found);
+                }
+            }
+        }
+    }
+
+    /// Hands a call out to the caller's handler; a handler that is gone has not sent it.
+    fn hand_out(
+        &mut self,
+        ticket: Ticket,
+        nonce: u64,
+        until: std::time::Instant,
+        more: &mut Vec<OnceAction>,
+    ) {
+        let event = CallEvent::Send { nonce, until };
+        let caller = self.callers.get(&ticket);
+        let taken = caller.is_some_and(|caller| caller.try_send(event).is_ok());
+        if !taken {
+            let refusal = caraway_types::Refusal::not_run(
+                caraway_types::Reason::Deadline,
+                "the caller left before the call was sent",
+            );
+            self.once
+                .on_ended(now(), nonce, Ended::NotRun(refusal), more);
+        }
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
+fn appended(result: Result<caraway_wire::log::Appended, CallError>) -> Appending {
+    match result {
+        Ok(appended) => Appending::Done(appended.next),
+        Err(error) if error.not_sent() => Appending::Failed,
+        Err(_) => Appending::Unknown,
+    }
+}
+
+fn page(page: Page) -> LogPage {
+    let records = page.records.into_iter();
+    LogPage {
+        oldest: page.oldest,
+        end: page.end,
+        records: records
+            .map(|entry| LogRecord {
+                offset: entry.offset,
+                data: entry.data,
+            })
+            .collect(),
+    }
+}
--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::{
     EndpointKind, EndpointSettings, Settings,
     burn::{self, BurnMessage},
+    calls_log::{self, CallsMessage},
     control::ControlThread,
     events::emit,
     follow,
@@ -56,13 +57,14 @@
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
         let (burn, burn_inbox) = ring(capacity);
+        let (calls, call_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
         let shared = Shared::new(
             settings,
             addr,
             incarnation(),
-            (control, burn),
+            (control, burn, calls),
             config,
             log,
             metrics,
@@ -90,6 +92,10 @@
         threads.push(threads::spawn_system("burn", move || {
             report(Arc::clone(&own), "burn", burn::run(own, burn_inbox))
         })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("calls", move || {
+            report(Arc::clone(&own), "calls", calls_log::run(own, call_inbox))
+        })?);
         let (server, thread) = http::start(&shared, listener)?;
         threads.push(thread);
         emit!(shared.log, info, Started; "addr" => %addr);
@@ -119,16 +125,18 @@
         self.stop();
     }
 
-    /// Tells whether requests are in flight or replicas not handed over.
+    /// Tells whether requests are in flight, outcomes not recorded or replicas not handed over.
     fn is_busy(&self) -> bool {
         let in_flight = self.shared.in_flight.load(Ordering::Acquire) > 0;
-        in_flight || !self.shared.handed_over.load(Ordering::Acquire)
+        let open = self.shared.calls_open.load(Ordering::Acquire);
+        in_flight || open || !self.shared.handed_over.load(Ordering::Acquire)
     }
 
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
         let _ = self.shared.burn.push(BurnMessage::Stop);
+        let _ = self.shared.calls.push(CallsMessage::Stop);
         let _ = self.shared.control.push(Control::Stop);
         emit!(self.shared.log, info, Stopped);
         let Self {
--- a/crates/caraway-entry/src/http/ask.rs
+++ b/crates/caraway-entry/src/http/ask.rs
@@ -170,7 +170,7 @@
     Refusal::not_run(Reason::BadRequest, format!("{place}: {problem}"))
 }
 
-fn parsed<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal>
+pub(crate) fn parsed<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Refusal>
 where
     T: FromStr,
     T::Err: std::fmt::Display,
@@ -179,7 +179,11 @@
     text(headers, name)?.map(parse).transpose()
 }
 
-fn deadline(gate: &Gate, headers: &HeaderMap, class: Class) -> Result<Duration, Refusal> {
+pub(crate) fn deadline(
+    gate: &Gate,
+    headers: &HeaderMap,
+    class: Class,
+) -> Result<Duration, Refusal> {
     let times = &gate.shared.settings.times;
     let default = match class {
         Class::Interactive => times.interactive_ms,
--- a/crates/caraway-entry/src/http/mod.rs
+++ b/crates/caraway-entry/src/http/mod.rs
@@ -8,6 +8,8 @@
 mod peer;
 mod reply;
 mod server;
+mod service_call;
+mod service_path;
 mod source;
 mod tally;
 
--- a/crates/caraway-entry/src/http/server.rs
+++ b/crates/caraway-entry/src/http/server.rs
@@ -13,7 +13,7 @@
     web::{self, App, HttpServer, ServiceConfig},
 };
 
-use super::{admin, completions, gate::Gate, peer};
+use super::{admin, completions, gate::Gate, peer, service_path};
 use crate::{shared::Shared, threads};
 
 /// The handle of a running server.
@@ -87,6 +87,8 @@
         .service(web::resource("/v1/chat/completions").route(web::post().to(completions::chat)))
         .service(web::resource("/peer/completions").route(web::post().to(peer::completions)))
         .service(web::resource("/peer/gossip").route(web::post().to(peer::gossip)))
+        .service(web::resource("/services/{service}/{path}*").route(web::to(service_path::call)))
+        .service(web::resource("/v1/outcomes/{key}").route(web::get().to(service_path::outcome)))
         .service(web::resource("/healthz").route(web::get().to(admin::healthz)))
         .service(web::resource("/readyz").route(web::get().to(admin::readyz)))
         .service(web::resource("/admin/burn").route(web::get().to(admin::burn)))
--- a/crates/caraway-entry/src/lib.rs
+++ b/crates/caraway-entry/src/lib.rs
@@ -3,9 +3,11 @@
 //! The decisions are made by [`caraway_node::Node`] and the other parts without I/O; this crate
 //! turns network events into their inputs and their outputs into calls. Each duty has a thread:
 //! `http` (callers and peers), `control` (decisions), `orders` (engines), `peers` (gossip and
-//! list), `log` (configuration) and `burn` (service-level counts). Bounded rings join them.
+//! list), `log` (configuration), `calls` (calls that may not be
+//! repeated) and `burn` (service-level counts). Bounded rings join them.
 
 mod burn;
+mod calls_log;
 mod control;
 mod entry;
 mod events;
--- a/crates/caraway-entry/src/peers.rs
+++ b/crates/caraway-entry/src/peers.rs
@@ -105,6 +105,7 @@
     let mut known = shared.peers.write().unwrap_or_else(PoisonError::into_inner);
     known.extend(peers);
     drop(known);
+    mark_leaving(shared, &listing);
     let members = listing.members.into_iter().map(listed).collect();
     let message = Control::Input(Input::Listing(members));
     if shared.control.push(message).is_err() {
@@ -112,6 +113,23 @@
     }
 }
 
+/// Remembers services that leave; only a later incarnation takes calls again.
+fn mark_leaving(shared: &Shared, listing: &Listing) {
+    let mut marks = shared
+        .leaving_services
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
+    for member in listing.members.iter().filter(|m| m.role == Role::Service) {
+        let known = marks.get(&member.id).copied();
+        if member.leaving {
+            let latest = known.map_or(member.incarnation, |i| i.max(member.incarnation));
+            marks.insert(Arc::clone(&member.id), latest);
+        } else if known.is_some_and(|known| known < member.incarnation) {
+            marks.remove(&member.id);
+        }
+    }
+}
+
 fn listed(member: Listed) -> ListedMember {
     ListedMember {
         id: member.id,
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -5,6 +5,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
+use caraway_calls::OnceSettings;
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
 /// Everything that a daemon is told at its start.
@@ -47,6 +48,9 @@
     #[serde(default)]
     #[garde(dive)]
     pub times: TimeSettings,
+    /// Limits and times of calls that may not be repeated.
+    #[serde(default)]
+    pub calls: OnceSettings,
 }
 
 /// A peer that is known before the list is.
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -12,11 +12,13 @@
 use caraway_node::{Done, Input, Submission};
 use caraway_records::State;
 use caraway_ring::Sender;
-use caraway_types::{AttemptId, EndpointId, InstanceId, LoadName, Refusal, Ticket};
+use caraway_types::{AttemptId, EndpointId, Incarnation, InstanceId, LoadName, Refusal, Ticket};
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
-use crate::{EndpointSettings, Settings, burn::BurnMessage, metrics::Metrics};
+use crate::{
+    EndpointSettings, Settings, burn::BurnMessage, calls_log::CallsMessage, metrics::Metrics,
+};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -64,6 +66,8 @@
     pub(crate) control: Sender<Control>,
     /// The way to the burn thread.
     pub(crate) burn: Sender<BurnMessage>,
+    /// The way to the calls thread.
+    pub(crate) calls: Sender<CallsMessage>,
     /// The configuration in force.
     pub(crate) config: watch::Receiver<Arc<State>>,
     /// Addresses of the peers, as last heard of.
@@ -80,6 +84,10 @@
     pub(crate) ready: AtomicBool,
     /// Whether every held replica was handed over.
     pub(crate) handed_over: AtomicBool,
+    /// Whether keyed calls have no outcome in the log yet.
+    pub(crate) calls_open: AtomicBool,
+    /// Services that the list has shown leaving; the mark stays until a restart moves them.
+    pub(crate) leaving_services: RwLock<BTreeMap<EndpointId, Incarnation>>,
     /// Whether new requests are refused because the instance stops.
     pub(crate) leaving: AtomicBool,
     tickets: AtomicU64,
@@ -91,7 +99,7 @@
         settings: Settings,
         addr: SocketAddr,
         incarnation: u64,
-        (control, burn): (Sender<Control>, Sender<BurnMessage>),
+        (control, burn, calls): (Sender<Control>, Sender<BurnMessage>, Sender<CallsMessage>),
         config: watch::Receiver<Arc<State>>,
         log: Logger,
         metrics: Metrics,
@@ -106,6 +114,7 @@
             incarnation,
             control,
             burn,
+            calls,
             config,
             peers: RwLock::new(peers),
             endpoints,
@@ -114,6 +123,8 @@
             in_flight: AtomicUsize::new(0),
             ready: AtomicBool::new(false),
             handed_over: AtomicBool::new(false),
+            calls_open: AtomicBool::new(false),
+            leaving_services: RwLock::default(),
             leaving: AtomicBool::new(false),
             tickets: AtomicU64::new(1),
         }
@@ -124,6 +135,15 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Tells whether a service replica is not leaving.
+    pub(crate) fn accepts_calls(&self, id: &EndpointId) -> bool {
+        let leaving = self
+            .leaving_services
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        !leaving.contains_key(id)
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn state(&self) -> Arc<State> {
         Arc::clone(&self.config.borrow())
--- a/crates/caraway-wire/src/http.rs
+++ b/crates/caraway-wire/src/http.rs
@@ -4,7 +4,10 @@
 
 use ntex::{
     SharedCfg,
-    client::{Client, ClientResponse, Connector, error::ClientError},
+    client::{
+        Client, ClientResponse, Connector,
+        error::{ClientError, ConnectError},
+    },
     http::{Method, StatusCode},
     util::Bytes,
 };
@@ -162,6 +165,9 @@
     fn from_client(error: &ClientError) -> Self {
         let detail: Arc<str> = error.to_string().into();
         match error {
+            // Without a cause it is a connection that closed after the request was written; a
+            // connection that could not be opened has a cause.
+            ClientError::Connect(ConnectError::Disconnected(None)) => Self::Unknown(detail),
             ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => {
                 Self::NotSent(detail)
             }
