--- a/crates/caraway-entry/tests/calls_service.rs
+++ b/crates/caraway-entry/tests/calls_service.rs
@@ -375,6 +375,25 @@
     });
 }
 
+#[test]
+fn a_repeatable_call_that_was_written_is_in_doubt_when_no_replica_is_left() {
+    let mut bed = Testbed::start(plan());
+    let dying = ServiceFaults {
+        slow: Millis::new(600),
+        die_early: 1,
+        ..Default::default()
+    };
+    service_faults(&bed, &dying);
+    let addr = bed.entries[0].addr;
+    let caller = thread::spawn(move || {
+        let headers = [("x-client-account", "co-op")];
+        send("PUT", addr, PATH, &headers, Some("40".into())).expect("an answer")
+    });
+    thread::sleep(Duration::from_millis(300));
+    bed.services[0].stop();
+    is_refused(&caller.join().expect("no panic"), "in_doubt", "no_endpoint");
+}
+
 #[test]
 fn a_graceful_stop_lets_a_call_end_and_records_it() {
     let mut bed = Testbed::start(plan());
@@ -391,8 +410,15 @@
         state(bed.entries[1].addr, "k") == "pending"
     });
     bed.entries[0].terminate();
+    let down = LogFaults {
+        down: true,
+        ..Default::default()
+    };
+    bed.log.set_faults(down);
     let answer = caller.join().expect("no panic").expect("an answer");
     assert_eq!(answer.status, 200, "{}", answer.body);
+    thread::sleep(Duration::from_secs(1));
+    bed.log.set_faults(LogFaults::default());
     assert!(bed.entries[0].wait());
     assert_eq!(state(bed.entries[1].addr, "k"), "answered");
     assert_eq!(runs(&bed, "40"), 1);
