Read a refused request's body before answering

Change: refusals of completions and service calls first read the rest of the body, within the read time and 16 MiB, and drop it. Conclusion: discarding only bodies that are too large did not help; small ones were hit as well.

--- a/crates/caraway-entry/src/http/ask.rs
+++ b/crates/caraway-entry/src/http/ask.rs
@@ -24,6 +24,8 @@
 
 /// Longest deadline that a caller may set, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 24 * 60 * 60 * 1000;
+/// Most bytes of a refused request's body that are read and dropped.
+const DISCARD_LIMIT_BYTES: usize = 16 << 20;
 /// Bytes of the prompt that count as its prefix.
 const PREFIX_BYTES: usize = 256;
 
@@ -65,7 +67,7 @@
     pub(crate) async fn read(
         gate: &Gate,
         headers: &HeaderMap,
-        payload: Payload,
+        payload: &mut Payload,
         chat: bool,
     ) -> Result<Self, Refusal> {
         let start = Instant::now();
@@ -124,7 +126,7 @@
 }
 
 /// Reads a body within the limits of size and time.
-pub(crate) async fn body(gate: &Gate, mut payload: Payload) -> Result<BytesMut, Refusal> {
+pub(crate) async fn body(gate: &Gate, payload: &mut Payload) -> Result<BytesMut, Refusal> {
     let settings = &gate.shared.settings;
     let limit = settings.limits.body_bytes;
     let read = async {
@@ -145,6 +147,24 @@
         .unwrap_or_else(late)
 }
 
+/// Reads the rest of a refused request's body, up to a bound of size and time.
+///
+/// A connection that is closed while its caller still writes is reset, and the refusal is lost.
+pub(crate) async fn discard(gate: &Gate, payload: &mut Payload) {
+    let limit = gate.shared.settings.times.read_ms.get();
+    let _ = timeout(limit, drop_parts(payload)).await;
+}
+
+async fn drop_parts(payload: &mut Payload) {
+    let mut left = DISCARD_LIMIT_BYTES;
+    while let Some(Ok(part)) = payload.recv().await {
+        left = left.saturating_sub(part.len());
+        if left == 0 {
+            return;
+        }
+    }
+}
+
 /// Returns the client account of a request.
 pub(crate) fn account(gate: &Gate, headers: &HeaderMap) -> Result<AccountId, Refusal> {
     let Some(id) = text(headers, ACCOUNT_HEADER)? else {
--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    ask::{Ask, REQUEST_HEADER},
+    ask::{self, Ask, REQUEST_HEADER},
     caller::{CallerAnswer, CallerError},
     gate::Gate,
     reply::{event, events, refuse},
@@ -41,14 +41,17 @@
     handle(&req, payload, &gate, true).await
 }
 
-async fn handle(req: &HttpRequest, payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
+async fn handle(req: &HttpRequest, mut payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
     let ask = match gate.admit() {
-        Ok(()) => Ask::read(gate, req.headers(), payload, chat).await,
+        Ok(()) => Ask::read(gate, req.headers(), &mut payload, chat).await,
         Err(refusal) => Err(refusal),
     };
     match ask {
         Ok(ask) => serve(gate, ask).await,
-        Err(refusal) => refuse(None, refusal),
+        Err(refusal) => {
+            ask::discard(gate, &mut payload).await;
+            refuse(None, refusal)
+        }
     }
 }
 
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -110,9 +110,9 @@
 }
 
 /// `POST /peer/completions`: serves a request that a peer passed on.
-pub(crate) async fn completions(payload: Payload, gate: State<Gate>) -> HttpResponse {
+pub(crate) async fn completions(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
     let message = match gate.admit() {
-        Ok(()) => read::<PeerCompletion>(&gate, payload).await,
+        Ok(()) => read::<PeerCompletion>(&gate, &mut payload).await,
         Err(refusal) => Err(refusal),
     };
     let ask = match message {
@@ -142,8 +142,8 @@
 }
 
 /// `POST /peer/gossip`.
-pub(crate) async fn gossip(payload: Payload, gate: State<Gate>) -> HttpResponse {
-    match read::<Gossip>(&gate, payload).await {
+pub(crate) async fn gossip(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    match read::<Gossip>(&gate, &mut payload).await {
         Ok(gossip) => {
             let message = Control::Input(Input::Gossip(gossip));
             if gate.shared.control.push(message).is_err() {
@@ -167,7 +167,10 @@
 }
 
 /// Reads a peer's message.
-pub(crate) async fn read<T: DeserializeOwned>(gate: &Gate, payload: Payload) -> Result<T, Refusal> {
+pub(crate) async fn read<T: DeserializeOwned>(
+    gate: &Gate,
+    payload: &mut Payload,
+) -> Result<T, Refusal> {
     let body = ask::body(gate, payload).await?;
     rmp_serde::from_slice(&body).map_err(|e| bad("body", &e.to_string()))
 }
--- a/crates/caraway-entry/src/http/service_path.rs
+++ b/crates/caraway-entry/src/http/service_path.rs
@@ -50,21 +50,34 @@
 }
 
 /// Any method under `/services/NAME/..`.
-pub(crate) async fn call(req: HttpRequest, payload: Payload, gate: State<Gate>) -> HttpResponse {
+pub(crate) async fn call(
+    req: HttpRequest,
+    mut payload: Payload,
+    gate: State<Gate>,
+) -> HttpResponse {
     let result = match gate.admit() {
         Ok(()) => {
             let flight = InFlight::new(&gate);
-            match read(&gate, &req, payload).await {
+            match read(&gate, &req, &mut payload).await {
                 Ok(call) => carry_out(&gate, call, flight).await,
-                Err(refusal) => Err(refusal),
+                Err(refusal) => Err(refusal_after(&gate, &mut payload, refusal).await),
             }
         }
-        Err(refusal) => Err(refusal),
+        Err(refusal) => Err(refusal_after(&gate, &mut payload, refusal).await),
     };
     result.unwrap_or_else(|refusal| refuse(None, refusal))
 }
 
-async fn read(gate: &Gate, req: &HttpRequest, payload: Payload) -> Result<ServiceCall, Refusal> {
+async fn refusal_after(gate: &Gate, payload: &mut Payload, refusal: Refusal) -> Refusal {
+    ask::discard(gate, payload).await;
+    refusal
+}
+
+async fn read(
+    gate: &Gate,
+    req: &HttpRequest,
+    payload: &mut Payload,
+) -> Result<ServiceCall, Refusal> {
     let start = Instant::now();
     let headers = req.headers();
     let account = ask::account(gate, headers)?;
