--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -20,13 +20,14 @@
 use crate::{
     EndpointKind, EndpointSettings, Settings,
     burn::{self, BurnMessage},
+    calls_log::{self, CallsMessage},
     control::ControlThread,
     events::emit,
     follow,
     http::{self, Server},
     metrics::Metrics,
     orders, peers,
-    shared::{Control, Shared},
+    shared::{Control, Rings, Shared},
     threads,
 };
 
@@ -57,13 +58,19 @@
         let (beats, beat_inbox) = ring(capacity);
         let (burn, burn_inbox) = ring(capacity);
         let (follow, follow_inbox) = ring(capacity);
+        let (calls, call_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
         let shared = Shared::new(
             settings,
             addr,
             incarnation(),
-            (control, burn, follow),
+            Rings {
+                control,
+                burn,
+                follow,
+                calls,
+            },
             config,
             log,
             metrics,
@@ -95,6 +102,10 @@
         threads.push(threads::spawn_system("burn", move || {
             report(Arc::clone(&own), "burn", burn::run(own, burn_inbox))
         })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("calls", move || {
+            report(Arc::clone(&own), "calls", calls_log::run(own, call_inbox))
+        })?);
         let (server, thread) = http::start(&shared, listener)?;
         threads.push(thread);
         emit!(shared.log, info, Started; "addr" => %addr);
@@ -115,7 +126,7 @@
     pub fn drain(self) {
         emit!(self.shared.log, info, Draining);
         self.shared.leaving.store(true, Ordering::Release);
-        let _ = self.shared.control.push(Control::Input(Input::Leave));
+        let _ = self.shared.rings.control.push(Control::Input(Input::Leave));
         let limit = self.shared.settings.times.drain_ms.get();
         let start = std::time::Instant::now();
         while self.is_busy() && start.elapsed() < limit {
@@ -124,17 +135,19 @@
         self.stop();
     }
 
-    /// Tells whether requests are in flight or replicas not handed over.
+    /// Tells whether requests are in flight, outcomes not recorded or replicas not handed over.
     fn is_busy(&self) -> bool {
         let in_flight = self.shared.in_flight.load(Ordering::Acquire) > 0;
-        in_flight || !self.shared.handed_over.load(Ordering::Acquire)
+        let open = self.shared.calls_open.load(Ordering::Acquire);
+        in_flight || open || !self.shared.handed_over.load(Ordering::Acquire)
     }
 
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
-        let _ = self.shared.burn.push(BurnMessage::Stop);
-        let _ = self.shared.control.push(Control::Stop);
+        let _ = self.shared.rings.burn.push(BurnMessage::Stop);
+        let _ = self.shared.rings.calls.push(CallsMessage::Stop);
+        let _ = self.shared.rings.control.push(Control::Stop);
         emit!(self.shared.log, info, Stopped);
         let Self {
             shared, threads, ..
--- a/crates/caraway-entry/src/follow.rs
+++ b/crates/caraway-entry/src/follow.rs
@@ -69,7 +69,7 @@
     let mut thread = FollowThread::new(shared, publish, ends).await?;
     let mut tick = interval(thread.shared.settings.times.tick_ms.get());
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while !thread.shared.control.is_closed() {
+    while !thread.shared.rings.control.is_closed() {
         tokio::select! {
             _ = tick.tick() => thread.handle(FollowerInput::Tick),
             Some(end) = ended.recv() => thread.take(end, &mut ended),
@@ -190,7 +190,7 @@
         }
         self.publish.send_replace(Arc::clone(state));
         let message = Control::Config(Arc::clone(state));
-        if self.shared.control.push(message).is_err() {
+        if self.shared.rings.control.push(message).is_err() {
             emit!(self.shared.log, warn, RingFull; "ring" => "control");
         }
     }
--- a/crates/caraway-entry/src/guard.rs
+++ b/crates/caraway-entry/src/guard.rs
@@ -46,7 +46,7 @@
     }
 
     async fn ask(&mut self, message: Control, verdict: oneshot::Receiver<Verdict>) -> Verdict {
-        let sent = self.shared.control.push(message).is_ok();
+        let sent = self.shared.rings.control.push(message).is_ok();
         let verdict = if sent { verdict.await.ok() } else { None };
         let verdict = verdict.unwrap_or_else(|| {
             emit!(self.shared.log, warn, RingFull; "ring" => "control");
@@ -72,8 +72,8 @@
     /// Puts an ending into the ring; it must not be lost, or its pin would stay for ever.
     fn push(&self, input: Input) {
         let mut message = Control::Input(input);
-        while let Err(caraway_ring::Full(back)) = self.shared.control.push(message) {
-            if self.shared.control.is_closed() {
+        while let Err(caraway_ring::Full(back)) = self.shared.rings.control.push(message) {
+            if self.shared.rings.control.is_closed() {
                 return;
             }
             message = back;
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -114,9 +114,9 @@
 }
 
 /// `POST /peer/completions`: serves a request that a peer passed on.
-pub(crate) async fn completions(payload: Payload, gate: State<Gate>) -> HttpResponse {
+pub(crate) async fn completions(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
     let message = match gate.admit() {
-        Ok(()) => read::<PeerCompletion>(&gate, payload).await,
+        Ok(()) => read::<PeerCompletion>(&gate, &mut payload).await,
         Err(refusal) => Err(refusal),
     };
     let ask = match message {
@@ -146,12 +146,12 @@
 }
 
 /// `POST /peer/gossip`.
-pub(crate) async fn gossip(payload: Payload, gate: State<Gate>) -> HttpResponse {
-    match read::<Gossip>(&gate, payload).await {
+pub(crate) async fn gossip(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    match read::<Gossip>(&gate, &mut payload).await {
         Ok(gossip) => {
             offer(&gate, &gossip);
             let message = Control::Input(Input::Gossip(gossip));
-            if gate.shared.control.push(message).is_err() {
+            if gate.shared.rings.control.push(message).is_err() {
                 return refuse(
                     None,
                     Refusal::not_run(Reason::QueueFull, "the ring is full"),
@@ -169,18 +169,24 @@
         let (next, digest) = (mark.next, mark.digest);
         let message = Follow::Offer(Arc::clone(&gossip.from), Offer { next, digest });
         // A dropped offer comes again with the next gossip.
-        let _ = gate.shared.follow.push(message);
+        let _ = gate.shared.rings.follow.push(message);
     }
 }
 
 /// `POST /peer/records`: gives a peer the records that it lacks.
-pub(crate) async fn records(payload: Payload, gate: State<Gate>) -> HttpResponse {
-    let ask = match read::<PeerAsk>(&gate, payload).await {
+pub(crate) async fn records(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    let ask = match read::<PeerAsk>(&gate, &mut payload).await {
         Ok(ask) => ask,
         Err(refusal) => return refuse(None, refusal),
     };
     let (reply, answer) = oneshot::channel();
-    if gate.shared.follow.push(Follow::Ask(ask, reply)).is_err() {
+    if gate
+        .shared
+        .rings
+        .follow
+        .push(Follow::Ask(ask, reply))
+        .is_err()
+    {
         return HttpResponse::ServiceUnavailable().finish();
     }
     match answer.await {
@@ -200,7 +206,10 @@
 }
 
 /// Reads a peer's message.
-pub(crate) async fn read<T: DeserializeOwned>(gate: &Gate, payload: Payload) -> Result<T, Refusal> {
+pub(crate) async fn read<T: DeserializeOwned>(
+    gate: &Gate,
+    payload: &mut Payload,
+) -> Result<T, Refusal> {
     let body = ask::body(gate, payload).await?;
     rmp_serde::from_slice(&body).map_err(|e| bad("body", &e.to_string()))
 }
