Begin a demo run once each instance answers

Cause: the first holders of engines that don't check fencing wait 6 s before their first load, so the run measured the start of the daemons. Change: one short completion through each instance before the run; orders in the ledgers carry their time; the report counts the adapter versions asked.

--- a/crates/caraway-demo/src/caller.rs
+++ b/crates/caraway-demo/src/caller.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
+    deployment::Deployment,
     outcome::{Ending, Outcome},
     schedule::{Planned, Prompt, Work},
 };
@@ -24,12 +25,25 @@
 /// A caller of one client account.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
-    pub(crate) http: Http,
-    pub(crate) account: &'static str,
-    pub(crate) service: &'static str,
+    http: Http,
+    account: &'static str,
+    service: &'static str,
 }
 
 impl Caller {
+    /// Makes a caller of the deployment's client account.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the client can't be set up.
+    pub(crate) async fn new(deployment: &Deployment) -> Result<Self, CallError> {
+        Ok(Self {
+            http: Http::new().await?,
+            account: deployment.account,
+            service: deployment.service,
+        })
+    }
+
     /// Sends a request to `addr` and returns what became of it.
     pub(crate) async fn send(&self, addr: SocketAddr, planned: Planned) -> Outcome {
         let mut outcome = Outcome::new(planned.workload, planned.work.clone());
--- a/crates/caraway-demo/src/driver.rs
+++ b/crates/caraway-demo/src/driver.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, io::Write, rc::Rc, time::Duration};
 
-use caraway_wire::Http;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
@@ -28,11 +27,7 @@
     floor: &Floor,
     planned: Vec<Planned>,
 ) -> anyhow::Result<Vec<Outcome>> {
-    let caller = Caller {
-        http: Http::new().await?,
-        account: deployment.account,
-        service: deployment.service,
-    };
+    let caller = Caller::new(deployment).await?;
     let addrs = floor.addrs();
     let total = planned.len();
     let outcomes = Rc::new(RefCell::new(Vec::new()));
--- a/crates/caraway-demo/src/report.rs
+++ b/crates/caraway-demo/src/report.rs
@@ -1,10 +1,11 @@
 //! [`Report`]: what a run came to.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::{Duration, SystemTime},
 };
 
+use caraway_types::AdapterRef;
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -95,6 +96,8 @@
     pub(crate) fill_share: f64,
     /// Share of prompt bytes that the prefix caches saved.
     pub(crate) prefix_share: f64,
+    /// Adapter versions that the callers asked for.
+    pub(crate) adapters: u64,
     /// Loads from the weight store.
     pub(crate) loads: u64,
     /// Loads that the weight store failed.
@@ -131,7 +134,7 @@
             seconds: length.as_secs_f64(),
             workloads: workloads.collect::<anyhow::Result<_>>()?,
             endings,
-            engines: EngineSums::new(deployment, ledgers),
+            engines: EngineSums::new(deployment, outcomes, ledgers),
             rules,
         })
     }
@@ -186,7 +189,8 @@
 }
 
 impl EngineSums {
-    fn new(deployment: &Deployment, ledgers: &Ledgers) -> Self {
+    fn new(deployment: &Deployment, outcomes: &[Outcome], ledgers: &Ledgers) -> Self {
+        let asked: HashSet<&AdapterRef> = outcomes.iter().filter_map(adapter).collect();
         let engines = || ledgers.engines.iter();
         let steps: u64 = engines().map(|e| e.steps).sum();
         let filled: u64 = engines().map(|e| e.fill_sum).sum();
@@ -201,6 +205,7 @@
             mean_fill,
             fill_share: mean_fill / f64::from(deployment.engine.max_batch),
             prefix_share: ratio(saved, saved + prefilled),
+            adapters: asked.len() as u64,
             loads: ledgers.store.loads.len() as u64,
             failed_loads: ledgers.store.failed,
         }
@@ -217,6 +222,14 @@
     arrivals
 }
 
+/// Returns the adapter version that a completion asked for.
+fn adapter(outcome: &Outcome) -> Option<&AdapterRef> {
+    match &outcome.work {
+        Work::Completion(prompt) => Some(&prompt.adapter),
+        Work::Write { .. } | Work::Read { .. } => None,
+    }
+}
+
 /// Returns how long a completion waited before it reached an engine.
 fn stall(outcome: &Outcome, arrivals: &HashMap<&str, SystemTime>) -> Option<Duration> {
     let Work::Completion(prompt) = &outcome.work else {
--- a/crates/caraway-demo/src/run.rs
+++ b/crates/caraway-demo/src/run.rs
@@ -1,24 +1,30 @@
 //! [`run`] builds a deployment, drives it and reports.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use caraway_standin::{Engine, Service};
 use ntex::rt::{DefaultRuntime, System};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::{
+    caller::Caller,
     checker::{self, Ledgers},
     deployment::Deployment,
     driver,
     floor::{self, Floor},
-    outcome::Outcome,
+    outcome::{Ending, Outcome},
     report::Report,
     rules::Rules,
-    schedule::schedule,
+    schedule::{Planned, schedule},
     watch::watch,
 };
 
+/// Most time until every instance gives an answer.
+const PROBE_LIMIT: Duration = Duration::from_mins(1);
+/// Pause between two probes of an instance.
+const PROBE_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a run is told.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Plan {
@@ -57,6 +63,8 @@
     let entries = floor.addrs();
     eprintln!("publishing {} adapters", deployment.adapters);
     floor::open(deployment, floor.log_addr(), &entries).await?;
+    eprintln!("waiting for the first answers");
+    probe(deployment, &entries).await?;
     eprintln!("driving requests for {} s", plan.length.as_secs());
     let planned = schedule(deployment, plan.length, plan.seed)?;
     let start = Instant::now();
@@ -70,6 +78,22 @@
     })
 }
 
+/// Asks each instance for a completion until it gives one, as a balancer would.
+async fn probe(deployment: &Deployment, entries: &[SocketAddr]) -> Result<()> {
+    let caller = Caller::new(deployment).await?;
+    let start = Instant::now();
+    for (index, entry) in entries.iter().enumerate() {
+        let probe = Planned::probe(deployment, index);
+        while caller.send(*entry, probe.clone()).await.ending != Ending::Answered {
+            if start.elapsed() > PROBE_LIMIT {
+                bail!("{entry} gives no answer after {PROBE_LIMIT:?}");
+            }
+            sleep(PROBE_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
 /// Checks the ledgers and sums the run up.
 fn report(deployment: &Deployment, floor: &Floor, plan: Plan, driven: Driven) -> Result<Report> {
     let Driven {
--- a/crates/caraway-demo/src/schedule.rs
+++ b/crates/caraway-demo/src/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use caraway_types::AdapterRef;
+use caraway_types::{AdapterRef, Class};
 use rand::{
     Rng, SeedableRng,
     distr::weighted::{Error as WeightError, WeightedIndex},
@@ -22,6 +22,16 @@
 /// Share of writes that are sent twice with the same key.
 const TWICE_SHARE: f64 = 0.1;
 
+/// A completion that shows that an instance serves.
+const PROBE: Completion = Completion {
+    class: Class::Interactive,
+    prompt: "",
+    tokens: 1,
+    stream: true,
+    chat: false,
+    deadline_s: 10,
+};
+
 /// One request to send.
 #[derive(Clone, Debug)]
 pub(crate) struct Planned {
@@ -69,6 +79,24 @@
     pub(crate) text: String,
 }
 
+impl Planned {
+    /// Returns a short request for the most popular adapter through one instance.
+    pub(crate) fn probe(deployment: &Deployment, entry: usize) -> Self {
+        let adapter = adapter(deployment, 0, served(0));
+        Self {
+            at: Duration::ZERO,
+            workload: 0,
+            entry,
+            work: Work::Completion(Arc::new(Prompt {
+                shape: PROBE,
+                model: adapter.to_string(),
+                adapter,
+                text: format!("Probe of instance {entry}."),
+            })),
+        }
+    }
+}
+
 impl Prompt {
     /// Returns the prompt as the engine sees it.
     pub(crate) fn as_sent(&self) -> String {
--- a/crates/caraway-demo/src/table.rs
+++ b/crates/caraway-demo/src/table.rs
@@ -104,7 +104,11 @@
         "  prompt bytes saved by prefix caches {:.1}%",
         100.0 * sums.prefix_share
     )?;
-    writeln!(f, "  loads {}, failed {}", sums.loads, sums.failed_loads)
+    writeln!(
+        f,
+        "  loads {}, failed {}, for {} adapter versions",
+        sums.loads, sums.failed_loads, sums.adapters
+    )
 }
 
 fn rules(f: &mut fmt::Formatter<'_>, rules: &Rules) -> fmt::Result {
--- a/crates/caraway-standin/src/engine/ledger.rs
+++ b/crates/caraway-standin/src/engine/ledger.rs
@@ -64,6 +64,8 @@
 /// One order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRecord {
+    /// When it arrived.
+    pub arrived: SystemTime,
     /// What was ordered.
     pub kind: OrderKind,
     /// The load's name.
--- a/crates/caraway-standin/src/engine/orders.rs
+++ b/crates/caraway-standin/src/engine/orders.rs
@@ -1,6 +1,6 @@
 //! Loads and unloads: fencing, slots and the weight store.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::SystemTime};
 
 use caraway_types::{AdapterRef, Fence, LoadName};
 use caraway_wire::engine::{EngineError, EngineErrorKind, LoadRequest};
@@ -125,6 +125,7 @@
         error: Option<EngineErrorKind>,
     ) {
         self.ledger.orders.push(OrderRecord {
+            arrived: SystemTime::now(),
             kind,
             load: Arc::clone(name),
             fence,
