--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -18,6 +18,8 @@
     sent::SentLog,
 };
 
+/// Least time between two evaluations of states without news.
+const QUIET_TICK: Duration = Duration::from_millis(100);
 /// How long a mark of an id that nothing else names is kept.
 const MARK_AGE: Duration = Duration::from_hours(1);
 
@@ -35,14 +37,21 @@
     pub(crate) peers: BTreeMap<InstanceId, Peer>,
     pub(crate) marks: Marks,
     pub(crate) fences: Fences,
+    /// The replicas of this zone.
     pub(crate) replicas: BTreeMap<EndpointId, Replica>,
+    /// The replicas of other zones.
+    pub(crate) remote: BTreeMap<EndpointId, EndpointInfo>,
     pub(crate) listed_endpoints: BTreeMap<EndpointId, ListedEndpoint>,
-    /// Whether a listing has named this incarnation.
+    /// Whether a listing has named this instance since it started.
     pub(crate) listed: bool,
-    /// Listings in a row without this incarnation since.
+    /// This instance's newest entry of the list.
+    pub(crate) own_entry: Option<ListEntry>,
+    /// Listings in a row without this instance since.
     pub(crate) missing: u8,
     pub(crate) last_listing: Option<Instant>,
     pub(crate) last_tick: Instant,
+    /// When states were last evaluated, unless there was news since.
+    pub(crate) evaluated: Option<Instant>,
     /// Since when holdings may be out of date because this instance was paused or is new.
     pub(crate) doubt: Option<Instant>,
     pub(crate) leaving: bool,
@@ -52,6 +61,13 @@
     pub(crate) steady: BTreeSet<InstanceId>,
 }
 
+/// An entry of the list.
+#[derive(Clone, Copy, Debug, Hash)]
+pub(crate) struct ListEntry {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) leaving: bool,
+}
+
 /// An endpoint as the list shows it.
 #[derive(Clone, Debug, Hash)]
 pub(crate) struct ListedEndpoint {
@@ -70,6 +86,8 @@
         endpoints: Vec<EndpointInfo>,
         now: Instant,
     ) -> Self {
+        let (local, remote): (Vec<_>, Vec<_>) =
+            endpoints.into_iter().partition(|e| e.zone == me.zone);
         let replica = |e: EndpointInfo| (e.id.clone(), Replica::new(e));
         Self {
             tag: fences::tag(&me.id, me.incarnation, 0),
@@ -82,12 +100,15 @@
             peers: BTreeMap::new(),
             marks: Marks::default(),
             fences: Fences::default(),
-            replicas: endpoints.into_iter().map(replica).collect(),
+            replicas: local.into_iter().map(replica).collect(),
+            remote: remote.into_iter().map(|e| (e.id.clone(), e)).collect(),
             listed_endpoints: BTreeMap::new(),
             listed: false,
+            own_entry: None,
             missing: 0,
             last_listing: None,
             last_tick: now,
+            evaluated: None,
             doubt: Some(now),
             leaving: false,
             candidates: BTreeSet::new(),
@@ -99,6 +120,7 @@
     /// a refusal, or of an own order that was accepted.
     pub fn on_fence(&mut self, now: Instant, endpoint: &EndpointId, fence: Fence) {
         self.fences.see(endpoint, fence);
+        self.evaluated = None;
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.see_fence(now, fence);
         }
@@ -107,7 +129,7 @@
     /// Learns whether a call to an instance or endpoint was answered.
     pub fn on_answer(&mut self, now: Instant, id: &str, answered: bool) {
         if let Some(peer) = self.peers.get_mut(id) {
-            peer.failed = !answered;
+            peer.failed = (!answered).then_some(now);
         }
         if let Some(endpoint) = self.listed_endpoints.get_mut(id) {
             endpoint.answered = Some((answered, now));
@@ -120,6 +142,12 @@
     /// Brings states and holdings up to `now`.
     pub fn tick(&mut self, now: Instant) -> Vec<MemberEvent> {
         let mut events = Vec::new();
+        let quiet = |at| now.saturating_duration_since(at) < QUIET_TICK;
+        if self.evaluated.is_some_and(quiet) {
+            self.last_tick = now;
+            return events;
+        }
+        self.evaluated = Some(now);
         self.notice_pause(now);
         self.drop_missing(now);
         self.tick_peers(now, &mut events);
@@ -190,7 +218,10 @@
     /// is the instance that most likely does.
     #[must_use]
     pub fn holder(&self, endpoint: &EndpointId) -> Option<&InstanceId> {
-        self.replicas.get(endpoint)?.holder.as_ref()
+        match self.replicas.get(endpoint) {
+            Some(replica) => replica.holder.as_ref(),
+            None => self.likely_holder(self.remote.get(endpoint)?),
+        }
     }
 
     /// Tells whether an instance or endpoint may get new work.
@@ -238,6 +269,7 @@
     /// Starts to hand over everything that this instance holds.
     pub fn leave(&mut self, now: Instant) {
         self.leaving = true;
+        self.evaluated = None;
         self.mark(now, &self.own_mark(Stage::Leaving));
     }
 
@@ -298,7 +330,7 @@
         };
         self.peers
             .iter()
-            .filter(move |(id, p)| p.zone == self.me.zone && !ended(id, p))
+            .filter(move |(id, p)| p.local && !ended(id, p))
     }
 
     /// Counts the known peers of this zone that have not ended.
