--- a/crates/caraway-measure/src/flags.rs
+++ b/crates/caraway-measure/src/flags.rs
@@ -44,5 +44,23 @@
             /// Prints JSON.
             optional --json
         }
+        /// Measures what control costs one daemon as the deployment grows.
+        cmd slopes {
+            /// Virtual seconds of each fleet.
+            optional --seconds seconds: u64
+            /// Leaves out larger fleets.
+            optional --instances instances: usize
+            /// Measures real daemons at rest, too.
+            optional --daemons
+            /// Prints JSON.
+            optional --json
+        }
+        /// Prints two JSON reports side by side with the ratio of new to old.
+        cmd compare {
+            /// The older report.
+            required old: PathBuf
+            /// The newer report.
+            required new: PathBuf
+        }
     }
 }
--- a/crates/caraway-measure/src/main.rs
+++ b/crates/caraway-measure/src/main.rs
@@ -2,16 +2,20 @@
 //!
 //! Each subcommand is a module of its own with a `run` function; [`flags`] lists them.
 
+mod compare;
 mod config;
 mod cpu;
 mod deployment;
 mod flags;
 mod path;
 mod policy;
+mod slopes;
 
 fn main() -> anyhow::Result<()> {
     match flags::Measure::from_env_or_exit().subcommand {
         flags::MeasureCmd::Config(args) => config::run(&args),
+        flags::MeasureCmd::Compare(args) => compare::run(&args),
+        flags::MeasureCmd::Slopes(args) => slopes::run(&args),
         flags::MeasureCmd::Path(args) => path::run(&args),
         flags::MeasureCmd::Policy(args) => policy::run(&args),
     }
