Form batches by where rare adapters go and when work that nobody waits for starts

Change: among the places where a load costs little, the one whose batches are fullest; the weights of the routing configuration say how much more it may cost. Where batches weigh more than stalls, summary and batch requests wait up to 3 s for others before they start on an idle engine.

--- a/crates/caraway-node/src/gossip.rs
+++ b/crates/caraway-node/src/gossip.rs
@@ -37,6 +37,8 @@
     /// Requests per second of the loads that would be evicted, the cheapest first; zero for a
     /// free slot.
     pub costs: Vec<f32>,
+    /// Requests that run on those replicas.
+    pub running: u32,
     /// Whether popularity seems to shift there.
     pub evidence: Evidence,
 }
--- a/crates/caraway-node/src/node.rs
+++ b/crates/caraway-node/src/node.rs
@@ -181,6 +181,7 @@
             self.route_again(now, out);
         }
         self.route_parked(now, out);
+        self.release_held(now, out);
     }
 
     /// Looks whether popularity shifts, by the evidence of all instances.
--- a/crates/caraway-node/src/orders.rs
+++ b/crates/caraway-node/src/orders.rs
@@ -246,7 +246,7 @@
         self.engines
             .iter()
             .filter(|(id, e)| e.replica.free() > 0 && self.may_load(now, id, adapter))
-            .min_by_key(|(_, e)| e.batch())
+            .max_by_key(|(_, e)| e.batch())
             .map(|(id, _)| id.clone())
     }
 
@@ -288,10 +288,13 @@
 
     /// Orders the unload of the cheapest load that may be evicted for an adapter version.
     fn order_unload(&mut self, now: Instant, adapter: &AdapterRef, out: &mut Vec<Output>) -> bool {
-        let chosen = self
-            .victims(now)
-            .into_iter()
-            .find(|v| self.may_load(now, v.endpoint, adapter))
+        let victims = self.victims(now);
+        let open = |v: &&Victim<'_>| self.may_load(now, v.endpoint, adapter);
+        let least = victims.iter().find(open).map_or(0.0, |v| v.cost);
+        let limit = self.cheap_limit(least);
+        let cheap = victims.iter().filter(open).filter(|v| v.cost <= limit);
+        let chosen = cheap
+            .min_by_key(|v| std::cmp::Reverse(self.engines[v.endpoint].batch()))
             .map(|v| (v.endpoint.clone(), v.load.clone()));
         let Some((endpoint, load)) = chosen else {
             return false;
--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Done, Node, Output, Submission,
-    engine::load_fence,
+    engine::{Engine, load_fence},
     job::{Job, Place},
 };
 
@@ -23,8 +23,14 @@
 const ASSIGNED: Duration = Duration::from_secs(2);
 /// A peer that did not take a request is passed over for this time.
 const SHUN: Duration = Duration::from_secs(1);
-/// A load goes to a peer when it would cost less than this part of what it costs here.
-const ROOM_GAIN: f64 = 0.5;
+/// Evicting an adapter version costs nothing worth weighing below this rate, in requests per
+/// second.
+const CHEAP_RATE: f64 = 0.006;
+/// A load may cost this much more for a fuller batch where only batches count.
+const FILL_FACTOR: f64 = 4.0;
+/// Where batches weigh more than stalls, a request that nobody waits for now starts on an idle
+/// engine only after this time, so that it can join a batch.
+const HOLD: Duration = Duration::from_secs(3);
 
 impl Node {
     pub(crate) fn on_submit(
@@ -223,8 +229,10 @@
         };
         let adapter = job.submission.adapter.clone();
         self.parked.remove(&ticket);
-        if let Some((endpoint, load)) = self.choose_resident(now, &adapter) {
-            self.start(now, ticket, endpoint, load, out);
+        let class = job.submission.class;
+        if let Some((endpoint, load)) = self.choose_resident(now, &adapter, class) {
+            self.start(now, ticket, endpoint.clone(), load, out);
+            self.fill_batch(now, &endpoint, out);
         } else if self.expects(now, &adapter) {
             self.wait(now, ticket);
         } else if let Some(peer) = self.choose_peer(now, ticket, &adapter) {
@@ -242,12 +250,13 @@
         &self,
         now: Instant,
         adapter: &AdapterRef,
+        class: Class,
     ) -> Option<(EndpointId, LoadName)> {
         let routing = self.config.routing();
         let fullest = routing.batch_weight > routing.stall_weight;
         self.engines
             .iter()
-            .filter(|(_, e)| e.has_place())
+            .filter(|(_, e)| e.has_place() && (e.batch() > 0 || !self.holds_back(class)))
             .filter_map(|(id, e)| {
                 let load = e.replica.resident(adapter)?;
                 let usable = self.is_usable(now, id, load);
@@ -261,6 +270,23 @@
             .map(|(_, id, load)| (id.clone(), load.clone()))
     }
 
+    /// Tells whether requests of a class wait for others to share a batch with.
+    fn holds_back(&self, class: Class) -> bool {
+        let routing = self.config.routing();
+        class != Class::Interactive && routing.batch_weight > routing.stall_weight
+    }
+
+    /// Starts requests that were held back for long enough.
+    pub(crate) fn release_held(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if self.waiting.total() == 0 {
+            return;
+        }
+        let endpoints: Vec<EndpointId> = self.engines.keys().cloned().collect();
+        for endpoint in endpoints {
+            self.fill_batch(now, &endpoint, out);
+        }
+    }
+
     /// Tells whether this instance may start requests on a load.
     pub(crate) fn is_usable(&self, now: Instant, endpoint: &EndpointId, load: &str) -> bool {
         let Some(engine) = self.engines.get(endpoint) else {
@@ -363,13 +389,23 @@
         }
         let here = self.room_cost(now);
         let fresh = |at: Instant| now.saturating_duration_since(at) < ROOM_AGE;
-        let (cost, peer) = self
+        let rooms = self
             .rooms
             .iter()
-            .filter(|(p, (_, at))| fresh(*at) && open(p))
-            .filter_map(|(p, (room, _))| Some((*room.costs.first()?, p)))
-            .min_by(|a, b| a.0.total_cmp(&b.0))?;
-        if f64::from(cost) >= here * ROOM_GAIN {
+            .filter(|(p, (_, at))| fresh(*at) && open(p));
+        let offers = rooms.filter_map(|(p, (room, _))| {
+            let cost = f64::from(*room.costs.first()?);
+            Some((cost, room.running, p))
+        });
+        let offers: Vec<(f64, u32, &InstanceId)> = offers.collect();
+        let least = offers.iter().map(|o| o.0).fold(here, f64::min);
+        let limit = self.cheap_limit(least);
+        // Among cheap places the one whose batches are fullest, so that rare adapters share few.
+        let (_, running, peer) = offers
+            .into_iter()
+            .filter(|o| o.0 <= limit)
+            .max_by(|a, b| a.1.cmp(&b.1).then(b.0.total_cmp(&a.0)))?;
+        if here <= limit && self.running() >= running {
             return None;
         }
         let peer = peer.clone();
@@ -382,6 +418,25 @@
         Some(peer)
     }
 
+    /// Returns the most that a load may cost for the sake of a fuller batch.
+    pub(crate) fn cheap_limit(&self, least: f64) -> f64 {
+        let part = self.batch_part();
+        least * (1.0 + part * FILL_FACTOR) + part * CHEAP_RATE
+    }
+
+    /// Returns how much batches weigh against stalls, from zero to one.
+    pub(crate) fn batch_part(&self) -> f64 {
+        let routing = self.config.routing();
+        let both = routing.stall_weight + routing.batch_weight;
+        routing.batch_weight / both.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the requests that run on the replicas that this instance holds.
+    pub(crate) fn running(&self) -> u32 {
+        let held = self.engines.values().filter(|e| e.fence.is_some());
+        held.map(Engine::batch).sum()
+    }
+
     fn forward(&mut self, ticket: Ticket, peer: InstanceId, out: &mut Vec<Output>) {
         if let Some(job) = self.jobs.get_mut(&ticket) {
             job.place = Place::Forwarded(peer.clone());
@@ -485,6 +540,10 @@
             let Some(first) = self.waiting.first(&load.adapter) else {
                 continue;
             };
+            let waited = now.saturating_duration_since(first.since);
+            if engine.batch() == 0 && self.holds_back(first.class) && waited < HOLD {
+                continue;
+            }
             let resident = load.state == caraway_slots::LoadState::Resident;
             let rank = (first.class, first.since);
             let better = best.as_ref().is_none_or(|(r, ..)| rank < *r);
--- a/crates/caraway-node/src/talk.rs
+++ b/crates/caraway-node/src/talk.rs
@@ -180,6 +180,7 @@
     fn tell_room(&mut self, now: Instant) {
         let costs = self.room_costs(now);
         let config = self.config_mark;
+        let running = self.running();
         let peers: Vec<InstanceId> = self.members.peers().map(|(id, _)| id.clone()).collect();
         let count = peers.len().min(FANOUT);
         let turn = (0..count).map(|i| peers[(self.turn + i) % peers.len()].clone());
@@ -189,6 +190,7 @@
             if turn.contains(peer) {
                 let room = Room {
                     costs: costs.clone(),
+                    running,
                     evidence: self.evidence,
                 };
                 let message = self.message(peer);
