Go on with a broken answer through another source

Cause: an answer that broke off was given up when its peer failed, its engine restarted empty, or a paused daemon found its progress deadline passed. Change: a broken answer resumes on a new connection, is asked of the same peer again, or goes back to the node for another verdict; the new generation is compared with what the caller has. After a progress deadline the daemon looks once more for chunks that came while it was paused. The retry budget is a setting. Conclusion: restarting on the same engine without the node is ruled out; it does not know whether the load is still resident.

--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -1,10 +1,10 @@
 //! Completions and chat completions, streamed and whole.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::{Reason, Refusal};
+use caraway_types::Refusal;
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -15,7 +15,7 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{
@@ -28,6 +28,8 @@
 };
 use crate::{events::emit, guard::Guard, metrics::Outcome, shared::Verdict};
 
+/// First pause before a broken answer goes on with another source; each further one doubles.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
 /// Closes a stream of server-sent events.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -126,12 +128,12 @@
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
         mut tally,
     } = opened;
     let mut tokens = vec![first];
     loop {
-        match source.next().await.map_err(last_word) {
+        match next_token(&mut source, &mut guard).await {
             Ok(Some(token)) => {
                 tally.token();
                 tokens.push(token);
@@ -175,7 +177,7 @@
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
         mut tally,
     } = opened;
     let limit = gate.shared.settings.times.slow_caller_ms.get();
@@ -198,7 +200,7 @@
             guard.finish(Done::Complete);
             return;
         }
-        match source.next().await.map_err(last_word) {
+        match next_token(&mut source, &mut guard).await {
             Ok(next) => {
                 if next.is_some() {
                     tally.token();
@@ -219,13 +221,33 @@
     }
 }
 
-/// Returns the final answer after tokens were delivered.
-fn last_word(fault: Fault) -> Refusal {
-    match fault {
-        Fault::Refused(refusal) => refusal,
-        Fault::Again(_) => {
-            let detail = "the answer broke off and can't be completed";
-            Refusal::in_doubt(Reason::EndpointFailed, detail)
+/// Waits for the next token, over as many sources as the retry budget allows.
+///
+/// # Errors
+///
+/// Returns the final refusal of an answer that can't be completed.
+async fn next_token(source: &mut Source, guard: &mut Guard) -> Result<Option<Token>, Refusal> {
+    let mut fault = match source.next().await {
+        Ok(token) => return Ok(token),
+        Err(fault) => fault,
+    };
+    let mut pause = RESTART_PAUSE;
+    loop {
+        match fault {
+            Fault::Refused(refusal) => return Err(refusal),
+            Fault::Again(done) => {
+                source.take_restart()?;
+                sleep(pause).await;
+                pause *= 2;
+                let verdict = guard.again(done).await;
+                fault = match source.switch(verdict).await {
+                    Err(fault) => fault,
+                    Ok(()) => match source.next().await {
+                        Ok(token) => return Ok(token),
+                        Err(fault) => fault,
+                    },
+                };
+            }
         }
     }
 }
--- a/crates/caraway-entry/src/http/gate.rs
+++ b/crates/caraway-entry/src/http/gate.rs
@@ -8,7 +8,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use caraway_calls::{BudgetSettings, RetryPolicy};
+use caraway_calls::RetryPolicy;
 use caraway_types::{Reason, Refusal};
 use caraway_wire::{CallError, Http};
 
@@ -27,7 +27,7 @@
 impl Gate {
     /// Makes a gate with empty connection pools.
     pub(crate) fn new(shared: Arc<Shared>) -> Self {
-        let retries = RetryPolicy::new(BudgetSettings::default());
+        let retries = RetryPolicy::new(shared.settings.retries);
         Self {
             shared,
             retries: Rc::new(RefCell::new(retries)),
--- a/crates/caraway-entry/src/http/source.rs
+++ b/crates/caraway-entry/src/http/source.rs
@@ -4,15 +4,18 @@
 
 use caraway_calls::{Accepted, Answer, Attempt, Chunk, Decision, Repeat, Saw, Token};
 use caraway_node::Done;
-use caraway_types::{AttemptId, EndpointId, LoadName, Reason, Refusal};
+use caraway_types::{AttemptId, Certainty, EndpointId, LoadName, Reason, Refusal};
 use caraway_wire::{
     CallError, ChunkStream, EngineClient, EngineFault,
     engine::{CompletionChunk, CompletionRequest, EngineErrorKind},
 };
-use tokio::time::timeout;
+use tokio::time::{error::Elapsed, timeout};
 
 use super::{ask::Ask, gate::Gate, peer};
-use crate::events::emit;
+use crate::{events::emit, shared::Verdict};
+
+/// Wait after a progress deadline for chunks that came while this process was paused.
+const LAST_LOOK: Duration = Duration::from_millis(20);
 
 /// Why a source gives no (more) tokens.
 #[derive(Clone, Debug)]
@@ -30,6 +33,8 @@
     origin: Origin,
     answer: Answer,
     stream: ChunkStream,
+    /// Whether the stream has sent anything yet.
+    heard: bool,
     due: VecDeque<Token>,
 }
 
@@ -49,7 +54,6 @@
     addr: SocketAddr,
     load: LoadName,
     attempt: AttemptId,
-    tries: u32,
 }
 
 impl Source {
@@ -73,7 +77,6 @@
             endpoint,
             load,
             attempt,
-            tries: 0,
         };
         let now = tokio::time::Instant::now().into_std();
         gate.retries
@@ -110,10 +113,58 @@
             origin,
             answer,
             stream,
+            heard: false,
             due: VecDeque::new(),
         }
     }
 
+    /// Goes on with another source of the same adapter version, which generates again.
+    ///
+    /// The tokens that the caller has are compared and not delivered again.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] when the source can't be opened.
+    pub(crate) async fn switch(&mut self, verdict: Verdict) -> Result<(), Fault> {
+        let fresh = match verdict {
+            Verdict::Start {
+                attempt,
+                endpoint,
+                load,
+            } => Self::engine(&self.gate, &self.ask, attempt, endpoint, load).await?,
+            Verdict::Forward(peer) => Self::peer(&self.gate, &self.ask, peer).await?,
+            Verdict::Refuse(refusal) => {
+                let certainty = Certainty::InDoubt;
+                return Err(Fault::Refused(Refusal {
+                    certainty,
+                    ..refusal
+                }));
+            }
+        };
+        self.answer.restart(fresh.answer.attempt().clone());
+        self.origin = fresh.origin;
+        self.stream = fresh.stream;
+        self.heard = false;
+        Ok(())
+    }
+
+    /// Takes a retry for going on with another source.
+    ///
+    /// # Errors
+    ///
+    /// Returns the final refusal when no retry is left.
+    pub(crate) fn take_restart(&self) -> Result<(), Refusal> {
+        let to = match &self.origin {
+            Origin::Engine(engine) => &engine.endpoint,
+            Origin::Peer(_, peer) => peer,
+        };
+        let saw = Saw::NotResumable(self.answer.resume_from());
+        match self.decide(to, saw) {
+            Decision::Refuse(refusal) => Err(refusal),
+            _ => Ok(()),
+        }
+    }
+
     /// Waits for the next token; `None` is the end of a whole answer.
     ///
     /// # Errors
@@ -128,9 +179,9 @@
                 return Ok(None);
             }
             let limit = self.progress_limit();
-            let saw = match timeout(limit, self.stream.next()).await {
+            let saw = match self.next_chunk(limit).await {
                 Ok(Ok(Some(chunk))) => {
-                    self.accept(chunk);
+                    self.accept(chunk)?;
                     continue;
                 }
                 Ok(Ok(None) | Err(_)) => Saw::Broken(self.answer.resume_from()),
@@ -140,6 +191,19 @@
         }
     }
 
+    /// Waits for the next chunk, at most `limit`.
+    ///
+    /// After the limit it looks once more, as this process may have been paused while chunks came.
+    async fn next_chunk(
+        &mut self,
+        limit: Duration,
+    ) -> Result<Result<Option<CompletionChunk>, CallError>, Elapsed> {
+        match timeout(limit, self.stream.next()).await {
+            Ok(chunk) => Ok(chunk),
+            Err(_) => timeout(LAST_LOOK, self.stream.next()).await,
+        }
+    }
+
     /// Cancels the work, as nobody waits for it any more.
     pub(crate) async fn cancel(self) {
         if let Origin::Engine(engine) = &self.origin {
@@ -150,16 +214,16 @@
     /// Returns the longest wait for the next token.
     fn progress_limit(&self) -> Duration {
         let times = &self.gate.shared.settings.times;
-        match (&self.origin, self.answer.resume_from()) {
-            (Origin::Engine(_), 0) => times.first_token_ms.get(),
-            (Origin::Engine(_), _) => times.between_tokens_ms.get(),
+        match (&self.origin, self.heard) {
+            (Origin::Engine(_), false) => times.first_token_ms.get(),
+            (Origin::Engine(_), true) => times.between_tokens_ms.get(),
             // The peer has deadlines of its own, and the request may wait in its queue.
-            (Origin::Peer(..), 0) => self.ask.left() + times.control_ms.get(),
-            (Origin::Peer(..), _) => times.between_tokens_ms.get() + times.control_ms.get(),
+            (Origin::Peer(..), false) => self.ask.left() + times.control_ms.get(),
+            (Origin::Peer(..), true) => times.between_tokens_ms.get() + times.control_ms.get(),
         }
     }
 
-    fn accept(&mut self, chunk: CompletionChunk) {
+    fn accept(&mut self, chunk: CompletionChunk) -> Result<(), Fault> {
         let chunk = Chunk {
             request: chunk.request_id,
             load: chunk.model,
@@ -173,7 +237,14 @@
             emit!(self.gate.shared.log, warn, ChunkDropped;
                 "request" => &*self.ask.request, "why" => ?why);
         }
+        self.heard = true;
         self.due.extend(due);
+        if self.answer.is_diverged() {
+            let detail = "the answer broke off and a repeated generation differs";
+            let refusal = Refusal::in_doubt(Reason::EndpointFailed, detail);
+            return Err(Fault::Refused(refusal));
+        }
+        Ok(())
     }
 
     /// Decides how an answer that broke off goes on.
@@ -184,7 +255,11 @@
                 self.gate.suspect(addr);
                 emit!(self.gate.shared.log, warn, AttemptFailed;
                     "request" => &*self.ask.request, "peer" => &*peer, "saw" => ?saw);
-                if self.answer.resume_from() == 0 && !matches!(saw, Saw::Stalled(_)) {
+                if self.answer.resume_from() > 0 && self.reopen_peer(addr).await {
+                    return Ok(());
+                }
+                let expired = matches!(saw, Saw::Stalled(0));
+                if !expired {
                     return Err(Fault::Again(Done::NotRun));
                 }
                 let detail = "the peer that served the request failed";
@@ -197,62 +272,62 @@
         }
     }
 
-    async fn recover_engine(&mut self, mut engine: Engine, mut saw: Saw) -> Result<(), Fault> {
-        loop {
-            emit!(self.gate.shared.log, warn, AttemptFailed;
-                "request" => &*self.ask.request, "endpoint" => &*engine.endpoint, "saw" => ?saw);
-            if matches!(saw, Saw::Stalled(_)) {
-                self.gate.suspect(engine.addr);
-            }
-            let from = match self.decide(&engine, saw) {
-                Decision::Resume(from) => from,
-                Decision::Refuse(refusal) => return Err(Fault::Refused(refusal)),
-                Decision::RetryElsewhere if self.answer.resume_from() == 0 => {
-                    return Err(Fault::Again(Done::NotRun));
-                }
-                _ => {
-                    engine.cancel(&self.gate).await;
-                    engine.tries += 1;
-                    self.answer.restart(engine.expected(&self.gate, &self.ask));
-                    0
-                }
-            };
-            match engine.open(&self.gate, &self.ask, from).await {
-                Ok(stream) => {
-                    emit!(self.gate.shared.log, info, StreamResumed;
-                        "request" => &*self.ask.request, "from" => from);
-                    self.stream = stream;
-                    self.origin = Origin::Engine(engine);
-                    return Ok(());
-                }
-                Err(Fault::Again(_)) if from == 0 && self.answer.resume_from() == 0 => {
-                    return Err(Fault::Again(Done::NotRun));
-                }
-                Err(Fault::Again(_)) => saw = Saw::NotResumable(self.answer.resume_from()),
-                Err(fault) => return Err(fault),
+    /// Asks the same peer again on a new connection.
+    async fn reopen_peer(&mut self, addr: SocketAddr) -> bool {
+        if self.take_restart().is_err() {
+            return false;
+        }
+        let Ok(stream) = peer::forward(&self.gate, &self.ask, addr).await else {
+            return false;
+        };
+        self.answer.restart(self.answer.attempt().clone());
+        self.stream = stream;
+        self.heard = false;
+        true
+    }
+
+    /// Resumes the attempt on a new connection, or leaves it to the node to choose again.
+    async fn recover_engine(&mut self, engine: Engine, saw: Saw) -> Result<(), Fault> {
+        emit!(self.gate.shared.log, warn, AttemptFailed;
+            "request" => &*self.ask.request, "endpoint" => &*engine.endpoint, "saw" => ?saw);
+        if matches!(saw, Saw::Stalled(_)) {
+            self.gate.suspect(engine.addr);
+        }
+        let from = match self.decide(&engine.endpoint, saw) {
+            Decision::Resume(from) => from,
+            Decision::Refuse(refusal) => return Err(Fault::Refused(refusal)),
+            _ => {
+                engine.cancel(&self.gate).await;
+                return Err(Fault::Again(Done::NotRun));
             }
+        };
+        let opened = engine.open(&self.gate, &self.ask, from).await;
+        if opened.is_err() {
+            engine.cancel(&self.gate).await;
         }
+        self.stream = opened?;
+        self.heard = false;
+        emit!(self.gate.shared.log, info, StreamResumed;
+            "request" => &*self.ask.request, "from" => from);
+        Ok(())
     }
 
-    fn decide(&self, engine: &Engine, saw: Saw) -> Decision {
+    fn decide(&self, to: &EndpointId, saw: Saw) -> Decision {
         let now = tokio::time::Instant::now().into_std();
-        self.gate.retries.borrow_mut().decide(
-            now,
-            &self.ask.account,
-            &engine.endpoint,
-            Repeat::Idempotent,
-            saw,
-        )
+        self.gate
+            .retries
+            .borrow_mut()
+            .decide(now, &self.ask.account, to, Repeat::Idempotent, saw)
     }
 }
 
 impl Engine {
-    /// Names the attempt towards the engine; a restarted generation gets a new name.
+    /// Names the attempt towards the engine.
     fn request(&self, gate: &Gate) -> Arc<str> {
         let shared = &gate.shared;
         format!(
-            "{}-{:x}-{:x}-{}",
-            shared.settings.instance, shared.incarnation, self.attempt, self.tries
+            "{}-{:x}-{:x}",
+            shared.settings.instance, shared.incarnation, self.attempt
         )
         .into()
     }
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
-use caraway_calls::OnceSettings;
+use caraway_calls::{BudgetSettings, OnceSettings};
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
 /// Everything that a daemon is told at its start.
@@ -48,6 +48,9 @@
     #[serde(default)]
     #[garde(dive)]
     pub times: TimeSettings,
+    /// Share of retries for each client account and endpoint.
+    #[serde(default)]
+    pub retries: BudgetSettings,
     /// Limits and times of calls that may not be repeated.
     #[serde(default)]
     pub calls: OnceSettings,
--- a/crates/caraway-entry/tests/testbed/mod.rs
+++ b/crates/caraway-entry/tests/testbed/mod.rs
@@ -35,6 +35,7 @@
     pub(crate) engine: EngineSettings,
     pub(crate) times: Value,
     pub(crate) limits: Value,
+    pub(crate) retries: Value,
 }
 
 impl Default for Plan {
@@ -57,6 +58,7 @@
                 "beat_ms": 200, "lease_ms": 1000, "guard_ms": 300,
             }),
             limits: json!({}),
+            retries: json!({}),
         }
     }
 }
@@ -70,6 +72,8 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) services: Vec<Service>,
     pub(crate) entries: Vec<EntryProcess>,
+    /// Relays in front of the engines, where there are any.
+    pub(crate) fronts: Vec<SocketAddr>,
 }
 
 impl Testbed {
@@ -127,6 +131,7 @@
             engines,
             services,
             entries: Vec::new(),
+            fronts: Vec::new(),
             plan,
         }
     }
@@ -173,7 +178,8 @@
     pub(crate) fn settings(&self, i: usize) -> Value {
         let engine = |(n, e): (usize, &Engine)| {
             json!({
-                "id": engine_id(n), "kind": "engine", "zone": self.zone(n), "addr": e.addr(),
+                "id": engine_id(n), "kind": "engine", "zone": self.zone(n),
+                "addr": self.fronts.get(n).copied().unwrap_or(e.addr()),
                 "slots": self.plan.slots, "checks_fencing": self.plan.checks_fencing,
             })
         };
@@ -196,6 +202,7 @@
             "instances": 8,
             "endpoints": engines.chain(services).collect::<Vec<_>>(),
             "times": self.plan.times,
+            "retries": self.plan.retries,
             "limits": self.plan.limits,
         })
     }
