--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -5,7 +5,7 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
-use caraway_calls::OnceSettings;
+use caraway_calls::{BudgetSettings, OnceSettings};
 use caraway_records::FollowerSettings;
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
@@ -52,6 +52,9 @@
     /// How the configuration is followed; `poll_ms` is taken from `times/follow_ms`.
     #[serde(default)]
     pub config: FollowerSettings,
+    /// Share of retries for each client account and endpoint.
+    #[serde(default)]
+    pub retries: BudgetSettings,
     /// Limits and times of calls that may not be repeated.
     #[serde(default)]
     pub calls: OnceSettings,
