--- a/crates/caraway-measure/src/policy/scenario.rs
+++ b/crates/caraway-measure/src/policy/scenario.rs
@@ -99,7 +99,7 @@
             zone_delay: 1500,
             caller_delay: if cooperative { MILLI } else { 3 * MILLI },
             stall_weight: if cooperative { 1.0 } else { 0.3 },
-            batch_weight: if cooperative { 0.08 } else { 1.0 },
+            batch_weight: if cooperative { 0.03 } else { 1.0 },
         })
     }
 
