--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -8,22 +8,26 @@
 };
 
 use anyhow::{Context, Result};
+use caraway_members::MemberSettings;
 use caraway_node::{Input, Node, NodeSettings};
 use caraway_records::State;
 use caraway_ring::ring;
+use caraway_slots::StoreLimits;
 use caraway_wire::CallError;
 use slog::Logger;
 use tokio::sync::watch;
 
 use crate::{
     EndpointKind, EndpointSettings, Settings,
+    burn::{self, BurnMessage},
+    calls_log::{self, CallsMessage},
     control::ControlThread,
     events::emit,
     follow,
     http::{self, Server},
     metrics::Metrics,
     orders, peers,
-    shared::{Control, Shared},
+    shared::{Control, Rings, Shared},
     threads,
 };
 
@@ -52,9 +56,25 @@
         let (control, inbox) = ring(capacity);
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
+        let (burn, burn_inbox) = ring(capacity);
+        let (follow, follow_inbox) = ring(capacity);
+        let (calls, call_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
-        let shared = Shared::new(settings, addr, incarnation(), control, config, log, metrics);
+        let shared = Shared::new(
+            settings,
+            addr,
+            incarnation(),
+            Rings {
+                control,
+                burn,
+                follow,
+                calls,
+            },
+            config,
+            log,
+            metrics,
+        );
         let shared = Arc::new(shared);
 
         let mut threads = Vec::new();
@@ -72,7 +92,19 @@
         })?);
         let own = Arc::clone(&shared);
         threads.push(threads::spawn_system("log", move || {
-            report(Arc::clone(&own), "log", follow::run(own, publish))
+            report(
+                Arc::clone(&own),
+                "log",
+                follow::run(own, follow_inbox, publish),
+            )
+        })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("burn", move || {
+            report(Arc::clone(&own), "burn", burn::run(own, burn_inbox))
+        })?);
+        let own = Arc::clone(&shared);
+        threads.push(threads::spawn_system("calls", move || {
+            report(Arc::clone(&own), "calls", calls_log::run(own, call_inbox))
         })?);
         let (server, thread) = http::start(&shared, listener)?;
         threads.push(thread);
@@ -94,19 +126,28 @@
     pub fn drain(self) {
         emit!(self.shared.log, info, Draining);
         self.shared.leaving.store(true, Ordering::Release);
-        let _ = self.shared.control.push(Control::Input(Input::Leave));
+        let _ = self.shared.rings.control.push(Control::Input(Input::Leave));
         let limit = self.shared.settings.times.drain_ms.get();
         let start = std::time::Instant::now();
-        while self.shared.in_flight.load(Ordering::Acquire) > 0 && start.elapsed() < limit {
+        while self.is_busy() && start.elapsed() < limit {
             std::thread::sleep(DRAIN_POLL);
         }
         self.stop();
     }
 
+    /// Tells whether requests are in flight, outcomes not recorded or replicas not handed over.
+    fn is_busy(&self) -> bool {
+        let in_flight = self.shared.in_flight.load(Ordering::Acquire) > 0;
+        let open = self.shared.calls_open.load(Ordering::Acquire);
+        in_flight || open || !self.shared.handed_over.load(Ordering::Acquire)
+    }
+
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
-        let _ = self.shared.control.push(Control::Stop);
+        let _ = self.shared.rings.burn.push(BurnMessage::Stop);
+        let _ = self.shared.rings.calls.push(CallsMessage::Stop);
+        let _ = self.shared.rings.control.push(Control::Stop);
         emit!(self.shared.log, info, Stopped);
         let Self {
             shared, threads, ..
@@ -131,12 +172,24 @@
             EndpointKind::Service => caraway_node::EndpointKind::Service,
         },
     };
+    let times = &shared.settings.times;
     let settings = NodeSettings {
         id: Arc::clone(&shared.settings.instance),
         zone: Arc::clone(&shared.settings.zone),
         incarnation: shared.incarnation,
         endpoints: shared.settings.endpoints.iter().map(endpoint).collect(),
-        ..NodeSettings::default()
+        store: StoreLimits {
+            rate: shared.settings.store_rate,
+            transit: shared.settings.store_transit,
+            instances: shared.settings.instances,
+        },
+        members: MemberSettings {
+            beat: times.beat_ms,
+            lease: times.lease_ms,
+            guard: times.guard_ms,
+            ..MemberSettings::default()
+        },
+        gossip_interval: times.gossip_ms,
     };
     Node::new(settings, tokio::time::Instant::now().into_std())
 }
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -5,8 +5,10 @@
 use caraway_types::{InstanceId, Offset, ZoneId};
 use ntex::web::{HttpResponse, types::State};
 use serde::Serialize;
+use tokio::sync::oneshot;
 
 use super::gate::Gate;
+use crate::burn::BurnMessage;
 
 /// Answers `GET /admin/status`.
 #[derive(Clone, Debug, Serialize)]
@@ -36,15 +38,32 @@
 pub(crate) async fn readyz(gate: State<Gate>) -> HttpResponse {
     let leaving = gate.shared.leaving.load(Ordering::Acquire);
     let empty = gate.shared.state().next() == 0;
-    if leaving || empty {
-        let why = if leaving {
-            "leaving"
-        } else {
-            "no configuration yet"
-        };
-        return HttpResponse::ServiceUnavailable().body(why);
+    let held = gate.shared.ready.load(Ordering::Acquire);
+    let why = match (leaving, empty, held) {
+        (true, ..) => "leaving",
+        (_, true, _) => "no configuration yet",
+        (.., false) => "a replica has no holder yet",
+        _ => return HttpResponse::Ok().body("ready"),
+    };
+    HttpResponse::ServiceUnavailable().body(why)
+}
+
+/// `GET /admin/burn`: the service-level counts since this instance's start.
+pub(crate) async fn burn(gate: State<Gate>) -> HttpResponse {
+    let (reply, answer) = oneshot::channel();
+    if gate
+        .shared
+        .rings
+        .burn
+        .push(BurnMessage::Ask(reply))
+        .is_err()
+    {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match answer.await {
+        Ok(snapshot) => HttpResponse::Ok().json(&snapshot),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
-    HttpResponse::Ok().body("ready")
 }
 
 /// `GET /metrics`: every metric in the text format that scrapers read.
--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -1,10 +1,10 @@
 //! Completions and chat completions, streamed and whole.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::{Certainty, Reason, Refusal};
+use caraway_types::Refusal;
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -15,18 +15,21 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::{Instant, timeout},
+    time::{sleep, timeout},
 };
 
 use super::{
-    ask::{Ask, REQUEST_HEADER},
+    ask::{self, Ask, REQUEST_HEADER},
     caller::{CallerAnswer, CallerError},
     gate::Gate,
     reply::{event, events, refuse},
     source::{Fault, Source},
+    tally::Tally,
 };
 use crate::{events::emit, guard::Guard, metrics::Outcome, shared::Verdict};
 
+/// First pause before a broken answer goes on with another source; each further one doubles.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
 /// Closes a stream of server-sent events.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -40,14 +43,17 @@
     handle(&req, payload, &gate, true).await
 }
 
-async fn handle(req: &HttpRequest, payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
+async fn handle(req: &HttpRequest, mut payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
     let ask = match gate.admit() {
-        Ok(()) => Ask::read(gate, req.headers(), payload, chat).await,
+        Ok(()) => Ask::read(gate, req.headers(), &mut payload, chat).await,
         Err(refusal) => Err(refusal),
     };
     match ask {
         Ok(ask) => serve(gate, ask).await,
-        Err(refusal) => refuse(None, refusal),
+        Err(refusal) => {
+            ask::discard(gate, &mut payload).await;
+            refuse(None, refusal)
+        }
     }
 }
 
@@ -59,6 +65,8 @@
     pub(crate) first: Token,
     /// Ends the request.
     pub(crate) guard: Guard,
+    /// Times and counts it.
+    pub(crate) tally: Tally,
 }
 
 /// Brings a request to its first token, over as many verdicts as the node gives.
@@ -67,12 +75,15 @@
 ///
 /// Returns the request's final refusal.
 pub(crate) async fn open(gate: &Gate, ask: &Ask) -> Result<Opened, Refusal> {
+    let mut tally = Tally::new(gate, ask);
     let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
-    let metrics = &gate.shared.metrics;
-    metrics.verdict(ask.class, ask.start.elapsed());
+    tally.verdict();
     loop {
         let source = match verdict {
-            Verdict::Refuse(refusal) => return Err(refusal),
+            Verdict::Refuse(refusal) => {
+                tally.refused(ask, &refusal);
+                return Err(refusal);
+            }
             Verdict::Start {
                 attempt,
                 endpoint,
@@ -86,17 +97,19 @@
         };
         match first {
             Ok((source, Some(first))) => {
-                metrics.first_token(ask.class, ask.start.elapsed());
+                tally.token();
                 return Ok(Opened {
                     source,
                     first,
                     guard,
+                    tally,
                 });
             }
             Ok((_, None)) => verdict = guard.again(Done::NotRun).await,
             Err(Fault::Again(done)) => verdict = guard.again(done).await,
             Err(Fault::Refused(refusal)) => {
                 guard.finish(Done::Failed);
+                tally.refused(ask, &refusal);
                 return Err(refusal);
             }
         }
@@ -105,63 +118,42 @@
 
 async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
     match open(gate, &ask).await {
-        Err(refusal) => {
-            give_up(gate, &ask, &refusal);
-            refuse(Some(&ask.request), refusal)
-        }
+        Err(refusal) => refuse(Some(&ask.request), refusal),
         Ok(opened) if ask.shape.stream => stream(gate, ask, opened),
-        Ok(opened) => whole(gate, ask, opened).await,
+        Ok(opened) => whole(ask, opened).await,
     }
 }
 
-async fn whole(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
+async fn whole(ask: Ask, opened: Opened) -> HttpResponse {
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
+        mut tally,
     } = opened;
     let mut tokens = vec![first];
     loop {
-        match timed(gate, &ask, &mut source).await {
-            Ok(Some(token)) => tokens.push(token),
+        match next_token(&mut source, &mut guard).await {
+            Ok(Some(token)) => {
+                tally.token();
+                tokens.push(token);
+            }
             Ok(None) => break,
             Err(refusal) => {
                 guard.finish(Done::Failed);
-                give_up(gate, &ask, &refusal);
+                tally.refused(&ask, &refusal);
                 return refuse(Some(&ask.request), refusal);
             }
         }
     }
     guard.finish(Done::Complete);
-    gate.shared.metrics.request(ask.class, Outcome::Complete);
+    tally.end(Outcome::Complete);
     let answer = CallerAnswer::whole(&ask.request, &ask.adapter, ask.shape.chat, &tokens);
     HttpResponse::Ok()
         .header(REQUEST_HEADER, &*ask.request)
         .json(&answer)
 }
 
-/// Waits for the next token and counts the wait.
-async fn timed(gate: &Gate, ask: &Ask, source: &mut Source) -> Result<Option<Token>, Refusal> {
-    let start = Instant::now();
-    let token = source.next().await.map_err(last_word)?;
-    if token.is_some() {
-        let metrics = &gate.shared.metrics;
-        metrics.next_token(ask.class, start.elapsed());
-    }
-    Ok(token)
-}
-
-/// Logs and counts a refusal.
-pub(crate) fn give_up(gate: &Gate, ask: &Ask, refusal: &Refusal) {
-    let outcome = match refusal.certainty {
-        Certainty::NotRun => Outcome::NotRun,
-        Certainty::InDoubt => Outcome::InDoubt,
-    };
-    gate.shared.metrics.request(ask.class, outcome);
-    emit!(gate.shared.log, info, Refused;
-        "request" => &*ask.request, "adapter" => %ask.adapter, "refusal" => %refusal);
-}
-
 fn stream(gate: &Gate, ask: Ask, opened: Opened) -> HttpResponse {
     let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
     let response = events(&ask.request, body);
@@ -185,7 +177,8 @@
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
+        mut tally,
     } = opened;
     let limit = gate.shared.settings.times.slow_caller_ms.get();
     let mut token = Some(first);
@@ -197,20 +190,25 @@
         let sent = timeout(limit, parts.send(part)).await;
         if !matches!(sent, Ok(Ok(()))) {
             emit!(gate.shared.log, info, CallerLeft; "request" => &*ask.request);
-            gate.shared.metrics.request(ask.class, Outcome::CallerLeft);
+            tally.end(Outcome::CallerLeft);
             source.cancel().await;
             guard.finish(Done::Cancelled);
             return;
         }
         if last {
-            gate.shared.metrics.request(ask.class, Outcome::Complete);
+            tally.end(Outcome::Complete);
             guard.finish(Done::Complete);
             return;
         }
-        match timed(&gate, &ask, &mut source).await {
-            Ok(next) => token = next,
+        match next_token(&mut source, &mut guard).await {
+            Ok(next) => {
+                if next.is_some() {
+                    tally.token();
+                }
+                token = next;
+            }
             Err(refusal) => {
-                give_up(&gate, &ask, &refusal);
+                tally.refused(&ask, &refusal);
                 let body = CallerError {
                     error: refusal,
                     id: Some(ask.request),
@@ -223,13 +221,33 @@
     }
 }
 
-/// Returns the final answer after tokens were delivered.
-fn last_word(fault: Fault) -> Refusal {
-    match fault {
-        Fault::Refused(refusal) => refusal,
-        Fault::Again(_) => {
-            let detail = "the answer broke off and can't be completed";
-            Refusal::in_doubt(Reason::EndpointFailed, detail)
+/// Waits for the next token, over as many sources as the retry budget allows.
+///
+/// # Errors
+///
+/// Returns the final refusal of an answer that can't be completed.
+async fn next_token(source: &mut Source, guard: &mut Guard) -> Result<Option<Token>, Refusal> {
+    let mut fault = match source.next().await {
+        Ok(token) => return Ok(token),
+        Err(fault) => fault,
+    };
+    let mut pause = RESTART_PAUSE;
+    loop {
+        match fault {
+            Fault::Refused(refusal) => return Err(refusal),
+            Fault::Again(done) => {
+                source.take_restart()?;
+                sleep(pause).await;
+                pause *= 2;
+                let verdict = guard.again(done).await;
+                fault = match source.switch(verdict).await {
+                    Err(fault) => fault,
+                    Ok(()) => match source.next().await {
+                        Ok(token) => return Ok(token),
+                        Err(fault) => fault,
+                    },
+                };
+            }
         }
     }
 }
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use caraway_node::{Done, Gossip, Input};
+use caraway_records::Offer;
 use caraway_types::{
     AccountId, AdapterRef, Certainty, Class, InstanceId, Millis, Reason, Refusal, RequestId,
 };
@@ -17,19 +18,22 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
-    sync::mpsc::channel,
+    sync::{mpsc::channel, oneshot},
     time::{Instant, timeout},
 };
 
 use super::{
     ask::{self, Ask, bad},
     caller::{CallerError, Shape},
-    completions::{give_up, open, pump},
+    completions::{open, pump},
     gate::Gate,
     reply::{event, events, refuse},
     source::Fault,
 };
-use crate::shared::Control;
+use crate::{
+    follow::{Follow, PeerAsk},
+    shared::Control,
+};
 
 /// A completion that is passed on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -110,9 +114,9 @@
 }
 
 /// `POST /peer/completions`: serves a request that a peer passed on.
-pub(crate) async fn completions(payload: Payload, gate: State<Gate>) -> HttpResponse {
+pub(crate) async fn completions(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
     let message = match gate.admit() {
-        Ok(()) => read::<PeerCompletion>(&gate, payload).await,
+        Ok(()) => read::<PeerCompletion>(&gate, &mut payload).await,
         Err(refusal) => Err(refusal),
     };
     let ask = match message {
@@ -120,10 +124,7 @@
         Err(refusal) => return refuse(None, refusal),
     };
     match open(&gate, &ask).await {
-        Err(refusal) => {
-            give_up(&gate, &ask, &refusal);
-            refuse(Some(&ask.request), refusal)
-        }
+        Err(refusal) => refuse(Some(&ask.request), refusal),
         Ok(opened) => {
             let (parts, body) = channel(gate.shared.settings.limits.caller_buffer);
             let response = events(&ask.request, body);
@@ -145,11 +146,12 @@
 }
 
 /// `POST /peer/gossip`.
-pub(crate) async fn gossip(payload: Payload, gate: State<Gate>) -> HttpResponse {
-    match read::<Gossip>(&gate, payload).await {
+pub(crate) async fn gossip(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    match read::<Gossip>(&gate, &mut payload).await {
         Ok(gossip) => {
+            offer(&gate, &gossip);
             let message = Control::Input(Input::Gossip(gossip));
-            if gate.shared.control.push(message).is_err() {
+            if gate.shared.rings.control.push(message).is_err() {
                 return refuse(
                     None,
                     Refusal::not_run(Reason::QueueFull, "the ring is full"),
@@ -161,6 +163,40 @@
     }
 }
 
+/// Tells the log thread which configuration a peer has.
+fn offer(gate: &Gate, gossip: &Gossip) {
+    if let Some(mark) = gossip.config {
+        let (next, digest) = (mark.next, mark.digest);
+        let message = Follow::Offer(Arc::clone(&gossip.from), Offer { next, digest });
+        // A dropped offer comes again with the next gossip.
+        let _ = gate.shared.rings.follow.push(message);
+    }
+}
+
+/// `POST /peer/records`: gives a peer the records that it lacks.
+pub(crate) async fn records(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    let ask = match read::<PeerAsk>(&gate, &mut payload).await {
+        Ok(ask) => ask,
+        Err(refusal) => return refuse(None, refusal),
+    };
+    let (reply, answer) = oneshot::channel();
+    if gate
+        .shared
+        .rings
+        .follow
+        .push(Follow::Ask(ask, reply))
+        .is_err()
+    {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match answer.await {
+        Ok(body) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(body),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 /// Answers a peer with a message.
 pub(crate) fn answer(message: &impl Serialize) -> HttpResponse {
     let body = rmp_serde::to_vec_named(message).unwrap_or_default();
@@ -170,7 +206,10 @@
 }
 
 /// Reads a peer's message.
-pub(crate) async fn read<T: DeserializeOwned>(gate: &Gate, payload: Payload) -> Result<T, Refusal> {
+pub(crate) async fn read<T: DeserializeOwned>(
+    gate: &Gate,
+    payload: &mut Payload,
+) -> Result<T, Refusal> {
     let body = ask::body(gate, payload).await?;
     rmp_serde::from_slice(&body).map_err(|e| bad("body", &e.to_string()))
 }
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -12,11 +12,14 @@
 use caraway_node::{Done, Input, Submission};
 use caraway_records::State;
 use caraway_ring::Sender;
-use caraway_types::{AttemptId, EndpointId, InstanceId, LoadName, Refusal, Ticket};
+use caraway_types::{AttemptId, EndpointId, Incarnation, InstanceId, LoadName, Refusal, Ticket};
 use slog::Logger;
 use tokio::sync::{oneshot, watch};
 
-use crate::{EndpointSettings, Settings, metrics::Metrics};
+use crate::{
+    EndpointSettings, Settings, burn::BurnMessage, calls_log::CallsMessage, follow::Follow,
+    metrics::Metrics,
+};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -51,6 +54,19 @@
     Refuse(Refusal),
 }
 
+/// The ways to the threads of a daemon.
+#[derive(Debug)]
+pub(crate) struct Rings {
+    /// The way to the control thread.
+    pub(crate) control: Sender<Control>,
+    /// The way to the burn thread.
+    pub(crate) burn: Sender<BurnMessage>,
+    /// The way to the log thread.
+    pub(crate) follow: Sender<Follow>,
+    /// The way to the calls thread.
+    pub(crate) calls: Sender<CallsMessage>,
+}
+
 /// What the threads of a daemon have in common.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -60,8 +76,8 @@
     pub(crate) addr: SocketAddr,
     /// Tells this life of the instance from earlier ones.
     pub(crate) incarnation: u64,
-    /// The way to the control thread.
-    pub(crate) control: Sender<Control>,
+    /// The ways to the other threads.
+    pub(crate) rings: Rings,
     /// The configuration in force.
     pub(crate) config: watch::Receiver<Arc<State>>,
     /// Addresses of the peers, as last heard of.
@@ -74,6 +90,14 @@
     pub(crate) metrics: Metrics,
     /// Requests in flight.
     pub(crate) in_flight: AtomicUsize,
+    /// Whether each replica of the zone has a holder.
+    pub(crate) ready: AtomicBool,
+    /// Whether every held replica was handed over.
+    pub(crate) handed_over: AtomicBool,
+    /// Whether keyed calls have no outcome in the log yet.
+    pub(crate) calls_open: AtomicBool,
+    /// Services that the list has shown leaving; the mark stays until a restart moves them.
+    pub(crate) leaving_services: RwLock<BTreeMap<EndpointId, Incarnation>>,
     /// Whether new requests are refused because the instance stops.
     pub(crate) leaving: AtomicBool,
     tickets: AtomicU64,
@@ -85,7 +109,7 @@
         settings: Settings,
         addr: SocketAddr,
         incarnation: u64,
-        control: Sender<Control>,
+        rings: Rings,
         config: watch::Receiver<Arc<State>>,
         log: Logger,
         metrics: Metrics,
@@ -98,13 +122,17 @@
             settings,
             addr,
             incarnation,
-            control,
+            rings,
             config,
             peers: RwLock::new(peers),
             endpoints,
             log,
             metrics,
             in_flight: AtomicUsize::new(0),
+            ready: AtomicBool::new(false),
+            handed_over: AtomicBool::new(false),
+            calls_open: AtomicBool::new(false),
+            leaving_services: RwLock::default(),
             leaving: AtomicBool::new(false),
             tickets: AtomicU64::new(1),
         }
@@ -115,6 +143,15 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Tells whether a service replica is not leaving.
+    pub(crate) fn accepts_calls(&self, id: &EndpointId) -> bool {
+        let leaving = self
+            .leaving_services
+            .read()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        !leaving.contains_key(id)
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn state(&self) -> Arc<State> {
         Arc::clone(&self.config.borrow())
--- a/crates/caraway-entry/tests/path.rs
+++ b/crates/caraway-entry/tests/path.rs
@@ -4,7 +4,7 @@
 
 use testbed::{
     Plan, Testbed,
-    caller::{complete, expected, send, stream},
+    caller::{complete, expected, get, send, stream},
 };
 
 #[test]
@@ -23,6 +23,28 @@
         }
     }
     assert_eq!(bed.violations(), 0);
+    for entry in &bed.entries {
+        let metrics = get(entry.addr, "/metrics").expect("an answer").body;
+        assert!(!metrics.contains("result=\"unknown\""), "{metrics}");
+    }
+}
+
+#[test]
+fn many_callers_at_once_all_get_their_answers() {
+    let bed = Testbed::start(Plan::default());
+    let addr = bed.entries[0].addr;
+    let callers: Vec<_> = (0..24)
+        .map(|n| {
+            std::thread::spawn(move || {
+                let (model, prompt) = (format!("adapter-{}@v1", n % 2), format!("caller {n}"));
+                let streamed = stream(addr, &model, &prompt, 8, |_| ());
+                assert_eq!(streamed.tokens, expected(&model, &prompt, 8));
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().expect("the caller has its answer");
+    }
 }
 
 #[test]
--- a/crates/caraway-entry/tests/testbed/mod.rs
+++ b/crates/caraway-entry/tests/testbed/mod.rs
@@ -35,6 +35,7 @@
     pub(crate) engine: EngineSettings,
     pub(crate) times: Value,
     pub(crate) limits: Value,
+    pub(crate) retries: Value,
 }
 
 impl Default for Plan {
@@ -52,8 +53,12 @@
                 report_lag: Millis::new(50),
                 ..EngineSettings::default()
             },
-            times: json!({ "report_ms": 50, "follow_ms": 50, "list_ms": 50 }),
+            times: json!({
+                "report_ms": 50, "follow_ms": 50, "list_ms": 50, "gossip_ms": 50,
+                "beat_ms": 200, "lease_ms": 1000, "guard_ms": 300,
+            }),
             limits: json!({}),
+            retries: json!({}),
         }
     }
 }
@@ -67,6 +72,8 @@
     pub(crate) engines: Vec<Engine>,
     pub(crate) services: Vec<Service>,
     pub(crate) entries: Vec<EntryProcess>,
+    /// Relays in front of the engines, where there are any.
+    pub(crate) fronts: Vec<SocketAddr>,
 }
 
 impl Testbed {
@@ -112,11 +119,19 @@
         let lag = Millis::new(0);
         Self {
             log: LogService::start(LogSettings::default()).expect("the log starts"),
-            list: InstanceList::start(ListSettings { lag }, Vec::new()).expect("the list starts"),
+            list: InstanceList::start(
+                ListSettings {
+                    lag,
+                    ..ListSettings::default()
+                },
+                Vec::new(),
+            )
+            .expect("the list starts"),
             store,
             engines,
             services,
             entries: Vec::new(),
+            fronts: Vec::new(),
             plan,
         }
     }
@@ -163,7 +178,8 @@
     pub(crate) fn settings(&self, i: usize) -> Value {
         let engine = |(n, e): (usize, &Engine)| {
             json!({
-                "id": engine_id(n), "kind": "engine", "zone": self.zone(n), "addr": e.addr(),
+                "id": engine_id(n), "kind": "engine", "zone": self.zone(n),
+                "addr": self.fronts.get(n).copied().unwrap_or(e.addr()),
                 "slots": self.plan.slots, "checks_fencing": self.plan.checks_fencing,
             })
         };
@@ -182,9 +198,11 @@
             "log": self.log.addr(),
             "list": self.list.addr(),
             "store_rate": 1000.0,
-            "store_places": 100,
+            "store_transit": 100,
+            "instances": 8,
             "endpoints": engines.chain(services).collect::<Vec<_>>(),
             "times": self.plan.times,
+            "retries": self.plan.retries,
             "limits": self.plan.limits,
         })
     }
--- a/crates/caraway-measure/src/flags.rs
+++ b/crates/caraway-measure/src/flags.rs
@@ -26,5 +26,41 @@
             /// Writes an SVG plot here.
             optional --plot plot: PathBuf
         }
+        /// Measures the configuration: the fold, and how soon a change is in force everywhere.
+        cmd config {
+            /// Changes in each scenario.
+            optional --changes changes: u32
+            /// Adapters that are published before.
+            optional --adapters adapters: u32
+            /// Length of the log's outage, in seconds.
+            optional --outage-s seconds: u32
+            /// Prints JSON.
+            optional --json
+        }
+        /// Compares the engine called directly with the path through the daemon.
+        cmd path {
+            /// Requests for each way.
+            optional --requests requests: u32
+            /// Prints JSON.
+            optional --json
+        }
+        /// Measures what control costs one daemon as the deployment grows.
+        cmd slopes {
+            /// Virtual seconds of each fleet.
+            optional --seconds seconds: u64
+            /// Leaves out larger fleets.
+            optional --instances instances: usize
+            /// Measures real daemons at rest, too.
+            optional --daemons
+            /// Prints JSON.
+            optional --json
+        }
+        /// Prints two JSON reports side by side with the ratio of new to old.
+        cmd compare {
+            /// The older report.
+            required old: PathBuf
+            /// The newer report.
+            required new: PathBuf
+        }
     }
 }
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -7,7 +7,7 @@
 use caraway_types::{EndpointId, Incarnation, InstanceId, Millis, ZoneId};
 
 /// Heartbeats to a peer within a lease.
-const BEATS_PER_LEASE: u32 = 4;
+const BEATS_PER_LEASE: u32 = 3;
 
 /// The instance itself.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -33,6 +33,9 @@
     pub lease: Millis,
     /// Time that a peer waits beyond another's lease; longer than an order takes to its engine.
     pub guard: Millis,
+    /// How long the engine must have reported a load of an earlier holder as idle before it is
+    /// evicted; the lag of the platform's list stays below half of it.
+    pub idle: Millis,
     /// Time between two heartbeats to other zones, each to one instance there.
     pub remote_beat: Millis,
     /// Silence after which a peer of another zone counts as down.
@@ -47,9 +50,10 @@
     fn default() -> Self {
         Self {
             beat: Millis::new(1_000),
-            beat_rate: 8,
+            beat_rate: 4,
             lease: Millis::new(4_000),
             guard: Millis::new(1_000),
+            idle: Millis::new(10_000),
             remote_beat: Millis::new(1_000),
             remote_timeout: Millis::new(15_000),
             fanout: 4,
@@ -76,7 +80,7 @@
     pub id: Arc<str>,
     /// Its availability zone.
     pub zone: ZoneId,
-    /// Its incarnation.
+    /// The list's number of its life, which need not be the one that the instance itself uses.
     pub incarnation: Incarnation,
     /// Whether it is leaving.
     pub leaving: bool,
--- a/crates/caraway-wire/src/http.rs
+++ b/crates/caraway-wire/src/http.rs
@@ -4,7 +4,10 @@
 
 use ntex::{
     SharedCfg,
-    client::{Client, ClientResponse, Connector, error::ClientError},
+    client::{
+        Client, ClientResponse, Connector,
+        error::{ClientError, ConnectError},
+    },
     http::{Method, StatusCode},
     util::Bytes,
 };
@@ -13,6 +16,10 @@
 /// Largest body that a client reads whole, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 << 20;
 
+/// Most connections of a pool. The library takes 0 for no limit, but then never wakes a call that
+/// waited while another one connected.
+const CONNECTION_LIMIT: usize = usize::MAX;
+
 /// Says how far a failed call got.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -42,7 +49,7 @@
         let client = Client::builder()
             .disable_timeout()
             .response_payload_limit(BODY_LIMIT_BYTES)
-            .connector::<()>(Connector::default().limit(0))
+            .connector::<()>(Connector::default().limit(CONNECTION_LIMIT))
             .build(SharedCfg::default())
             .await
             .map_err(|e| CallError::NotSent(e.to_string().into()))?;
@@ -55,23 +62,39 @@
         &self.client
     }
 
-    /// Sends a call with a JSON body and reads a JSON answer within `limit`.
+    /// Sends a call with a JSON body and reads the answer, whatever it holds, within `limit`.
     ///
     /// # Errors
     ///
     /// Returns a [`CallError`] that says how far the call got.
-    pub async fn json<Q: Serialize, A: DeserializeOwned>(
+    pub async fn order<Q: Serialize>(
         &self,
         addr: SocketAddr,
         path: &str,
         headers: &[(&str, &str)],
         body: &Q,
         limit: Duration,
-    ) -> Result<A, CallError> {
+    ) -> Result<Bytes, CallError> {
         let body =
             serde_json::to_vec(body).map_err(|e| CallError::NotSent(e.to_string().into()))?;
         let call = self.call(Method::POST, addr, path, headers, Some(body.into()));
-        let answer = within(limit, whole(call)).await?;
+        within(limit, whole(call)).await
+    }
+
+    /// Sends a call with a JSON body and reads a JSON answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`CallError`] that says how far the call got.
+    pub async fn json<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &Q,
+        limit: Duration,
+    ) -> Result<A, CallError> {
+        let answer = self.order(addr, path, headers, body, limit).await?;
         serde_json::from_slice(&answer).map_err(unreadable)
     }
 
@@ -146,6 +169,9 @@
     fn from_client(error: &ClientError) -> Self {
         let detail: Arc<str> = error.to_string().into();
         match error {
+            // Without a cause it is a connection that closed after the request was written; a
+            // connection that could not be opened has a cause.
+            ClientError::Connect(ConnectError::Disconnected(None)) => Self::Unknown(detail),
             ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => {
                 Self::NotSent(detail)
             }
