--- a/crates/caraway-slots/src/replica.rs
+++ b/crates/caraway-slots/src/replica.rs
@@ -180,9 +180,11 @@
         }
     }
 
-    /// Notes that the answer to an order was lost.
+    /// Notes that the answer to an order under way was lost.
     pub fn doubt(&mut self, now: Instant, name: &str) {
-        if let Some(load) = self.loads.get_mut(name) {
+        if let Some(load) = self.loads.get_mut(name)
+            && matches!(load.state, LoadState::Loading | LoadState::Unloading)
+        {
             load.state = LoadState::InDoubt;
             load.since = now;
         }
--- /dev/null
+++ b/crates/caraway-slots/tests/budget.rs
@@ -0,0 +1,137 @@
+//! The shared load budget under lost, late and repeated messages.
+
+use std::time::{Duration, Instant};
+
+use caraway_slots::{Budget, Grant, Return, StoreLimits};
+use caraway_types::InstanceId;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const ZONES: usize = 3;
+
+fn budgets(now: Instant) -> Vec<Budget> {
+    let zones = u32::try_from(ZONES).unwrap();
+    let mut all = vec![Budget::new(StoreLimits::default(), zones); ZONES];
+    for budget in &mut all {
+        budget.acquire(now);
+    }
+    all
+}
+
+#[test]
+fn a_zone_that_is_cut_off_keeps_its_part_and_no_more() {
+    let start = Instant::now();
+    let mut budget = Budget::new(StoreLimits::default(), 3);
+    budget.acquire(start);
+    let mut loads = 0;
+    for ms in (0..11_500).step_by(10) {
+        let now = start + Duration::from_millis(ms);
+        budget.tick(now);
+        while budget.take(now).is_some() {
+            loads += 1;
+        }
+    }
+    assert_eq!(loads, 10, "one a second, from the first rest on");
+}
+
+#[test]
+fn a_grant_lapses_for_the_borrower_before_its_owner_uses_it_again() {
+    let start = Instant::now();
+    let mut all = budgets(start);
+    let mut now = start + Duration::from_secs(5);
+    let want = all[1].want(now, vec![1.0]);
+    now += Duration::from_millis(400);
+    let grant = all[0].lend(now, &"b".into(), want.number).unwrap();
+    now += Duration::from_millis(99);
+    assert_eq!(all[1].on_grant(now, &"a".into(), grant), None);
+    now += Duration::from_millis(1);
+    let own_only = all[1].available(now);
+    assert_eq!(own_only, 1, "the borrowed permit has lapsed");
+    all[0].tick(now + Duration::from_millis(399));
+    assert_eq!(all[0].available(now + Duration::from_millis(399)), 0);
+    all[0].tick(now + Duration::from_millis(1_400));
+    assert_eq!(all[0].available(now + Duration::from_millis(1_400)), 1);
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Want(usize, u64),
+    Grant(usize, usize, Grant),
+    Return(usize, usize, Return),
+}
+
+/// Whatever is lost, late or cut off, no more than three loads start within a second.
+#[test]
+fn the_sum_of_all_zones_never_exceeds_the_rate() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let steps = prop::collection::vec((0u8..6, 0usize..ZONES, 0usize..8, 1u64..250), 50..400);
+    let ids: Vec<InstanceId> = ["a", "b", "c"].map(InstanceId::from).into();
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    runner
+        .run(&steps, |steps| {
+            let mut now = Instant::now();
+            let mut all = budgets(now);
+            let mut flying: Vec<Message> = Vec::new();
+            let mut starts: Vec<Instant> = Vec::new();
+            for (step, i, pick, ms) in steps {
+                now += Duration::from_millis(ms);
+                all[i].tick(now);
+                match step {
+                    0 => {
+                        let want = all[i].want(now, vec![1.0]);
+                        flying.push(Message::Want(i, want.number));
+                    }
+                    1 | 2 if !flying.is_empty() => {
+                        let message = flying.remove(pick % flying.len());
+                        deliver(now, &mut all, &ids, &mut flying, message);
+                    }
+                    3 if !flying.is_empty() => drop(flying.remove(pick % flying.len())),
+                    _ => {
+                        if let Some(lender) = all[i].take(now) {
+                            starts.push(now);
+                            if let Some((owner, back)) = lender {
+                                let to = ids.iter().position(|id| *id == owner).unwrap();
+                                flying.push(Message::Return(i, to, back));
+                            }
+                        }
+                    }
+                }
+            }
+            for (k, start) in starts.iter().enumerate() {
+                let within = starts[k..]
+                    .iter()
+                    .filter(|t| **t - *start < Duration::from_secs(1));
+                prop_assert!(within.count() <= 3);
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn deliver(
+    now: Instant,
+    all: &mut [Budget],
+    ids: &[InstanceId],
+    flying: &mut Vec<Message>,
+    message: Message,
+) {
+    match message {
+        Message::Want(from, number) => {
+            let owner = (from + 1) % ZONES;
+            if let Some(grant) = all[owner].lend(now, &ids[from], number) {
+                flying.push(Message::Grant(owner, from, grant));
+            }
+        }
+        Message::Grant(owner, to, grant) => {
+            if let Some(back) = all[to].on_grant(now, &ids[owner], grant) {
+                flying.push(Message::Return(to, owner, back));
+            }
+        }
+        Message::Return(from, owner, back) => all[owner].on_return(now, &ids[from], back),
+    }
+}
--- /dev/null
+++ b/crates/caraway-slots/tests/popularity.rs
@@ -0,0 +1,54 @@
+//! Popularity follows its adapters, and shifts are noticed.
+
+use std::time::{Duration, Instant};
+
+use caraway_slots::{Evidence, Popularity};
+use caraway_types::AdapterRef;
+
+fn adapter(i: u32) -> AdapterRef {
+    AdapterRef::new(format!("a{i}"), "1")
+}
+
+#[test]
+fn a_regular_adapter_outweighs_one_that_was_just_asked_for_once() {
+    let start = Instant::now();
+    let mut popularity = Popularity::new(start);
+    for i in 0..20 {
+        popularity.count(start + Duration::from_secs(10 * i), &adapter(1));
+    }
+    let now = start + Duration::from_secs(200);
+    popularity.count(now, &adapter(2));
+    assert!(popularity.rate(now, &adapter(1)) > popularity.rate(now, &adapter(2)));
+    assert!(popularity.rate(now, &adapter(3)) < popularity.rate(now, &adapter(2)));
+}
+
+#[test]
+fn a_shift_devalues_what_is_not_asked_for_any_more() {
+    let start = Instant::now();
+    let mut popularity = Popularity::new(start);
+    let at = |s: u64| start + Duration::from_secs(s);
+    for s in 0..100 {
+        popularity.count(at(s), &adapter(u32::try_from(s % 5).unwrap()));
+    }
+    let steady = popularity.survey(at(100));
+    assert!(!popularity.judge(at(100), steady));
+    for s in 100..130 {
+        popularity.count(at(s), &adapter(10 + u32::try_from(s % 5).unwrap()));
+    }
+    let before = popularity.rate(at(130), &adapter(1));
+    let shifted = popularity.survey(at(130));
+    assert!(popularity.judge(at(130), shifted), "{shifted:?}");
+    assert!(popularity.rate(at(130), &adapter(1)) < before / 10.0);
+    assert!(popularity.rate(at(130), &adapter(11)) > popularity.rate(at(130), &adapter(1)));
+}
+
+#[test]
+fn little_evidence_is_no_shift() {
+    let now = Instant::now();
+    let mut popularity = Popularity::new(now);
+    let evidence = Evidence {
+        expected: 0.5,
+        observed: 0.0,
+    };
+    assert!(!popularity.judge(now, evidence));
+}
