--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -27,7 +27,7 @@
     http::{self, Server},
     metrics::Metrics,
     orders, peers,
-    shared::{Control, Shared},
+    shared::{Control, Rings, Shared},
     threads,
 };
 
@@ -57,6 +57,7 @@
         let (orders, order_inbox) = ring(capacity);
         let (beats, beat_inbox) = ring(capacity);
         let (burn, burn_inbox) = ring(capacity);
+        let (follow, follow_inbox) = ring(capacity);
         let (calls, call_inbox) = ring(capacity);
         let (publish, config) = watch::channel(Arc::new(State::default()));
         let metrics = Metrics::new().context("can't set up metrics")?;
@@ -64,7 +65,12 @@
             settings,
             addr,
             incarnation(),
-            (control, burn, calls),
+            Rings {
+                control,
+                burn,
+                follow,
+                calls,
+            },
             config,
             log,
             metrics,
@@ -86,7 +92,11 @@
         })?);
         let own = Arc::clone(&shared);
         threads.push(threads::spawn_system("log", move || {
-            report(Arc::clone(&own), "log", follow::run(own, publish))
+            report(
+                Arc::clone(&own),
+                "log",
+                follow::run(own, follow_inbox, publish),
+            )
         })?);
         let own = Arc::clone(&shared);
         threads.push(threads::spawn_system("burn", move || {
@@ -116,7 +126,7 @@
     pub fn drain(self) {
         emit!(self.shared.log, info, Draining);
         self.shared.leaving.store(true, Ordering::Release);
-        let _ = self.shared.control.push(Control::Input(Input::Leave));
+        let _ = self.shared.rings.control.push(Control::Input(Input::Leave));
         let limit = self.shared.settings.times.drain_ms.get();
         let start = std::time::Instant::now();
         while self.is_busy() && start.elapsed() < limit {
@@ -135,9 +145,9 @@
     /// Stops at once.
     pub fn stop(self) {
         self.server.stop();
-        let _ = self.shared.burn.push(BurnMessage::Stop);
-        let _ = self.shared.calls.push(CallsMessage::Stop);
-        let _ = self.shared.control.push(Control::Stop);
+        let _ = self.shared.rings.burn.push(BurnMessage::Stop);
+        let _ = self.shared.rings.calls.push(CallsMessage::Stop);
+        let _ = self.shared.rings.control.push(Control::Stop);
         emit!(self.shared.log, info, Stopped);
         let Self {
             shared, threads, ..
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -51,7 +51,13 @@
 /// `GET /admin/burn`: the service-level counts since this instance's start.
 pub(crate) async fn burn(gate: State<Gate>) -> HttpResponse {
     let (reply, answer) = oneshot::channel();
-    if gate.shared.burn.push(BurnMessage::Ask(reply)).is_err() {
+    if gate
+        .shared
+        .rings
+        .burn
+        .push(BurnMessage::Ask(reply))
+        .is_err()
+    {
         return HttpResponse::ServiceUnavailable().finish();
     }
     match answer.await {
--- a/crates/caraway-entry/src/http/service_path.rs
+++ b/crates/caraway-entry/src/http/service_path.rs
@@ -164,8 +164,8 @@
 
 /// Puts a message into the ring that must not be lost.
 fn tell(gate: &Gate, mut message: CallsMessage) {
-    while let Err(caraway_ring::Full(back)) = gate.shared.calls.push(message) {
-        if gate.shared.calls.is_closed() {
+    while let Err(caraway_ring::Full(back)) = gate.shared.rings.calls.push(message) {
+        if gate.shared.rings.calls.is_closed() {
             return;
         }
         message = back;
@@ -176,7 +176,7 @@
 async fn keyed(gate: &Gate, call: ServiceCall, flight: InFlight) -> Result<HttpResponse, Refusal> {
     let (sender, events) = mpsc::channel(CALL_EVENTS);
     let message = CallsMessage::Call(keyed_call(&call), sender);
-    if gate.shared.calls.push(message).is_err() {
+    if gate.shared.rings.calls.push(message).is_err() {
         let detail = "the instance is overloaded";
         return Err(Refusal::not_run(Reason::QueueFull, detail).after(1000));
     }
@@ -287,7 +287,7 @@
     };
     let message = CallsMessage::Lookup(gate.shared.ticket(), call, sender);
     let full = |_| Refusal::not_run(Reason::QueueFull, "the instance is overloaded").after(1000);
-    gate.shared.calls.push(message).map_err(full)?;
+    gate.shared.rings.calls.push(message).map_err(full)?;
     let lost = |_| Refusal::not_run(Reason::QueueFull, "the calls thread ended");
     let (state, answer) = match found.await.map_err(lost)? {
         Found::Nothing => ("unknown", None),
--- a/crates/caraway-entry/src/http/tally.rs
+++ b/crates/caraway-entry/src/http/tally.rs
@@ -75,7 +75,13 @@
             whole: self.start.elapsed(),
             stall: self.stall,
         };
-        if self.shared.burn.push(BurnMessage::Sample(sample)).is_err() {
+        if self
+            .shared
+            .rings
+            .burn
+            .push(BurnMessage::Sample(sample))
+            .is_err()
+        {
             emit!(self.shared.log, warn, RingFull; "ring" => "burn");
         }
     }
--- a/crates/caraway-entry/src/peers.rs
+++ b/crates/caraway-entry/src/peers.rs
@@ -108,7 +108,7 @@
     mark_leaving(shared, &listing);
     let members = listing.members.into_iter().map(listed).collect();
     let message = Control::Input(Input::Listing(members));
-    if shared.control.push(message).is_err() {
+    if shared.rings.control.push(message).is_err() {
         emit!(shared.log, warn, RingFull; "ring" => "control");
     }
 }
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use caraway_calls::{BudgetSettings, OnceSettings};
+use caraway_records::FollowerSettings;
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
 /// Everything that a daemon is told at its start.
@@ -51,6 +52,9 @@
     /// Share of retries for each client account and endpoint.
     #[serde(default)]
     pub retries: BudgetSettings,
+    /// How the configuration is followed; `poll_ms` is taken from `times/follow_ms`.
+    #[serde(default)]
+    pub config: FollowerSettings,
     /// Limits and times of calls that may not be repeated.
     #[serde(default)]
     pub calls: OnceSettings,
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -17,7 +17,8 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    EndpointSettings, Settings, burn::BurnMessage, calls_log::CallsMessage, metrics::Metrics,
+    EndpointSettings, Settings, burn::BurnMessage, calls_log::CallsMessage, follow::Follow,
+    metrics::Metrics,
 };
 
 /// A message to the control thread.
@@ -53,6 +54,19 @@
     Refuse(Refusal),
 }
 
+/// The ways to the threads of a daemon.
+#[derive(Debug)]
+pub(crate) struct Rings {
+    /// The way to the control thread.
+    pub(crate) control: Sender<Control>,
+    /// The way to the burn thread.
+    pub(crate) burn: Sender<BurnMessage>,
+    /// The way to the log thread.
+    pub(crate) follow: Sender<Follow>,
+    /// The way to the calls thread.
+    pub(crate) calls: Sender<CallsMessage>,
+}
+
 /// What the threads of a daemon have in common.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -62,12 +76,8 @@
     pub(crate) addr: SocketAddr,
     /// Tells this life of the instance from earlier ones.
     pub(crate) incarnation: u64,
-    /// The way to the control thread.
-    pub(crate) control: Sender<Control>,
-    /// The way to the burn thread.
-    pub(crate) burn: Sender<BurnMessage>,
-    /// The way to the calls thread.
-    pub(crate) calls: Sender<CallsMessage>,
+    /// The ways to the other threads.
+    pub(crate) rings: Rings,
     /// The configuration in force.
     pub(crate) config: watch::Receiver<Arc<State>>,
     /// Addresses of the peers, as last heard of.
@@ -99,7 +109,7 @@
         settings: Settings,
         addr: SocketAddr,
         incarnation: u64,
-        (control, burn, calls): (Sender<Control>, Sender<BurnMessage>, Sender<CallsMessage>),
+        rings: Rings,
         config: watch::Receiver<Arc<State>>,
         log: Logger,
         metrics: Metrics,
@@ -112,9 +122,7 @@
             settings,
             addr,
             incarnation,
-            control,
-            burn,
-            calls,
+            rings,
             config,
             peers: RwLock::new(peers),
             endpoints,
