--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -4,7 +4,7 @@
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::Refusal;
+use caraway_types::{Certainty, Refusal};
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -78,9 +78,11 @@
     let mut tally = Tally::new(gate, ask);
     let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
     tally.verdict();
+    let mut may_have_run = false;
     loop {
         let source = match verdict {
             Verdict::Refuse(refusal) => {
+                let refusal = certain(refusal, may_have_run);
                 tally.refused(ask, &refusal);
                 return Err(refusal);
             }
@@ -105,9 +107,17 @@
                     tally,
                 });
             }
-            Ok((_, None)) => verdict = guard.again(Done::NotRun).await,
+            Ok((_, None)) => {
+                may_have_run = true;
+                verdict = guard.again(Done::NotRun).await;
+            }
             Err(Fault::Again(done)) => verdict = guard.again(done).await,
+            Err(Fault::MayHaveRun(done)) => {
+                may_have_run = true;
+                verdict = guard.again(done).await;
+            }
             Err(Fault::Refused(refusal)) => {
+                let refusal = certain(refusal, may_have_run);
                 guard.finish(Done::Failed);
                 tally.refused(ask, &refusal);
                 return Err(refusal);
@@ -116,6 +126,17 @@
     }
 }
 
+/// Puts a refusal in doubt where an earlier attempt may have run.
+pub(crate) fn certain(refusal: Refusal, may_have_run: bool) -> Refusal {
+    if !may_have_run {
+        return refusal;
+    }
+    Refusal {
+        certainty: Certainty::InDoubt,
+        ..refusal
+    }
+}
+
 async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
     match open(gate, &ask).await {
         Err(refusal) => refuse(Some(&ask.request), refusal),
@@ -235,7 +256,7 @@
     loop {
         match fault {
             Fault::Refused(refusal) => return Err(refusal),
-            Fault::Again(done) => {
+            Fault::Again(done) | Fault::MayHaveRun(done) => {
                 source.take_restart()?;
                 sleep(pause).await;
                 pause *= 2;
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -83,9 +83,12 @@
     );
     let response = match timeout(limit, call).await {
         Ok(Ok(response)) => response,
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
             gate.suspect(addr);
-            return Err(Fault::Again(Done::NotRun));
+            if error.not_sent() {
+                return Err(Fault::Again(Done::NotRun));
+            }
+            return Err(Fault::MayHaveRun(Done::NotRun));
         }
         Err(_) => {
             gate.suspect(addr);
@@ -103,7 +106,7 @@
 /// Judges a peer's refusal; one for lack of a place there may find a place elsewhere.
 fn refused(body: &[u8]) -> Fault {
     let Ok(CallerError { error, .. }) = serde_json::from_slice(body) else {
-        return Fault::Again(Done::NotRun);
+        return Fault::MayHaveRun(Done::NotRun);
     };
     let elsewhere = matches!(error.reason, Reason::Leaving | Reason::NoEndpoint);
     if error.certainty == Certainty::NotRun && elsewhere {
--- a/crates/caraway-entry/src/http/service_call.rs
+++ b/crates/caraway-entry/src/http/service_call.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::{Instant, timeout};
 
-use super::gate::Gate;
+use super::{completions::certain, gate::Gate};
 use crate::{EndpointKind, EndpointSettings, events::emit};
 
 /// When to come back after every replica of a service failed or leaves.
@@ -236,17 +236,6 @@
     value.to_str().ok().map(Arc::from)
 }
 
-/// Puts a refusal in doubt where an earlier attempt was written.
-fn certain(refusal: Refusal, written: bool) -> Refusal {
-    if !written {
-        return refusal;
-    }
-    Refusal {
-        certainty: caraway_types::Certainty::InDoubt,
-        ..refusal
-    }
-}
-
 fn no_replica() -> Refusal {
     let detail = "no replica of the service can be reached";
     Refusal::not_run(Reason::NoEndpoint, detail).after(COME_BACK)
--- a/crates/caraway-entry/src/http/source.rs
+++ b/crates/caraway-entry/src/http/source.rs
@@ -20,8 +20,10 @@
 /// Why a source gives no (more) tokens.
 #[derive(Clone, Debug)]
 pub(crate) enum Fault {
-    /// Nothing was delivered; the node may choose again.
+    /// The attempt did not run; the node may choose again.
     Again(Done),
+    /// The attempt may have run; the node may choose again, as a completion may run twice.
+    MayHaveRun(Done),
     /// The request gets this final answer.
     Refused(Refusal),
 }
@@ -260,7 +262,7 @@
                 }
                 let expired = matches!(saw, Saw::Stalled(0));
                 if !expired {
-                    return Err(Fault::Again(Done::NotRun));
+                    return Err(Fault::MayHaveRun(Done::NotRun));
                 }
                 let detail = "the peer that served the request failed";
                 Err(Fault::Refused(Refusal::in_doubt(
@@ -298,7 +300,7 @@
             Decision::Refuse(refusal) => return Err(Fault::Refused(refusal)),
             _ => {
                 engine.cancel(&self.gate).await;
-                return Err(Fault::Again(Done::NotRun));
+                return Err(Fault::MayHaveRun(Done::NotRun));
             }
         };
         let opened = engine.open(&self.gate, &self.ask, from).await;
@@ -368,7 +370,11 @@
         gate.suspect(self.addr);
         emit!(gate.shared.log, warn, AttemptFailed;
             "endpoint" => &*self.endpoint, "error" => %error);
-        Fault::Again(Done::NotRun)
+        if error.not_sent() {
+            Fault::Again(Done::NotRun)
+        } else {
+            Fault::MayHaveRun(Done::NotRun)
+        }
     }
 
     async fn cancel(&self, gate: &Gate) {
--- a/crates/caraway-measure/src/deployment.rs
+++ b/crates/caraway-measure/src/deployment.rs
@@ -6,6 +6,7 @@
 use caraway_entry::{Entry, Settings};
 use caraway_standin::{
     Engine, EngineSettings, InstanceList, ListSettings, LogService, LogSettings, Relay, Relays,
+    Service, ServiceSettings,
 };
 use caraway_types::Millis;
 use caraway_wire::{
@@ -23,6 +24,8 @@
     pub(crate) entries: Vec<Entry>,
     /// The engines.
     pub(crate) engines: Vec<Engine>,
+    /// Replicas of the plain service `quotes`.
+    pub(crate) services: Vec<Service>,
     /// The platform's log.
     pub(crate) log: LogService,
     /// Through which the instances of the first of several zones reach the log.
@@ -44,6 +47,10 @@
     pub(crate) adapters: usize,
     /// How the engines behave.
     pub(crate) engine: EngineSettings,
+    /// Replicas of the plain service `quotes`.
+    pub(crate) services: usize,
+    /// Times of the daemons.
+    pub(crate) times: Value,
 }
 
 impl Default for Plan {
@@ -62,6 +69,8 @@
                 report_lag: Millis::new(50),
                 ..EngineSettings::default()
             },
+            services: 0,
+            times: json!({}),
         }
     }
 }
@@ -86,9 +95,19 @@
             })
         };
         let engines = (0..plan.engines).map(engine).collect::<Result<_, _>>()?;
+        let service = |i: usize| {
+            let id = format!("quotes-{i}").into();
+            Service::start(ServiceSettings {
+                id,
+                ..ServiceSettings::default()
+            })
+        };
+        let services = (0..plan.services).map(service);
+        let services = services.collect::<Result<_, _>>()?;
         let mut deployment = Self {
             entries: Vec::new(),
             engines,
+            services,
             log,
             relay,
             _relays: relays,
@@ -100,6 +119,16 @@
         Ok(deployment)
     }
 
+    /// Stops daemon `i` at once and starts it anew on another port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon can't be started.
+    pub(crate) fn restart(&mut self, plan: &Plan, i: usize) -> Result<()> {
+        self.entries.remove(i).stop();
+        self.add(plan, i)
+    }
+
     /// Returns the address of daemon `i`.
     pub(crate) fn addr(&self, i: usize) -> SocketAddr {
         self.entries[i].addr()
@@ -125,7 +154,7 @@
             incarnation: 1,
             leaving: false,
         });
-        self.entries.push(entry);
+        self.entries.insert(i, entry);
         Ok(())
     }
 
@@ -137,7 +166,15 @@
                 "checks_fencing": plan.engine.checks_fencing,
             })
         };
-        let engines: Vec<_> = self.engines.iter().enumerate().map(engine).collect();
+        let service = |(n, s): (usize, &Service)| {
+            json!({
+                "id": format!("quotes-{n}"), "kind": "service", "zone": zone(plan, n),
+                "addr": s.addr(), "service": "quotes",
+            })
+        };
+        let engines = self.engines.iter().enumerate().map(engine);
+        let services = self.services.iter().enumerate().map(service);
+        let endpoints: Vec<_> = engines.chain(services).collect();
         let relayed = plan.zones > 1 && i.is_multiple_of(plan.zones);
         let log = if relayed {
             self.relay.addr()
@@ -153,7 +190,8 @@
             "store_rate": 1000.0,
             "store_transit": 100,
             "instances": 8,
-            "endpoints": engines,
+            "endpoints": endpoints,
+            "times": plan.times,
         })
     }
 }
@@ -162,6 +200,7 @@
 pub(crate) fn records(adapters: usize) -> Vec<Arc<str>> {
     let account = json!({ "rate": 1_000_000.0, "burst": 1_000_000, "max_queued": 100_000 });
     let mut records = vec![record("account", ACCOUNT, &account)];
+    records.push(record("service", "quotes", &json!({})));
     for i in 0..adapters {
         let version = format!("adapter-{i}@v1");
         records.push(record("adapter_version", &version, &json!({})));
--- a/crates/caraway-measure/src/flags.rs
+++ b/crates/caraway-measure/src/flags.rs
@@ -37,6 +37,17 @@
             /// Prints JSON.
             optional --json
         }
+        /// Sends calls of all kinds through six daemons while faults are injected.
+        cmd calls {
+            /// `all`, `services`, `engines`, `log`, `entries` or `none`.
+            optional --faults faults: String
+            /// Seed of calls and faults.
+            optional --seed seed: u64
+            /// Calls, without the repeats of keyed ones.
+            optional --calls calls: u32
+            /// Prints JSON.
+            optional --json
+        }
         /// Compares the engine called directly with the path through the daemon.
         cmd path {
             /// Requests for each way.
--- a/crates/caraway-measure/src/main.rs
+++ b/crates/caraway-measure/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Each subcommand is a module of its own with a `run` function; [`flags`] lists them.
 
+mod calls;
 mod compare;
 mod config;
 mod cpu;
@@ -13,6 +14,7 @@
 
 fn main() -> anyhow::Result<()> {
     match flags::Measure::from_env_or_exit().subcommand {
+        flags::MeasureCmd::Calls(args) => calls::run(&args),
         flags::MeasureCmd::Config(args) => config::run(&args),
         flags::MeasureCmd::Compare(args) => compare::run(&args),
         flags::MeasureCmd::Slopes(args) => slopes::run(&args),
