--- /dev/null
+++ b/crates/caraway-calls/tests/golden.rs
@@ -0,0 +1,275 @@
+//! Whole sessions of two instances before one log, as golden files.
+//!
+//! A line that starts with two spaces is what an instance asked for; every other line is an input.
+//! `UPDATE_GOLDEN=1` writes the outputs anew.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    path::Path,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use caraway_calls::{
+    Appending, Body, CallKey, CallRecord, Ended, Found, KeyedCall, LogPage, LogRecord, Once,
+    OnceAction, OnceSettings, Outcome, Recorded, Reply, RequestHash, Step,
+};
+use caraway_types::{Reason, Refusal};
+
+type Failure = Box<dyn std::error::Error>;
+
+/// An instance with what it asks of the log and has sent.
+struct Instance {
+    once: Once,
+    append: Vec<Arc<str>>,
+    read: Option<u64>,
+    sent: u64,
+}
+
+struct Session {
+    now: Instant,
+    log: Vec<Arc<str>>,
+    oldest: usize,
+    instances: BTreeMap<String, Instance>,
+    text: String,
+}
+
+fn key(name: &str) -> CallKey {
+    CallKey {
+        account: "coop".into(),
+        service: "quotes".into(),
+        key: name.into(),
+    }
+}
+
+fn recorded() -> Recorded {
+    Recorded {
+        status: 201,
+        content: "text/plain".into(),
+        body: Body::Text("done".into()),
+    }
+}
+
+impl Session {
+    fn new() -> Self {
+        Self {
+            now: Instant::now(),
+            log: Vec::new(),
+            oldest: 0,
+            instances: BTreeMap::new(),
+            text: String::new(),
+        }
+    }
+
+    fn line(&mut self, line: &str) -> Result<(), Failure> {
+        self.text += line;
+        self.text += "\n";
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[..] {
+            [] | ["#", ..] => {}
+            ["wait", ms] => {
+                self.now += Duration::from_millis(ms.parse()?);
+                let names: Vec<String> = self.instances.keys().cloned().collect();
+                for name in names {
+                    self.act(&name, Once::on_tick);
+                }
+            }
+            ["trim", oldest] => self.oldest = oldest.parse()?,
+            [name, "start", incarnation] => {
+                let once = Once::new(
+                    OnceSettings::default(),
+                    name.into(),
+                    incarnation.parse()?,
+                    0,
+                );
+                let instance = Instance {
+                    once,
+                    append: Vec::new(),
+                    read: None,
+                    sent: 0,
+                };
+                self.instances.insert(name.to_owned(), instance);
+            }
+            [name, "call", ticket, key_name, body, ms] => {
+                let call = KeyedCall {
+                    ticket: ticket.parse()?,
+                    key: key(key_name),
+                    hash: RequestHash::of("POST", "/deposits", body.as_bytes()),
+                    age: None,
+                    deadline: self.now + Duration::from_millis(ms.parse()?),
+                };
+                self.act(name, |once, now, out| once.on_call(now, call, out));
+            }
+            [name, "append", how] => self.append(name, how)?,
+            [name, "read", how] => self.read(name, how)?,
+            [name, "end", how] => self.end(name, how)?,
+            [name, "gone", ticket] => {
+                let ticket = ticket.parse()?;
+                self.act(name, |once, _, _| once.on_gone(ticket));
+            }
+            [name, "lookup", ticket, key_name] => {
+                let ticket = ticket.parse()?;
+                self.act(name, |once, now, out| {
+                    once.on_lookup(now, ticket, key(key_name), out);
+                });
+            }
+            _ => return Err(format!("unknown input: {line}").into()),
+        }
+        Ok(())
+    }
+
+    fn instance(&mut self, name: &str) -> &mut Instance {
+        self.instances
+            .get_mut(name)
+            .expect("the instance was started")
+    }
+
+    fn append(&mut self, name: &str, how: &str) -> Result<(), Failure> {
+        let records = std::mem::take(&mut self.instance(name).append);
+        let ended = match how {
+            "failed" => Appending::Failed,
+            "vanished" => Appending::Unknown,
+            "lost" | "ok" => {
+                self.log.extend(records);
+                let done = Appending::Done(self.log.len() as u64);
+                if how == "ok" {
+                    done
+                } else {
+                    Appending::Unknown
+                }
+            }
+            _ => return Err(format!("unknown end of an append: {how}").into()),
+        };
+        self.act(name, |once, now, out| once.on_append(now, ended, out));
+        Ok(())
+    }
+
+    fn read(&mut self, name: &str, how: &str) -> Result<(), Failure> {
+        let Some(from) = self.instance(name).read.take() else {
+            self.say(name, "has no read under way");
+            return Ok(());
+        };
+        let from = usize::try_from(from)?.max(self.oldest);
+        let records = self.log.iter().enumerate().skip(from);
+        let records = records.map(|(i, data)| LogRecord {
+            offset: i as u64,
+            data: data.clone(),
+        });
+        let page = LogPage {
+            oldest: self.oldest as u64,
+            end: self.log.len() as u64,
+            records: records.collect(),
+        };
+        self.act(name, |once, now, out| match how {
+            "ok" => once.on_page(now, &page, out),
+            _ => once.on_read_failed(now, out),
+        });
+        Ok(())
+    }
+
+    fn end(&mut self, name: &str, how: &str) -> Result<(), Failure> {
+        let nonce = self.instance(name).sent;
+        let ended = match how {
+            "answered" => Ended::Answered(recorded()),
+            "not_run" => Ended::NotRun(Refusal::not_run(Reason::NoEndpoint, "unreachable")),
+            "in_doubt" => Ended::InDoubt(Refusal::in_doubt(Reason::EndpointFailed, "lost")),
+            _ => return Err(format!("unknown end of a call: {how}").into()),
+        };
+        self.act(name, |once, now, out| once.on_ended(now, nonce, ended, out));
+        Ok(())
+    }
+
+    fn act(&mut self, name: &str, step: impl FnOnce(&mut Once, Instant, &mut Vec<OnceAction>)) {
+        let now = self.now;
+        let mut out = Vec::new();
+        step(&mut self.instance(name).once, now, &mut out);
+        for action in out {
+            let line = self.show(name, action);
+            self.say(name, &line);
+        }
+    }
+
+    fn say(&mut self, name: &str, what: &str) {
+        self.text += &["  ", name, " ", what, "\n"].concat();
+    }
+
+    fn show(&mut self, name: &str, action: OnceAction) -> String {
+        let now = self.now;
+        let instance = self.instance(name);
+        match action {
+            OnceAction::Append(records) => {
+                let steps: Vec<String> = records.iter().map(|r| step(r)).collect();
+                instance.append = records;
+                format!("appends {}", steps.join(", "))
+            }
+            OnceAction::Read { from, .. } => {
+                instance.read = Some(from);
+                format!("reads from {from}")
+            }
+            OnceAction::Send {
+                ticket,
+                nonce,
+                until,
+            } => {
+                instance.sent = nonce;
+                format!("sends {ticket} within {} ms", (until - now).as_millis())
+            }
+            OnceAction::Reply {
+                ticket,
+                reply: Reply::Answer(answer),
+            } => {
+                format!("answers {ticket} with status {}", answer.status)
+            }
+            OnceAction::Reply {
+                ticket,
+                reply: Reply::Refuse(refusal),
+            } => {
+                format!("refuses {ticket}: {refusal}")
+            }
+            OnceAction::Found { ticket, found } => {
+                let found = match found {
+                    Found::Ended(outcome) => name_of(&outcome).to_owned(),
+                    other => format!("{other:?}"),
+                };
+                format!("tells {ticket}: {found}")
+            }
+        }
+    }
+}
+
+fn step(text: &str) -> String {
+    let record = CallRecord::parse(text).expect("a record");
+    let step = match &record.step {
+        Step::Intent => "intent",
+        Step::Outcome(outcome) => name_of(outcome),
+        Step::Unknown => "unknown",
+    };
+    format!("{step} of {} by {}", record.call.key, record.owner)
+}
+
+fn name_of(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(_) => "answered",
+        Outcome::InDoubt(_) => "in doubt",
+        Outcome::NotRun => "not run",
+    }
+}
+
+fn session(path: &Path) -> datatest_stable::Result<()> {
+    let golden = fs::read_to_string(path)?;
+    let mut session = Session::new();
+    for line in golden.lines().filter(|line| !line.starts_with("  ")) {
+        session.line(line).map_err(|e| e.to_string())?;
+    }
+    if std::env::var_os("UPDATE_GOLDEN").is_some() {
+        fs::write(path, &session.text)?;
+    } else if session.text != golden {
+        return Err(format!("the session differs:\n{}", session.text).into());
+    }
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = session, root = "tests/golden", pattern = r"\.session$" },
+}
