Show that the demo's checks see broken rules

Cause: with no violation in sight, nothing proved that the checks can fail; the test that compared exit status with violations had lost its failing side. Engine fault wrong_tokens. Failed try: with the store's rate exceeded at the start, no request got its adapter any more and no wrong token was seen; it is now exceeded last.

--- a/crates/caraway-demo/src/flags.rs
+++ b/crates/caraway-demo/src/flags.rs
@@ -13,6 +13,8 @@
         optional --seed number: u64
         /// Writes the report to a file too.
         optional --report file: PathBuf
+        /// Breaks rules behind the daemons' backs, to show that the checks see it.
+        optional --spoil
         /// Writes the report as JSON.
         optional --json
     }
--- a/crates/caraway-demo/src/main.rs
+++ b/crates/caraway-demo/src/main.rs
@@ -16,6 +16,7 @@
 mod rules;
 mod run;
 mod schedule;
+mod spoil;
 mod table;
 
 use std::{fs, process::ExitCode, time::Duration};
@@ -41,6 +42,7 @@
     let plan = Plan {
         length: Duration::from_secs(flags.seconds.unwrap_or(LENGTH_S).max(1)),
         seed: flags.seed.unwrap_or(SEED),
+        spoil: flags.spoil,
     };
     let report = run::run(deployment, plan);
     match report.and_then(|report| print(&flags, &report)) {
--- a/crates/caraway-demo/src/run.rs
+++ b/crates/caraway-demo/src/run.rs
@@ -19,6 +19,7 @@
     report::Report,
     rules::Rules,
     schedule::{Planned, schedule},
+    spoil::{exceed_rate, spoil},
 };
 
 /// Most time until every instance gives an answer.
@@ -33,6 +34,8 @@
     pub(crate) length: Duration,
     /// Seed of the requests.
     pub(crate) seed: u64,
+    /// Whether to break rules behind the daemons' backs.
+    pub(crate) spoil: bool,
 }
 
 /// Runs a deployment on loopback and returns what it came to.
@@ -74,7 +77,18 @@
     let leaver = floor.entries.pop().context("no instance")?;
     let balancer = Balancer::new(entries);
     let operate = operate(deployment, floor, &balancer, leaver, plan.length);
-    let (outcomes, operated) = tokio::join!(driver::drive(deployment, &balancer, planned), operate);
+    let spoiled = async {
+        if plan.spoil {
+            spoil(floor).await?;
+        }
+        anyhow::Ok(())
+    };
+    let drive = driver::drive(deployment, &balancer, planned);
+    let (outcomes, operated, spoiled) = tokio::join!(drive, operate, spoiled);
+    spoiled.context("spoiling the run")?;
+    if plan.spoil {
+        exceed_rate(floor);
+    }
     let (operations, rules) = operated.context("operating")?;
     Ok(Driven {
         outcomes: outcomes?,
--- a/crates/caraway-demo/tests/demo.rs
+++ b/crates/caraway-demo/tests/demo.rs
@@ -62,6 +62,24 @@
     short_run("rodopa");
 }
 
+#[test]
+fn sees_broken_rules_and_fails() {
+    let output = demo(&[
+        "--deployment",
+        "rodopa",
+        "--seconds",
+        "3",
+        "--spoil",
+        "--json",
+    ]);
+    let report = report(&output);
+    assert_eq!(output.status.code(), Some(1));
+    for rule in ["right_answer", "at_most_once", "no_eviction", "store_limit"] {
+        let broken = report["rules"][rule]["violations"].as_u64();
+        assert!(broken.is_some_and(|count| count > 0), "{rule}");
+    }
+}
+
 #[test]
 fn refuses_an_unknown_deployment() {
     let output = demo(&["--deployment", "bakery"]);
--- a/crates/caraway-standin/src/engine/core.rs
+++ b/crates/caraway-standin/src/engine/core.rs
@@ -174,7 +174,9 @@
         self.ledger.fill_sum += self.batch.len() as u64;
         let crossed = self.cross_sinks();
         for run in &mut self.batch {
-            run.advance();
+            let wrong = self.faults.wrong_tokens > 0;
+            self.faults.wrong_tokens -= u32::from(wrong);
+            run.advance(wrong);
             self.ledger.runs[run.record].generated = run.generated;
         }
         if crossed {
--- a/crates/caraway-standin/src/engine/run.rs
+++ b/crates/caraway-standin/src/engine/run.rs
@@ -8,6 +8,9 @@
 use tokio::sync::mpsc::UnboundedSender;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Version whose tokens an engine sends by a fault.
+const WRONG_VERSION: &str = "wrong";
+
 /// Returns token `index` of the answer of `adapter` to `prompt`.
 #[must_use]
 pub fn token(adapter: &AdapterRef, prompt: &str, index: u32) -> String {
@@ -80,23 +83,35 @@
         self.close_if_finished();
     }
 
-    /// Generates the next token.
-    pub(crate) fn advance(&mut self) {
+    /// Generates the next token, or the one of another version in its place.
+    pub(crate) fn advance(&mut self, wrong: bool) {
         let index = self.generated;
         self.generated += 1;
-        self.send(index);
+        if wrong {
+            self.send_as(
+                &AdapterRef::new(&*self.adapter.adapter, WRONG_VERSION),
+                index,
+            );
+        } else {
+            self.send(index);
+        }
         self.close_if_finished();
     }
 
     /// Sends one token, if somebody listens.
     fn send(&self, index: u32) {
+        self.send_as(&self.adapter, index);
+    }
+
+    /// Sends the token that `adapter` gives.
+    fn send_as(&self, adapter: &AdapterRef, index: u32) {
         let Some(sink) = &self.sink else { return };
         let last = index + 1 == self.max_tokens;
         let chunk = CompletionChunk {
             request_id: Arc::clone(&self.id),
             model: Arc::clone(&self.load),
             index,
-            text: token(&self.adapter, &self.prompt, index).into(),
+            text: token(adapter, &self.prompt, index).into(),
             finish_reason: last.then(|| "length".into()),
         };
         if let Ok(json) = serde_json::to_string(&chunk) {
--- a/crates/caraway-standin/src/engine/settings.rs
+++ b/crates/caraway-standin/src/engine/settings.rs
@@ -74,6 +74,8 @@
     pub break_runs: u32,
     /// Tokens from now on that go to another run of the batch, and that run's to this one.
     pub cross_tokens: u32,
+    /// Tokens from now on that another version of the adapter generates.
+    pub wrong_tokens: u32,
     /// Restarts the engine empty, once.
     pub restart: bool,
     /// Load reports that fail from now on.
--- a/crates/caraway-standin/tests/standin/engine.rs
+++ b/crates/caraway-standin/tests/standin/engine.rs
@@ -309,3 +309,18 @@
     assert_eq!(*stray.text, token(&adapter, "q", stray.index));
     assert_eq!(&*first.next().await.unwrap().request_id, "a");
 }
+
+#[ntex::test]
+async fn wrong_tokens_are_another_versions() {
+    let engine = loaded(quick()).await;
+    engine.set_faults(EngineFaults {
+        wrong_tokens: 1,
+        ..EngineFaults::default()
+    });
+    let mut tokens = complete(engine.addr(), &request("a", "l1", "p", 2)).await;
+    let texts = [tokens.next().await.unwrap(), tokens.next().await.unwrap()].map(|c| c.text);
+    let wrong = AdapterRef::new("signs", "wrong");
+    let right = AdapterRef::new("signs", "v1");
+    assert_eq!(*texts[0], token(&wrong, "p", 0));
+    assert_eq!(*texts[1], token(&right, "p", 1));
+}
