--- a/crates/caraway-entry/src/follow.rs
+++ b/crates/caraway-entry/src/follow.rs
@@ -113,7 +113,10 @@
             Follow::Offer(peer, offer) => self.handle(FollowerInput::Offer(peer, offer)),
             Follow::Ask(ask, reply) => {
                 let answer = self.follower.answer(ask.from);
-                let _ = reply.send(PeerClient::encode(&answer).unwrap_or_default());
+                let answer = PeerClient::encode(&answer).unwrap_or_default();
+                let metrics = &self.shared.metrics;
+                metrics.control_bytes("records_sent", answer.len());
+                let _ = reply.send(answer);
             }
         }
     }
--- a/crates/caraway-measure/src/config.rs
+++ b/crates/caraway-measure/src/config.rs
@@ -37,10 +37,7 @@
         adapters: usize::try_from(args.adapters.unwrap_or(ADAPTERS))?,
         outage_s: args.outage_s.unwrap_or(OUTAGE_S),
     };
-    let folds = FOLDS
-        .into_iter()
-        .map(fold::measure)
-        .collect::<Result<_>>()?;
+    let folds = fold::measure(&FOLDS)?;
     let report = Report {
         folds,
         in_force: in_force::measure(plan)?,
--- a/crates/caraway-measure/src/config/fold.rs
+++ b/crates/caraway-measure/src/config/fold.rs
@@ -25,44 +25,69 @@
     memory_bytes: u64,
 }
 
-/// Measures at a number of adapters.
-pub(crate) fn measure(adapters: u32) -> Result<Figures> {
+/// A state whose fold was measured.
+struct Folded {
+    adapters: u32,
+    records: usize,
+    state: State,
+    time: Duration,
+    memory: u64,
+}
+
+/// Measures at each number of adapters.
+///
+/// Folds all of them first and keeps the states, as freed memory would spoil the next figure.
+pub(crate) fn measure(adapters: &[u32]) -> Result<Vec<Figures>> {
+    let folded: Vec<Folded> = adapters.iter().map(|n| fold(*n)).collect::<Result<_>>()?;
+    folded.iter().map(figures).collect()
+}
+
+/// Folds the records of a number of adapters.
+fn fold(adapters: u32) -> Result<Folded> {
     let records = records(usize::try_from(adapters)?);
     let before = cpu::resident_bytes();
     let start = Instant::now();
     let mut state = State::default();
     for (offset, record) in (0..).zip(&records) {
-        ensure!(
-            state.apply(offset, record).is_accepted(),
-            "a record is refused"
-        );
+        let outcome = state.apply(offset, record);
+        ensure!(outcome.is_accepted(), "a record is refused");
     }
-    let fold = start.elapsed();
-    let memory_bytes = cpu::resident_bytes().saturating_sub(before);
+    Ok(Folded {
+        adapters,
+        records: records.len(),
+        state,
+        time: start.elapsed(),
+        memory: cpu::resident_bytes().saturating_sub(before),
+    })
+}
+
+/// Copies a state, takes a snapshot of it and restores that.
+fn figures(folded: &Folded) -> Result<Figures> {
+    let state = &folded.state;
     let start = Instant::now();
     for _ in 0..COPIES {
         std::hint::black_box(state.clone());
     }
     let copy = start.elapsed() / COPIES;
     let start = Instant::now();
-    let snapshot = Snapshot::of(&state);
+    let snapshot = Snapshot::of(state);
     let snap = start.elapsed();
     let start = Instant::now();
-    let restored =
-        Assembly::restore_all(&snapshot.chunks, None).context("a snapshot is refused")?;
+    let restored = Assembly::restore_all(&snapshot.chunks, None);
+    let restored = restored.context("a snapshot is refused")?;
     let restore = start.elapsed();
-    ensure!(restored == state, "the snapshot gives another state");
-    let count = u32::try_from(records.len())?;
+    ensure!(restored == *state, "the snapshot gives another state");
+    let count = u32::try_from(folded.records)?;
     Ok(Figures {
-        adapters,
-        records: records.len(),
-        fold_us_per_record: ms(fold) * 1e3 / f64::from(count),
+        adapters: folded.adapters,
+        records: folded.records,
+        fold_us_per_record: ms(folded.time) * 1e3 / f64::from(count),
         copy_ms: ms(copy),
         snapshot_ms: ms(snap),
         snapshot_bytes: snapshot.chunks.iter().map(|c| c.len()).sum(),
         snapshot_chunks: snapshot.chunks.len(),
         restore_ms: ms(restore),
-        memory_bytes,
+        memory_bytes: folded.memory,
     })
 }
 
