Tell the control thread of a configuration again when its ring was full

Cause: a full ring lost the newest configuration for the node until the next record. Change: the log thread repeats it with its next input. No test causes the full ring yet.

--- a/crates/caraway-entry/src/follow.rs
+++ b/crates/caraway-entry/src/follow.rs
@@ -57,6 +57,8 @@
     publish: watch::Sender<Arc<State>>,
     ends: Ends<FollowerInput>,
     reachable: bool,
+    /// Offset up to which the control thread was told.
+    told: Offset,
 }
 
 /// Follows the records until the control thread ends.
@@ -104,6 +106,7 @@
             publish,
             ends,
             reachable: true,
+            told: 0,
         })
     }
 
@@ -186,14 +189,19 @@
     }
 
     /// Puts a state that has moved on in force, once the follower has caught up.
-    fn publish(&self) {
+    ///
+    /// The control thread is told again with the next input when its ring is full.
+    fn publish(&mut self) {
         let state = self.follower.state();
-        if !self.follower.is_ready() || state.next() <= self.publish.borrow().next() {
+        let next = state.next();
+        if !self.follower.is_ready() || next <= self.told {
             return;
         }
         self.publish.send_replace(Arc::clone(state));
         let message = Control::Config(Arc::clone(state));
-        if self.shared.rings.control.push(message).is_err() {
+        if self.shared.rings.control.push(message).is_ok() {
+            self.told = next;
+        } else {
             emit!(self.shared.log, warn, RingFull; "ring" => "control");
         }
     }
