--- a/crates/caraway-publish/tests/cli.rs
+++ b/crates/caraway-publish/tests/cli.rs
@@ -79,7 +79,7 @@
             "instance": id, "zone": "a", "listen": "127.0.0.1:0",
             "log": self.log.addr(), "list": self.list.addr(),
             "endpoints": [{"id": "e", "kind": "engine", "zone": "a", "addr": "127.0.0.1:9", "slots": 1}],
-            "store_rate": 1.0, "store_places": 1,
+            "store_rate": 1.0, "store_transit": 1, "instances": 2,
         });
         let settings = Settings::parse(&settings.to_string()).unwrap();
         let log = slog::Logger::root(slog::Discard, slog::o!());
