--- a/crates/caraway-entry/tests/testbed/mod.rs
+++ b/crates/caraway-entry/tests/testbed/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod caller;
 pub(crate) mod process;
+pub(crate) mod traffic;
 
 use std::{net::SocketAddr, sync::Arc};
 
--- a/crates/caraway-members/src/claims.rs
+++ b/crates/caraway-members/src/claims.rs
@@ -11,7 +11,7 @@
 use caraway_types::{EndpointId, Fence, InstanceId};
 
 use crate::{
-    EndpointInfo, MemberEvent, Members, Phase, Presence, Stage, fences,
+    EndpointInfo, Holding, MemberEvent, Members, Phase, Presence, Stage, fences,
     peer::Peer,
     rendezvous,
     replica::{Preferred, Replica, Rival},
@@ -70,19 +70,73 @@
     ) -> bool {
         let guard = self.guard();
         let fenced = |p: &Peer| checks && p.silent(now, guard);
-        let keeps_away = |p: &Peer| fenced(p) || p.grants(now, endpoint, claim_seq);
-        (checks || self.listed) && self.zone_peers().all(|(_, p)| keeps_away(p))
+        let objects = |p: &Peer| !checks && p.objections.contains(endpoint);
+        let grants = |p: &Peer| p.grants(now, endpoint, claim_seq) && !objects(p);
+        let keeps_away = |p: &Peer| fenced(p) || grants(p);
+        let sole = checks || self.listed && self.surely_sole(now);
+        sole && self.zone_peers().all(|(_, p)| keeps_away(p))
     }
 
-    /// Tells whether no peer can start requests or give orders on a replica.
-    pub(crate) fn all_clear(&self, now: Instant, endpoint: &EndpointId) -> bool {
-        let clear = |p: &Peer| self.heard(now, p) && p.holding(endpoint).is_none();
-        let dropped_now = |(id, p): (&InstanceId, &Peer)| {
+    /// Returns the replicas of `claimed` that another heard peer than their claimant orders on. The
+    /// two may not hear each other.
+    pub(crate) fn objections(
+        &self,
+        now: Instant,
+        claimant: &str,
+        claimed: &[Holding],
+    ) -> Vec<EndpointId> {
+        let rival = |(id, p): (&InstanceId, &Peer), endpoint: &EndpointId| {
+            **id != *claimant && self.heard(now, p) && p.orders(endpoint)
+        };
+        let contested = |h: &&Holding| self.zone_peers().any(|peer| rival(peer, &h.endpoint));
+        let claims = claimed.iter().filter(|h| h.phase == Phase::Holding);
+        claims
+            .filter(contested)
+            .map(|h| h.endpoint.clone())
+            .collect()
+    }
+
+    /// Tells whether no instance outside the zone's live peers can hold anything: none was dropped
+    /// a short while ago, and without peers the list still names this instance, as otherwise one
+    /// that started since may have seen it dropped.
+    fn surely_sole(&self, now: Instant) -> bool {
+        let alone = self.zone_peers().next().is_none();
+        !self.dropped_lately(now) && (!alone || self.assured_lately(now))
+    }
+
+    /// Tells whether a peer of the zone was dropped so lately that it may not know it yet.
+    fn dropped_lately(&self, now: Instant) -> bool {
+        let lately = |(id, p): (&InstanceId, &Peer)| {
             let dropped = self.marks.stage(id, p.incarnation) == Some(Stage::Dropped);
             let age = self.marks.ended_for(now, id, p.incarnation);
             dropped && p.local && age < Some(self.settings.idle.get())
         };
-        self.zone_peers().all(|(_, p)| clear(p)) && !self.peers.iter().any(dropped_now)
+        self.peers.iter().any(lately)
+    }
+
+    /// Tells whether no peer can have seen the list drop this instance, as of a short while ago.
+    pub(crate) fn assured_lately(&self, now: Instant) -> bool {
+        let half = self.settings.idle.get() / 2;
+        let recent = |at| now.saturating_duration_since(at) < half;
+        self.assured.is_some_and(recent)
+    }
+
+    /// Notes that nobody can have seen the list drop this instance: every peer trusts it, or a
+    /// listing names it and either all live peers do or it was assured shortly before.
+    pub(crate) fn assure(&mut self, now: Instant, named: bool) {
+        let trusts = |p: &Peer| p.granted.is_some_and(|end| now < end);
+        let mut all = self.peers.values().filter(|p| p.local).peekable();
+        let trusted = all.peek().is_some() && all.all(trusts);
+        let live = || self.zone_peers().all(|(_, p)| trusts(p));
+        if trusted || named && (self.assured_lately(now) || live()) {
+            self.assured = Some(now);
+        }
+    }
+
+    /// Tells whether no peer can start requests or give orders on a replica.
+    pub(crate) fn all_clear(&self, now: Instant, endpoint: &EndpointId) -> bool {
+        let clear = |p: &Peer| self.heard(now, p) && p.holding(endpoint).is_none();
+        self.zone_peers().all(|(_, p)| clear(p)) && !self.dropped_lately(now)
     }
 
     /// Chooses and tells holders, claims and releases.
--- a/crates/caraway-members/src/fences.rs
+++ b/crates/caraway-members/src/fences.rs
@@ -12,15 +12,18 @@
 /// Low bits of a token, which hold the tag.
 const TAG_BITS: u32 = 32;
 
-/// Returns the `salt`-th choice of a tag for one incarnation of an instance.
-pub(crate) fn tag(id: &str, incarnation: Incarnation, salt: u32) -> u32 {
+/// Returns the `salt`-th choice of a tag for one incarnation of an instance; it takes the first,
+/// zero, unless a known peer has the same.
+#[must_use]
+pub fn tag(id: &str, incarnation: Incarnation, salt: u32) -> u32 {
     let key = format!("{incarnation}/{salt}");
     let hash = rendezvous::weight(&key, id) >> TAG_BITS;
     u32::try_from(hash).unwrap_or_default()
 }
 
 /// Returns the tag of the instance that made a token.
-pub(crate) fn maker(fence: Fence) -> u32 {
+#[must_use]
+pub fn maker(fence: Fence) -> u32 {
     u32::try_from(fence & Fence::from(u32::MAX)).unwrap_or_default()
 }
 
--- a/crates/caraway-members/src/heartbeat.rs
+++ b/crates/caraway-members/src/heartbeat.rs
@@ -30,6 +30,8 @@
     pub vouched: Vec<Vouch>,
     /// The replicas that the sender holds or drains.
     pub held: Vec<Holding>,
+    /// Replicas that the receiver claims while the sender hears another instance claim them too.
+    pub objections: Vec<EndpointId>,
     /// Members that started to leave or ended a short while ago.
     pub marks: Vec<Mark>,
 }
--- a/crates/caraway-members/src/lib.rs
+++ b/crates/caraway-members/src/lib.rs
@@ -5,6 +5,7 @@
 //!   [`EndpointInfo`]s. It takes [`Heartbeat`]s of peers and the platform's list as
 //!   [`ListedMember`]s and reports [`MemberEvent`]s.
 //! - [`Right`] says what this instance may order on a replica now.
+//! - [`fence_maker`] and [`fence_tag`] tell which instance made a fencing token.
 //! - [`Presence`] is the state of an instance or endpoint.
 
 mod claims;
@@ -23,6 +24,7 @@
 mod settings;
 
 pub use event::MemberEvent;
+pub use fences::{maker as fence_maker, tag as fence_tag};
 pub use heartbeat::{Ack, Heartbeat, Holding, Mark, Phase, Stage, Vouch};
 pub use members::Members;
 pub use right::{Presence, Right};
--- a/crates/caraway-members/src/marks.rs
+++ b/crates/caraway-members/src/marks.rs
@@ -10,6 +10,9 @@
 
 use crate::{Mark, Stage};
 
+/// Incarnation of an instance that the list names and that was not heard yet.
+pub(crate) const UNHEARD: Incarnation = 0;
+
 /// What is marked of one id: its newest marked incarnation.
 #[derive(Clone, Debug, Hash)]
 struct Entry {
@@ -55,12 +58,14 @@
         }
     }
 
-    /// Returns the stage of an incarnation; an older one than the marked has ended.
+    /// Returns the stage of an incarnation; an older one than the marked has ended. One that was not
+    /// heard yet may be the marked one, so it takes no work but is not taken as ended.
     pub(crate) fn stage(&self, id: &str, incarnation: Incarnation) -> Option<Stage> {
         let entry = self.entries.get(id)?;
         match entry.incarnation.cmp(&incarnation) {
             std::cmp::Ordering::Less => None,
             std::cmp::Ordering::Equal => Some(entry.stage),
+            std::cmp::Ordering::Greater if incarnation == UNHEARD => Some(Stage::Leaving),
             std::cmp::Ordering::Greater => Some(Stage::Ended),
         }
     }
--- a/crates/caraway-members/src/members.rs
+++ b/crates/caraway-members/src/members.rs
@@ -49,6 +49,8 @@
     /// Listings in a row without this instance since.
     pub(crate) missing: u8,
     pub(crate) last_listing: Option<Instant>,
+    /// When nobody could have seen the list drop this instance.
+    pub(crate) assured: Option<Instant>,
     pub(crate) last_tick: Instant,
     /// When states were last evaluated, unless there was news since.
     pub(crate) evaluated: Option<Instant>,
@@ -107,6 +109,7 @@
             own_entry: None,
             missing: 0,
             last_listing: None,
+            assured: None,
             last_tick: now,
             evaluated: None,
             doubt: Some(now),
@@ -152,6 +155,7 @@
         self.drop_missing(now);
         self.tick_peers(now, &mut events);
         self.settle_tag();
+        self.assure(now, false);
         self.resolve_doubt(now);
         self.tick_replicas(now, &mut events);
         self.forget(now);
@@ -201,9 +205,7 @@
     #[must_use]
     pub fn idle_limit(&self, now: Instant, endpoint: &EndpointId) -> Option<Duration> {
         let half = self.settings.idle.get() / 2;
-        let recent = |at| now.saturating_duration_since(at) < half;
-        let named = self.missing == 0 && self.last_listing.is_some_and(recent);
-        let limited = !named && self.right(now, endpoint) == Right::Fill;
+        let limited = !self.assured_lately(now) && self.right(now, endpoint) > Right::None;
         limited.then_some(half)
     }
 
--- a/crates/caraway-members/src/peer.rs
+++ b/crates/caraway-members/src/peer.rs
@@ -27,6 +27,8 @@
     /// Whether it says that the list has named it.
     pub(crate) listed: bool,
     pub(crate) held: Vec<Holding>,
+    /// Replicas of which it hears another instance claim them too.
+    pub(crate) objections: Vec<EndpointId>,
     /// Newest own heartbeat that it acknowledged.
     pub(crate) acked: u64,
     /// When the lease from that acknowledgement ends.
@@ -69,6 +71,7 @@
             seq: 0,
             listed: false,
             held: Vec::new(),
+            objections: Vec::new(),
             acked: 0,
             granted: None,
             named: false,
@@ -91,6 +94,7 @@
         self.missing = if self.named { self.missing } else { 0 };
         self.promised = self.promised.max(now + beat.lease.get());
         self.held.clone_from(&beat.held);
+        self.objections.clone_from(&beat.objections);
     }
 
     /// Tells whether it can no longer rely on anything acknowledged to it.
--- a/crates/caraway-members/src/presence.rs
+++ b/crates/caraway-members/src/presence.rs
@@ -9,12 +9,11 @@
 
 use crate::{
     Heartbeat, Holding, ListedMember, Mark, MemberEvent, Members, Phase, Stage, fences,
+    marks::UNHEARD,
     members::{ListEntry, ListedEndpoint},
     peer::Peer,
 };
 
-/// Incarnation of an instance that the list names and that was not heard yet.
-const UNHEARD: Incarnation = 0;
 /// Listings in a row that must miss a member before it counts as dropped.
 const MISSED_LISTINGS: u8 = 2;
 /// Listings in a row that must miss a silent instance that no listing ever named.
@@ -64,6 +63,7 @@
             }
         }
         self.last_listing = Some(now);
+        self.assure(now, self.missing == 0);
         self.evaluated = None;
     }
 
--- a/crates/caraway-members/src/schedule.rs
+++ b/crates/caraway-members/src/schedule.rs
@@ -27,22 +27,19 @@
     /// Returns the peers that a heartbeat is due to at `now`, each to be made by
     /// [`Self::heartbeat_to`].
     ///
-    /// Every peer of the zone gets one in each interval. Each interval of
+    /// Every peer of the zone gets one in each interval, also one that the list dropped: two that
+    /// dropped each other would never be heard again otherwise. Each interval of
     /// [`remote_beat`](crate::MemberSettings::remote_beat), one instance of another zone gets one.
     /// News of leaving goes at once to some peers anywhere.
     pub fn due(&mut self, now: Instant) -> BTreeSet<InstanceId> {
         let mut due = std::mem::take(&mut self.schedule.urgent);
         let interval = self.settings.interval(self.zone_size());
-        let zone: Vec<InstanceId> = self
-            .zone_peers()
-            .filter(|(_, p)| p.due <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in zone {
-            if let Some(peer) = self.peers.get_mut(&id) {
+        for (id, peer) in &mut self.peers {
+            let ended = self.marks.stage(id, peer.incarnation) == Some(Stage::Ended);
+            if peer.local && !ended && peer.due <= now {
                 peer.due = now + interval;
+                due.insert(id.clone());
             }
-            due.insert(id);
         }
         due.extend(self.due_remote(now));
         due
@@ -50,12 +47,16 @@
 
     /// Makes the heartbeat to one peer.
     pub fn heartbeat_to(&mut self, now: Instant, peer: &InstanceId) -> Heartbeat {
-        let Some(peer) = self.peers.get(peer) else {
+        let id = peer;
+        let Some(peer) = self.peers.get(id) else {
             return self.heartbeat(now);
         };
         if peer.local {
             let acks = ack(peer).into_iter().collect();
-            self.make_beat(now, acks, Vec::new())
+            let objections = self.objections(now, id, &peer.held);
+            let mut beat = self.make_beat(now, acks, Vec::new());
+            beat.objections = objections;
+            beat
         } else {
             let vouched = self.vouches(now);
             let mut beat = self.make_beat(now, Vec::new(), vouched);
@@ -68,7 +69,11 @@
     pub fn heartbeat(&mut self, now: Instant) -> Heartbeat {
         let acks = self.zone_peers().filter_map(|(_, p)| ack(p)).collect();
         let vouched = self.vouches(now);
-        self.make_beat(now, acks, vouched)
+        let contested = |(id, p): (&InstanceId, &Peer)| self.objections(now, id, &p.held);
+        let objections = self.zone_peers().flat_map(contested).collect();
+        let mut beat = self.make_beat(now, acks, vouched);
+        beat.objections = objections;
+        beat
     }
 
     /// Makes heartbeats to every peer of the zone due at once.
@@ -123,6 +128,7 @@
             acks,
             vouched,
             held: self.holdings(),
+            objections: Vec::new(),
             marks,
         }
     }
