--- a/crates/caraway-demo/src/caller.rs
+++ b/crates/caraway-demo/src/caller.rs
@@ -1,6 +1,9 @@
 //! [`Caller`] sends planned requests as a client of the deployment would.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, SystemTime},
+};
 
 use caraway_standin::{ServiceAnswer, token};
 use caraway_types::Refusal;
@@ -10,6 +13,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
+    deployment::Deployment,
     outcome::{Ending, Outcome},
     schedule::{Planned, Prompt, Work},
 };
@@ -24,12 +28,25 @@
 /// A caller of one client account.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
-    pub(crate) http: Http,
-    pub(crate) account: &'static str,
-    pub(crate) service: &'static str,
+    http: Http,
+    account: &'static str,
+    service: &'static str,
 }
 
 impl Caller {
+    /// Makes a caller of the deployment's client account.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the client can't be set up.
+    pub(crate) async fn new(deployment: &Deployment) -> Result<Self, CallError> {
+        Ok(Self {
+            http: Http::new().await?,
+            account: deployment.account,
+            service: deployment.service,
+        })
+    }
+
     /// Sends a request to `addr` and returns what became of it.
     pub(crate) async fn send(&self, addr: SocketAddr, planned: Planned) -> Outcome {
         let mut outcome = Outcome::new(planned.workload, planned.work.clone());
@@ -45,6 +62,7 @@
             }
         };
         let ending = timeout(limit, work).await;
+        outcome.ended = SystemTime::now();
         outcome.ending = match ending {
             Err(_) => Ending::Unanswered,
             Ok(Ok(ending)) => ending,
--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -1,10 +1,10 @@
 //! Completions and chat completions, streamed and whole.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use caraway_calls::Token;
 use caraway_node::Done;
-use caraway_types::{Reason, Refusal};
+use caraway_types::{Certainty, Refusal};
 use ntex::{
     rt::spawn,
     util::Bytes,
@@ -15,11 +15,11 @@
 };
 use tokio::{
     sync::mpsc::{Sender, channel},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{
-    ask::{Ask, REQUEST_HEADER},
+    ask::{self, Ask, REQUEST_HEADER},
     caller::{CallerAnswer, CallerError},
     gate::Gate,
     reply::{event, events, refuse},
@@ -28,6 +28,8 @@
 };
 use crate::{events::emit, guard::Guard, metrics::Outcome, shared::Verdict};
 
+/// First pause before a broken answer goes on with another source; each further one doubles.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
 /// Closes a stream of server-sent events.
 const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
 
@@ -41,14 +43,17 @@
     handle(&req, payload, &gate, true).await
 }
 
-async fn handle(req: &HttpRequest, payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
+async fn handle(req: &HttpRequest, mut payload: Payload, gate: &Gate, chat: bool) -> HttpResponse {
     let ask = match gate.admit() {
-        Ok(()) => Ask::read(gate, req.headers(), payload, chat).await,
+        Ok(()) => Ask::read(gate, req.headers(), &mut payload, chat).await,
         Err(refusal) => Err(refusal),
     };
     match ask {
         Ok(ask) => serve(gate, ask).await,
-        Err(refusal) => refuse(None, refusal),
+        Err(refusal) => {
+            ask::discard(gate, &mut payload).await;
+            refuse(None, refusal)
+        }
     }
 }
 
@@ -73,9 +78,11 @@
     let mut tally = Tally::new(gate, ask);
     let (mut guard, mut verdict) = Guard::submit(&gate.shared, ask.submission()).await;
     tally.verdict();
+    let mut may_have_run = false;
     loop {
         let source = match verdict {
             Verdict::Refuse(refusal) => {
+                let refusal = certain(refusal, may_have_run);
                 tally.refused(ask, &refusal);
                 return Err(refusal);
             }
@@ -100,9 +107,17 @@
                     tally,
                 });
             }
-            Ok((_, None)) => verdict = guard.again(Done::NotRun).await,
+            Ok((_, None)) => {
+                may_have_run = true;
+                verdict = guard.again(Done::NotRun).await;
+            }
             Err(Fault::Again(done)) => verdict = guard.again(done).await,
+            Err(Fault::MayHaveRun(done)) => {
+                may_have_run = true;
+                verdict = guard.again(done).await;
+            }
             Err(Fault::Refused(refusal)) => {
+                let refusal = certain(refusal, may_have_run);
                 guard.finish(Done::Failed);
                 tally.refused(ask, &refusal);
                 return Err(refusal);
@@ -111,6 +126,17 @@
     }
 }
 
+/// Puts a refusal in doubt where an earlier attempt may have run.
+pub(crate) fn certain(refusal: Refusal, may_have_run: bool) -> Refusal {
+    if !may_have_run {
+        return refusal;
+    }
+    Refusal {
+        certainty: Certainty::InDoubt,
+        ..refusal
+    }
+}
+
 async fn serve(gate: &Gate, ask: Ask) -> HttpResponse {
     match open(gate, &ask).await {
         Err(refusal) => refuse(Some(&ask.request), refusal),
@@ -123,12 +149,12 @@
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
         mut tally,
     } = opened;
     let mut tokens = vec![first];
     loop {
-        match source.next().await.map_err(last_word) {
+        match next_token(&mut source, &mut guard).await {
             Ok(Some(token)) => {
                 tally.token();
                 tokens.push(token);
@@ -172,7 +198,7 @@
     let Opened {
         mut source,
         first,
-        guard,
+        mut guard,
         mut tally,
     } = opened;
     let limit = gate.shared.settings.times.slow_caller_ms.get();
@@ -195,7 +221,7 @@
             guard.finish(Done::Complete);
             return;
         }
-        match source.next().await.map_err(last_word) {
+        match next_token(&mut source, &mut guard).await {
             Ok(next) => {
                 if next.is_some() {
                     tally.token();
@@ -216,13 +242,33 @@
     }
 }
 
-/// Returns the final answer after tokens were delivered.
-fn last_word(fault: Fault) -> Refusal {
-    match fault {
-        Fault::Refused(refusal) => refusal,
-        Fault::Again(_) => {
-            let detail = "the answer broke off and can't be completed";
-            Refusal::in_doubt(Reason::EndpointFailed, detail)
+/// Waits for the next token, over as many sources as the retry budget allows.
+///
+/// # Errors
+///
+/// Returns the final refusal of an answer that can't be completed.
+async fn next_token(source: &mut Source, guard: &mut Guard) -> Result<Option<Token>, Refusal> {
+    let mut fault = match source.next().await {
+        Ok(token) => return Ok(token),
+        Err(fault) => fault,
+    };
+    let mut pause = RESTART_PAUSE;
+    loop {
+        match fault {
+            Fault::Refused(refusal) => return Err(refusal),
+            Fault::Again(done) | Fault::MayHaveRun(done) => {
+                source.take_restart()?;
+                sleep(pause).await;
+                pause *= 2;
+                let verdict = guard.again(done).await;
+                fault = match source.switch(verdict).await {
+                    Err(fault) => fault,
+                    Ok(()) => match source.next().await {
+                        Ok(token) => return Ok(token),
+                        Err(fault) => fault,
+                    },
+                };
+            }
         }
     }
 }
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use caraway_node::{Done, Gossip, Input};
+use caraway_records::Offer;
 use caraway_types::{
     AccountId, AdapterRef, Certainty, Class, InstanceId, Millis, Reason, Refusal, RequestId,
 };
@@ -17,7 +18,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
-    sync::mpsc::channel,
+    sync::{mpsc::channel, oneshot},
     time::{Instant, timeout},
 };
 
@@ -29,7 +30,10 @@
     reply::{event, events, refuse},
     source::Fault,
 };
-use crate::shared::Control;
+use crate::{
+    follow::{Follow, PeerAsk},
+    shared::Control,
+};
 
 /// A completion that is passed on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -79,9 +83,12 @@
     );
     let response = match timeout(limit, call).await {
         Ok(Ok(response)) => response,
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
             gate.suspect(addr);
-            return Err(Fault::Again(Done::NotRun));
+            if error.not_sent() {
+                return Err(Fault::Again(Done::NotRun));
+            }
+            return Err(Fault::MayHaveRun(Done::NotRun));
         }
         Err(_) => {
             gate.suspect(addr);
@@ -99,7 +106,7 @@
 /// Judges a peer's refusal; one for lack of a place there may find a place elsewhere.
 fn refused(body: &[u8]) -> Fault {
     let Ok(CallerError { error, .. }) = serde_json::from_slice(body) else {
-        return Fault::Again(Done::NotRun);
+        return Fault::MayHaveRun(Done::NotRun);
     };
     let elsewhere = matches!(error.reason, Reason::Leaving | Reason::NoEndpoint);
     if error.certainty == Certainty::NotRun && elsewhere {
@@ -110,9 +117,9 @@
 }
 
 /// `POST /peer/completions`: serves a request that a peer passed on.
-pub(crate) async fn completions(payload: Payload, gate: State<Gate>) -> HttpResponse {
+pub(crate) async fn completions(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
     let message = match gate.admit() {
-        Ok(()) => read::<PeerCompletion>(&gate, payload).await,
+        Ok(()) => read::<PeerCompletion>(&gate, &mut payload).await,
         Err(refusal) => Err(refusal),
     };
     let ask = match message {
@@ -142,11 +149,12 @@
 }
 
 /// `POST /peer/gossip`.
-pub(crate) async fn gossip(payload: Payload, gate: State<Gate>) -> HttpResponse {
-    match read::<Gossip>(&gate, payload).await {
+pub(crate) async fn gossip(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    match read::<Gossip>(&gate, &mut payload).await {
         Ok(gossip) => {
+            offer(&gate, &gossip);
             let message = Control::Input(Input::Gossip(gossip));
-            if gate.shared.control.push(message).is_err() {
+            if gate.shared.rings.control.push(message).is_err() {
                 return refuse(
                     None,
                     Refusal::not_run(Reason::QueueFull, "the ring is full"),
@@ -158,6 +166,40 @@
     }
 }
 
+/// Tells the log thread which configuration a peer has.
+fn offer(gate: &Gate, gossip: &Gossip) {
+    if let Some(mark) = gossip.config {
+        let (next, digest) = (mark.next, mark.digest);
+        let message = Follow::Offer(Arc::clone(&gossip.from), Offer { next, digest });
+        // A dropped offer comes again with the next gossip.
+        let _ = gate.shared.rings.follow.push(message);
+    }
+}
+
+/// `POST /peer/records`: gives a peer the records that it lacks.
+pub(crate) async fn records(mut payload: Payload, gate: State<Gate>) -> HttpResponse {
+    let ask = match read::<PeerAsk>(&gate, &mut payload).await {
+        Ok(ask) => ask,
+        Err(refusal) => return refuse(None, refusal),
+    };
+    let (reply, answer) = oneshot::channel();
+    if gate
+        .shared
+        .rings
+        .follow
+        .push(Follow::Ask(ask, reply))
+        .is_err()
+    {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    match answer.await {
+        Ok(body) => HttpResponse::Ok()
+            .content_type("application/msgpack")
+            .body(body),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
 /// Answers a peer with a message.
 pub(crate) fn answer(message: &impl Serialize) -> HttpResponse {
     let body = rmp_serde::to_vec_named(message).unwrap_or_default();
@@ -167,7 +209,10 @@
 }
 
 /// Reads a peer's message.
-pub(crate) async fn read<T: DeserializeOwned>(gate: &Gate, payload: Payload) -> Result<T, Refusal> {
+pub(crate) async fn read<T: DeserializeOwned>(
+    gate: &Gate,
+    payload: &mut Payload,
+) -> Result<T, Refusal> {
     let body = ask::body(gate, payload).await?;
     rmp_serde::from_slice(&body).map_err(|e| bad("body", &e.to_string()))
 }
--- a/crates/caraway-entry/src/orders.rs
+++ b/crates/caraway-entry/src/orders.rs
@@ -76,7 +76,7 @@
             Ok(load) => {
                 missing = false;
                 let input = Input::Report(Arc::clone(&id), report(load));
-                if shared.control.push(Control::Input(input)).is_err() {
+                if shared.rings.control.push(Control::Input(input)).is_err() {
                     emit!(shared.log, warn, RingFull; "ring" => "control");
                 }
             }
@@ -133,8 +133,8 @@
 async fn deliver(shared: &Shared, input: Input) {
     const RETRY_INTERVAL: Duration = Duration::from_millis(1);
     let mut message = Control::Input(input);
-    while let Err(caraway_ring::Full(back)) = shared.control.push(message) {
-        if shared.control.is_closed() {
+    while let Err(caraway_ring::Full(back)) = shared.rings.control.push(message) {
+        if shared.rings.control.is_closed() {
             return;
         }
         message = back;
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -5,6 +5,8 @@
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 
+use caraway_calls::{BudgetSettings, OnceSettings};
+use caraway_records::FollowerSettings;
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
 /// Everything that a daemon is told at its start.
@@ -47,6 +49,15 @@
     #[serde(default)]
     #[garde(dive)]
     pub times: TimeSettings,
+    /// How the configuration is followed; `poll_ms` is taken from `times/follow_ms`.
+    #[serde(default)]
+    pub config: FollowerSettings,
+    /// Share of retries for each client account and endpoint.
+    #[serde(default)]
+    pub retries: BudgetSettings,
+    /// Limits and times of calls that may not be repeated.
+    #[serde(default)]
+    pub calls: OnceSettings,
 }
 
 /// A peer that is known before the list is.
--- a/crates/caraway-node/src/talk.rs
+++ b/crates/caraway-node/src/talk.rs
@@ -79,7 +79,7 @@
     }
 
     fn home_now(&self, adapter: &AdapterRef) -> Option<InstanceId> {
-        self.home(self.next_gossip, adapter)
+        self.home(self.next_gossip, adapter, |_| true)
     }
 
     /// Gives back borrowed permits beyond `needed`.
@@ -180,6 +180,7 @@
     fn tell_room(&mut self, now: Instant) {
         let costs = self.room_costs(now);
         let config = self.config_mark;
+        let running = self.running();
         let peers: Vec<InstanceId> = self.members.peers().map(|(id, _)| id.clone()).collect();
         let count = peers.len().min(FANOUT);
         let turn = (0..count).map(|i| peers[(self.turn + i) % peers.len()].clone());
@@ -189,6 +190,8 @@
             if turn.contains(peer) {
                 let room = Room {
                     costs: costs.clone(),
+                    running,
+                    evidence: self.evidence,
                 };
                 let message = self.message(peer);
                 message.room = Some(room);
@@ -204,7 +207,7 @@
         let mut all = Vec::new();
         for (endpoint, engine) in self.engines.iter().filter(|(_, e)| e.fence.is_some()) {
             for adapter in engine.expected() {
-                if all_peers || self.home(now, adapter).as_ref() == Some(peer) {
+                if all_peers || self.home(now, adapter, |_| true).as_ref() == Some(peer) {
                     all.push(Change {
                         endpoint: endpoint.clone(),
                         adapter: adapter.clone(),
--- a/crates/caraway-slots/src/replica.rs
+++ b/crates/caraway-slots/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration, time::Instant};
 
-use caraway_types::{AdapterRef, Incarnation, LoadName};
+use caraway_types::{AccountId, AdapterRef, Incarnation, LoadName};
 
 use crate::{Load, LoadState};
 
@@ -128,6 +128,7 @@
             state: LoadState::Loading,
             pins: 0,
             foreign: 0,
+            account: None,
             own: true,
             since: now,
             used: now,
@@ -148,11 +149,12 @@
         }
     }
 
-    /// Pins a resident load for an attempt; false when it is not resident.
-    pub fn pin(&mut self, now: Instant, name: &str) -> bool {
+    /// Pins a resident load for an attempt of an account; false when it is not resident.
+    pub fn pin(&mut self, now: Instant, name: &str, account: &AccountId) -> bool {
         match self.loads.get_mut(name) {
             Some(load) if load.state == LoadState::Resident => {
                 load.pins += 1;
+                load.account = Some(account.clone());
                 load.used = now;
                 true
             }
@@ -178,9 +180,11 @@
         }
     }
 
-    /// Notes that the answer to an order was lost.
+    /// Notes that the answer to an order under way was lost.
     pub fn doubt(&mut self, now: Instant, name: &str) {
-        if let Some(load) = self.loads.get_mut(name) {
+        if let Some(load) = self.loads.get_mut(name)
+            && matches!(load.state, LoadState::Loading | LoadState::Unloading)
+        {
             load.state = LoadState::InDoubt;
             load.since = now;
         }
@@ -276,6 +280,7 @@
                 state: LoadState::Resident,
                 pins: 0,
                 foreign: s.running,
+                account: None,
                 own: false,
                 since: now,
                 used: now,
--- a/crates/caraway-wire/src/http.rs
+++ b/crates/caraway-wire/src/http.rs
@@ -4,7 +4,10 @@
 
 use ntex::{
     SharedCfg,
-    client::{Client, ClientResponse, Connector, error::ClientError},
+    client::{
+        Client, ClientResponse, Connector,
+        error::{ClientError, ConnectError},
+    },
     http::{Method, StatusCode},
     util::Bytes,
 };
@@ -13,6 +16,10 @@
 /// Largest body that a client reads whole, in bytes.
 const BODY_LIMIT_BYTES: usize = 64 << 20;
 
+/// Most connections of a pool. The library takes 0 for no limit, but then never wakes a call that
+/// waited while another one connected.
+const CONNECTION_LIMIT: usize = usize::MAX;
+
 /// Says how far a failed call got.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -42,7 +49,7 @@
         let client = Client::builder()
             .disable_timeout()
             .response_payload_limit(BODY_LIMIT_BYTES)
-            .connector::<()>(Connector::default().limit(0))
+            .connector::<()>(Connector::default().limit(CONNECTION_LIMIT))
             .build(SharedCfg::default())
             .await
             .map_err(|e| CallError::NotSent(e.to_string().into()))?;
@@ -162,6 +169,9 @@
     fn from_client(error: &ClientError) -> Self {
         let detail: Arc<str> = error.to_string().into();
         match error {
+            // Without a cause it is a connection that closed after the request was written; a
+            // connection that could not be opened has a cause.
+            ClientError::Connect(ConnectError::Disconnected(None)) => Self::Unknown(detail),
             ClientError::Connect(_) | ClientError::Url(_) | ClientError::Http(_) => {
                 Self::NotSent(detail)
             }
