--- a/crates/caraway-calls/src/lib.rs
+++ b/crates/caraway-calls/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`Once`] carries out each [`KeyedCall`] at most once, agreed through the platform's log:
 //!   [`OnceAction`]s out, [`LogPage`]s, [`Appending`] and [`Ended`] in, each sending's [`Reply`]
 //!   and each question's [`Found`] at the end.
+//! - [`PoolHealth`] tells by [`Generation`] which connection pools went silent.
 //! - [`CallFold`] folds the [`CallRecord`]s of the `calls` stream into what is [`Known`] of each
 //!   [`CallKey`].
 
@@ -16,6 +17,7 @@
 mod call_key;
 mod call_record;
 mod once;
+mod pool_health;
 mod retry;
 
 pub use answer::{Accepted, Answer, Attempt, Chunk, Dropped, Token};
@@ -26,4 +28,5 @@
 pub use once::{
     Appending, Ended, Found, KeyedCall, LogPage, LogRecord, Once, OnceAction, OnceSettings, Reply,
 };
+pub use pool_health::{Generation, PoolHealth};
 pub use retry::{Decision, Repeat, RetryPolicy, Saw};
--- a/crates/caraway-entry/src/http/gate.rs
+++ b/crates/caraway-entry/src/http/gate.rs
@@ -6,12 +6,15 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
 
-use caraway_calls::RetryPolicy;
+use caraway_calls::{Generation, PoolHealth, RetryPolicy};
 use caraway_types::{Reason, Refusal};
 use caraway_wire::{CallError, Http};
 
+use tokio::sync::watch;
+
 use crate::shared::Shared;
 
 /// What every handler of the http thread has at hand; clones share it.
@@ -22,6 +25,8 @@
     /// Decides on retries.
     pub(crate) retries: Rc<RefCell<RetryPolicy>>,
     pools: Rc<RefCell<HashMap<SocketAddr, Http>>>,
+    health: Rc<RefCell<PoolHealth<SocketAddr>>>,
+    doubts: watch::Sender<u64>,
 }
 
 impl Gate {
@@ -32,6 +37,8 @@
             shared,
             retries: Rc::new(RefCell::new(retries)),
             pools: Rc::default(),
+            health: Rc::default(),
+            doubts: watch::Sender::new(0),
         }
     }
 
@@ -46,9 +53,34 @@
         Ok(pools.entry(addr).or_insert(http).clone())
     }
 
-    /// Drops the pool for `addr`, as one silent connection puts all its idle ones in doubt.
-    pub(crate) fn suspect(&self, addr: SocketAddr) {
-        self.pools.borrow_mut().remove(&addr);
+    /// Returns the generation of the pool for `addr`.
+    pub(crate) fn generation(&self, addr: SocketAddr) -> Generation {
+        self.health.borrow().current(&addr)
+    }
+
+    /// Drops the pool for `addr` if it is still the one that an attempt used.
+    ///
+    /// One silent connection puts all of its pool in doubt; attempts under way on it are told.
+    pub(crate) fn suspect(&self, addr: SocketAddr, generation: Generation) {
+        if self.health.borrow_mut().suspect(&addr, generation) {
+            self.pools.borrow_mut().remove(&addr);
+            self.doubts.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Returns how long an attempt on a pool may make no progress, of a deadline of `limit`.
+    pub(crate) fn limit(
+        &self,
+        addr: SocketAddr,
+        generation: Generation,
+        limit: Duration,
+    ) -> Duration {
+        self.health.borrow().limit(&addr, generation, limit)
+    }
+
+    /// Tells when a pool is put in doubt.
+    pub(crate) fn doubts(&self) -> watch::Receiver<u64> {
+        self.doubts.subscribe()
     }
 
     /// Tells whether a new request may enter.
--- a/crates/caraway-entry/src/http/peer.rs
+++ b/crates/caraway-entry/src/http/peer.rs
@@ -73,6 +73,7 @@
     let again = |_| Fault::Again(Done::NotRun);
     let body = rmp_serde::to_vec_named(&message).map_err(|_| Fault::Again(Done::NotRun))?;
     let http = gate.pool(addr).await.map_err(again)?;
+    let generation = gate.generation(addr);
     let limit = ask.left() + gate.shared.settings.times.control_ms.get();
     let call = http.call(
         Method::POST,
@@ -84,14 +85,14 @@
     let response = match timeout(limit, call).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            gate.suspect(addr);
+            gate.suspect(addr, generation);
             if error.not_sent() {
                 return Err(Fault::Again(Done::NotRun));
             }
             return Err(Fault::MayHaveRun(Done::NotRun));
         }
         Err(_) => {
-            gate.suspect(addr);
+            gate.suspect(addr, generation);
             let detail = "the peer that holds the replica gave no answer in time";
             return Err(Fault::Refused(Refusal::in_doubt(Reason::Stalled, detail)));
         }
--- a/crates/caraway-entry/src/http/service_call.rs
+++ b/crates/caraway-entry/src/http/service_call.rs
@@ -174,6 +174,7 @@
     ) -> Result<ServiceAnswer, Saw> {
         let limit = gate.shared.settings.times.first_token_ms.get();
         let limit = limit.min(self.deadline.saturating_duration_since(Instant::now()));
+        let generation = gate.generation(replica.addr);
         let http = match repeat {
             Repeat::Idempotent => gate.pool(replica.addr).await,
             // A pooled connection may be closed by the other end just as the call is written,
@@ -189,7 +190,7 @@
             Ok(Err(_)) => Saw::FailedWritten,
             Err(_) => Saw::Stalled(0),
         };
-        gate.suspect(replica.addr);
+        gate.suspect(replica.addr, generation);
         Err(saw)
     }
 
--- a/crates/caraway-entry/src/http/source.rs
+++ b/crates/caraway-entry/src/http/source.rs
@@ -2,14 +2,14 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use caraway_calls::{Accepted, Answer, Attempt, Chunk, Decision, Repeat, Saw, Token};
+use caraway_calls::{Accepted, Answer, Attempt, Chunk, Decision, Generation, Repeat, Saw, Token};
 use caraway_node::Done;
 use caraway_types::{AttemptId, Certainty, EndpointId, LoadName, Reason, Refusal};
 use caraway_wire::{
     CallError, ChunkStream, EngineClient, EngineFault,
     engine::{CompletionChunk, CompletionRequest, EngineErrorKind},
 };
-use tokio::time::{error::Elapsed, timeout};
+use tokio::time::{Instant, error::Elapsed, sleep_until, timeout};
 
 use super::{ask::Ask, gate::Gate, peer};
 use crate::{events::emit, shared::Verdict};
@@ -35,6 +35,8 @@
     origin: Origin,
     answer: Answer,
     stream: ChunkStream,
+    /// The pool that the stream's connection is from.
+    generation: Generation,
     /// Whether the stream has sent anything yet.
     heard: bool,
     due: VecDeque<Token>,
@@ -49,6 +51,15 @@
     Peer(SocketAddr, Arc<str>),
 }
 
+impl Origin {
+    fn addr(&self) -> SocketAddr {
+        match self {
+            Self::Engine(engine) => engine.addr,
+            Self::Peer(addr, _) => *addr,
+        }
+    }
+}
+
 /// An attempt on an engine.
 #[derive(Clone, Debug)]
 struct Engine {
@@ -109,12 +120,14 @@
     }
 
     fn new(gate: &Gate, ask: &Ask, origin: Origin, answer: Answer, stream: ChunkStream) -> Self {
+        let generation = gate.generation(origin.addr());
         Self {
             gate: gate.clone(),
             ask: ask.clone(),
             origin,
             answer,
             stream,
+            generation,
             heard: false,
             due: VecDeque::new(),
         }
@@ -146,6 +159,7 @@
         self.answer.restart(fresh.answer.attempt().clone());
         self.origin = fresh.origin;
         self.stream = fresh.stream;
+        self.generation = fresh.generation;
         self.heard = false;
         Ok(())
     }
@@ -200,10 +214,18 @@
         &mut self,
         limit: Duration,
     ) -> Result<Result<Option<CompletionChunk>, CallError>, Elapsed> {
-        match timeout(limit, self.stream.next()).await {
-            Ok(chunk) => Ok(chunk),
-            Err(_) => timeout(LAST_LOOK, self.stream.next()).await,
+        let start = Instant::now();
+        let addr = self.origin.addr();
+        let mut doubts = self.gate.doubts();
+        loop {
+            let limit = self.gate.limit(addr, self.generation, limit);
+            tokio::select! {
+                chunk = self.stream.next() => return Ok(chunk),
+                () = sleep_until(start + limit) => break,
+                _ = doubts.changed() => {}
+            }
         }
+        timeout(LAST_LOOK, self.stream.next()).await
     }
 
     /// Cancels the work, as nobody waits for it any more.
@@ -254,7 +276,7 @@
         self.gate.shared.metrics.attempt_failed();
         match self.origin.clone() {
             Origin::Peer(addr, peer) => {
-                self.gate.suspect(addr);
+                self.gate.suspect(addr, self.generation);
                 emit!(self.gate.shared.log, warn, AttemptFailed;
                     "request" => &*self.ask.request, "peer" => &*peer, "saw" => ?saw);
                 if self.answer.resume_from() > 0 && self.reopen_peer(addr).await {
@@ -284,6 +306,7 @@
         };
         self.answer.restart(self.answer.attempt().clone());
         self.stream = stream;
+        self.generation = self.gate.generation(addr);
         self.heard = false;
         true
     }
@@ -293,7 +316,7 @@
         emit!(self.gate.shared.log, warn, AttemptFailed;
             "request" => &*self.ask.request, "endpoint" => &*engine.endpoint, "saw" => ?saw);
         if matches!(saw, Saw::Stalled(_)) {
-            self.gate.suspect(engine.addr);
+            self.gate.suspect(engine.addr, self.generation);
         }
         let from = match self.decide(&engine.endpoint, saw) {
             Decision::Resume(from) => from,
@@ -308,6 +331,7 @@
             engine.cancel(&self.gate).await;
         }
         self.stream = opened?;
+        self.generation = self.gate.generation(engine.addr);
         self.heard = false;
         emit!(self.gate.shared.log, info, StreamResumed;
             "request" => &*self.ask.request, "from" => from);
@@ -345,6 +369,7 @@
     /// Opens the stream of tokens from index `from`.
     async fn open(&self, gate: &Gate, ask: &Ask, from: u32) -> Result<ChunkStream, Fault> {
         let http = gate.pool(self.addr).await;
+        let generation = gate.generation(self.addr);
         let http = http.map_err(|_| Fault::Again(Done::NotRun))?;
         let request = CompletionRequest {
             model: Arc::clone(&self.load),
@@ -360,14 +385,14 @@
         match timeout(limit, client.complete(&request)).await {
             Ok(Ok(stream)) => Ok(stream),
             Ok(Err(EngineFault::Refused(kind, _))) => Err(refused(kind)),
-            Ok(Err(EngineFault::Call(error))) => Err(self.failed(gate, &error)),
-            Err(_) => Err(self.failed(gate, &CallError::Timeout)),
+            Ok(Err(EngineFault::Call(error))) => Err(self.failed(gate, generation, &error)),
+            Err(_) => Err(self.failed(gate, generation, &CallError::Timeout)),
         }
     }
 
     /// Judges a call without an answer; a completion may run twice, so the node chooses again.
-    fn failed(&self, gate: &Gate, error: &CallError) -> Fault {
-        gate.suspect(self.addr);
+    fn failed(&self, gate: &Gate, generation: Generation, error: &CallError) -> Fault {
+        gate.suspect(self.addr, generation);
         emit!(gate.shared.log, warn, AttemptFailed;
             "endpoint" => &*self.endpoint, "error" => %error);
         if error.not_sent() {
--- a/crates/caraway-measure/src/calls/caller.rs
+++ b/crates/caraway-measure/src/calls/caller.rs
@@ -7,7 +7,7 @@
 };
 
 use anyhow::Result;
-use caraway_wire::{EventStream, Http};
+use caraway_wire::{CallError, EventStream, Http};
 use ntex::http::Method;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -57,6 +57,8 @@
     Part(String),
     /// A refusal.
     Refused { not_run: bool, reason: String },
+    /// No connection could be opened, so nothing was sent.
+    Unsent,
     /// No usable answer.
     Lost,
 }
@@ -143,8 +145,9 @@
     let headers = [("x-client-account", ACCOUNT)];
     let body = Some(body.to_string().into());
     let sent = http.call(Method::POST, addr, "/v1/completions", &headers, body);
-    let Ok(response) = sent.await else {
-        return End::Lost;
+    let response = match sent.await {
+        Ok(response) => response,
+        Err(error) => return failed(&error),
     };
     let status = response.status().as_u16();
     if status == 200 && is_stream {
@@ -188,8 +191,9 @@
         let path = "/services/quotes/deposits".to_owned();
         (Method::POST, path, Some(key.clone().into()))
     };
-    let Ok(response) = http.call(method, addr, &path, &headers, body).await else {
-        return End::Lost;
+    let response = match http.call(method, addr, &path, &headers, body).await {
+        Ok(response) => response,
+        Err(error) => return failed(&error),
     };
     let status = response.status().as_u16();
     let Ok(body) = response.body().await else {
@@ -204,6 +208,14 @@
     }
 }
 
+fn failed(error: &CallError) -> End {
+    if error.not_sent() {
+        End::Unsent
+    } else {
+        End::Lost
+    }
+}
+
 fn refused(body: &Value) -> End {
     let error = &body["error"];
     let Some(certainty) = error["certainty"].as_str() else {
