--- a/crates/caraway-standin/src/fleet/mod.rs
+++ b/crates/caraway-standin/src/fleet/mod.rs
@@ -21,6 +21,8 @@
 pub use control::{FaultOrder, ListChange};
 pub use settings::{FleetSettings, ListedEngine, ListedService, RelaySettings};
 
+/// Name of the control port among the addresses.
+pub(crate) const CONTROL: &str = "control";
 /// Target name of the log on the control port.
 pub(crate) const LOG: &str = "log";
 /// Target name of the list on the control port.
@@ -85,7 +87,7 @@
     #[must_use]
     pub fn addresses(&self) -> BTreeMap<Arc<str>, SocketAddr> {
         let mut all = self.parts.addresses();
-        all.insert("control".into(), self.control());
+        all.insert(CONTROL.into(), self.control());
         all
     }
 }
--- a/crates/caraway-standin/src/fleet/settings.rs
+++ b/crates/caraway-standin/src/fleet/settings.rs
@@ -6,7 +6,7 @@
 use caraway_wire::list::Listed;
 use serde::{Deserialize, Serialize};
 
-use super::{EngineSettings, LIST, LOG, STORE};
+use super::{CONTROL, EngineSettings, LIST, LOG, STORE};
 use crate::{ListSettings, LogSettings, ServiceSettings, StoreSettings};
 
 /// The stand-ins of one deployment; ports of zero are chosen by the operating system.
@@ -71,31 +71,25 @@
     /// Returns every id that is not.
     pub fn check(self) -> Result<Self, Findings> {
         let mut findings = Findings::default();
-        let mut seen = BTreeSet::from([LOG, LIST, STORE, "control"]);
-        let engines = self.engines.iter().map(|e| &*e.engine.id);
-        let services = self.services.iter().map(|s| &*s.service.id);
-        let relays = self.relays.iter().map(|r| &*r.id);
-        let all = (0..)
-            .zip(engines)
-            .map(|(i, id)| (format!("/engines/{i}/engine/id"), id));
-        let all = all.chain(
-            (0..)
-                .zip(services)
-                .map(|(i, id)| (format!("/services/{i}/service/id"), id)),
-        );
-        let all = all.chain(
-            (0..)
-                .zip(relays)
-                .map(|(i, id)| (format!("/relays/{i}/id"), id)),
-        );
-        for (place, id) in all {
+        let mut taken = BTreeSet::from([LOG, LIST, STORE, CONTROL]);
+        for (place, id) in self.ids() {
             if id.is_empty() {
                 findings.add(place, "an id is missing");
-            } else if !seen.insert(id) {
+            } else if !taken.insert(id) {
                 findings.add(place, format!("the id {id} is taken"));
             }
         }
-        drop(seen);
         findings.into_result(()).map(|()| self)
     }
+
+    /// Returns every id with its place.
+    fn ids(&self) -> Vec<(String, &str)> {
+        let engines = self.engines.iter().map(|e| &*e.engine.id).enumerate();
+        let services = self.services.iter().map(|s| &*s.service.id).enumerate();
+        let relays = self.relays.iter().map(|r| &*r.id).enumerate();
+        let engines = engines.map(|(n, id)| (format!("/engines/{n}/engine/id"), id));
+        let services = services.map(|(n, id)| (format!("/services/{n}/service/id"), id));
+        let relays = relays.map(|(n, id)| (format!("/relays/{n}/id"), id));
+        engines.chain(services).chain(relays).collect()
+    }
 }
