--- /dev/null
+++ b/crates/caraway-members/tests/sessions.rs
@@ -0,0 +1,145 @@
+//! Golden sessions: settings and timed events in, member events and rights out.
+//!
+//! Beside each `tests/sessions/NAME.json` stands `NAME.txt` with the expected lines.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use caraway_members::{
+    Ack, EndpointInfo, Heartbeat, Holding, ListedMember, Me, MemberSettings, Members,
+};
+use caraway_types::EndpointId;
+use serde::Deserialize;
+
+/// Time between two ticks of a session.
+const TICK: Duration = Duration::from_millis(500);
+
+#[derive(Deserialize)]
+struct Session {
+    me: Me,
+    #[serde(default)]
+    settings: MemberSettings,
+    endpoints: Vec<EndpointInfo>,
+    events: Vec<Event>,
+    end_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    at_ms: u64,
+    what: What,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum What {
+    Listing(Vec<ListedMember>),
+    /// A peer that acknowledges all until it is heard no more.
+    Peer {
+        id: String,
+        incarnation: u64,
+        until_ms: u64,
+        held: Vec<Holding>,
+    },
+    Leave,
+    Drained(EndpointId),
+}
+
+fn beat(session: &Session, what: &What, now_ms: u64, own: &Heartbeat) -> Option<Heartbeat> {
+    let What::Peer {
+        id,
+        incarnation,
+        until_ms,
+        held,
+    } = what
+    else {
+        return None;
+    };
+    (now_ms <= *until_ms).then(|| Heartbeat {
+        from: id.as_str().into(),
+        zone: session.me.zone.clone(),
+        incarnation: *incarnation,
+        seq: now_ms + 1,
+        lease: session.settings.lease,
+        listed: true,
+        tag: 1,
+        acks: vec![Ack {
+            tag: own.tag,
+            seq: own.seq,
+        }],
+        vouched: Vec::new(),
+        held: held.clone(),
+        objections: Vec::new(),
+        marks: Vec::new(),
+    })
+}
+
+/// Returns the newest listing.
+fn listing(session: &Session, now_ms: u64) -> Option<&[ListedMember]> {
+    let shown = session.events.iter().filter(|e| e.at_ms <= now_ms);
+    let mut lists = shown.filter_map(|e| match &e.what {
+        What::Listing(list) => Some(&list[..]),
+        _ => None,
+    });
+    lists.next_back()
+}
+
+fn play(session: &Session) -> String {
+    let start = Instant::now();
+    let mut members = Members::new(
+        session.me.clone(),
+        session.settings.clone(),
+        session.endpoints.clone(),
+        start,
+    );
+    let mut lines = Vec::new();
+    let mut rights = Vec::new();
+    let mut now_ms = 0;
+    while now_ms <= session.end_ms {
+        let now = start + Duration::from_millis(now_ms);
+        let own = members.heartbeat(now);
+        if let Some(list) = listing(session, now_ms) {
+            members.on_listing(now, list);
+        }
+        for event in session.events.iter().filter(|e| e.at_ms <= now_ms) {
+            let due = event.at_ms == now_ms;
+            match &event.what {
+                What::Leave if due => members.leave(now),
+                What::Drained(endpoint) if due => members.drained(now, endpoint),
+                what => {
+                    if let Some(beat) = beat(session, what, now_ms, &own) {
+                        members.on_heartbeat(now, &beat);
+                    }
+                }
+            }
+        }
+        for event in members.tick(now) {
+            lines.push(format!("{now_ms} {event:?}"));
+        }
+        let ids = session.endpoints.iter().map(|e| &e.id);
+        let next: Vec<_> = ids.map(|id| members.right(now, id)).collect();
+        if next != rights {
+            lines.push(format!("{now_ms} rights {next:?}"));
+            rights = next;
+        }
+        now_ms += u64::try_from(TICK.as_millis()).expect("short");
+    }
+    lines.join("\n") + "\n"
+}
+
+fn session(path: &Path) -> datatest_stable::Result<()> {
+    let session: Session = serde_json::from_str(&std::fs::read_to_string(path)?)?;
+    let expected = std::fs::read_to_string(path.with_extension("txt")).unwrap_or_default();
+    let got = play(&session);
+    if got == expected {
+        Ok(())
+    } else {
+        Err(format!("expected\n{expected}\ngot\n{got}").into())
+    }
+}
+
+datatest_stable::harness! {
+    { test = session, root = "tests/sessions", pattern = r"\.json$" },
+}
