--- a/crates/caraway-entry/tests/config_follow.rs
+++ b/crates/caraway-entry/tests/config_follow.rs
@@ -19,6 +19,11 @@
     process::EntryProcess,
 };
 
+/// Records that the log of the retention test keeps.
+const KEPT: usize = 80;
+/// Records by which a snapshot must reach into the kept part, for appends that are under way.
+const MARGIN: u64 = 5;
+
 fn plan(entries: usize) -> Plan {
     Plan {
         entries,
@@ -84,6 +89,12 @@
     bed.entries.push(entry);
 }
 
+/// Returns how much the snapshot covers that a record is a chunk of.
+fn covered(data: &str) -> Option<u64> {
+    let record: Value = serde_json::from_str(data).ok()?;
+    record["body"]["snapshot"]["covered"].as_u64()
+}
+
 fn set_down(bed: &Testbed, down: bool) {
     bed.log.set_faults(LogFaults {
         down,
@@ -146,7 +157,7 @@
 fn a_history_longer_than_the_retention_survives_in_snapshots() {
     let mut bed = Testbed::bare(plan(0));
     bed.log = LogService::start(LogSettings {
-        keep_records: 60,
+        keep_records: KEPT,
         ..LogSettings::default()
     })
     .unwrap();
@@ -160,23 +171,29 @@
         start(&mut bed, i);
     }
     let mut truth = State::default();
-    for key in 0..10 {
+    for key in 0..15 {
         publish(&bed, &format!("c{key}"), 20);
         for entry in bed.log.page(CONFIG_STREAM).records {
             truth.apply(entry.offset, &entry.data);
         }
-        let covered = truth.next() - 10;
-        eventually("a snapshot is in the log", || {
-            let records = bed.log.page(CONFIG_STREAM).records;
-            let chunk = |r: &&caraway_wire::log::Entry| r.data.contains(r#""kind":"snapshot""#);
-            let last = records.iter().rfind(chunk);
-            last.is_some_and(|r| r.offset >= covered)
-        });
+        for entry in &bed.entries {
+            eventually("an instance has kept up", || {
+                status(entry).is_some_and(|s| s.0 >= truth.next())
+            });
+        }
+        eventually(
+            "a snapshot that a new instance can use is in the log",
+            || {
+                let page = bed.log.page(CONFIG_STREAM);
+                let covered = page.records.iter().filter_map(|r| covered(&r.data)).max();
+                covered.is_some_and(|covered| covered >= page.oldest + MARGIN)
+            },
+        );
         for entry in bed.log.page(CONFIG_STREAM).records {
             truth.apply(entry.offset, &entry.data);
         }
     }
-    assert!(bed.log.page(CONFIG_STREAM).oldest > 120);
+    assert!(bed.log.page(CONFIG_STREAM).oldest > 2 * KEPT as u64);
     bed.entries.clear();
     start(&mut bed, 0);
     eventually("the new instance has the configuration", || {
@@ -206,3 +223,53 @@
     });
     agree(&bed);
 }
+
+#[test]
+fn corrupt_records_are_refused_alike_and_logged_by_every_instance() {
+    let mut bed = Testbed::bare(plan(0));
+    bed.publish_records();
+    for i in 0..3 {
+        let mut settings = bed.settings(i);
+        settings["instance"] = json!(format!("{}-corrupt", entry_id(i)));
+        add(&mut bed, i, &settings);
+    }
+    let first = bed.log.page(CONFIG_STREAM).end;
+    let dangling = json!({
+        "schema": 1, "kind": "adapter", "key": "adapter-9", "id": "dangling",
+        "body": {"version": "v9"},
+    });
+    let corrupt: [Arc<str>; 4] = [
+        "{".into(),
+        "x".repeat(300_000).into(),
+        account("co-op", Some(7), "wrong-base", 1),
+        dangling.to_string().into(),
+    ];
+    bed.log.append(CONFIG_STREAM, &corrupt);
+    agree(&bed);
+    for i in 0..3 {
+        let name = format!(r#""instance":"{}-corrupt""#, entry_id(i));
+        eventually("an instance has logged every refusal", || {
+            let lines = log_lines(&name);
+            (first..first + 4).all(|offset| {
+                let place = format!(r#""offset":{offset},"#);
+                let number = r#""event":201"#;
+                lines
+                    .iter()
+                    .any(|l| l.contains(&place) && l.contains(number))
+            })
+        });
+    }
+}
+
+/// Returns the log lines of this test process's instances that hold `part`.
+fn log_lines(part: &str) -> Vec<String> {
+    let dir = std::fs::read_dir(env!("CARGO_TARGET_TMPDIR")).unwrap();
+    let own = format!("{}-", std::process::id());
+    let is_own = |name: &str| name.starts_with(&own) && name.contains(".log");
+    let files = dir
+        .filter_map(Result::ok)
+        .filter(|f| is_own(&f.file_name().to_string_lossy()));
+    let texts = files.filter_map(|f| std::fs::read_to_string(f.path()).ok());
+    let lines = texts.flat_map(|t| t.lines().map(str::to_owned).collect::<Vec<_>>());
+    lines.filter(|l| l.contains(part)).collect()
+}
--- a/crates/caraway-records/src/follower/snapshot_writer.rs
+++ b/crates/caraway-records/src/follower/snapshot_writer.rs
@@ -144,6 +144,7 @@
         kept: Range<Offset>,
         settings: &FollowerSettings,
     ) -> Option<Vec<Arc<str>>> {
+        let oldest = kept.start;
         if self.writing.is_none() && self.is_time(now, state, kept, settings) {
             self.writing = Some(Writing::new(state));
         }
@@ -151,7 +152,8 @@
         writing.expire(now, settings);
         let latest = self.latest.as_ref();
         let done = latest.is_some_and(|l| l.covered >= writing.covered);
-        if done || writing.is_over() {
+        let useless = writing.covered < oldest;
+        if done || useless || writing.is_over() {
             self.writing = None;
             self.quiet = Some(now + settings.snapshot_spread_ms.get());
             return None;
