--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -118,6 +118,12 @@
             return;
         };
         let again = matches!(done, Done::NotRun | Done::NotResident);
+        if again && matches!(job.place, Place::Waiting | Place::Parked(_)) {
+            return;
+        }
+        if job.place == Place::Waiting {
+            self.waiting.remove(&job.submission.adapter, ticket);
+        }
         let place = std::mem::replace(&mut job.place, Place::Parked(now));
         if let Place::Forwarded(peer) = &place
             && again
@@ -522,10 +528,11 @@
         out: &mut Vec<Output>,
     ) {
         while let Some((ticket, load)) = self.next_start(now, endpoint) {
-            if let Some(job) = self.jobs.get_mut(&ticket) {
-                self.waiting.remove(&job.submission.adapter, ticket);
-                job.place = Place::Parked(now);
-            }
+            let Some(job) = self.jobs.get_mut(&ticket) else {
+                return;
+            };
+            self.waiting.remove(&job.submission.adapter, ticket);
+            job.place = Place::Parked(now);
             self.start(now, ticket, endpoint.clone(), load, out);
         }
     }
--- a/crates/caraway-routing/tests/routing.rs
+++ b/crates/caraway-routing/tests/routing.rs
@@ -60,7 +60,7 @@
         account: account.into(),
         class,
         since,
-        deadline: since + Duration::from_secs(60),
+        deadline: since + Duration::from_mins(1),
     }
 }
 
--- a/crates/caraway-slots/tests/budget.rs
+++ b/crates/caraway-slots/tests/budget.rs
@@ -88,7 +88,7 @@
                     }
                     1 | 2 if !flying.is_empty() => {
                         let message = flying.remove(pick % flying.len());
-                        deliver(now, &mut all, &ids, &mut flying, message);
+                        deliver(now, &mut all, &ids, &mut flying, &message);
                     }
                     3 if !flying.is_empty() => drop(flying.remove(pick % flying.len())),
                     _ => {
@@ -118,9 +118,9 @@
     all: &mut [Budget],
     ids: &[InstanceId],
     flying: &mut Vec<Message>,
-    message: Message,
+    message: &Message,
 ) {
-    match message {
+    match *message {
         Message::Want(from, number) => {
             let owner = (from + 1) % ZONES;
             if let Some(grant) = all[owner].lend(now, &ids[from], number) {
