--- a/crates/caraway-measure/src/policy/mod.rs
+++ b/crates/caraway-measure/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod figures;
 mod nodes;
+mod plot;
 mod scenario;
 mod store;
 mod world;
@@ -48,6 +49,10 @@
         .iter()
         .map(|p| measure(p, &plan, &requests))
         .collect();
+    if let Some(path) = &args.plot {
+        let title = format!("{} {}", plan.deployment.name(), plan.scenario.name());
+        plot::write(path, &title, &figures)?;
+    }
     print(args, &plan, &figures)
 }
 
