--- a/crates/caraway-measure/src/policy/figures.rs
+++ b/crates/caraway-measure/src/policy/figures.rs
@@ -1,5 +1,12 @@
 //! [`Figures`]: what a run is judged by.
 
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures need few digits, and quantiles lie within their lists"
+)]
+
 use serde::Serialize;
 
 use super::{arrivals::Request, scenario::Plan};
--- a/crates/caraway-measure/src/policy/nodes.rs
+++ b/crates/caraway-measure/src/policy/nodes.rs
@@ -65,7 +65,7 @@
 #[derive(Debug)]
 pub(crate) struct Nodes {
     origin: Instant,
-    nodes: Vec<Node>,
+    machines: Vec<Node>,
     ids: Vec<InstanceId>,
     endpoints: Vec<EndpointId>,
     adapters: Vec<AdapterRef>,
@@ -114,7 +114,7 @@
         let adapter = |i| AdapterRef::new(format!("a{i}"), "1");
         Self {
             origin,
-            nodes,
+            machines: nodes,
             ids: (0..INSTANCES).map(|i| settings(i).id).collect(),
             endpoints: endpoints.iter().map(|e| e.id.clone()).collect(),
             adapters: (0..plan.adapters).map(adapter).collect(),
@@ -135,7 +135,7 @@
     fn input(&mut self, world: &mut Here<'_>, node: usize, input: Input) {
         let now = self.instant(world.now);
         let mut outputs = std::mem::take(&mut self.outputs);
-        self.nodes[node].handle(now, input, &mut outputs);
+        self.machines[node].handle(now, input, &mut outputs);
         for output in outputs.drain(..) {
             self.carry_out(world, node, output);
         }
--- a/crates/caraway-node/tests/session/mod.rs
+++ b/crates/caraway-node/tests/session/mod.rs
@@ -23,6 +23,9 @@
 /// Ticks that a message or an answer takes.
 const DELAY_TICKS: u64 = 1;
 
+/// A request at a node.
+type Key = (InstanceId, u64);
+
 /// A few whole nodes with small fakes of engines, list and network.
 pub(crate) struct Session {
     start: Instant,
@@ -37,7 +40,7 @@
     listed: bool,
     running: BTreeMap<(InstanceId, u64), (String, String)>,
     /// Requests by node and ticket, with the node that passed them on.
-    asked: BTreeMap<(InstanceId, u64), (Submission, Option<(InstanceId, u64)>)>,
+    asked: BTreeMap<Key, (Submission, Option<Key>)>,
     passed: u64,
     log: String,
 }
@@ -97,7 +100,7 @@
         match words.as_slice() {
             ["run", ms] => self.run(ms.parse().unwrap()),
             ["submit", node, ticket, adapter, class] => {
-                self.submit(node, ticket, adapter, class, "60000")
+                self.submit(node, ticket, adapter, class, "60000");
             }
             ["submit", node, ticket, adapter, class, deadline] => {
                 self.submit(node, ticket, adapter, class, deadline);
