--- a/crates/caraway-entry/src/http/completions.rs
+++ b/crates/caraway-entry/src/http/completions.rs
@@ -255,7 +255,8 @@
     let mut pause = RESTART_PAUSE;
     loop {
         match fault {
-            Fault::Refused(refusal) => return Err(refusal),
+            // The answer ran in part, whatever the last source says of itself.
+            Fault::Refused(refusal) => return Err(certain(refusal, true)),
             Fault::Again(done) | Fault::MayHaveRun(done) => {
                 source.take_restart()?;
                 sleep(pause).await;
