--- a/crates/caraway-entry/src/http/mod.rs
+++ b/crates/caraway-entry/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod ask;
 mod caller;
 mod completions;
+mod engine_attempt;
 mod gate;
 mod peer;
 mod reply;
--- a/crates/caraway-entry/src/http/source.rs
+++ b/crates/caraway-entry/src/http/source.rs
@@ -5,13 +5,10 @@
 use caraway_calls::{Accepted, Answer, Attempt, Chunk, Decision, Generation, Repeat, Saw, Token};
 use caraway_node::Done;
 use caraway_types::{AttemptId, Certainty, EndpointId, LoadName, Reason, Refusal};
-use caraway_wire::{
-    CallError, ChunkStream, EngineClient, EngineFault,
-    engine::{CompletionChunk, CompletionRequest, EngineErrorKind},
-};
+use caraway_wire::{CallError, ChunkStream, engine::CompletionChunk};
 use tokio::time::{Instant, error::Elapsed, sleep_until, timeout};
 
-use super::{ask::Ask, gate::Gate, peer};
+use super::{ask::Ask, engine_attempt::EngineAttempt, gate::Gate, peer};
 use crate::{events::emit, shared::Verdict};
 
 /// Wait after a progress deadline for chunks that came while this process was paused.
@@ -46,7 +43,7 @@
 #[derive(Clone, Debug)]
 enum Origin {
     /// An engine that this instance holds.
-    Engine(Engine),
+    Engine(EngineAttempt),
     /// A peer.
     Peer(SocketAddr, Arc<str>),
 }
@@ -60,15 +57,6 @@
     }
 }
 
-/// An attempt on an engine.
-#[derive(Clone, Debug)]
-struct Engine {
-    endpoint: EndpointId,
-    addr: SocketAddr,
-    load: LoadName,
-    attempt: AttemptId,
-}
-
 impl Source {
     /// Starts an attempt on an engine.
     ///
@@ -85,7 +73,7 @@
         let Some(settings) = gate.shared.endpoints.get(&endpoint) else {
             return Err(Fault::Again(Done::NotRun));
         };
-        let engine = Engine {
+        let engine = EngineAttempt {
             addr: settings.addr,
             endpoint,
             load,
@@ -312,7 +300,7 @@
     }
 
     /// Resumes the attempt on a new connection, or leaves it to the node to choose again.
-    async fn recover_engine(&mut self, engine: Engine, saw: Saw) -> Result<(), Fault> {
+    async fn recover_engine(&mut self, engine: EngineAttempt, saw: Saw) -> Result<(), Fault> {
         emit!(self.gate.shared.log, warn, AttemptFailed;
             "request" => &*self.ask.request, "endpoint" => &*engine.endpoint, "saw" => ?saw);
         if matches!(saw, Saw::Stalled(_)) {
@@ -346,80 +334,3 @@
             .decide(now, &self.ask.account, to, Repeat::Idempotent, saw)
     }
 }
-
-impl Engine {
-    /// Names the attempt towards the engine.
-    fn request(&self, gate: &Gate) -> Arc<str> {
-        let shared = &gate.shared;
-        format!(
-            "{}-{:x}-{:x}",
-            shared.settings.instance, shared.incarnation, self.attempt
-        )
-        .into()
-    }
-
-    fn expected(&self, gate: &Gate, ask: &Ask) -> Attempt {
-        Attempt {
-            request: self.request(gate),
-            load: Arc::clone(&self.load),
-            adapter: ask.adapter.clone(),
-        }
-    }
-
-    /// Opens the stream of tokens from index `from`.
-    async fn open(&self, gate: &Gate, ask: &Ask, from: u32) -> Result<ChunkStream, Fault> {
-        let http = gate.pool(self.addr).await;
-        let generation = gate.generation(self.addr);
-        let http = http.map_err(|_| Fault::Again(Done::NotRun))?;
-        let request = CompletionRequest {
-            model: Arc::clone(&self.load),
-            prompt: Arc::clone(&ask.prompt),
-            max_tokens: ask.tokens,
-            stream: true,
-            priority: ask.class as u8,
-            request_id: self.request(gate),
-            resume_from: from,
-        };
-        let client = EngineClient::new(http, self.addr);
-        let limit = gate.shared.settings.times.first_token_ms.get();
-        match timeout(limit, client.complete(&request)).await {
-            Ok(Ok(stream)) => Ok(stream),
-            Ok(Err(EngineFault::Refused(kind, _))) => Err(refused(kind)),
-            Ok(Err(EngineFault::Call(error))) => Err(self.failed(gate, generation, &error)),
-            Err(_) => Err(self.failed(gate, generation, &CallError::Timeout)),
-        }
-    }
-
-    /// Judges a call without an answer; a completion may run twice, so the node chooses again.
-    fn failed(&self, gate: &Gate, generation: Generation, error: &CallError) -> Fault {
-        gate.suspect(self.addr, generation);
-        emit!(gate.shared.log, warn, AttemptFailed;
-            "endpoint" => &*self.endpoint, "error" => %error);
-        if error.not_sent() {
-            Fault::Again(Done::NotRun)
-        } else {
-            Fault::MayHaveRun(Done::NotRun)
-        }
-    }
-
-    async fn cancel(&self, gate: &Gate) {
-        let Ok(http) = gate.pool(self.addr).await else {
-            return;
-        };
-        let limit = gate.shared.settings.times.control_ms.get();
-        let client = EngineClient::new(http, self.addr);
-        // The engine also cancels by itself once the connection is closed.
-        let _ = client.cancel(&self.request(gate), limit).await;
-    }
-}
-
-fn refused(kind: EngineErrorKind) -> Fault {
-    match kind {
-        EngineErrorKind::UnknownModel => Fault::Again(Done::NotResident),
-        EngineErrorKind::BadRequest => {
-            let detail = "the engine does not take the request";
-            Fault::Refused(Refusal::not_run(Reason::BadRequest, detail))
-        }
-        _ => Fault::Again(Done::NotRun),
-    }
-}
