--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -49,12 +49,12 @@
     #[serde(default)]
     #[garde(dive)]
     pub times: TimeSettings,
-    /// Share of retries for each client account and endpoint.
-    #[serde(default)]
-    pub retries: BudgetSettings,
     /// How the configuration is followed; `poll_ms` is taken from `times/follow_ms`.
     #[serde(default)]
     pub config: FollowerSettings,
+    /// Share of retries for each client account and endpoint.
+    #[serde(default)]
+    pub retries: BudgetSettings,
     /// Limits and times of calls that may not be repeated.
     #[serde(default)]
     pub calls: OnceSettings,
