--- a/crates/caraway-entry/tests/settings.rs
+++ b/crates/caraway-entry/tests/settings.rs
@@ -6,7 +6,7 @@
 
 datatest_stable::harness! {
     { test = findings, root = "tests/settings", pattern = r"\.json$" },
-    { test = example, root = "../../examples", pattern = r"\.json$" },
+    { test = example, root = "../../examples", pattern = r"(cooperative|rodopa|entry-\d)\.json$" },
 }
 
 fn findings(path: &Path) -> datatest_stable::Result<()> {
