Hold the budget's tests to the lapse by its name

Cause: a grant lapses after 2 s now, and two tests had 500 ms written into their times. Change: the lapse is public as GRANT_LAPSE and the tests count from it; they assert the same: 10 loads in the ten seconds after the first rest, the borrower's end at the very millisecond of the lapse, the owner's own only after lapse and rest. Conclusion: the rule is the order of the two lapses, not their length.

--- a/crates/caraway-slots/src/budget.rs
+++ b/crates/caraway-slots/src/budget.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A lent permit that is not used by then lapses, counted from the want that it answers.
-const LAPSE: Duration = Duration::from_secs(2);
+pub const GRANT_LAPSE: Duration = Duration::from_secs(2);
 /// Wants whose time is remembered.
 const WANT_MEMORY: usize = 32;
 
@@ -138,7 +138,7 @@
 
     /// Takes over the zone's permits. The last owner may have used or lent them just now.
     pub fn acquire(&mut self, now: Instant) {
-        let ready = now + self.rest() + LAPSE;
+        let ready = now + self.rest() + GRANT_LAPSE;
         self.permits = vec![Permit::Ready(ready); self.count() as usize];
     }
 
@@ -186,7 +186,7 @@
         *permit = Permit::Lent {
             id,
             to: to.clone(),
-            until: now + LAPSE,
+            until: now + GRANT_LAPSE,
         };
         Some(Grant { id, want })
     }
@@ -234,7 +234,7 @@
     /// Takes a grant. Returns what to give back at once when it is too late to use it.
     pub fn on_grant(&mut self, now: Instant, owner: &InstanceId, grant: Grant) -> Option<Return> {
         let sent = self.wants.iter().find(|(n, _)| *n == grant.want);
-        let until = sent.map(|(_, at)| *at + LAPSE);
+        let until = sent.map(|(_, at)| *at + GRANT_LAPSE);
         match until.filter(|until| now < *until) {
             Some(until) => {
                 self.borrowed.push_back(Borrowed {
--- a/crates/caraway-slots/src/lib.rs
+++ b/crates/caraway-slots/src/lib.rs
@@ -17,7 +17,7 @@
 mod replica;
 
 pub use backoff::Backoffs;
-pub use budget::{Budget, Grant, Return, StoreLimits, Want};
+pub use budget::{Budget, GRANT_LAPSE, Grant, Return, StoreLimits, Want};
 pub use load::{Load, LoadState};
 pub use popularity::{Evidence, Popularity};
 pub use replica::{Changes, Replica, Seen, Snapshot};
--- a/crates/caraway-slots/tests/budget.rs
+++ b/crates/caraway-slots/tests/budget.rs
@@ -2,12 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use caraway_slots::{Budget, Grant, Return, StoreLimits};
+use caraway_slots::{Budget, GRANT_LAPSE, Grant, Return, StoreLimits};
 use caraway_types::InstanceId;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 const ZONES: usize = 3;
+/// Rest of a permit of the default limits: three zones with one permit each, three loads a second.
+const REST: Duration = Duration::from_secs(1);
 
 fn budgets(now: Instant) -> Vec<Budget> {
     let zones = u32::try_from(ZONES).unwrap();
@@ -24,12 +26,14 @@
     let mut budget = Budget::new(StoreLimits::default(), 3);
     budget.acquire(start);
     let mut loads = 0;
-    for ms in (0..11_500).step_by(10) {
-        let now = start + Duration::from_millis(ms);
+    let end = REST + GRANT_LAPSE + Duration::from_secs(10);
+    let mut now = start;
+    while now < start + end {
         budget.tick(now);
         while budget.take(now).is_some() {
             loads += 1;
         }
+        now += Duration::from_millis(10);
     }
     assert_eq!(loads, 10, "one a second, from the first rest on");
 }
@@ -40,17 +44,19 @@
     let mut all = budgets(start);
     let mut now = start + Duration::from_secs(5);
     let want = all[1].want(now, vec![1.0]);
-    now += Duration::from_millis(400);
+    now += GRANT_LAPSE - Duration::from_millis(100);
     let grant = all[0].lend(now, &"b".into(), want.number).unwrap();
     now += Duration::from_millis(99);
     assert_eq!(all[1].on_grant(now, &"a".into(), grant), None);
     now += Duration::from_millis(1);
     let own_only = all[1].available(now);
     assert_eq!(own_only, 1, "the borrowed permit has lapsed");
-    all[0].tick(now + Duration::from_millis(399));
-    assert_eq!(all[0].available(now + Duration::from_millis(399)), 0);
-    all[0].tick(now + Duration::from_millis(1_400));
-    assert_eq!(all[0].available(now + Duration::from_millis(1_400)), 1);
+    // The owner lent it 100 ms ago; its own count of the lapse ends later than the borrower's.
+    let lapsed = now + GRANT_LAPSE - Duration::from_millis(100);
+    all[0].tick(lapsed - Duration::from_millis(1));
+    assert_eq!(all[0].available(lapsed - Duration::from_millis(1)), 0);
+    all[0].tick(lapsed + REST);
+    assert_eq!(all[0].available(lapsed + REST), 1);
 }
 
 #[derive(Clone, Debug)]
