Free the slot of a caller that leaves before its first token

Cause: the node asks its shell to stop the attempt of a cancelled request and keeps the pin until the attempt's end; the daemon dropped the handler and never told of that end, so each such caller left a pin and a slot for ever. Change: the control thread ends the attempt for the node, whose connection is gone with its handler; outputs that carrying out leads to are carried out at once. Conclusion: a pin ends with its request on every way out.

--- a/crates/caraway-entry/src/control.rs
+++ b/crates/caraway-entry/src/control.rs
@@ -5,7 +5,7 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use caraway_node::{Input, Node, Output};
+use caraway_node::{Done, Input, Node, Output};
 use caraway_ring::{Receiver, Sender};
 use caraway_types::Ticket;
 use tokio::{sync::oneshot, time::Instant};
@@ -101,9 +101,12 @@
         }
     }
 
+    /// Carries outputs out, and those that this leads to.
     fn carry_out(&mut self) {
-        for output in std::mem::take(&mut self.outputs) {
-            self.carry_out_one(output);
+        while !self.outputs.is_empty() {
+            for output in std::mem::take(&mut self.outputs) {
+                self.carry_out_one(output);
+            }
         }
     }
 
@@ -125,7 +128,11 @@
             Output::Forward { ticket, peer } => self.answer(ticket, Verdict::Forward(peer)),
             Output::Refuse { ticket, refusal } => self.answer(ticket, Verdict::Refuse(refusal)),
             Output::Stop { ticket } => {
+                // The handler is gone and its connection with it, which cancels the attempt.
                 self.waiting.remove(&ticket);
+                let now = Instant::now().into_std();
+                let input = Input::Finished(ticket, Done::Cancelled);
+                self.node.handle(now, input, &mut self.outputs);
             }
             Output::Load {
                 endpoint,
