Refuse a request that comes back after its deadline

Cause: the deadline of a request was dropped while an attempt ran or a peer had it; given back as not run, it was routed again with no deadline left and could wait for ever. Change: a request that comes back late gets its final answer at once. Conclusion: every request has an end.

--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -138,7 +138,14 @@
             }
             _ => None,
         };
-        if again {
+        let late = self
+            .jobs
+            .get(&ticket)
+            .is_some_and(|j| j.submission.deadline <= now);
+        if again && late {
+            let refusal = Refusal::not_run(Reason::Deadline, "the deadline has passed");
+            self.refuse(ticket, refusal, out);
+        } else if again {
             self.route(now, ticket, out);
         } else {
             self.remove(ticket);
--- a/crates/caraway-node/tests/thin.rs
+++ b/crates/caraway-node/tests/thin.rs
@@ -6,7 +6,7 @@
     Done, EndpointSettings, EngineReport, Input, ListedMember, LoadResult, Node, NodeSettings,
     Output, Submission,
 };
-use caraway_types::{AdapterRef, Class};
+use caraway_types::{AdapterRef, Class, Reason};
 
 fn submission(now: Instant) -> Submission {
     Submission {
@@ -46,6 +46,34 @@
     now
 }
 
+#[test]
+fn a_request_that_comes_back_after_its_deadline_is_refused_at_once() {
+    let now = Instant::now();
+    let settings = NodeSettings {
+        endpoints: vec![EndpointSettings::default()],
+        ..NodeSettings::default()
+    };
+    let mut node = Node::new(settings, now);
+    let now = settle(&mut node, now);
+    let mut out = Vec::new();
+    node.handle(now, Input::Submit(submission(now)), &mut out);
+    let Some(Output::Load { endpoint, load, .. }) = out.pop() else {
+        panic!("expected a load, got {out:?}");
+    };
+    let loaded = Input::Loaded(endpoint, load, LoadResult::Resident);
+    node.handle(now, loaded, &mut out);
+    out.clear();
+    // The attempt did not run, and the node learns it only after the deadline.
+    let late = now + Duration::from_secs(11);
+    node.handle(late, Input::Tick, &mut out);
+    out.clear();
+    node.handle(late, Input::Finished(1, Done::NotRun), &mut out);
+    let refused = out.iter().any(|o| {
+        matches!(o, Output::Refuse { ticket: 1, refusal } if refusal.reason == Reason::Deadline)
+    });
+    assert!(refused, "{out:?}");
+}
+
 #[test]
 fn serves_one_request() {
     let now = Instant::now();
