Write the budget's test times without subtractions

Cause: the linter takes no unchecked subtraction of times. Change: the test adds times, and asserts that they still meet the lapse. Conclusion: none.

--- a/crates/caraway-slots/tests/budget.rs
+++ b/crates/caraway-slots/tests/budget.rs
@@ -44,7 +44,9 @@
     let mut all = budgets(start);
     let mut now = start + Duration::from_secs(5);
     let want = all[1].want(now, vec![1.0]);
-    now += GRANT_LAPSE - Duration::from_millis(100);
+    let asked = now;
+    now += Duration::from_millis(1900);
+    assert!(now + Duration::from_millis(100) == asked + GRANT_LAPSE);
     let grant = all[0].lend(now, &"b".into(), want.number).unwrap();
     now += Duration::from_millis(99);
     assert_eq!(all[1].on_grant(now, &"a".into(), grant), None);
@@ -52,11 +54,12 @@
     let own_only = all[1].available(now);
     assert_eq!(own_only, 1, "the borrowed permit has lapsed");
     // The owner lent it 100 ms ago; its own count of the lapse ends later than the borrower's.
-    let lapsed = now + GRANT_LAPSE - Duration::from_millis(100);
-    all[0].tick(lapsed - Duration::from_millis(1));
-    assert_eq!(all[0].available(lapsed - Duration::from_millis(1)), 0);
-    all[0].tick(lapsed + REST);
-    assert_eq!(all[0].available(lapsed + REST), 1);
+    let almost = now + Duration::from_millis(1899);
+    all[0].tick(almost);
+    assert_eq!(all[0].available(almost), 0);
+    let rested = now + Duration::from_millis(1900) + REST;
+    all[0].tick(rested);
+    assert_eq!(all[0].available(rested), 1);
 }
 
 #[derive(Clone, Debug)]
