Heed how long a load was idle before it is evicted or used after a take-over

Cause: the model of the holder protocol shows a pinned load unloaded when a new holder of an engine that checks no tokens evicts an earlier holder's load at once, and when an instance that was dropped from the list without knowing it starts on a load that was idle for long.

--- a/crates/caraway-node/src/orders.rs
+++ b/crates/caraway-node/src/orders.rs
@@ -322,6 +322,11 @@
     }
 
     /// Returns the loads that may be evicted, the cheapest first.
+    ///
+    /// A load of an earlier holder must have been idle for so long that the earlier holder does
+    /// not start requests on it any more, should it still live; see [`Members::idle_limit`].
+    ///
+    /// [`Members::idle_limit`]: caraway_members::Members::idle_limit
     fn victims(&self, now: Instant) -> Vec<Victim<'_>> {
         let crowding = self.crowding_accounts();
         let mut victims = Vec::new();
@@ -331,7 +336,9 @@
             }
             let cleared = self.members.cleared(now, endpoint);
             for (name, load) in engine.replica.loads() {
-                if load.is_idle() && (load.own || cleared) {
+                let idle = now.saturating_duration_since(load.used);
+                let forsaken = cleared && idle >= self.settings.members.idle.get();
+                if load.is_idle() && (load.own || forsaken) {
                     let crowds = load.account.as_ref().is_some_and(|a| crowding.contains(a));
                     let part = if crowds { CROWDING_PART } else { 1.0 };
                     victims.push(Victim {
--- a/crates/caraway-node/src/requests.rs
+++ b/crates/caraway-node/src/requests.rs
@@ -301,14 +301,23 @@
     }
 
     /// Tells whether this instance may start requests on a load.
+    ///
+    /// One that was idle for long may be evicted by a new holder, if this instance was dropped
+    /// from the list without knowing it.
     pub(crate) fn is_usable(&self, now: Instant, endpoint: &EndpointId, load: &str) -> bool {
         let Some(engine) = self.engines.get(endpoint) else {
             return false;
         };
-        let own = engine.replica.get(load).is_some_and(|l| l.own);
+        let known = engine.replica.get(load);
+        let own = known.is_some_and(|l| l.own);
         let usable = own || self.members.usable(endpoint, load_fence(load));
+        let limit = self.members.idle_limit(now, endpoint);
+        let forsaken = known.zip(limit).is_some_and(|(l, limit)| {
+            l.pins == 0 && now.saturating_duration_since(l.used) >= limit
+        });
         engine.fence.is_some()
             && usable
+            && !forsaken
             && self.members.right(now, endpoint) >= Right::Fill
             && self.members.accepts_work(now, endpoint)
     }
--- a/crates/caraway-slots/src/load.rs
+++ b/crates/caraway-slots/src/load.rs
@@ -34,7 +34,7 @@
     pub own: bool,
     /// When it entered its state.
     pub since: Instant,
-    /// When an attempt last used it.
+    /// When an attempt last used it, of this holder or, as reported, of an earlier one.
     pub used: Instant,
 }
 
--- a/crates/caraway-slots/src/replica.rs
+++ b/crates/caraway-slots/src/replica.rs
@@ -248,6 +248,9 @@
             let there = seen.loads.iter().find(|s| s.name == *name);
             if let Some(seen) = there.filter(|_| !load.own) {
                 load.foreign = seen.running.saturating_sub(load.pins);
+                if load.foreign > 0 {
+                    load.used = now;
+                }
             }
             let settled = now.saturating_duration_since(load.since) >= REPORT_LAG;
             match load.state {
--- a/crates/caraway-slots/tests/replica.rs
+++ b/crates/caraway-slots/tests/replica.rs
@@ -24,6 +24,22 @@
     }
 }
 
+#[test]
+fn a_run_of_an_earlier_holder_counts_as_use() {
+    let start = Instant::now();
+    let mut replica = Replica::new(4);
+    let seen = |running| {
+        let mut seen = seen(1, &["other"]);
+        seen.loads[0].running = running;
+        seen
+    };
+    replica.settle(start, &seen(0));
+    let later = start + Duration::from_secs(9);
+    replica.settle(later, &seen(1));
+    replica.settle(later + Duration::from_secs(1), &seen(0));
+    assert_eq!(replica.get("other").unwrap().used, later);
+}
+
 #[test]
 fn a_pinned_load_is_not_evicted() {
     let now = Instant::now();
