Keep a short queue of gossip for each peer, and name things as the glossary does

Cause: the peers thread dropped a message while an earlier one was on its way; since gossip rides with heartbeats, a dropped one is late by a second. And code said floor and life where the glossary has deployment, instances and incarnation. Conclusion: the effect on load stalls was not measured.

--- a/crates/caraway-burn/src/ledger.rs
+++ b/crates/caraway-burn/src/ledger.rs
@@ -30,7 +30,7 @@
     pub schema: u32,
     /// The instance.
     pub instance: InstanceId,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: Incarnation,
     /// Its clock.
     pub now: UnixSeconds,
--- a/crates/caraway-burn/src/record.rs
+++ b/crates/caraway-burn/src/record.rs
@@ -18,7 +18,7 @@
     pub schema: u32,
     /// The instance.
     pub instance: InstanceId,
-    /// Its life.
+    /// Its incarnation.
     pub incarnation: Incarnation,
     /// When the bucket starts; it is [`LOG_WIDTH_SECONDS`](crate::LOG_WIDTH_SECONDS) wide.
     pub start: UnixSeconds,
--- a/crates/caraway-burn/src/report.rs
+++ b/crates/caraway-burn/src/report.rs
@@ -86,7 +86,7 @@
 impl Report {
     /// Joins the sources.
     ///
-    /// An instance that answers is counted from its answer, and from its records for the lives
+    /// An instance that answers is counted from its answer, and from its records for the incarnations
     /// before; one that does not answer is counted from its records only.
     #[must_use]
     pub fn new(now: UnixSeconds, sources: &Sources) -> Self {
--- a/crates/caraway-burn/tests/burn.rs
+++ b/crates/caraway-burn/tests/burn.rs
@@ -102,7 +102,7 @@
     let mut ledger = ledger(1);
     let lost = instance("tt-1");
     let mut records: Vec<Arc<str>> = Vec::new();
-    // It closed the bucket before the current one, twice read, and one of another life.
+    // It closed the bucket before the current one, twice read, and one of another incarnation.
     let record = ledger
         .take_record(NOW, &lost, 7, false)
         .expect("a closed bucket");
--- a/crates/caraway-calls/src/call_key.rs
+++ b/crates/caraway-calls/src/call_key.rs
@@ -85,7 +85,7 @@
     }
 }
 
-/// Who may carry out an intent: one life of one instance, for one call.
+/// Who may carry out an intent: one incarnation of one instance, for one call.
 ///
 /// Nobody else ever sends the call, so a replaced or paused instance cannot make it run twice.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -93,9 +93,9 @@
 pub struct Owner {
     /// The instance.
     pub instance: InstanceId,
-    /// The life of the instance.
+    /// The incarnation of the instance.
     pub incarnation: Incarnation,
-    /// Chosen at random by the process, so that two lives with one number stay apart.
+    /// Chosen at random by the process, so that two runs with one number stay apart.
     pub process: u64,
     /// Counts the calls of the process.
     pub nonce: u64,
--- a/crates/caraway-calls/src/once/mod.rs
+++ b/crates/caraway-calls/src/once/mod.rs
@@ -25,7 +25,7 @@
 /// Carries out each keyed call at most once, agreed through the platform's log.
 ///
 /// A call's intent is appended to the `calls` stream and read back. The first intent of a key
-/// wins, and only its owner, in the same life and within the send window, sends the call. The
+/// wins, and only its owner, in the same incarnation and within the send window, sends the call. The
 /// outcome is appended after, so that a repeat anywhere gets the recorded answer or `in_doubt`.
 /// A repeated append is harmless, as a record names its owner and nonce.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
 }
 
 impl Once {
-    /// Makes the state of one life of an instance.
+    /// Makes the state of one incarnation of an instance.
     ///
     /// `process` is a random number that tells this process from any other with the same
     /// `incarnation`.
--- a/crates/caraway-demo/src/floor.rs
+++ b/crates/caraway-demo/src/fleet.rs
@@ -1,4 +1,4 @@
-//! [`Floor`]: the stand-ins and entry instances of a deployment, as threads of this process.
+//! [`Fleet`]: the stand-ins and entry instances of a deployment, as threads of this process.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -32,7 +32,7 @@
 
 /// A running deployment.
 #[derive(Debug)]
-pub(crate) struct Floor {
+pub(crate) struct Fleet {
     /// The weight store.
     pub(crate) store: Arc<Store>,
     /// The model engines.
@@ -47,7 +47,7 @@
     addrs: Vec<SocketAddr>,
 }
 
-impl Floor {
+impl Fleet {
     /// Starts the stand-ins and the entry instances.
     ///
     /// # Errors
@@ -74,7 +74,7 @@
             lag: LIST_LAG,
             ..ListSettings::default()
         };
-        let mut floor = Self {
+        let mut fleet = Self {
             engines: engines.collect::<Result<_, _>>().context("engines")?,
             services: services.collect::<Result<_, _>>().context("services")?,
             entries: Vec::new(),
@@ -84,20 +84,20 @@
             store,
         };
         for n in 0..deployment.entries {
-            let entry = floor.start_entry(deployment, n)?;
+            let entry = fleet.start_entry(deployment, n)?;
             let id = entry_id(deployment, n);
-            floor.list_member(deployment, n, id, Role::Entry, entry.addr());
-            floor.addrs.push(entry.addr());
-            floor.entries.push(entry);
+            fleet.list_member(deployment, n, id, Role::Entry, entry.addr());
+            fleet.addrs.push(entry.addr());
+            fleet.entries.push(entry);
         }
-        for (n, engine) in floor.engines.iter().enumerate() {
-            floor.list_member(deployment, n, engine_id(n), Role::Engine, engine.addr());
+        for (n, engine) in fleet.engines.iter().enumerate() {
+            fleet.list_member(deployment, n, engine_id(n), Role::Engine, engine.addr());
         }
-        for (n, service) in floor.services.iter().enumerate() {
+        for (n, service) in fleet.services.iter().enumerate() {
             let id = service_id(deployment, n);
-            floor.list_member(deployment, n, id, Role::Service, service.addr());
+            fleet.list_member(deployment, n, id, Role::Service, service.addr());
         }
-        Ok(floor)
+        Ok(fleet)
     }
 
     fn start_entry(&self, deployment: &Deployment, n: usize) -> Result<Entry> {
--- a/crates/caraway-demo/src/main.rs
+++ b/crates/caraway-demo/src/main.rs
@@ -8,7 +8,7 @@
 mod deployments;
 mod driver;
 mod flags;
-mod floor;
+mod fleet;
 mod operate;
 mod outcome;
 mod records;
--- a/crates/caraway-demo/src/operate.rs
+++ b/crates/caraway-demo/src/operate.rs
@@ -16,7 +16,7 @@
 use crate::{
     balancer::Balancer,
     deployment::Deployment,
-    floor::{Floor, engine_id, entry_id, offset, publish},
+    fleet::{Fleet, engine_id, entry_id, offset, publish},
     records::{ROUTING_OFFSET, routing},
     rules::{Rule, Rules},
 };
@@ -50,23 +50,23 @@
 /// Returns the error of the log or of the client.
 pub(crate) async fn operate(
     deployment: &Deployment,
-    floor: &Floor,
+    fleet: &Fleet,
     balancer: &Balancer,
     leaver: Entry,
     length: Duration,
 ) -> Result<(Operations, Rules)> {
     let start = Instant::now();
-    let mut follower = Follower::new(floor.addrs()).await?;
+    let mut follower = Follower::new(fleet.addrs()).await?;
     follower.look_until(start + length / 3).await;
     let engine_left = SystemTime::now();
-    floor.list.mark_leaving(&engine_id(deployment.engines - 1));
+    fleet.list.mark_leaving(&engine_id(deployment.engines - 1));
     follower.look_until(start + length / 2).await;
     let change = routing(deployment, Some(ROUTING_OFFSET));
-    let target = publish(floor.log_addr(), change).await?;
+    let target = publish(fleet.log_addr(), change).await?;
     follower.await_in_force(target).await;
     follower.look_until(start + length * 2 / 3).await;
     let entry_left = SystemTime::now();
-    floor
+    fleet
         .list
         .mark_leaving(&entry_id(deployment, deployment.entries - 1));
     balancer.close(deployment.entries - 1);
--- a/crates/caraway-demo/src/run.rs
+++ b/crates/caraway-demo/src/run.rs
@@ -13,7 +13,7 @@
     checker::{self, Ledgers},
     deployment::Deployment,
     driver,
-    floor::{self, Floor},
+    fleet::{self, Fleet},
     operate::{Operations, operate},
     outcome::{Ending, Outcome},
     report::Report,
@@ -44,15 +44,15 @@
 ///
 /// Returns an error when a part does not start or the records are not in force in time.
 pub(crate) fn run(deployment: Deployment, plan: Plan) -> Result<Report> {
-    let floor = Floor::start(&deployment)?;
+    let fleet = Fleet::start(&deployment)?;
     let system = System::build().disable_signals().build(DefaultRuntime);
-    let (floor, driven) = system.block_on(async move {
-        let mut floor = floor;
-        let driven = drive(&deployment, &mut floor, plan).await;
-        let report = driven.and_then(|driven| report(&deployment, &floor, plan, driven));
-        (floor, report)
+    let (fleet, driven) = system.block_on(async move {
+        let mut fleet = fleet;
+        let driven = drive(&deployment, &mut fleet, plan).await;
+        let report = driven.and_then(|driven| report(&deployment, &fleet, plan, driven));
+        (fleet, report)
     });
-    floor.stop();
+    fleet.stop();
     driven
 }
 
@@ -65,21 +65,21 @@
 }
 
 /// Opens the deployment and drives its work.
-async fn drive(deployment: &Deployment, floor: &mut Floor, plan: Plan) -> Result<Driven> {
-    let entries = floor.addrs();
+async fn drive(deployment: &Deployment, fleet: &mut Fleet, plan: Plan) -> Result<Driven> {
+    let entries = fleet.addrs();
     eprintln!("publishing {} adapters", deployment.adapters);
-    floor::open(deployment, floor.log_addr(), &entries).await?;
+    fleet::open(deployment, fleet.log_addr(), &entries).await?;
     eprintln!("waiting for the first answers");
     probe(deployment, &entries).await?;
     eprintln!("driving requests for {} s", plan.length.as_secs());
     let planned = schedule(deployment, plan.length, plan.seed)?;
     let start = Instant::now();
-    let leaver = floor.entries.pop().context("no instance")?;
+    let leaver = fleet.entries.pop().context("no instance")?;
     let balancer = Balancer::new(entries);
-    let operate = operate(deployment, floor, &balancer, leaver, plan.length);
+    let operate = operate(deployment, fleet, &balancer, leaver, plan.length);
     let spoiled = async {
         if plan.spoil {
-            spoil(floor).await?;
+            spoil(fleet).await?;
         }
         anyhow::Ok(())
     };
@@ -87,7 +87,7 @@
     let (outcomes, operated, spoiled) = tokio::join!(drive, operate, spoiled);
     spoiled.context("spoiling the run")?;
     if plan.spoil {
-        exceed_rate(floor);
+        exceed_rate(fleet);
     }
     let (operations, rules) = operated.context("operating")?;
     Ok(Driven {
@@ -115,7 +115,7 @@
 }
 
 /// Checks the ledgers and sums the run up.
-fn report(deployment: &Deployment, floor: &Floor, plan: Plan, driven: Driven) -> Result<Report> {
+fn report(deployment: &Deployment, fleet: &Fleet, plan: Plan, driven: Driven) -> Result<Report> {
     let Driven {
         outcomes,
         operations,
@@ -123,9 +123,9 @@
         length,
     } = driven;
     let ledgers = Ledgers {
-        engines: floor.engines.iter().map(Engine::ledger).collect(),
-        services: floor.services.iter().map(Service::ledger).collect(),
-        store: floor.store.ledger(),
+        engines: fleet.engines.iter().map(Engine::ledger).collect(),
+        services: fleet.services.iter().map(Service::ledger).collect(),
+        store: fleet.store.ledger(),
     };
     checker::check(deployment, &outcomes, &ledgers, operations, &mut rules);
     Report::new(deployment, plan.seed, length, &outcomes, &ledgers, rules)
--- a/crates/caraway-demo/src/spoil.rs
+++ b/crates/caraway-demo/src/spoil.rs
@@ -9,7 +9,7 @@
 use ntex::http::Method;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::floor::Floor;
+use crate::fleet::Fleet;
 
 /// Tokens of another version that each engine sends.
 const WRONG_TOKENS: u32 = 50;
@@ -25,23 +25,23 @@
 /// # Errors
 ///
 /// Returns an error when a stand-in does not answer or no request runs in time.
-pub(crate) async fn spoil(floor: &Floor) -> Result<()> {
-    for engine in &floor.engines {
+pub(crate) async fn spoil(fleet: &Fleet) -> Result<()> {
+    for engine in &fleet.engines {
         engine.set_faults(EngineFaults {
             wrong_tokens: WRONG_TOKENS,
             ..EngineFaults::default()
         });
     }
-    repeat_write(floor).await?;
-    timeout(RUN_LIMIT, evict(floor))
+    repeat_write(fleet).await?;
+    timeout(RUN_LIMIT, evict(fleet))
         .await
         .context("no request runs")?
 }
 
 /// Carries a write out twice.
-async fn repeat_write(floor: &Floor) -> Result<()> {
+async fn repeat_write(fleet: &Fleet) -> Result<()> {
     let http = Http::new().await?;
-    let addr = floor.services.first().context("no service")?.addr();
+    let addr = fleet.services.first().context("no service")?.addr();
     for _ in 0..2 {
         let headers = [(KEY_HEADER, "spoiled")];
         let call = http.call(Method::POST, addr, "/spoiled", &headers, None);
@@ -51,27 +51,27 @@
 }
 
 /// Asks the weight store for more than its rate, which leaves none for the daemons.
-pub(crate) fn exceed_rate(floor: &Floor) {
+pub(crate) fn exceed_rate(fleet: &Fleet) {
     let adapter = AdapterRef::new("spoiled", "v1");
     let now = Instant::now().into_std();
     for _ in 0..LOADS {
-        if floor.store.begin(now, &adapter).is_ok() {
-            floor.store.end();
+        if fleet.store.begin(now, &adapter).is_ok() {
+            fleet.store.end();
         }
     }
 }
 
 /// Unloads a load on which a request runs.
-async fn evict(floor: &Floor) -> Result<()> {
+async fn evict(fleet: &Fleet) -> Result<()> {
     let http = Http::new().await?;
     let violated = || {
-        floor
+        fleet
             .engines
             .iter()
             .any(|e| !e.ledger().violations.is_empty())
     };
     while !violated() {
-        for engine in &floor.engines {
+        for engine in &fleet.engines {
             let ledger = engine.ledger();
             let running = ledger.runs.iter().find(|r| r.started && r.end.is_none());
             if let Some(run) = running {
--- a/crates/caraway-entry/src/http/admin.rs
+++ b/crates/caraway-entry/src/http/admin.rs
@@ -17,7 +17,7 @@
     instance: InstanceId,
     /// Its availability zone.
     zone: ZoneId,
-    /// Its life.
+    /// Its incarnation.
     incarnation: u64,
     /// Offset after the last record in force.
     offset: Offset,
--- a/crates/caraway-entry/src/http/ask.rs
+++ b/crates/caraway-entry/src/http/ask.rs
@@ -229,7 +229,7 @@
     gate.shared.state().resolve(model).map_err(unknown)
 }
 
-/// Makes a request id that no other request has, across instances and their lives.
+/// Makes a request id that no other request has, across instances and their incarnations.
 fn new_request(gate: &Gate, ticket: Ticket) -> RequestId {
     let instance = &gate.shared.settings.instance;
     format!("{instance}-{:x}-{ticket:x}", gate.shared.incarnation).into()
--- a/crates/caraway-entry/src/http/service_call.rs
+++ b/crates/caraway-entry/src/http/service_call.rs
@@ -227,8 +227,8 @@
 
     fn attempt_id(&self, gate: &Gate, tries: u32) -> String {
         let shared = &gate.shared;
-        let (instance, life) = (&shared.settings.instance, shared.incarnation);
-        format!("{instance}-{life:x}-s{:x}-{tries}", self.ticket)
+        let (instance, incarnation) = (&shared.settings.instance, shared.incarnation);
+        format!("{instance}-{incarnation:x}-s{:x}-{tries}", self.ticket)
     }
 }
 
--- a/crates/caraway-entry/src/peers.rs
+++ b/crates/caraway-entry/src/peers.rs
@@ -1,9 +1,11 @@
 //! The peers thread: sends gossip and reads the platform's list.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    cell::RefCell,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    rc::Rc,
+    sync::{Arc, PoisonError},
 };
 
 use caraway_node::{Gossip, Input, ListedMember};
@@ -29,36 +31,58 @@
     pub(crate) gossip: Gossip,
 }
 
-/// Peers with a message on the way; a further one is dropped, as the next says more.
-type Busy = Arc<Mutex<BTreeSet<InstanceId>>>;
+/// Messages that wait for a peer while an earlier one is on its way to it.
+const WAITING_LIMIT: usize = 8;
+
+/// Messages that wait, for each peer with one on its way.
+type Outbox = Rc<RefCell<BTreeMap<InstanceId, VecDeque<Gossip>>>>;
 
 /// Sends gossip until the ring is closed.
 pub(crate) async fn run(shared: Arc<Shared>, mut inbox: Receiver<Beat>) -> Result<(), CallError> {
     let http = Http::new().await?;
     spawn(follow_list(Arc::clone(&shared), http.clone()));
-    let busy = Busy::default();
-    while let Some(beat) = inbox.recv().await {
-        let fresh = lock(&busy).insert(Arc::clone(&beat.peer));
-        if fresh {
-            spawn(send(
-                Arc::clone(&shared),
-                http.clone(),
-                Arc::clone(&busy),
-                beat,
-            ));
+    let outbox = Outbox::default();
+    while let Some(Beat { peer, gossip }) = inbox.recv().await {
+        let idle = !outbox.borrow().contains_key(&peer);
+        queue(&outbox, &peer, gossip);
+        if idle {
+            let (shared, http) = (Arc::clone(&shared), http.clone());
+            spawn(send(shared, http, Rc::clone(&outbox), peer));
         }
     }
     Ok(())
 }
 
-async fn send(shared: Arc<Shared>, http: Http, busy: Busy, beat: Beat) {
-    if let Some(addr) = shared.peer(&beat.peer)
-        && let Err(error) = deliver(&shared, http, addr, &beat.gossip).await
-    {
-        emit!(shared.log, debug, PeerUnreachable;
-            "peer" => &*beat.peer, "error" => %error);
+/// Queues a message; beyond the limit the oldest goes, as later ones say more.
+fn queue(outbox: &Outbox, peer: &InstanceId, gossip: Gossip) {
+    let mut outbox = outbox.borrow_mut();
+    let waiting = outbox.entry(Arc::clone(peer)).or_default();
+    if waiting.len() >= WAITING_LIMIT {
+        waiting.pop_front();
+    }
+    waiting.push_back(gossip);
+}
+
+/// Sends what waits for a peer, one message after the other.
+async fn send(shared: Arc<Shared>, http: Http, outbox: Outbox, peer: InstanceId) {
+    while let Some(gossip) = next(&outbox, &peer) {
+        if let Some(addr) = shared.peer(&peer)
+            && let Err(error) = deliver(&shared, http.clone(), addr, &gossip).await
+        {
+            emit!(shared.log, debug, PeerUnreachable;
+                "peer" => &*peer, "error" => %error);
+        }
+    }
+}
+
+/// Takes the next message for a peer, or closes its queue.
+fn next(outbox: &Outbox, peer: &InstanceId) -> Option<Gossip> {
+    let mut outbox = outbox.borrow_mut();
+    let gossip = outbox.get_mut(peer).and_then(VecDeque::pop_front);
+    if gossip.is_none() {
+        outbox.remove(peer);
     }
-    lock(&busy).remove(&beat.peer);
+    gossip
 }
 
 async fn deliver(
@@ -139,7 +163,3 @@
         endpoint: member.role != Role::Entry,
     }
 }
-
-fn lock(busy: &Busy) -> std::sync::MutexGuard<'_, BTreeSet<InstanceId>> {
-    busy.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/caraway-entry/src/shared.rs
+++ b/crates/caraway-entry/src/shared.rs
@@ -74,7 +74,7 @@
     pub(crate) settings: Settings,
     /// The address that the daemon listens on.
     pub(crate) addr: SocketAddr,
-    /// Tells this life of the instance from earlier ones.
+    /// Tells this run of the instance from earlier ones.
     pub(crate) incarnation: u64,
     /// The ways to the other threads.
     pub(crate) rings: Rings,
--- a/crates/caraway-node/src/gossip.rs
+++ b/crates/caraway-node/src/gossip.rs
@@ -12,7 +12,7 @@
 pub struct Gossip {
     /// The sender.
     pub from: InstanceId,
-    /// The sender's life and holdings.
+    /// The sender's heartbeat: its state and holdings.
     pub heartbeat: Option<Box<Heartbeat>>,
     /// Changes of what is resident on the replicas that the sender holds.
     pub delta: Option<Delta>,
--- a/crates/caraway-publish/src/apply.rs
+++ b/crates/caraway-publish/src/apply.rs
@@ -12,7 +12,7 @@
     feed::{Feed, Folded},
     file,
     flags::{Apply, CarawayPublish},
-    floor::Floor,
+    instances::Instances,
     needed,
     plan::{Plan, Planned},
     report::{Conflict, RecordLine, Report},
@@ -51,8 +51,8 @@
         Err(found) => return Ok(findings(found)),
     };
     let mut feed = Feed::new(needed(flags.log, "--log")?).await?;
-    let floor = if apply.wait {
-        Some(Floor::new(needed(flags.list, "--list")?).await?)
+    let instances = if apply.wait {
+        Some(Instances::new(needed(flags.list, "--list")?).await?)
     } else {
         None
     };
@@ -68,12 +68,12 @@
     if report.exit != Exit::Done {
         return Ok(report);
     }
-    let Some(floor) = floor else {
+    let Some(instances) = instances else {
         return Ok(report);
     };
     let limit = Duration::from_secs(apply.limit_s.unwrap_or(WAIT_S));
     let next = last(&feed, &plan).map_or(feed.state().next(), |last| last + 1);
-    floor.wait(next, limit, report).await
+    instances.wait(next, limit, report).await
 }
 
 /// Appends a batch; reads the log back before it repeats an append whose answer is lost.
--- a/crates/caraway-publish/src/flags.rs
+++ b/crates/caraway-publish/src/flags.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
-    /// Checks, publishes and shows the records that configure the floor.
+    /// Checks, publishes and shows the records that configure the deployment.
     cmd caraway-publish {
         /// Address of the platform's log.
         optional --log addr: SocketAddr
--- a/crates/caraway-publish/src/floor.rs
+++ b/crates/caraway-publish/src/instances.rs
@@ -1,4 +1,4 @@
-//! [`Floor`]: the live instances and what they have in force.
+//! [`Instances`]: the live instances and what they have in force.
 
 use std::{
     fmt::{self, Write as _},
@@ -23,7 +23,7 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Asks the instances that the platform's list names.
-pub(crate) struct Floor {
+pub(crate) struct Instances {
     http: Http,
     list: ListClient,
 }
@@ -50,7 +50,7 @@
     digest: Arc<str>,
 }
 
-impl Floor {
+impl Instances {
     /// Reads the list at `addr`.
     pub(crate) async fn new(addr: SocketAddr) -> Result<Self> {
         let http = Http::new().await?;
--- a/crates/caraway-publish/src/main.rs
+++ b/crates/caraway-publish/src/main.rs
@@ -1,4 +1,4 @@
-//! The operators' tool: checks, publishes and shows the records that configure the floor.
+//! The operators' tool: checks, publishes and shows the records that configure the deployment.
 //!
 //! See docs/operators/configuration.md for its use and exit codes.
 
@@ -7,8 +7,8 @@
 mod feed;
 mod file;
 mod flags;
-mod floor;
 mod history;
+mod instances;
 mod plan;
 mod report;
 mod show;
--- a/crates/caraway-publish/src/report.rs
+++ b/crates/caraway-publish/src/report.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::{exit::Exit, floor::InstanceStatus};
+use crate::{exit::Exit, instances::InstanceStatus};
 
 /// What a command says at its end, as text or as one line of JSON.
 #[derive(Debug, Serialize)]
--- a/crates/caraway-publish/src/status.rs
+++ b/crates/caraway-publish/src/status.rs
@@ -11,15 +11,15 @@
 use crate::{
     exit::Exit,
     flags::CarawayPublish,
-    floor::{Floor, InstanceStatus},
+    instances::{InstanceStatus, Instances},
     needed,
     report::Report,
 };
 
 /// Shows offset and digest of each live instance.
 pub(crate) async fn status(flags: &CarawayPublish) -> Result<Report> {
-    let floor = Floor::new(needed(flags.list, "--list")?).await?;
-    let statuses = floor.ask().await?;
+    let instances = Instances::new(needed(flags.list, "--list")?).await?;
+    let statuses = instances.ask().await?;
     let (exit, summary) = judge(&statuses);
     let mut report = Report::new(exit, summary);
     report.instances = statuses;
--- a/crates/caraway-types/src/ids.rs
+++ b/crates/caraway-types/src/ids.rs
@@ -24,7 +24,7 @@
 pub type Ticket = u64;
 /// Orders the holders of one replica; a larger token supersedes every smaller one.
 pub type Fence = u64;
-/// Tells the lives of one instance or endpoint apart; rises with each restart.
+/// Tells the runs of one instance or endpoint apart; rises with each restart.
 pub type Incarnation = u64;
 /// Position of a record in a stream of the platform's log.
 pub type Offset = u64;
