--- a/crates/caraway-node/tests/thin.rs
+++ b/crates/caraway-node/tests/thin.rs
@@ -46,8 +46,8 @@
     now
 }
 
-#[test]
-fn a_request_that_comes_back_after_its_deadline_is_refused_at_once() {
+/// Makes a lone node with one engine that holds everything in its zone.
+fn lone_node() -> (Node, Instant) {
     let now = Instant::now();
     let settings = NodeSettings {
         endpoints: vec![EndpointSettings::default()],
@@ -55,6 +55,12 @@
     };
     let mut node = Node::new(settings, now);
     let now = settle(&mut node, now);
+    (node, now)
+}
+
+#[test]
+fn a_request_that_comes_back_after_its_deadline_is_refused_at_once() {
+    let (mut node, now) = lone_node();
     let mut out = Vec::new();
     node.handle(now, Input::Submit(submission(now)), &mut out);
     let Some(Output::Load { endpoint, load, .. }) = out.pop() else {
@@ -76,13 +82,7 @@
 
 #[test]
 fn serves_one_request() {
-    let now = Instant::now();
-    let settings = NodeSettings {
-        endpoints: vec![EndpointSettings::default()],
-        ..NodeSettings::default()
-    };
-    let mut node = Node::new(settings, now);
-    let now = settle(&mut node, now);
+    let (mut node, now) = lone_node();
     let mut out = Vec::new();
     node.handle(now, Input::Submit(submission(now)), &mut out);
     let Some(Output::Load {
