--- a/crates/caraway-entry/src/control.rs
+++ b/crates/caraway-entry/src/control.rs
@@ -57,16 +57,20 @@
                 message = self.inbox.recv() => message,
                 _ = tick.tick() => Some(Control::Input(Input::Tick)),
             };
+            let ticked = matches!(message, Some(Control::Input(Input::Tick)));
             match message {
                 None | Some(Control::Stop) => return,
                 Some(message) => self.take(message),
             }
             self.carry_out();
-            self.publish();
+            if ticked {
+                self.publish();
+            }
         }
     }
 
-    /// Lets the other threads see what the node knows of itself.
+    /// Lets the other threads see what the node knows of itself; once a tick, as it looks at every
+    /// replica of the zone.
     fn publish(&self) {
         let now = Instant::now().into_std();
         let ready = self.node.is_ready(now);
