--- /dev/null
+++ b/crates/caraway-gateway/src/claim.rs
@@ -0,0 +1,273 @@
+//! Which instance holds an availability zone's endpoints, by records in the platform's store.
+//!
+//! A claim is an append that succeeds only where the topic ends as the claimer knows it, so of
+//! several claimers one wins, and the record's offset is a fencing token that no other has. A
+//! holder stays until it stops or can't be reached; it renews nothing, so it goes on while the
+//! store is away.
+
+use std::{rc::Rc, time::Duration};
+
+use caraway_platform::{Record, StoreError, Topic, holder_key};
+use caraway_types::ZoneId;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    desk::Desk,
+    event::emit,
+    follow,
+    session::Session,
+    shared::{Holder, Shared},
+};
+
+/// Time for which a holder can't be reached before another instance of its zone claims; a lost
+/// session is opened again well within it.
+const SUSPECT_AFTER: Duration = Duration::from_millis(1000);
+/// The same where the holder's machine says that no process listens.
+const REFUSED_AFTER: Duration = Duration::from_millis(100);
+/// Further time before an instance of another zone claims.
+const FOREIGN_AFTER: Duration = Duration::from_millis(2000);
+/// Claimers spread over this time, so that most see the first one's claim before their own.
+const SPREAD: Duration = Duration::from_millis(300);
+
+/// Looks whether a zone needs a holder that this instance could be.
+pub(crate) fn look(shared: &Rc<Shared>) {
+    if shared.is_leaving() || !shared.topics.borrow().is_read(Topic::Holders) {
+        return;
+    }
+    let zones = shared.site.zones.clone();
+    for zone in zones {
+        keep_session(shared, &zone);
+        let wait = wait_before_claim(shared, &zone);
+        let mut topics = shared.topics.borrow_mut();
+        let Some(wait) = wait else {
+            topics.claims.remove(&zone);
+            continue;
+        };
+        let now = Instant::now();
+        let due = *topics.claims.entry(zone.clone()).or_insert(now + wait);
+        if now >= due && !topics.is_claiming {
+            topics.is_claiming = true;
+            topics.claims.remove(&zone);
+            drop(topics);
+            tokio::task::spawn_local(claim(shared.clone(), zone));
+        }
+    }
+}
+
+/// Takes a record about a zone's holder.
+pub(crate) fn on_record(shared: &Rc<Shared>, record: &Record) {
+    let zones = &shared.site.zones;
+    let Some(zone) = zones.iter().find(|z| *holder_key(z) == *record.key) else {
+        return;
+    };
+    let value = record.value.as_deref().unwrap_or_default();
+    let Ok(mut holder) = serde_json::from_slice::<Holder>(value) else {
+        emit!(shared, warn, ConfigFinding; "key" => &*record.key, "offset" => record.offset,
+            "finding" => "the record of a holder can't be read");
+        return;
+    };
+    holder.token = record.offset;
+    let former = shared.holders.borrow().get(zone).cloned();
+    if former.as_ref().is_some_and(|f| f.token >= holder.token) {
+        return;
+    }
+    let start = first_order(shared, zone, former.as_ref());
+    emit!(shared, info, HolderChanged; "zone" => &**zone, "holder" => &*holder.instance,
+        "incarnation" => holder.incarnation, "token" => holder.token,
+        "released" => holder.released,
+        "former" => former.as_ref().map_or("", |f| &*f.instance));
+    shared
+        .holders
+        .borrow_mut()
+        .insert(zone.clone(), holder.clone());
+    let desk = shared.desks.borrow_mut().remove(zone);
+    if let Some(desk) = desk {
+        desk.end();
+    }
+    let is_own = holder.instance == shared.site.instance;
+    if is_own && holder.incarnation == shared.incarnation && !holder.released {
+        open_desk(shared, zone, &holder, start);
+    }
+    keep_session(shared, zone);
+}
+
+/// Gives up a zone whose endpoints have seen a later fencing token.
+pub(crate) fn on_deposed(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+    desk.end();
+    let mut desks = shared.desks.borrow_mut();
+    if desks.get(&desk.zone).is_some_and(|d| d.token == desk.token) {
+        desks.remove(&desk.zone);
+    }
+}
+
+/// Gives up every zone, as the instance stops.
+pub(crate) async fn release_all(shared: &Rc<Shared>) {
+    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    for desk in desks {
+        desk.with(shared, caraway_placement::Placer::on_leave);
+        let mut patience = RELEASE_CHECKS;
+        while desk.is_ordering() && patience > 0 {
+            patience -= 1;
+            sleep(RELEASE_PAUSE).await;
+        }
+        append(shared, &desk.zone, true).await;
+        desk.end();
+        shared.desks.borrow_mut().remove(&desk.zone);
+        emit!(shared, info, HolderEnded; "zone" => &*desk.zone, "token" => desk.token,
+            "why" => "the instance stops");
+    }
+}
+
+/// Pause between looks whether the last orders have ended.
+const RELEASE_PAUSE: Duration = Duration::from_millis(20);
+/// Looks whether the last orders have ended, as long as an order's answer is awaited.
+const RELEASE_CHECKS: u32 = 16;
+
+/// Returns how long this instance waits before it claims a zone; `None` when the zone has a
+/// holder.
+fn wait_before_claim(shared: &Shared, zone: &ZoneId) -> Option<Duration> {
+    if shared.desks.borrow().contains_key(zone) {
+        return None;
+    }
+    let holders = shared.holders.borrow();
+    let is_home = *zone == shared.site.zone;
+    let distance = if is_home {
+        Duration::ZERO
+    } else if has_engines(shared, zone) {
+        FOREIGN_AFTER
+    } else {
+        return None;
+    };
+    let spread = SPREAD.mul_f64(share(shared, zone));
+    match holders.get(zone) {
+        None => Some(distance + spread),
+        Some(holder) if holder.released => Some(distance + spread),
+        // An earlier run of this instance, or this run whose endpoints have seen a later token.
+        Some(holder) if holder.instance == shared.site.instance => Some(distance),
+        Some(_) => {
+            let sessions = shared.sessions.borrow();
+            let session = sessions.get(zone)?;
+            let down = session.down_since()?.elapsed();
+            let after = if session.is_refused() {
+                REFUSED_AFTER
+            } else {
+                SUSPECT_AFTER
+            };
+            (down >= after).then_some(distance + spread)
+        }
+    }
+}
+
+/// Returns when a new holder's first order may go out.
+///
+/// A holder whose process is gone gives no more orders. One that can't be reached may, until it
+/// sees the new record or an endpoint refuses its token; the lease keeps their orders apart.
+fn first_order(shared: &Shared, zone: &ZoneId, former: Option<&Holder>) -> std::time::Instant {
+    let now = Shared::now();
+    let Some(former) = former else {
+        return now;
+    };
+    let sessions = shared.sessions.borrow();
+    let is_dead = sessions
+        .get(zone)
+        .is_some_and(|s| s.holder.token == former.token && s.is_refused());
+    if former.released || former.instance == shared.site.instance || is_dead {
+        now
+    } else {
+        now + shared.site.bounds.lease
+    }
+}
+
+async fn claim(shared: Rc<Shared>, zone: ZoneId) {
+    append(&shared, &zone, false).await;
+    shared.topics.borrow_mut().is_claiming = false;
+}
+
+/// Appends this instance's record of a zone.
+async fn append(shared: &Rc<Shared>, zone: &ZoneId, released: bool) {
+    let Some(at) = shared.topics.borrow().next(Topic::Holders) else {
+        return;
+    };
+    let holder = Holder {
+        instance: shared.site.instance.clone(),
+        incarnation: shared.incarnation,
+        addr: shared.peer_addr(),
+        released,
+        token: 0,
+    };
+    let value = serde_json::to_vec(&holder).expect("a holder has only texts and numbers");
+    let key = holder_key(zone);
+    let result = shared
+        .store
+        .append_at(Topic::Holders, at, &key, &value)
+        .await;
+    let outcome = match &result {
+        Ok(appended) => format!("offset {}", appended.offset),
+        Err(e) => e.to_string(),
+    };
+    let label = if result.is_ok() { "ok" } else { "failed" };
+    shared.metrics.store_call("claim", label);
+    emit!(shared, info, ClaimTried; "zone" => &**zone, "at" => at, "released" => released,
+        "outcome" => outcome);
+    match result {
+        Ok(appended) => {
+            let record = Record {
+                offset: appended.offset,
+                key,
+                value: Some(value.into()),
+            };
+            follow::on_own_append(shared, Topic::Holders, at, &record);
+        }
+        // The topic has moved, or the record may lie there: reading on tells.
+        Err(StoreError::Moved(_) | StoreError::Unanswered(_)) => {
+            shared.topics.borrow().wake(Topic::Holders);
+        }
+        Err(_) => {}
+    }
+}
+
+fn open_desk(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, start: std::time::Instant) {
+    let desk = Rc::new(Desk::new(shared, zone.clone(), holder.token, start));
+    shared.desks.borrow_mut().insert(zone.clone(), desk.clone());
+    follow::fill_desk(shared, &desk);
+    desk.adopt_own_runs(shared);
+    tokio::task::spawn_local(desk.run(shared.clone()));
+}
+
+/// Keeps a session to the zone's holder, where that is another instance.
+fn keep_session(shared: &Rc<Shared>, zone: &ZoneId) {
+    let holder = shared.holders.borrow().get(zone).cloned();
+    let wanted = holder.filter(|h| !h.released && h.instance != shared.site.instance);
+    let mut sessions = shared.sessions.borrow_mut();
+    let current = sessions.get(zone);
+    if current.map(|s| s.holder.token) == wanted.as_ref().map(|h| h.token) {
+        return;
+    }
+    if let Some(old) = sessions.remove(zone) {
+        old.stop();
+    }
+    if let Some(holder) = wanted {
+        let session = Rc::new(Session::new(zone.clone(), holder));
+        sessions.insert(zone.clone(), session.clone());
+        tokio::task::spawn_local(session.run(shared.clone()));
+    }
+}
+
+fn has_engines(shared: &Shared, zone: &ZoneId) -> bool {
+    let directory = shared.directory.borrow();
+    directory
+        .all()
+        .any(|e| e.zone == *zone && !e.models.is_empty())
+}
+
+/// Returns this instance's place in the spread of claimers, 0 to 1.
+fn share(shared: &Shared, zone: &ZoneId) -> f64 {
+    let key = format!("{zone}/{}/{}", shared.site.instance, shared.incarnation);
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "53 bits are enough to spread by"
+    )]
+    let share = (xxh3_64(key.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+    share
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/desk.rs
@@ -0,0 +1,268 @@
+//! [`Desk`]: a zone's placer on the instance that holds the zone.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Instant,
+};
+
+use caraway_placement::{Ask, AskId, End, Output, Placer, SourceId};
+use caraway_types::{Fence, Ticket, ZoneId};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::{
+    claim,
+    event::emit,
+    executor,
+    frame::{self, FromHolder},
+    place::Decision,
+    session::Outgoing,
+    shared::Shared,
+};
+
+/// The source of this instance's own requests.
+const OWN_SOURCE: SourceId = 0;
+
+/// A zone's placer on the instance that holds the zone.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    pub(crate) zone: ZoneId,
+    pub(crate) token: Fence,
+    placer: RefCell<Placer>,
+    own: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
+    sources: RefCell<HashMap<SourceId, Source>>,
+    last_source: Cell<SourceId>,
+    wake: Notify,
+    ended: Cell<bool>,
+}
+
+#[derive(Debug)]
+struct Source {
+    zone: ZoneId,
+    frames: Outgoing,
+}
+
+impl Desk {
+    /// Makes the desk of a zone whose orders may begin at `start`.
+    pub(crate) fn new(shared: &Shared, zone: ZoneId, token: Fence, start: Instant) -> Self {
+        Self {
+            zone,
+            token,
+            placer: RefCell::new(Placer::new(shared.placer.clone(), start)),
+            own: RefCell::default(),
+            sources: RefCell::default(),
+            last_source: Cell::new(OWN_SOURCE),
+            wake: Notify::new(),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// Lets `act` change the placer, and carries out what follows.
+    pub(crate) fn with(
+        self: &Rc<Self>,
+        shared: &Rc<Shared>,
+        act: impl FnOnce(&mut Placer, Instant),
+    ) {
+        if self.ended.get() {
+            return;
+        }
+        let now = Shared::now();
+        let outputs = {
+            let mut placer = self.placer.borrow_mut();
+            act(&mut placer, now);
+            placer.take_outputs()
+        };
+        for output in outputs {
+            self.carry_out(shared, output);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Asks for an endpoint for a request of this instance.
+    pub(crate) fn ask_own(
+        self: &Rc<Self>,
+        shared: &Rc<Shared>,
+        ticket: Ticket,
+        ask: Ask,
+    ) -> oneshot::Receiver<Decision> {
+        let (tell, told) = oneshot::channel();
+        self.own.borrow_mut().insert(ticket, tell);
+        let id = AskId {
+            source: OWN_SOURCE,
+            ticket,
+        };
+        self.with(shared, |placer, now| placer.on_ask(now, id, ask));
+        told
+    }
+
+    /// Notes that a request of this instance has ended.
+    pub(crate) fn end_own(self: &Rc<Self>, shared: &Rc<Shared>, ticket: Ticket, end: End) {
+        self.own.borrow_mut().remove(&ticket);
+        let id = AskId {
+            source: OWN_SOURCE,
+            ticket,
+        };
+        self.with(shared, |placer, now| placer.on_end(now, id, end));
+    }
+
+    /// Takes runs of this instance that began under an earlier holder.
+    pub(crate) fn adopt_own_runs(self: &Rc<Self>, shared: &Rc<Shared>) {
+        let runs = shared.runs.borrow().get(&self.zone).cloned();
+        self.with(shared, |placer, _| {
+            for (ticket, run) in runs.into_iter().flatten() {
+                let id = AskId {
+                    source: OWN_SOURCE,
+                    ticket,
+                };
+                placer.on_running(id, &run.endpoint, &run.model);
+            }
+        });
+    }
+
+    /// Adds an asking instance.
+    pub(crate) fn add_source(&self, zone: ZoneId, frames: Outgoing) -> SourceId {
+        let source = self.last_source.get() + 1;
+        self.last_source.set(source);
+        let entry = Source { zone, frames };
+        self.sources.borrow_mut().insert(source, entry);
+        source
+    }
+
+    /// Drops an asking instance.
+    pub(crate) fn drop_source(self: &Rc<Self>, shared: &Rc<Shared>, source: SourceId) {
+        self.sources.borrow_mut().remove(&source);
+        self.with(shared, |placer, now| placer.on_source_lost(now, source));
+    }
+
+    /// Returns the asking instances of `zone`, this one included where it is of that zone.
+    pub(crate) fn peers(&self, zone: &str) -> usize {
+        let sources = self.sources.borrow();
+        let others = sources.values().filter(|s| &*s.zone == zone).count();
+        others + usize::from(&*self.zone == zone)
+    }
+
+    /// Sends a frame to every asking instance, but not to `except`.
+    pub(crate) fn broadcast(&self, frame: &FromHolder, except: Option<SourceId>) {
+        let sources = self.sources.borrow();
+        if sources.is_empty() {
+            return;
+        }
+        let bytes = frame::encode(frame);
+        for (source, entry) in sources.iter() {
+            if Some(*source) != except {
+                // A full queue ends the session there, so nothing is lost unnoticed.
+                entry.frames.try_send(Ok(bytes.clone())).ok();
+            }
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.placer.borrow().waiting()
+    }
+
+    /// Tells whether an order's end is awaited.
+    pub(crate) fn is_ordering(&self) -> bool {
+        self.placer.borrow().is_ordering()
+    }
+
+    /// Stops: who asks is told to ask elsewhere.
+    pub(crate) fn end(&self) {
+        self.ended.set(true);
+        self.broadcast(&FromHolder::NotHolder, None);
+        self.sources.borrow_mut().clear();
+        for (_, tell) in self.own.borrow_mut().drain() {
+            // Who asked may have left.
+            tell.send(Decision::Lost).ok();
+        }
+        self.wake.notify_one();
+    }
+
+    /// Wakes the placer when something is due; returns when the desk has ended.
+    pub(crate) async fn run(self: Rc<Self>, shared: Rc<Shared>) {
+        while !self.ended.get() {
+            let wake = self.placer.borrow().next_wake(Shared::now());
+            match wake {
+                None => self.wake.notified().await,
+                Some(at) => {
+                    let due = tokio::time::sleep_until(at.into());
+                    tokio::select! {
+                        () = due => self.with(&shared, Placer::on_tick),
+                        () = self.wake.notified() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, shared: &Rc<Shared>, output: Output) {
+        match output {
+            Output::Grant {
+                ask,
+                endpoint,
+                loaded,
+            } => {
+                let addr = shared.directory.borrow().get(&endpoint).map(|e| e.addr);
+                let Some(addr) = addr else {
+                    // The endpoint left the registry in this moment.
+                    self.decide(ask, Decision::Lost);
+                    return;
+                };
+                let waited = loaded;
+                self.decide(
+                    ask,
+                    Decision::Granted {
+                        endpoint,
+                        addr,
+                        waited,
+                    },
+                );
+            }
+            Output::Refuse { ask, reason, after } => {
+                self.decide(ask, Decision::Refused { reason, after });
+            }
+            Output::Order(order) => {
+                let (desk, shared) = (self.clone(), shared.clone());
+                tokio::task::spawn_local(executor::order(shared, desk, order));
+            }
+            Output::Report(endpoint) => {
+                let (desk, shared) = (self.clone(), shared.clone());
+                tokio::task::spawn_local(executor::report(shared, desk, endpoint));
+            }
+            Output::Deposed(endpoint) => {
+                emit!(shared, warn, HolderEnded; "zone" => &*self.zone, "token" => self.token,
+                    "why" => "a later token was used", "endpoint" => &*endpoint);
+                claim::on_deposed(shared, self);
+            }
+        }
+    }
+
+    fn decide(&self, ask: AskId, decision: Decision) {
+        if ask.source == OWN_SOURCE {
+            if let Some(tell) = self.own.borrow_mut().remove(&ask.ticket) {
+                // Who asked may have left; its end follows.
+                tell.send(decision).ok();
+            }
+            return;
+        }
+        let sources = self.sources.borrow();
+        if let Some(source) = sources.get(&ask.source) {
+            let bytes = frame::encode(&decision.into_frame(ask.ticket));
+            // A full queue ends the session there, and with it the grant.
+            source.frames.try_send(Ok(bytes)).ok();
+        }
+    }
+}
+
+/// Frames that wait for one connection; a holder of the largest deployments sends some hundred
+/// a second to one instance.
+pub(crate) const FRAME_QUEUE: usize = 1024;
+
+/// Makes a queue of frames.
+pub(crate) fn frames() -> (
+    Outgoing,
+    mpsc::Receiver<Result<bytes::Bytes, caraway_http::Aborted>>,
+) {
+    mpsc::channel(FRAME_QUEUE)
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/executor.rs
@@ -0,0 +1,141 @@
+//! Carrying out a placer's orders and questions for reports.
+
+use std::{rc::Rc, time::Duration};
+
+use caraway_http::{Payload, read_whole};
+use caraway_placement::{Action, Order, OrderEnd, Report};
+use caraway_platform::{Command, order_end, order_request, report_request};
+use caraway_types::EndpointId;
+use caraway_wire::CallError;
+use http::{Request, StatusCode};
+use tokio::time::{Instant, timeout};
+
+use crate::{desk::Desk, event::emit, shared::Shared};
+
+/// Longest time for which an order's answer is awaited; endpoints answer within a few ms, and an
+/// instance at a fifth of its speed within some 50.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
+/// Longest time for which a report is awaited.
+const REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 1 << 20;
+
+/// Sends an order and tells the placer how it ended.
+pub(crate) async fn order(shared: Rc<Shared>, desk: Rc<Desk>, order: Order) {
+    let start = Instant::now();
+    let endpoint = order.endpoint.clone();
+    let addr = shared.directory.borrow().get(&endpoint).map(|e| e.addr);
+    let end = match addr {
+        None => OrderEnd::Elsewhere,
+        Some(addr) => {
+            let command = Command {
+                order: &order,
+                holder: &shared.site.instance,
+                token: desk.token,
+            };
+            let request = order_request(addr, &command);
+            match call(&shared, &endpoint, request, ORDER_LIMIT).await {
+                Ok((status, _)) => order_end(status),
+                Err(CallError::NotSent(_)) => OrderEnd::NotSent,
+                Err(_) => OrderEnd::Unanswered,
+            }
+        }
+    };
+    let (action, name) = (action_name(order.action), end_name(end));
+    shared.metrics.order(action, name);
+    shared.metrics.load(start.elapsed());
+    emit!(shared, info, Ordered; "zone" => &*desk.zone, "token" => desk.token,
+        "endpoint" => &*endpoint, "order" => action, "adapter" => %order.model,
+        "expect" => order.expect, "number" => order.number, "end" => name,
+        "ms" => millis(start.elapsed()));
+    desk.with(&shared, |placer, now| {
+        placer.on_order_end(now, &endpoint, order.number, end);
+    });
+}
+
+/// Asks for a report and gives it to the placer.
+pub(crate) async fn report(shared: Rc<Shared>, desk: Rc<Desk>, endpoint: EndpointId) {
+    let addr = shared.directory.borrow().get(&endpoint).map(|e| e.addr);
+    let report = match addr {
+        None => Err("the endpoint is not in the registry".to_owned()),
+        Some(addr) => fetch_report(&shared, &endpoint, report_request(addr, &endpoint)).await,
+    };
+    match &report {
+        Ok(report) => emit!(shared, info, Reported; "zone" => &*desk.zone,
+            "endpoint" => &*endpoint, "orders" => report.orders, "held" => report.held.len(),
+            "incoming" => report.incoming.len(), "running" => report.running,
+            "waiting" => report.waiting),
+        Err(why) => emit!(shared, warn, ReportMissing; "zone" => &*desk.zone,
+            "endpoint" => &*endpoint, "error" => why),
+    }
+    desk.with(&shared, |placer, now| {
+        placer.on_report(now, &endpoint, report.ok());
+    });
+}
+
+async fn fetch_report(
+    shared: &Shared,
+    endpoint: &EndpointId,
+    request: Request<Payload>,
+) -> Result<Report, String> {
+    let (status, body) = call(shared, endpoint, request, REPORT_LIMIT)
+        .await
+        .map_err(|e| e.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("status {}", status.as_u16()));
+    }
+    caraway_platform::report(&body).map_err(|e| e.to_string())
+}
+
+async fn call(
+    shared: &Shared,
+    endpoint: &EndpointId,
+    request: Request<Payload>,
+    limit: Duration,
+) -> Result<(StatusCode, bytes::Bytes), CallError> {
+    let addr = shared.directory.borrow().get(endpoint).map(|e| e.addr);
+    let Some(addr) = addr else {
+        return Err(CallError::NotSent("the endpoint is gone".into()));
+    };
+    let exchange = async {
+        let mut pooled = shared.pool.take(endpoint, addr).await?;
+        let answer = pooled.link.send(request).await?;
+        let status = answer.status();
+        let head = caraway_platform::answer_head(status, answer.headers());
+        let body = read_whole(answer.into_body(), ANSWER_LIMIT_BYTES)
+            .await
+            .map_err(|e| CallError::Unknown(e.to_string().into()))?;
+        if !head.closes {
+            shared.pool.put(endpoint, pooled, head.keep);
+        }
+        Ok((status, body))
+    };
+    timeout(limit, exchange)
+        .await
+        .unwrap_or(Err(CallError::Timeout))
+}
+
+fn action_name(action: Action) -> &'static str {
+    match action {
+        Action::Load => "load",
+        Action::Unload => "unload",
+    }
+}
+
+fn end_name(end: OrderEnd) -> &'static str {
+    match end {
+        OrderEnd::Accepted => "accepted",
+        OrderEnd::Holds => "holds",
+        OrderEnd::Conflict => "conflict",
+        OrderEnd::Fenced => "fenced",
+        OrderEnd::Elsewhere => "elsewhere",
+        OrderEnd::Rejected => "rejected",
+        OrderEnd::Unanswered => "unanswered",
+        OrderEnd::NotSent => "not sent",
+    }
+}
+
+/// Returns whole milliseconds for a log line.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/follow.rs
@@ -0,0 +1,423 @@
+//! Following the platform's store: the configuration, the registry of endpoints, the holders.
+
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+
+use caraway_platform::{
+    OperatorKey, Record, StoreError, Topic, announced, configuration, operator_key, registry_entry,
+};
+use caraway_routes::{Change, Endpoint, Lapse, ModelRef};
+use caraway_types::{EndpointId, Offset, ZoneId};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    claim,
+    desk::Desk,
+    event::emit,
+    frame::{FromHolder, RecordsFrame, ToHolder},
+    shared::Shared,
+};
+
+/// Time for which the store is asked to wait for records of a topic that changes rarely.
+const LONG_WAIT: Duration = Duration::from_secs(15);
+/// Pause between reads of the registry: a leaving endpoint is known within a third of the
+/// shortest time (2 s) that the deployments allow, and reads are priced.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
+/// Pause after a failed call to the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time without a successful read after which entries may have lapsed.
+const OUTAGE: Duration = Duration::from_millis(1500);
+/// Time after the store's return in which lapsed entries come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// How far this instance has read the topics.
+#[derive(Debug, Default)]
+pub(crate) struct Topics {
+    states: HashMap<Topic, TopicState>,
+    /// When this instance claims a zone, unless its holder is back by then.
+    pub(crate) claims: HashMap<ZoneId, Instant>,
+    /// Whether a claim is on its way.
+    pub(crate) is_claiming: bool,
+}
+
+#[derive(Debug, Default)]
+struct TopicState {
+    next: Option<Offset>,
+    /// When the topic was read last.
+    read: Option<Instant>,
+    failing: bool,
+    /// Until when entries may come back that lapsed while the store was away.
+    lapse: Option<Instant>,
+    wake: Rc<Notify>,
+}
+
+impl Topics {
+    /// Tells whether a topic was read to its end once.
+    pub(crate) fn is_read(&self, topic: Topic) -> bool {
+        self.next(topic).is_some()
+    }
+
+    /// Returns where a topic is read on.
+    pub(crate) fn next(&self, topic: Topic) -> Option<Offset> {
+        self.states.get(&topic)?.next
+    }
+
+    /// Lets a topic be read at once.
+    pub(crate) fn wake(&self, topic: Topic) {
+        if let Some(state) = self.states.get(&topic) {
+            state.wake.notify_one();
+        }
+    }
+
+    fn state(&mut self, topic: Topic) -> &mut TopicState {
+        self.states.entry(topic).or_default()
+    }
+}
+
+/// Follows one topic for as long as the daemon runs.
+pub(crate) async fn follow(shared: Rc<Shared>, topic: Topic) {
+    let wake = shared.topics.borrow_mut().state(topic).wake.clone();
+    loop {
+        let result = step(&shared, topic, &wake).await;
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        shared.metrics.store_call(topic.label(), label);
+        let pause = match result {
+            Ok(()) => {
+                on_reached(&shared, topic);
+                if topic == Topic::Endpoints {
+                    REGISTRY_PAUSE
+                } else {
+                    Duration::ZERO
+                }
+            }
+            Err(e) => {
+                on_failed(&shared, topic, &e);
+                RETRY_PAUSE
+            }
+        };
+        if !pause.is_zero() {
+            tokio::select! {
+                () = sleep(pause) => {}
+                () = wake.notified() => {}
+            }
+        }
+    }
+}
+
+/// Takes records that another instance passed on.
+pub(crate) fn on_records(shared: &Rc<Shared>, frame: &RecordsFrame) {
+    let topic = Topic::ALL.into_iter().find(|t| t.label() == &*frame.topic);
+    let Some(topic) = topic else {
+        return;
+    };
+    let next = shared.topics.borrow().next(topic);
+    // Records that don't join what is known are read from the store.
+    if next.is_some_and(|n| frame.from <= n && n < frame.next) {
+        take(shared, topic, frame.from, frame.next, &frame.records);
+    }
+}
+
+/// Takes a record that this instance has appended at `at`.
+pub(crate) fn on_own_append(shared: &Rc<Shared>, topic: Topic, at: Offset, record: &Record) {
+    let next = shared.topics.borrow().next(topic);
+    if next == Some(at) && record.offset == at {
+        take(shared, topic, at, at + 1, std::slice::from_ref(record));
+    }
+    shared.topics.borrow().wake(topic);
+}
+
+/// Tells a new placer what is known of its endpoints.
+pub(crate) fn fill_desk(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+    let routing = shared.routing();
+    let endpoints: Vec<Arc<Endpoint>> = {
+        let directory = shared.directory.borrow();
+        directory
+            .all()
+            .filter(|e| e.zone == desk.zone)
+            .cloned()
+            .collect()
+    };
+    let newest: Vec<(ModelRef, u64)> = {
+        let newest = shared.newest.borrow();
+        newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
+    };
+    desk.with(shared, |placer, now| {
+        for service in routing.iter().flat_map(|r| r.services()) {
+            if let Some(engine) = &service.engine {
+                placer.set_places(&service.name, engine.adapter_places());
+            }
+        }
+        for (model, version) in &newest {
+            placer.on_version(now, model, *version);
+        }
+        for endpoint in endpoints.iter().filter(|e| !e.models.is_empty()) {
+            placer.on_endpoint(now, endpoint, Change::New);
+        }
+    });
+}
+
+/// Drops the endpoints whose entries did not come back in time.
+pub(crate) fn expire(shared: &Rc<Shared>) {
+    let gone = shared.directory.borrow_mut().expire(Shared::now());
+    for id in gone {
+        on_gone(shared, &id, "its entry did not come back");
+    }
+}
+
+async fn step(shared: &Rc<Shared>, topic: Topic, wake: &Notify) -> Result<(), StoreError> {
+    let next = shared.topics.borrow().next(topic);
+    let Some(from) = next else {
+        return read_newest(shared, topic).await;
+    };
+    let wait = if topic == Topic::Endpoints {
+        Duration::ZERO
+    } else {
+        LONG_WAIT
+    };
+    let read = tokio::select! {
+        read = shared.store.read(topic, from, wait) => read,
+        () = wake.notified(), if !wait.is_zero() => return Ok(()),
+    };
+    match read {
+        Ok(log) => {
+            take(shared, topic, from, log.next, &log.records);
+            Ok(())
+        }
+        Err(StoreError::Trimmed) => read_newest(shared, topic).await,
+        Err(e) => Err(e),
+    }
+}
+
+async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
+    let newest = shared.store.newest(topic).await?;
+    let lapse = lapse(shared, topic);
+    if topic == Topic::Endpoints {
+        let present = |id: &str| newest.records.iter().any(|r| &*r.key == id);
+        let gone = shared.directory.borrow_mut().retain(present, lapse);
+        for id in gone {
+            on_gone(shared, &id, "it has no entry");
+        }
+    }
+    let mut records = newest.records;
+    records.sort_by_key(|r| r.offset);
+    for record in &records {
+        apply(shared, topic, record, lapse);
+    }
+    shared.topics.borrow_mut().state(topic).next = Some(newest.next);
+    Ok(())
+}
+
+/// Applies the records from `from` on that are new here, and passes them on.
+fn take(shared: &Rc<Shared>, topic: Topic, from: Offset, next: Offset, records: &[Record]) {
+    let known = shared.topics.borrow().next(topic).unwrap_or(from);
+    if next <= known {
+        return;
+    }
+    shared.topics.borrow_mut().state(topic).next = Some(next);
+    let lapse = lapse(shared, topic);
+    let fresh: Vec<Record> = records
+        .iter()
+        .filter(|r| r.offset >= known)
+        .cloned()
+        .collect();
+    for record in &fresh {
+        apply(shared, topic, record, lapse);
+    }
+    pass_on(shared, topic, known, next, fresh);
+}
+
+fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse) {
+    match topic {
+        Topic::Operators => apply_operators(shared, record),
+        Topic::Endpoints => apply_endpoint(shared, record, lapse),
+        Topic::Holders => claim::on_record(shared, record),
+    }
+}
+
+fn apply_operators(shared: &Rc<Shared>, record: &Record) {
+    let Some(value) = record.value.as_deref() else {
+        return;
+    };
+    match operator_key(&record.key) {
+        OperatorKey::Configuration => match configuration(value) {
+            Ok((routing, findings)) => {
+                for finding in findings.list() {
+                    emit!(shared, warn, ConfigFinding; "offset" => record.offset,
+                        "place" => &*finding.place, "finding" => &*finding.problem);
+                }
+                apply_routing(shared, routing, record.offset);
+            }
+            Err(findings) => emit!(shared, error, ConfigFinding; "offset" => record.offset,
+                "finding" => %findings),
+        },
+        OperatorKey::Version => match announced(value) {
+            Ok(announced) => apply_version(shared, &announced.model, announced.version),
+            Err(findings) => emit!(shared, warn, ConfigFinding; "key" => &*record.key,
+                "offset" => record.offset, "finding" => %findings),
+        },
+        OperatorKey::Other => {}
+    }
+}
+
+fn apply_routing(shared: &Rc<Shared>, routing: caraway_routes::Routing, offset: Offset) {
+    let former = shared.routing().map_or(0, |r| r.version);
+    if routing.version <= former {
+        return;
+    }
+    emit!(shared, info, ConfigApplied; "version" => routing.version, "former" => former,
+        "offset" => offset, "routes" => routing.routes().len());
+    *shared.routing.borrow_mut() = Some(Arc::new(routing));
+    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    for desk in desks {
+        fill_places(shared, &desk);
+    }
+}
+
+fn fill_places(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+    let Some(routing) = shared.routing() else {
+        return;
+    };
+    desk.with(shared, |placer, _| {
+        for service in routing.services() {
+            if let Some(engine) = &service.engine {
+                placer.set_places(&service.name, engine.adapter_places());
+            }
+        }
+    });
+}
+
+fn apply_version(shared: &Rc<Shared>, model: &ModelRef, version: u64) {
+    let former = shared.newest.borrow().get(model).copied().unwrap_or(0);
+    if version <= former {
+        return;
+    }
+    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => version,
+        "former" => former);
+    shared.newest.borrow_mut().insert(model.clone(), version);
+    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    for desk in desks {
+        desk.with(shared, |placer, now| placer.on_version(now, model, version));
+    }
+}
+
+fn apply_endpoint(shared: &Rc<Shared>, record: &Record, lapse: Lapse) {
+    let id: EndpointId = record.key.clone();
+    let Some(value) = &record.value else {
+        if shared.directory.borrow_mut().remove(&id, lapse) {
+            on_gone(shared, &id, "its entry was removed");
+        }
+        return;
+    };
+    let endpoint = match registry_entry(&id, value) {
+        Ok(endpoint) => endpoint,
+        Err(findings) => {
+            emit!(shared, warn, EntryUnusable; "endpoint" => &*id, "offset" => record.offset,
+                "finding" => %findings);
+            return;
+        }
+    };
+    let change = shared.directory.borrow_mut().put(Shared::now(), endpoint);
+    if change == Change::Same {
+        return;
+    }
+    let endpoint = shared.directory.borrow().get(&id).cloned();
+    let Some(endpoint) = endpoint else {
+        return;
+    };
+    if matches!(change, Change::New | Change::Reborn) {
+        shared.pool.forget(&id);
+        shared.chooser.borrow_mut().forget(&id);
+        emit!(shared, info, EndpointChanged; "endpoint" => &*id,
+            "change" => format!("{change:?}"), "service" => &*endpoint.service,
+            "zone" => &*endpoint.zone, "addr" => %endpoint.addr,
+            "state" => format!("{:?}", endpoint.state), "offset" => record.offset);
+    } else if !endpoint.is_ready() {
+        emit!(shared, info, EndpointChanged; "endpoint" => &*id, "change" => "Draining",
+            "zone" => &*endpoint.zone, "offset" => record.offset);
+    }
+    let desk = shared.desk(&endpoint.zone);
+    if let Some(desk) = desk.filter(|_| !endpoint.models.is_empty()) {
+        desk.with(shared, |placer, now| {
+            placer.on_endpoint(now, &endpoint, change)
+        });
+    }
+}
+
+fn on_gone(shared: &Rc<Shared>, id: &EndpointId, why: &str) {
+    emit!(shared, info, EndpointChanged; "endpoint" => &**id, "change" => "Gone", "why" => why);
+    shared.pool.forget(id);
+    shared.chooser.borrow_mut().forget(id);
+    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    for desk in desks {
+        desk.with(shared, |placer, now| placer.on_gone(now, id));
+    }
+}
+
+/// Passes records on to the instances that hold a session with this one.
+fn pass_on(shared: &Rc<Shared>, topic: Topic, from: Offset, next: Offset, records: Vec<Record>) {
+    let frame = RecordsFrame {
+        topic: topic.label().into(),
+        from,
+        next,
+        records,
+    };
+    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    if !desks.is_empty() {
+        let frame = FromHolder::Records(frame.clone());
+        for desk in desks {
+            desk.broadcast(&frame, None);
+        }
+    }
+    if topic == Topic::Operators {
+        let frame = ToHolder::Records(frame);
+        for session in shared.sessions.borrow().values() {
+            session.send(&frame);
+        }
+    }
+}
+
+/// Tells whether missing entries may come back.
+fn lapse(shared: &Shared, topic: Topic) -> Lapse {
+    let mut topics = shared.topics.borrow_mut();
+    let state = topics.state(topic);
+    let now = Instant::now();
+    let was_away = state.read.is_some_and(|r| now.duration_since(r) > OUTAGE);
+    if was_away {
+        state.lapse = Some(now + LAPSE_GRACE);
+    }
+    match state.lapse {
+        Some(until) if now < until => Lapse::Until(until.into_std()),
+        _ => Lapse::Gone,
+    }
+}
+
+fn on_reached(shared: &Rc<Shared>, topic: Topic) {
+    let now = Instant::now();
+    let mut topics = shared.topics.borrow_mut();
+    let state = topics.state(topic);
+    let away = state.read.map(|r| now.duration_since(r));
+    state.read = Some(now);
+    if !std::mem::take(&mut state.failing) {
+        return;
+    }
+    // The others may still wait on connections that carry nothing any more.
+    for other in Topic::ALL.into_iter().filter(|t| *t != topic) {
+        topics.wake(other);
+    }
+    drop(topics);
+    emit!(shared, info, StoreRegained; "topic" => topic.label(),
+        "away_ms" => away.map_or(0, crate::executor::millis));
+}
+
+fn on_failed(shared: &Rc<Shared>, topic: Topic, error: &StoreError) {
+    let first = {
+        let mut topics = shared.topics.borrow_mut();
+        let state = topics.state(topic);
+        !std::mem::replace(&mut state.failing, true)
+    };
+    if first {
+        emit!(shared, warn, StoreLost; "topic" => topic.label(), "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/frame.rs
@@ -0,0 +1,172 @@
+//! Messages between instances and the holder of an availability zone.
+//!
+//! They go both ways over one HTTP call whose request and answer bodies stay open, each with its
+//! length before it.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use caraway_placement::RefuseReason;
+use caraway_platform::Record;
+use caraway_routes::{ModelRef, TokenCount};
+use caraway_types::{EndpointId, InstanceId, Millis, Offset, Ticket, ZoneId};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+/// Bytes of the length before a frame.
+const LENGTH_BYTES: usize = 4;
+/// Largest frame that is accepted, in bytes: a configuration with its records.
+const FRAME_LIMIT_BYTES: usize = 8 << 20;
+
+/// What an instance tells a holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ToHolder {
+    /// Who speaks; the first frame.
+    Hello {
+        /// The instance.
+        instance: InstanceId,
+        /// Its availability zone.
+        zone: ZoneId,
+    },
+    /// A request wants an endpoint.
+    Ask {
+        /// The request.
+        ticket: Ticket,
+        /// The service whose endpoints may run it.
+        service: Arc<str>,
+        /// What it wants.
+        model: ModelRef,
+        /// Its size.
+        tokens: TokenCount,
+        /// Rank among requests.
+        priority: u8,
+        /// Time left until its first event is late.
+        goal: Millis,
+        /// Time left until its caller stops waiting.
+        deadline: Millis,
+        /// Endpoints that did not run it.
+        avoid: Vec<EndpointId>,
+    },
+    /// A request that a former holder let run still runs.
+    Running {
+        /// The request.
+        ticket: Ticket,
+        /// Where it runs.
+        endpoint: EndpointId,
+        /// What it runs on.
+        model: ModelRef,
+    },
+    /// A request has ended.
+    End {
+        /// The request.
+        ticket: Ticket,
+        /// How.
+        end: EndKind,
+    },
+    /// Asks for a sign of life.
+    Ping,
+    /// Records of the platform's store.
+    Records(RecordsFrame),
+}
+
+/// How a request ended; see [`caraway_placement::End`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum EndKind {
+    /// The endpoint worked on it, or its caller left.
+    Done,
+    /// The endpoint does not hold the adapter.
+    NotHeld,
+    /// The endpoint did not run it.
+    Refused,
+    /// The endpoint could not be reached, or broke off.
+    Failed,
+}
+
+/// What a holder tells an instance.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum FromHolder {
+    /// A sign of life.
+    Pong {
+        /// Instances of the asker's zone that are connected, the holder included where it is one.
+        peers: usize,
+    },
+    /// A request may run.
+    Grant {
+        /// The request.
+        ticket: Ticket,
+        /// Where.
+        endpoint: EndpointId,
+        /// The endpoint's address.
+        addr: SocketAddr,
+        /// Whether the request waited for a load or a slot.
+        waited: bool,
+    },
+    /// A request gets no endpoint.
+    Refuse {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        reason: RefuseReason,
+        /// When to come back.
+        after: Millis,
+    },
+    /// The instance does not hold the zone.
+    NotHolder,
+    /// Records of the platform's store.
+    Records(RecordsFrame),
+}
+
+/// Records of a topic of the platform's store, passed on between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct RecordsFrame {
+    /// The topic's label.
+    pub(crate) topic: Arc<str>,
+    /// Where the records begin.
+    pub(crate) from: Offset,
+    /// Where to read on.
+    pub(crate) next: Offset,
+    /// The records.
+    pub(crate) records: Vec<Record>,
+}
+
+/// Encodes a frame.
+pub(crate) fn encode<T: Serialize>(frame: &T) -> Bytes {
+    let body = rmp_serde::to_vec(frame).expect("frames have only plain data");
+    let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    bytes.put_u32(u32::try_from(body.len()).expect("frames are short"));
+    bytes.put_slice(&body);
+    bytes.freeze()
+}
+
+/// Cuts frames out of a stream of bytes.
+#[derive(Debug, Default)]
+pub(crate) struct FrameReader {
+    buffer: BytesMut,
+}
+
+/// Says that a stream of bytes holds no frames.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BadFrame;
+
+impl FrameReader {
+    /// Adds bytes.
+    pub(crate) fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole frame.
+    pub(crate) fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, BadFrame> {
+        let Some(mut head) = self.buffer.get(..LENGTH_BYTES) else {
+            return Ok(None);
+        };
+        let len = head.get_u32() as usize;
+        if len > FRAME_LIMIT_BYTES {
+            return Err(BadFrame);
+        }
+        if self.buffer.len() < LENGTH_BYTES + len {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        let body = self.buffer.split_to(len);
+        rmp_serde::from_slice(&body).map(Some).map_err(|_| BadFrame)
+    }
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/generate.rs
@@ -0,0 +1,337 @@
+//! Generations: an endpoint is placed, the request sent there, its stream passed on.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use caraway_http::{Payload, Pooled, read_whole};
+use caraway_placement::RefuseReason;
+use caraway_platform::{AnswerHead, answer_head, copy_answer};
+use caraway_types::{EndpointId, Reason};
+use caraway_wire::CallError;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    event::emit,
+    executor::millis,
+    frame::EndKind,
+    place::{NotPlaced, Placed, Want, place},
+    plain::{answer_of, foreign, note_sent, onward, put_back, take_budget},
+    relay::{self, Relay},
+    request::{Call, InFlight, Refused},
+    shared::Shared,
+    sse::EventCutter,
+};
+
+/// Sendings of one request while no endpoint has run it.
+const TRIES: u32 = 4;
+/// Largest failure of an endpoint that is read whole, in bytes.
+const FAILURE_LIMIT_BYTES: usize = 1 << 20;
+/// Time before the final answer that a further try needs to make sense: a first event takes some
+/// 30 ms on an idle engine.
+pub(crate) const SHORTEST_TRY: Duration = Duration::from_millis(40);
+
+/// A stream that has begun.
+#[derive(Debug)]
+pub(crate) struct Begun {
+    pub(crate) placed: Placed,
+    pub(crate) pooled: Pooled,
+    pub(crate) head: AnswerHead,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    /// The first bytes; `None` when the stream is empty.
+    pub(crate) first: Option<Bytes>,
+    pub(crate) body: Incoming,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+enum Attempt {
+    /// Events come.
+    Begun(Box<Begun>),
+    /// A whole answer that is not a success.
+    Answer(Response<Payload>),
+    /// The endpoint did not run the request.
+    NotRun(&'static str),
+    /// The endpoint may have run the request.
+    InDoubt(&'static str),
+}
+
+/// What is known of a request's attempts so far.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Attempts that reached an endpoint.
+    pub(crate) sent: u32,
+    /// Attempts that may have run.
+    pub(crate) ran: u32,
+    /// Endpoints that did not run it, or failed.
+    pub(crate) avoid: Vec<EndpointId>,
+}
+
+/// Serves a generation.
+pub(crate) async fn serve(
+    shared: &Rc<Shared>,
+    call: Rc<Call>,
+    in_flight: InFlight,
+) -> Result<Response<Payload>, Refused> {
+    let mut progress = Progress::default();
+    let begun = match begin(shared, &call, &mut progress, None).await? {
+        Begin::Stream(begun) => begun,
+        Begin::Answer(response) => return Ok(response),
+    };
+    let mut response = Response::new(Payload::empty());
+    *response.status_mut() = begun.status;
+    *response.headers_mut() = copy_answer(&begun.headers);
+    let relay = Relay::new(
+        shared.clone(),
+        call,
+        progress,
+        EventCutter::default(),
+        in_flight,
+    );
+    *response.body_mut() = relay::start(relay, *begun);
+    Ok(response)
+}
+
+/// What a request's attempts lead to.
+#[derive(Debug)]
+pub(crate) enum Begin {
+    /// Events come.
+    Stream(Box<Begun>),
+    /// A whole answer that is not a success.
+    Answer(Response<Payload>),
+}
+
+/// Tries endpoints until one gives events or a final answer.
+pub(crate) async fn begin(
+    shared: &Rc<Shared>,
+    call: &Call,
+    progress: &mut Progress,
+    resume_after: Option<&str>,
+) -> Result<Begin, Refused> {
+    let mut kept = None;
+    loop {
+        let want = want(call);
+        let placed = match place(shared, &want, &progress.avoid).await {
+            Ok(placed) => placed,
+            Err(_) if kept.is_some() => break,
+            Err(not) => return Err(not_placed(progress, not)),
+        };
+        shared.metrics.place(call.arrived.elapsed());
+        emit!(shared, info, Granted; "request" => &*call.head.id, "adapter" => %want.model,
+            "endpoint" => &*placed.endpoint, "by" => placed.zone.as_deref().unwrap_or("registry"),
+            "waited" => placed.waited, "sent" => progress.sent,
+            "ms" => millis(call.arrived.elapsed()));
+        let endpoint = placed.endpoint.clone();
+        let why = match attempt(shared, call, placed, progress, resume_after).await {
+            Attempt::Begun(begun) => return Ok(Begin::Stream(begun)),
+            Attempt::Answer(response) => {
+                if !response.status().is_server_error() || !may_rerun(shared, call, progress) {
+                    return Ok(Begin::Answer(response));
+                }
+                kept = Some(response);
+                "the endpoint failed"
+            }
+            Attempt::NotRun(why) => {
+                if progress.sent >= TRIES || progress.sent > 0 && !take_budget(shared, call) {
+                    return Err(Refused::not_run(Reason::NoEndpoint, why).after(BUSY_RETURN));
+                }
+                why
+            }
+            Attempt::InDoubt(why) => {
+                if !may_rerun(shared, call, progress) {
+                    return Err(in_doubt(call, why));
+                }
+                why
+            }
+        };
+        progress.avoid.push(endpoint);
+        if Instant::now() + SHORTEST_TRY > call.last {
+            break;
+        }
+        shared.metrics.repeat("stream");
+        emit!(shared, info, Repeated; "request" => &*call.head.id, "why" => why,
+            "sent" => progress.sent, "ms" => millis(call.arrived.elapsed()));
+    }
+    match kept {
+        Some(response) => Ok(Begin::Answer(response)),
+        None => Err(in_doubt(call, "no attempt gave an answer in time")),
+    }
+}
+
+/// When a caller may come back whose request no endpoint took.
+const BUSY_RETURN: Duration = Duration::from_millis(300);
+
+/// Tells whether a request that may have run is sent again, and takes it from the budget.
+pub(crate) fn may_rerun(shared: &Shared, call: &Call, progress: &Progress) -> bool {
+    call.route.may_rerun()
+        && progress.ran < call.route.attempts
+        && Instant::now() + SHORTEST_TRY < call.last
+        && take_budget(shared, call)
+}
+
+fn want(call: &Call) -> Want {
+    Want {
+        service: call.service.clone(),
+        model: call
+            .head
+            .model
+            .clone()
+            .unwrap_or_else(|| unreachable!("a generation names its model")),
+        tokens: call.head.tokens,
+        priority: call.route.priority,
+        goal: call.arrived + call.route.goal,
+        deadline: call.last,
+    }
+}
+
+fn not_placed(progress: &Progress, not: NotPlaced) -> Refused {
+    let detail = match not.reason {
+        RefuseReason::NoEndpoint => "no endpoint of the service takes work",
+        RefuseReason::Deadline => "the adapter can't be there in time",
+        RefuseReason::Leaving => "the placer stops",
+    };
+    if progress.ran > 0 {
+        return Refused::in_doubt(Reason::EndpointFailed, detail);
+    }
+    let reason = match not.reason {
+        RefuseReason::Deadline => Reason::Deadline,
+        RefuseReason::Leaving => Reason::Leaving,
+        RefuseReason::NoEndpoint => Reason::NoEndpoint,
+    };
+    Refused::not_run(reason, detail).after(not.after)
+}
+
+fn in_doubt(call: &Call, why: &str) -> Refused {
+    if Instant::now() + SHORTEST_TRY > call.last {
+        Refused::in_doubt(Reason::Deadline, why)
+    } else {
+        Refused::in_doubt(Reason::EndpointFailed, why)
+    }
+}
+
+async fn attempt(
+    shared: &Rc<Shared>,
+    call: &Call,
+    placed: Placed,
+    progress: &mut Progress,
+    resume_after: Option<&str>,
+) -> Attempt {
+    let start = Instant::now();
+    let endpoint = placed.endpoint.clone();
+    let outcome = exchange(shared, call, placed, progress, resume_after).await;
+    if let Attempt::NotRun(why) | Attempt::InDoubt(why) = &outcome {
+        shared.metrics.attempt_failed(why);
+        emit!(shared, info, AttemptFailed; "request" => &*call.head.id,
+            "endpoint" => &*endpoint, "why" => *why,
+            "in_doubt" => matches!(outcome, Attempt::InDoubt(_)),
+            "ms" => millis(start.elapsed()));
+    }
+    outcome
+}
+
+async fn exchange(
+    shared: &Rc<Shared>,
+    call: &Call,
+    placed: Placed,
+    progress: &mut Progress,
+    resume_after: Option<&str>,
+) -> Attempt {
+    let failed = |placed: &Placed| placed.run.set_end(EndKind::Failed);
+    let until = call.last;
+    let connect = shared.pool.take(&placed.endpoint, placed.addr);
+    let Ok(Ok(mut pooled)) = timeout_at(until, connect).await else {
+        failed(&placed);
+        return Attempt::NotRun("can't connect");
+    };
+    let request = onward(call, &placed.endpoint, resume_after, until);
+    note_sent(shared, call, progress.sent);
+    let answer = match timeout_at(until, pooled.link.send(request)).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(CallError::NotSent(_))) => return Attempt::NotRun("the connection had ended"),
+        Ok(Err(_)) => {
+            (progress.sent, progress.ran) = (progress.sent + 1, progress.ran + 1);
+            failed(&placed);
+            return Attempt::InDoubt("the connection broke");
+        }
+        Err(_) => {
+            (progress.sent, progress.ran) = (progress.sent + 1, progress.ran + 1);
+            return Attempt::InDoubt("no answer in time");
+        }
+    };
+    progress.sent += 1;
+    let (status, headers) = (answer.status(), answer.headers().clone());
+    let head = answer_head(status, &headers);
+    if let Some(fault) = foreign(call, &head, status) {
+        progress.ran += 1;
+        failed(&placed);
+        return Attempt::InDoubt(fault);
+    }
+    let mut body = answer.into_body();
+    if head.not_run || !status.is_success() {
+        return whole(
+            shared,
+            call,
+            placed,
+            pooled,
+            body,
+            (status, &headers, &head),
+            progress,
+        )
+        .await;
+    }
+    progress.ran += 1;
+    let first = match timeout_at(until, body.frame()).await {
+        Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
+        Ok(None) => None,
+        Ok(Some(Err(_))) => {
+            failed(&placed);
+            return Attempt::InDoubt("the stream broke off before its first event");
+        }
+        Err(_) => return Attempt::InDoubt("no event in time"),
+    };
+    Attempt::Begun(Box::new(Begun {
+        placed,
+        pooled,
+        head,
+        status,
+        headers,
+        first,
+        body,
+    }))
+}
+
+/// Reads an answer that is no stream of events.
+async fn whole(
+    shared: &Rc<Shared>,
+    call: &Call,
+    placed: Placed,
+    pooled: Pooled,
+    body: Incoming,
+    (status, headers, head): (StatusCode, &HeaderMap, &AnswerHead),
+    progress: &mut Progress,
+) -> Attempt {
+    let body = timeout_at(call.last, read_whole(body, FAILURE_LIMIT_BYTES)).await;
+    if let Ok(Ok(_)) = &body {
+        put_back(shared, &placed.endpoint, pooled, head);
+    }
+    if head.not_run {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            placed.run.set_end(EndKind::NotHeld);
+            return Attempt::NotRun("the endpoint does not hold the adapter");
+        }
+        placed.run.set_end(EndKind::Refused);
+        return Attempt::NotRun("the endpoint did not run it");
+    }
+    progress.ran += 1;
+    if status.is_server_error() {
+        placed.run.set_end(EndKind::Failed);
+    }
+    match body {
+        Ok(Ok(body)) => Attempt::Answer(answer_of(status, headers, body)),
+        _ => Attempt::InDoubt("the answer broke off"),
+    }
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/lib.rs
@@ -0,0 +1,32 @@
+//! The daemon on each instance in front of a deployment that has its own platform: it takes
+//! callers' requests, places adapters on engine endpoints and passes answers on.
+//!
+//! One thread does everything: an instance has a part of one core, and every change of threads on
+//! a request's path would cost it a wake-up.
+
+mod claim;
+mod desk;
+mod event;
+mod executor;
+mod follow;
+mod frame;
+mod front;
+mod generate;
+mod log;
+mod metrics;
+mod peer;
+mod place;
+mod plain;
+mod relay;
+mod request;
+mod run;
+mod serve;
+mod session;
+mod shared;
+mod sse;
+
+pub use event::Event;
+pub use log::{LogLimits, LogQueue, json_logger};
+pub use metrics::{METRICS, MetricInfo};
+pub use run::{Options, run};
+pub use sse::EventCutter;
--- /dev/null
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -0,0 +1,211 @@
+//! [`Metrics`] of the daemon; docs/METRICS.md is their catalogue.
+//!
+//! No label has more values than there are kinds of request, outcomes or topics, so that the
+//! number of series does not grow with adapters or endpoints.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+/// Upper bounds of the buckets for times, in seconds.
+const TIME_BOUNDS_SECONDS: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 12.0,
+];
+
+/// One metric: its name as exported, its unit and its labels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MetricInfo {
+    /// The exported name.
+    pub name: &'static str,
+    /// The unit.
+    pub unit: &'static str,
+    /// The labels.
+    pub labels: &'static [&'static str],
+}
+
+/// Every metric of the daemon.
+pub const METRICS: &[MetricInfo] = &[
+    metric(
+        "caraway_gateway_requests_total",
+        "requests",
+        &["kind", "outcome"],
+    ),
+    metric("caraway_gateway_answer_seconds", "seconds", &["kind"]),
+    metric("caraway_gateway_place_seconds", "seconds", &[]),
+    metric(
+        "caraway_gateway_attempts_failed_total",
+        "attempts",
+        &["why"],
+    ),
+    metric("caraway_gateway_repeats_total", "requests", &["kind"]),
+    metric("caraway_gateway_orders_total", "orders", &["order", "end"]),
+    metric("caraway_gateway_load_seconds", "seconds", &[]),
+    metric(
+        "caraway_gateway_store_calls_total",
+        "calls",
+        &["topic", "result"],
+    ),
+    metric("caraway_gateway_config_version", "version", &[]),
+    metric("caraway_gateway_in_flight", "requests", &[]),
+    metric("caraway_gateway_waiting", "requests", &[]),
+    metric("caraway_gateway_holding", "zones", &[]),
+    metric("caraway_gateway_log_lines_dropped", "lines", &[]),
+];
+
+/// The instruments of the daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    answer: Histogram<f64>,
+    place: Histogram<f64>,
+    attempts_failed: Counter<u64>,
+    repeats: Counter<u64>,
+    orders: Counter<u64>,
+    load: Histogram<f64>,
+    store_calls: Counter<u64>,
+    config_version: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    waiting: Gauge<u64>,
+    holding: Gauge<u64>,
+    lines_dropped: Gauge<u64>,
+}
+
+/// Values that are read when the metrics are asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Levels {
+    /// Version of the configuration in force.
+    pub(crate) config_version: u64,
+    /// Requests that are being served.
+    pub(crate) in_flight: u64,
+    /// Requests that wait at this instance's placers.
+    pub(crate) waiting: u64,
+    /// Availability zones whose endpoints this instance holds.
+    pub(crate) holding: u64,
+    /// Log lines that found the queue full.
+    pub(crate) lines_dropped: u64,
+}
+
+impl Metrics {
+    /// Makes the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exporter can't be set up.
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .without_target_info()
+            .without_units()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("caraway-gateway");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let times = |name: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_boundaries(TIME_BOUNDS_SECONDS.to_vec())
+                .build()
+        };
+        Ok(Self {
+            registry,
+            requests: counter("caraway_gateway_requests"),
+            answer: times("caraway_gateway_answer_seconds"),
+            place: times("caraway_gateway_place_seconds"),
+            attempts_failed: counter("caraway_gateway_attempts_failed"),
+            repeats: counter("caraway_gateway_repeats"),
+            orders: counter("caraway_gateway_orders"),
+            load: times("caraway_gateway_load_seconds"),
+            store_calls: counter("caraway_gateway_store_calls"),
+            config_version: gauge("caraway_gateway_config_version"),
+            in_flight: gauge("caraway_gateway_in_flight"),
+            waiting: gauge("caraway_gateway_waiting"),
+            holding: gauge("caraway_gateway_holding"),
+            lines_dropped: gauge("caraway_gateway_log_lines_dropped"),
+            _provider: provider,
+        })
+    }
+
+    /// Writes every metric in the text format that scrapers read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a metric can't be written.
+    pub(crate) fn text(&self, levels: Levels) -> anyhow::Result<String> {
+        self.config_version.record(levels.config_version, &[]);
+        self.in_flight.record(levels.in_flight, &[]);
+        self.waiting.record(levels.waiting, &[]);
+        self.holding.record(levels.holding, &[]);
+        self.lines_dropped.record(levels.lines_dropped, &[]);
+        let mut text = String::new();
+        TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn request(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts an answer whose head, or first event, came `wait` after the request.
+    pub(crate) fn answer(&self, kind: &'static str, wait: Duration) {
+        let labels = [KeyValue::new("kind", kind)];
+        self.answer.record(wait.as_secs_f64(), &labels);
+    }
+
+    /// Counts the time until an endpoint was granted.
+    pub(crate) fn place(&self, wait: Duration) {
+        self.place.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Counts a failed attempt.
+    pub(crate) fn attempt_failed(&self, why: &'static str) {
+        self.attempts_failed.add(1, &[KeyValue::new("why", why)]);
+    }
+
+    /// Counts a request that is sent again.
+    pub(crate) fn repeat(&self, kind: &'static str) {
+        self.repeats.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts the end of an order.
+    pub(crate) fn order(&self, order: &'static str, end: &'static str) {
+        let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
+        self.orders.add(1, &labels);
+    }
+
+    /// Counts the time of an order's exchange.
+    pub(crate) fn load(&self, took: Duration) {
+        self.load.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to the platform's store.
+    pub(crate) fn store_call(&self, topic: &'static str, result: &'static str) {
+        let labels = [
+            KeyValue::new("topic", topic),
+            KeyValue::new("result", result),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+}
+
+const fn metric(
+    name: &'static str,
+    unit: &'static str,
+    labels: &'static [&'static str],
+) -> MetricInfo {
+    MetricInfo { name, unit, labels }
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/peer.rs
@@ -0,0 +1,138 @@
+//! The holder's side of sessions.
+
+use std::{rc::Rc, time::Instant};
+
+use caraway_http::Payload;
+use caraway_placement::{Ask, AskId, End, SourceId};
+use caraway_types::ZoneId;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    desk::{self, Desk},
+    follow,
+    frame::{self, EndKind, FrameReader, FromHolder, ToHolder},
+    session::{Outgoing, SILENCE_LIMIT},
+    shared::Shared,
+};
+
+/// Path of sessions; the zone's name follows.
+pub(crate) const SESSION_PATH: &str = "/session/";
+
+/// Takes a session.
+pub(crate) fn handle(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
+    let zone = request.uri().path().strip_prefix(SESSION_PATH);
+    let desk = zone.and_then(|z| shared.desk(z));
+    let mut response = Response::new(Payload::empty());
+    match desk {
+        Some(desk) if request.method() == Method::POST => {
+            let (outgoing, frames) = desk::frames();
+            *response.body_mut() = Payload::Stream(frames);
+            let asker = Asker {
+                shared: shared.clone(),
+                desk,
+                outgoing,
+                source: None,
+            };
+            tokio::task::spawn_local(asker.serve(request.into_body()));
+        }
+        _ => *response.status_mut() = StatusCode::NOT_FOUND,
+    }
+    response
+}
+
+/// An instance that asks this one.
+struct Asker {
+    shared: Rc<Shared>,
+    desk: Rc<Desk>,
+    outgoing: Outgoing,
+    source: Option<(SourceId, ZoneId)>,
+}
+
+impl Asker {
+    /// Takes the instance's frames until the session ends.
+    async fn serve(mut self, mut body: Incoming) {
+        let mut reader = FrameReader::default();
+        // An instance speaks at least at each of its signs of life.
+        while let Ok(Some(Ok(chunk))) = timeout(SILENCE_LIMIT * 2, body.frame()).await {
+            reader.feed(&chunk.into_data().unwrap_or_default());
+            while let Ok(Some(frame)) = reader.next::<ToHolder>() {
+                self.on_frame(frame);
+            }
+        }
+        if let Some((source, _)) = self.source {
+            self.desk.drop_source(&self.shared, source);
+        }
+    }
+
+    fn on_frame(&mut self, frame: ToHolder) {
+        if let ToHolder::Hello { zone, .. } = frame {
+            let source = self.desk.add_source(zone.clone(), self.outgoing.clone());
+            self.source = Some((source, zone));
+            return;
+        }
+        let Some((source, zone)) = &self.source else {
+            return;
+        };
+        let (source, desk, shared) = (*source, &self.desk, &self.shared);
+        match frame {
+            ToHolder::Hello { .. } => {}
+            ToHolder::Ask {
+                ticket,
+                service,
+                model,
+                tokens,
+                priority,
+                goal,
+                deadline,
+                avoid,
+            } => {
+                let id = AskId { source, ticket };
+                desk.with(shared, |placer, now: Instant| {
+                    let ask = Ask {
+                        service,
+                        model,
+                        tokens,
+                        priority,
+                        goal: now + goal.get(),
+                        deadline: now + deadline.get(),
+                        avoid,
+                    };
+                    placer.on_ask(now, id, ask);
+                });
+            }
+            ToHolder::Running {
+                ticket,
+                endpoint,
+                model,
+            } => {
+                let id = AskId { source, ticket };
+                desk.with(shared, |placer, _| placer.on_running(id, &endpoint, &model));
+            }
+            ToHolder::End { ticket, end } => {
+                let id = AskId { source, ticket };
+                desk.with(shared, |placer, now| placer.on_end(now, id, end.into()));
+            }
+            ToHolder::Ping => {
+                let peers = desk.peers(zone);
+                let pong = frame::encode(&FromHolder::Pong { peers });
+                // A full queue ends the session at the other end by its silence.
+                self.outgoing.try_send(Ok(pong)).ok();
+            }
+            ToHolder::Records(records) => follow::on_records(shared, &records),
+        }
+    }
+}
+
+impl From<EndKind> for End {
+    fn from(end: EndKind) -> Self {
+        match end {
+            EndKind::Done => Self::Done,
+            EndKind::NotHeld => Self::NotHeld,
+            EndKind::Refused => Self::Refused,
+            EndKind::Failed => Self::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/place.rs
@@ -0,0 +1,325 @@
+//! Getting an endpoint for a request: from a placer, or from what the registry says.
+
+use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use caraway_placement::{Ask, RefuseReason};
+use caraway_routes::{ModelRef, TokenCount, Verdict};
+use caraway_types::{EndpointId, Ticket, ZoneId};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    desk::Desk,
+    frame::{EndKind, FromHolder, ToHolder},
+    session::Session,
+    shared::{Run, Shared},
+};
+
+/// When a caller may come back that found no endpoint: an instance hears of new ones within this.
+const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
+
+/// What a placer answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Decision {
+    /// The request may run.
+    Granted {
+        /// Where.
+        endpoint: EndpointId,
+        /// The endpoint's address.
+        addr: SocketAddr,
+        /// Whether it waited for a load or a slot.
+        waited: bool,
+    },
+    /// The request gets no endpoint.
+    Refused {
+        /// Why.
+        reason: RefuseReason,
+        /// When to come back.
+        after: Duration,
+    },
+    /// The placer can't be asked any more.
+    Lost,
+}
+
+/// A request that wants an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Want {
+    pub(crate) service: Arc<str>,
+    pub(crate) model: ModelRef,
+    pub(crate) tokens: TokenCount,
+    pub(crate) priority: u8,
+    /// When the first event is on time.
+    pub(crate) goal: Instant,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Instant,
+}
+
+/// An endpoint for a request.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) addr: SocketAddr,
+    /// Whether the request waited for a load or a slot.
+    pub(crate) waited: bool,
+    /// The zone whose placer granted it; `None` where none could be asked.
+    pub(crate) zone: Option<ZoneId>,
+    pub(crate) run: RunGuard,
+}
+
+/// Why a request gets no endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NotPlaced {
+    pub(crate) reason: RefuseReason,
+    pub(crate) after: Duration,
+}
+
+/// Tells who granted the endpoint when the request has ended, also when it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    shared: Rc<Shared>,
+    ticket: Ticket,
+    by: Grantor,
+    end: Cell<EndKind>,
+}
+
+#[derive(Debug)]
+enum Grantor {
+    Desk(Rc<Desk>),
+    Session(Rc<Session>),
+    /// This instance chose by itself.
+    Own(EndpointId),
+}
+
+impl RunGuard {
+    /// Sets how the request ended; otherwise it counts as done.
+    pub(crate) fn set_end(&self, end: EndKind) {
+        self.end.set(end);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let (ticket, end) = (self.ticket, self.end.get());
+        match &self.by {
+            Grantor::Desk(desk) => {
+                self.shared.forget_run(&desk.zone, ticket);
+                // A later holder of the zone may be this instance, too.
+                let desk = self.shared.desk(&desk.zone).unwrap_or(desk.clone());
+                desk.end_own(&self.shared, ticket, end.into());
+            }
+            Grantor::Session(session) => {
+                self.shared.forget_run(&session.zone, ticket);
+                session.forget(ticket);
+                let frame = ToHolder::End { ticket, end };
+                let zone = &session.zone;
+                if let Some(desk) = self.shared.desk(zone) {
+                    desk.end_own(&self.shared, ticket, end.into());
+                } else if let Some(session) = self.shared.session(zone) {
+                    session.send(&frame);
+                }
+            }
+            Grantor::Own(endpoint) => {
+                let verdict = match end {
+                    EndKind::Done => Verdict::Dropped,
+                    EndKind::NotHeld | EndKind::Refused => Verdict::Refused,
+                    EndKind::Failed => Verdict::Broken,
+                };
+                let mut chooser = self.shared.chooser.borrow_mut();
+                chooser.on_end(Shared::now(), endpoint, verdict);
+            }
+        }
+    }
+}
+
+impl Decision {
+    /// Makes the frame that tells the decision.
+    pub(crate) fn into_frame(self, ticket: Ticket) -> FromHolder {
+        match self {
+            Self::Granted {
+                endpoint,
+                addr,
+                waited,
+            } => FromHolder::Grant {
+                ticket,
+                endpoint,
+                addr,
+                waited,
+            },
+            Self::Refused { reason, after } => FromHolder::Refuse {
+                ticket,
+                reason,
+                after: after.into(),
+            },
+            Self::Lost => FromHolder::Refuse {
+                ticket,
+                reason: RefuseReason::NoEndpoint,
+                after: NO_ENDPOINT_RETURN.into(),
+            },
+        }
+    }
+}
+
+impl Shared {
+    fn note_run(&self, zone: &ZoneId, ticket: Ticket, run: Run) {
+        let mut runs = self.runs.borrow_mut();
+        let zone: &mut HashMap<Ticket, Run> = runs.entry(zone.clone()).or_default();
+        zone.insert(ticket, run);
+    }
+
+    fn forget_run(&self, zone: &ZoneId, ticket: Ticket) {
+        if let Some(zone) = self.runs.borrow_mut().get_mut(zone) {
+            zone.remove(&ticket);
+        }
+    }
+}
+
+/// Gets an endpoint for a request, none of `avoid`.
+///
+/// Asks the placer of the adapter's zone; where that can't be reached, another zone's; where none
+/// can be, takes an endpoint that holds the adapter as the registry says.
+pub(crate) async fn place(
+    shared: &Rc<Shared>,
+    want: &Want,
+    avoid: &[EndpointId],
+) -> Result<Placed, NotPlaced> {
+    let mut zones = shared.open_zones(&want.service);
+    let mut refused = None;
+    while let Some(zone) = choose_zone(shared, want, &zones) {
+        match ask(shared, want, avoid, &zone).await {
+            Ok(placed) => return Ok(placed),
+            Err(Some(not)) if not.reason == RefuseReason::Deadline => return Err(not),
+            Err(not) => refused = not.or(refused),
+        }
+        zones.retain(|z| z.zone != zone);
+    }
+    resident(shared, want, avoid).ok_or(refused.unwrap_or(NotPlaced {
+        reason: RefuseReason::NoEndpoint,
+        after: NO_ENDPOINT_RETURN,
+    }))
+}
+
+fn choose_zone(
+    shared: &Shared,
+    want: &Want,
+    zones: &[caraway_placement::ZoneWeight],
+) -> Option<ZoneId> {
+    let peers = shared.zone_peers();
+    let mut homes = shared.homes.borrow_mut();
+    homes.choose(Shared::now(), &want.model, &shared.site.zone, peers, zones)
+}
+
+/// Asks one zone's placer; an error without a reason means that it could not be asked.
+async fn ask(
+    shared: &Rc<Shared>,
+    want: &Want,
+    avoid: &[EndpointId],
+    zone: &ZoneId,
+) -> Result<Placed, Option<NotPlaced>> {
+    let ticket = shared.ticket();
+    let (by, told) = if let Some(desk) = shared.desk(zone) {
+        let ask = Ask {
+            service: want.service.clone(),
+            model: want.model.clone(),
+            tokens: want.tokens,
+            priority: want.priority,
+            goal: want.goal.into_std(),
+            deadline: want.deadline.into_std(),
+            avoid: avoid.to_vec(),
+        };
+        let told = desk.ask_own(shared, ticket, ask);
+        (Grantor::Desk(desk), told)
+    } else if let Some(session) = shared.session(zone) {
+        let now = Instant::now();
+        let frame = ToHolder::Ask {
+            ticket,
+            service: want.service.clone(),
+            model: want.model.clone(),
+            tokens: want.tokens,
+            priority: want.priority,
+            goal: want.goal.saturating_duration_since(now).into(),
+            deadline: want.deadline.saturating_duration_since(now).into(),
+            avoid: avoid.to_vec(),
+        };
+        let told = session.ask(ticket, &frame);
+        (Grantor::Session(session), told)
+    } else {
+        return Err(None);
+    };
+    // Tells the placer also when the caller leaves while it waits.
+    let run = RunGuard {
+        shared: shared.clone(),
+        ticket,
+        by,
+        end: Cell::new(EndKind::Done),
+    };
+    match decision(told, want.deadline).await {
+        Decision::Granted {
+            endpoint,
+            addr,
+            waited,
+        } => {
+            let noted = Run {
+                endpoint: endpoint.clone(),
+                model: want.model.clone(),
+            };
+            shared.note_run(zone, ticket, noted);
+            Ok(Placed {
+                endpoint,
+                addr,
+                waited,
+                zone: Some(zone.clone()),
+                run,
+            })
+        }
+        Decision::Refused { reason, after } => Err(Some(NotPlaced { reason, after })),
+        Decision::Lost => Err(None),
+    }
+}
+
+async fn decision(told: oneshot::Receiver<Decision>, deadline: Instant) -> Decision {
+    match timeout_at(deadline, told).await {
+        Ok(Ok(decision)) => decision,
+        Ok(Err(_)) => Decision::Lost,
+        Err(_) => Decision::Refused {
+            reason: RefuseReason::Deadline,
+            after: Duration::ZERO,
+        },
+    }
+}
+
+/// Takes an endpoint that holds the adapter, without asking a placer.
+fn resident(shared: &Rc<Shared>, want: &Want, avoid: &[EndpointId]) -> Option<Placed> {
+    let newest = shared
+        .newest
+        .borrow()
+        .get(&want.model)
+        .copied()
+        .unwrap_or(0);
+    let directory = shared.directory.borrow();
+    let holds = |e: &caraway_routes::Endpoint| match &want.model.adapter {
+        None => e.has_model(&want.model.model),
+        Some(adapter) => e
+            .holds(&want.model.model, adapter)
+            .is_some_and(|v| v >= newest),
+    };
+    let candidates = directory.of_service(&want.service).filter(|e| holds(e));
+    let endpoint =
+        shared
+            .chooser
+            .borrow_mut()
+            .choose(Shared::now(), &shared.site.zone, candidates, avoid)?;
+    Some(Placed {
+        endpoint: endpoint.id.clone(),
+        addr: endpoint.addr,
+        waited: false,
+        zone: None,
+        run: RunGuard {
+            shared: shared.clone(),
+            ticket: shared.ticket(),
+            by: Grantor::Own(endpoint.id.clone()),
+            end: Cell::new(EndKind::Done),
+        },
+    })
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/relay.rs
@@ -0,0 +1,157 @@
+//! [`Relay`]: passes a stream's events on, and goes on at another endpoint where it may.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use caraway_http::{Aborted, Payload};
+use http_body_util::BodyExt;
+use tokio::{sync::mpsc, time::timeout_at};
+
+use crate::{
+    event::emit,
+    executor::millis,
+    frame::EndKind,
+    generate::{Begin, Begun, Progress, begin, may_rerun},
+    plain::put_back,
+    request::{Call, InFlight},
+    shared::Shared,
+    sse::EventCutter,
+};
+
+/// Chunks that wait for a slow caller.
+const CHUNK_QUEUE: usize = 16;
+/// Time after a caller's deadline in which a stream may still end.
+const LATE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Passes a stream's events on to its caller.
+#[derive(Debug)]
+pub(crate) struct Relay {
+    shared: Rc<Shared>,
+    call: Rc<Call>,
+    progress: Progress,
+    cutter: EventCutter,
+    _in_flight: InFlight,
+}
+
+/// How passing on one endpoint's events ended.
+enum Passed {
+    Complete,
+    CallerLeft,
+    TooLate,
+    Broken(&'static str),
+}
+
+impl Relay {
+    pub(crate) fn new(
+        shared: Rc<Shared>,
+        call: Rc<Call>,
+        progress: Progress,
+        cutter: EventCutter,
+        in_flight: InFlight,
+    ) -> Self {
+        Self {
+            shared,
+            call,
+            progress,
+            cutter,
+            _in_flight: in_flight,
+        }
+    }
+
+    async fn run(mut self, mut begun: Begun, out: mpsc::Sender<Result<Bytes, Aborted>>) {
+        loop {
+            let endpoint = begun.placed.endpoint.clone();
+            let why = match self.pass(begun, &out).await {
+                Passed::Complete => return,
+                Passed::CallerLeft => {
+                    emit!(self.shared, info, CallerLeft; "request" => &*self.call.head.id,
+                        "events" => self.cutter.events(),
+                        "ms" => millis(self.call.arrived.elapsed()));
+                    return;
+                }
+                Passed::TooLate => "the caller's deadline has passed",
+                Passed::Broken(why) => why,
+            };
+            emit!(self.shared, info, AttemptFailed; "request" => &*self.call.head.id,
+                "endpoint" => &*endpoint, "why" => why, "events" => self.cutter.events(),
+                "in_doubt" => true, "ms" => millis(self.call.arrived.elapsed()));
+            self.shared.metrics.attempt_failed(why);
+            self.progress.avoid.push(endpoint);
+            let Some(next) = self.resume().await else {
+                self.shared.metrics.request("stream", "broken off");
+                emit!(self.shared, warn, Failed; "request" => &*self.call.head.id,
+                    "kind" => "stream", "status" => 200, "reason" => why,
+                    "certainty" => "InDoubt", "events" => self.cutter.events(),
+                    "version" => self.call.version,
+                    "ms" => millis(self.call.arrived.elapsed()));
+                // The caller may have left.
+                out.send(Err(Aborted)).await.ok();
+                return;
+            };
+            begun = next;
+        }
+    }
+
+    /// Goes on at another endpoint after the last whole event, where the route allows it.
+    async fn resume(&mut self) -> Option<Begun> {
+        if !may_rerun(&self.shared, &self.call, &self.progress) {
+            return None;
+        }
+        self.cutter.drop_rest();
+        let last = self.cutter.last_id().cloned();
+        let last = last.as_deref().or(self.call.head.resume_after.as_deref());
+        let begin = begin(&self.shared, &self.call, &mut self.progress, last).await;
+        let Ok(Begin::Stream(begun)) = begin else {
+            return None;
+        };
+        emit!(self.shared, info, Resumed; "request" => &*self.call.head.id,
+            "after" => last.unwrap_or_default(), "endpoint" => &*begun.placed.endpoint,
+            "ms" => millis(self.call.arrived.elapsed()));
+        Some(*begun)
+    }
+
+    async fn pass(&mut self, begun: Begun, out: &mpsc::Sender<Result<Bytes, Aborted>>) -> Passed {
+        let Begun {
+            placed,
+            pooled,
+            head,
+            first,
+            mut body,
+            ..
+        } = begun;
+        let until = self.call.leaves + LATE_LIMIT;
+        let mut chunk = first;
+        while let Some(bytes) = chunk {
+            if let Some(events) = self.cutter.feed(&bytes)
+                && out.send(Ok(events)).await.is_err()
+            {
+                return Passed::CallerLeft;
+            }
+            chunk = tokio::select! {
+                frame = timeout_at(until, body.frame()) => match frame {
+                    Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
+                    Ok(None) => None,
+                    Ok(Some(Err(_))) => {
+                        placed.run.set_end(EndKind::Failed);
+                        return Passed::Broken("the stream broke off");
+                    }
+                    Err(_) => return Passed::TooLate,
+                },
+                () = out.closed() => return Passed::CallerLeft,
+            };
+        }
+        if self.cutter.is_torn() {
+            placed.run.set_end(EndKind::Failed);
+            return Passed::Broken("the stream ended in the middle of an event");
+        }
+        put_back(&self.shared, &placed.endpoint, pooled, &head);
+        Passed::Complete
+    }
+}
+
+/// Starts to pass a stream on; returns the body that the caller reads.
+pub(crate) fn start(relay: Relay, begun: Begun) -> Payload {
+    let (out, events) = mpsc::channel(CHUNK_QUEUE);
+    tokio::task::spawn_local(relay.run(begun, out));
+    Payload::Stream(events)
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/request.rs
@@ -0,0 +1,230 @@
+//! A caller's request: its head is checked, its route found, its body read, its end logged.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use caraway_http::{BodyError, Payload, read_whole};
+use caraway_platform::{call_head, refusal};
+use caraway_routes::{CallHead, Limits, Route, Routing};
+use caraway_types::{Reason, Refusal};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use crate::{event::emit, executor::millis, generate, plain, shared::Shared};
+
+/// How long a caller waits that names no deadline; the longest of the deployments' routes.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(12);
+/// When a caller may come back to an instance that has no configuration yet.
+const NO_CONFIG_RETURN: Duration = Duration::from_millis(500);
+
+/// A request that is ready to go on.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    /// Version of the configuration that it is handled by.
+    pub(crate) version: u64,
+    pub(crate) arrived: Instant,
+    /// When the caller gets its final answer at the latest.
+    pub(crate) last: Instant,
+    /// When the caller stops waiting.
+    pub(crate) leaves: Instant,
+}
+
+/// The end of a request that no endpoint answers.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub(crate) status: StatusCode,
+    pub(crate) refusal: Refusal,
+}
+
+impl Refused {
+    /// Makes the end of a request that did not run.
+    pub(crate) fn not_run(reason: Reason, detail: &str) -> Self {
+        let status = match reason {
+            Reason::BadRequest => StatusCode::BAD_REQUEST,
+            Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::UnknownService => StatusCode::NOT_FOUND,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Self {
+            status,
+            refusal: Refusal::not_run(reason, detail),
+        }
+    }
+
+    /// Makes the end of a request that may have run.
+    pub(crate) fn in_doubt(reason: Reason, detail: &str) -> Self {
+        let status = if reason == Reason::Deadline {
+            StatusCode::GATEWAY_TIMEOUT
+        } else {
+            StatusCode::BAD_GATEWAY
+        };
+        Self {
+            status,
+            refusal: Refusal::in_doubt(reason, detail),
+        }
+    }
+
+    /// Adds when the caller may come back.
+    pub(crate) fn after(mut self, wait: Duration) -> Self {
+        if !wait.is_zero() {
+            self.refusal = self.refusal.after(wait);
+        }
+        self
+    }
+}
+
+/// Counts a request for as long as it is served.
+#[derive(Debug)]
+pub(crate) struct InFlight(Rc<Shared>);
+
+impl InFlight {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        shared.in_flight.set(shared.in_flight.get() + 1);
+        Self(shared.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+    }
+}
+
+/// Serves a request.
+pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
+    let in_flight = InFlight::new(&shared);
+    let arrived = Instant::now();
+    let id = id_of(&request);
+    let call = match prepare(&shared, request, arrived).await {
+        Ok(call) => call,
+        Err(refused) => return finish_refused(&shared, "unrouted", &id, arrived, &refused),
+    };
+    let engine = shared
+        .routing()
+        .and_then(|r| r.service(&call.service).map(|s| s.engine.is_some()))
+        .unwrap_or(false);
+    let kind = if call.route.streaming {
+        "stream"
+    } else {
+        "plain"
+    };
+    let result = if engine && call.head.model.is_some() {
+        generate::serve(&shared, Rc::new(call), in_flight).await
+    } else {
+        plain::serve(&shared, &call).await
+    };
+    match result {
+        Ok(response) => {
+            shared.metrics.request(kind, "answered");
+            shared.metrics.answer(kind, arrived.elapsed());
+            emit!(shared, info, Answered; "request" => &*id, "kind" => kind,
+                "status" => response.status().as_u16(), "ms" => millis(arrived.elapsed()));
+            response
+        }
+        Err(refused) => finish_refused(&shared, kind, &id, arrived, &refused),
+    }
+}
+
+fn id_of(request: &Request<Incoming>) -> Arc<str> {
+    call_head(request.headers()).map_or_else(|_| "".into(), |head| head.id)
+}
+
+async fn prepare(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Call, Refused> {
+    let (parts, body) = request.into_parts();
+    let head = call_head(&parts.headers)
+        .map_err(|f| Refused::not_run(Reason::BadRequest, &f.to_string()))?;
+    let routing = shared.routing().ok_or_else(|| {
+        Refused::not_run(Reason::NoEndpoint, "no configuration is known yet")
+            .after(NO_CONFIG_RETURN)
+    })?;
+    let route = find_route(&routing, &parts.headers, &parts.uri)?;
+    let service = route
+        .target(Shared::draw())
+        .ok_or_else(|| Refused::not_run(Reason::NoEndpoint, "the route has no service"))?
+        .clone();
+    let patience = head.deadline.unwrap_or(DEFAULT_DEADLINE);
+    let leaves = arrived + patience;
+    let last = arrived + patience.min(route.timeout);
+    check_head(&parts.headers, &parts.uri, &routing.limits)?;
+    let body = timeout_at(last, read_whole(body, routing.limits.body_bytes))
+        .await
+        .map_err(|_| Refused {
+            status: StatusCode::REQUEST_TIMEOUT,
+            refusal: Refusal::not_run(Reason::Deadline, "the body did not arrive in time"),
+        })?
+        .map_err(|e| match e {
+            BodyError::TooLarge => Refused::not_run(Reason::TooLarge, "the body is too large"),
+            BodyError::Broken(why) => Refused::not_run(Reason::BadRequest, &why),
+        })?;
+    Ok(Call {
+        head,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        route,
+        service,
+        version: routing.version,
+        arrived,
+        last,
+        leaves,
+    })
+}
+
+fn find_route(routing: &Routing, headers: &HeaderMap, uri: &Uri) -> Result<Arc<Route>, Refused> {
+    let host = headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok())
+        .unwrap_or_default();
+    // A port in the header does not belong to the route's host.
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    routing.route(host, uri.path()).cloned().ok_or_else(|| {
+        let detail = format!("no route for {host}{}", uri.path());
+        Refused::not_run(Reason::UnknownService, &detail)
+    })
+}
+
+fn check_head(headers: &HeaderMap, uri: &Uri, limits: &Limits) -> Result<(), Refused> {
+    let fields = headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 4);
+    let size = fields.sum::<usize>() + uri.path().len();
+    if size > limits.head_bytes {
+        return Err(Refused {
+            status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            refusal: Refusal::not_run(Reason::TooLarge, "the head is too large"),
+        });
+    }
+    Ok(())
+}
+
+fn finish_refused(
+    shared: &Shared,
+    kind: &'static str,
+    id: &str,
+    arrived: Instant,
+    refused: &Refused,
+) -> Response<Payload> {
+    let Refused {
+        status,
+        refusal: why,
+    } = refused;
+    shared.metrics.request(kind, "refused");
+    let version = shared.routing().map_or(0, |r| r.version);
+    emit!(shared, warn, Failed; "request" => id, "kind" => kind, "status" => status.as_u16(),
+        "reason" => format!("{:?}", why.reason), "certainty" => format!("{:?}", why.certainty),
+        "detail" => &*why.detail, "version" => version,
+        "retry_after_ms" => why.retry_after.map_or(0, |r| millis(r.get())),
+        "ms" => millis(arrived.elapsed()));
+    refusal(*status, id, why)
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/serve.rs
@@ -0,0 +1,94 @@
+//! Listening and serving HTTP connections.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use anyhow::{Context, Result};
+use caraway_http::{ConnectLimits, Payload, tune};
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::sleep,
+};
+
+use crate::shared::Shared;
+
+/// Pause after a failed accept, as when there are no descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Largest head that is read, in bytes; a route's own limit is checked later.
+const HEAD_LIMIT_BYTES: usize = 128 << 10;
+
+/// Listens on an address.
+///
+/// # Errors
+///
+/// Returns an error when the address can't be used.
+pub(crate) async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("can't listen on {addr}"))
+}
+
+/// Serves every connection of `listener` by `handle`; connections that are idle for `idle` are
+/// closed, and all are when `closing` turns true, each after the answer that it waits for.
+pub(crate) async fn serve<F, R>(
+    shared: Rc<Shared>,
+    listener: TcpListener,
+    idle: impl Fn() -> Option<Duration> + Clone + 'static,
+    closing: watch::Receiver<bool>,
+    handle: F,
+) where
+    F: Fn(Rc<Shared>, Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Response<Payload>> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A connection that can't be set up has ended already.
+        if tune(&stream, &ConnectLimits::default()).is_err() {
+            continue;
+        }
+        let (shared, handle) = (shared.clone(), handle.clone());
+        tokio::task::spawn_local(connection(shared, stream, idle(), closing.clone(), handle));
+    }
+}
+
+async fn connection<F, R>(
+    shared: Rc<Shared>,
+    stream: TcpStream,
+    idle: Option<Duration>,
+    mut closing: watch::Receiver<bool>,
+    handle: F,
+) where
+    F: Fn(Rc<Shared>, Request<Incoming>) -> R + 'static,
+    R: Future<Output = Response<Payload>> + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handle(shared.clone(), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .header_read_timeout(idle);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let is_closing = async {
+        // An error means that nobody can ask to close any more.
+        closing.wait_for(|c| *c).await.map(|_| ()).ok()
+    };
+    let mut is_closing = std::pin::pin!(is_closing);
+    tokio::select! {
+        // Connections end with an error all the time; who used them has seen it.
+        result = connection.as_mut() => result.ok(),
+        _ = is_closing.as_mut() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await.ok()
+        }
+    };
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/shared.rs
@@ -0,0 +1,222 @@
+//! [`Shared`]: what the tasks of the daemon have in common.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Instant,
+};
+
+use caraway_http::{Pool, PoolLimits};
+use caraway_placement::{HomeSettings, Homes, PlacerSettings, ZoneWeight};
+use caraway_platform::{Site, Store};
+use caraway_routes::{Chooser, Directory, ModelRef, RepeatBudget, RepeatLimits, Routing};
+use caraway_types::{EndpointId, Fence, Incarnation, InstanceId, Ticket, ZoneId};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::{
+    desk::Desk,
+    follow::Topics,
+    log::{LineRates, LogQueue},
+    metrics::{Levels, Metrics},
+    session::Session,
+};
+
+/// What the record of a zone's holder says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Holder {
+    /// The instance.
+    pub(crate) instance: InstanceId,
+    /// Its run.
+    pub(crate) incarnation: Incarnation,
+    /// Where it takes sessions.
+    pub(crate) addr: SocketAddr,
+    /// Whether it has given the zone up.
+    pub(crate) released: bool,
+    /// The record's offset, which is the fencing token of the holder's orders.
+    #[serde(skip)]
+    pub(crate) token: Fence,
+}
+
+/// A request that runs at an endpoint by a holder's grant.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    /// Where it runs.
+    pub(crate) endpoint: EndpointId,
+    /// What it runs on.
+    pub(crate) model: ModelRef,
+}
+
+/// What the tasks of the daemon have in common.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) site: Site,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: Logger,
+    pub(crate) lines: LineRates,
+    pub(crate) queue: LogQueue,
+    pub(crate) metrics: Metrics,
+    pub(crate) pool: Pool,
+    pub(crate) store: Store,
+    pub(crate) placer: PlacerSettings,
+    pub(crate) routing: RefCell<Option<Arc<Routing>>>,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) newest: RefCell<HashMap<ModelRef, u64>>,
+    pub(crate) chooser: RefCell<Chooser>,
+    pub(crate) budget: RefCell<RepeatBudget>,
+    pub(crate) homes: RefCell<Homes>,
+    pub(crate) topics: RefCell<Topics>,
+    pub(crate) holders: RefCell<HashMap<ZoneId, Holder>>,
+    pub(crate) desks: RefCell<HashMap<ZoneId, Rc<Desk>>>,
+    pub(crate) sessions: RefCell<HashMap<ZoneId, Rc<Session>>>,
+    pub(crate) runs: RefCell<HashMap<ZoneId, HashMap<Ticket, Run>>>,
+    pub(crate) leaving: watch::Sender<bool>,
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) is_ready: Cell<bool>,
+    last_ticket: Cell<Ticket>,
+}
+
+impl Shared {
+    /// Makes the state of a starting daemon.
+    pub(crate) fn new(
+        site: Site,
+        log: Logger,
+        queue: LogQueue,
+        metrics: Metrics,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            store: Store::new(site.store.clone()),
+            budget: RefCell::new(RepeatBudget::new(repeat_limits(&site))),
+            site,
+            incarnation,
+            log,
+            lines: LineRates::default(),
+            queue,
+            metrics,
+            pool: Pool::new(PoolLimits::default()),
+            placer: PlacerSettings::default(),
+            routing: RefCell::default(),
+            directory: RefCell::default(),
+            newest: RefCell::default(),
+            chooser: RefCell::default(),
+            homes: RefCell::new(Homes::new(HomeSettings::default())),
+            topics: RefCell::default(),
+            holders: RefCell::default(),
+            desks: RefCell::default(),
+            sessions: RefCell::default(),
+            runs: RefCell::default(),
+            leaving: watch::Sender::new(false),
+            in_flight: Cell::new(0),
+            is_ready: Cell::new(false),
+            last_ticket: Cell::new(0),
+        }
+    }
+
+    /// Returns the time as the decision parts take it.
+    pub(crate) fn now() -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    /// Returns a new ticket.
+    pub(crate) fn ticket(&self) -> Ticket {
+        let ticket = self.last_ticket.get() + 1;
+        self.last_ticket.set(ticket);
+        ticket
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn routing(&self) -> Option<Arc<Routing>> {
+        self.routing.borrow().clone()
+    }
+
+    /// Tells whether the daemon is stopping.
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Returns where this instance takes sessions.
+    pub(crate) fn peer_addr(&self) -> SocketAddr {
+        SocketAddr::new(self.site.ip, self.site.ports.0)
+    }
+
+    /// Returns this instance's placer for a zone.
+    pub(crate) fn desk(&self, zone: &str) -> Option<Rc<Desk>> {
+        self.desks.borrow().get(zone).cloned()
+    }
+
+    /// Returns the open session to a zone's holder.
+    pub(crate) fn session(&self, zone: &str) -> Option<Rc<Session>> {
+        let sessions = self.sessions.borrow();
+        sessions.get(zone).filter(|s| s.is_up()).cloned()
+    }
+
+    /// Returns the zones whose placer can be asked for endpoints of `service`.
+    pub(crate) fn open_zones(&self, service: &str) -> Vec<ZoneWeight> {
+        let directory = self.directory.borrow();
+        let mut counts: HashMap<&ZoneId, usize> = HashMap::new();
+        for endpoint in directory.of_service(service).filter(|e| e.is_ready()) {
+            *counts.entry(&endpoint.zone).or_default() += 1;
+        }
+        let open =
+            |zone: &ZoneId| self.desks.borrow().contains_key(zone) || self.session(zone).is_some();
+        counts
+            .into_iter()
+            .filter(|(zone, _)| open(zone))
+            .map(|(zone, endpoints)| ZoneWeight {
+                zone: zone.clone(),
+                endpoints,
+            })
+            .collect()
+    }
+
+    /// Returns the instances of the own zone, this one included, as far as they are known.
+    pub(crate) fn zone_peers(&self) -> usize {
+        let own = &self.site.zone;
+        if let Some(desk) = self.desk(own) {
+            return desk.peers(own).max(1);
+        }
+        self.session(own).map_or(1, |s| s.peers()).max(1)
+    }
+
+    /// Takes the limits of settings that were read again.
+    pub(crate) fn set_limits(&self, site: &Site) {
+        self.budget.borrow_mut().set_limits(repeat_limits(site));
+    }
+
+    /// Draws a number in 0 to 1.
+    pub(crate) fn draw() -> f64 {
+        rand::rng().random::<f64>()
+    }
+
+    /// Returns the values that metrics read when they are asked for.
+    pub(crate) fn levels(&self) -> Levels {
+        let count = |n: usize| u64::try_from(n).unwrap_or(u64::MAX);
+        let desks = self.desks.borrow();
+        Levels {
+            config_version: self.routing().map_or(0, |r| r.version),
+            in_flight: count(self.in_flight.get()),
+            waiting: count(desks.values().map(|d| d.waiting()).sum()),
+            holding: count(desks.len()),
+            lines_dropped: self.queue.dropped(),
+        }
+    }
+}
+
+/// Instances that are taken to share the repeats of a deployment, for each availability zone;
+/// larger than the smallest deployments have, so that the sum stays below the bound.
+const INSTANCES_PER_ZONE: usize = 3;
+
+fn repeat_limits(site: &Site) -> RepeatLimits {
+    RepeatLimits {
+        window: site.bounds.repeat_window,
+        ratio: site.bounds.repeat_ratio,
+        slack: site.bounds.repeat_slack,
+        instances: INSTANCES_PER_ZONE * site.zones.len().max(1),
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/decay.rs
@@ -0,0 +1,34 @@
+//! [`Decayed`]: a count that forgets.
+
+use std::time::{Duration, Instant};
+
+/// A count of events in which older ones weigh less, exponentially.
+#[derive(Clone, Copy, Debug)]
+pub struct Decayed {
+    count: f64,
+    at: Instant,
+}
+
+impl Decayed {
+    /// Counts nothing yet.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            count: 0.0,
+            at: now,
+        }
+    }
+
+    /// Counts an event.
+    pub fn add(&mut self, now: Instant, constant: Duration) {
+        self.count = self.value(now, constant) + 1.0;
+        self.at = now;
+    }
+
+    /// Returns the count; an event weighs 1/e after the time `constant`.
+    #[must_use]
+    pub fn value(&self, now: Instant, constant: Duration) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        self.count * (-age / constant.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/homes.rs
@@ -0,0 +1,145 @@
+//! [`Homes`]: which availability zone's placer an instance asks for an adapter.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use caraway_routes::ModelRef;
+use caraway_types::ZoneId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::Decayed;
+
+/// Sets which adapters stay in the caller's zone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HomeSettings {
+    /// Time constant of an adapter's popularity.
+    pub popularity: Duration,
+    /// Decayed requests in the zone that make an adapter worth a copy of its own there.
+    pub popular: f64,
+    /// Decayed requests at this instance that a guess about the zone needs at least.
+    pub evidence: f64,
+    /// Adapters that are remembered before those that are forgotten anyway are dropped.
+    pub sweep: usize,
+}
+
+impl Default for HomeSettings {
+    fn default() -> Self {
+        Self {
+            popularity: Duration::from_secs(6),
+            // Measured: 6 at each of two instances of a zone fetches as few adapters as one placer
+            // for the whole fleet.
+            popular: 12.0,
+            // A single request says nothing about the next.
+            evidence: 2.0,
+            // As many as are asked for within a few time constants at the grown deployments.
+            sweep: 4096,
+        }
+    }
+}
+
+/// A zone that can serve, and its share of the endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ZoneWeight {
+    /// The zone.
+    pub zone: ZoneId,
+    /// Its engine endpoints that take work.
+    pub endpoints: usize,
+}
+
+/// Chooses the zone whose placer is asked.
+///
+/// A rare adapter has one home among the zones, so that its few requests meet and it is fetched
+/// once; a popular one is kept near its callers.
+#[derive(Debug, Default)]
+pub struct Homes {
+    settings: HomeSettings,
+    counts: HashMap<ModelRef, Decayed>,
+}
+
+impl Homes {
+    /// Remembers no request.
+    #[must_use]
+    pub fn new(settings: HomeSettings) -> Self {
+        Self {
+            settings,
+            counts: HashMap::new(),
+        }
+    }
+
+    /// Counts a request and returns the zone to ask, `None` when there is none.
+    ///
+    /// `peers` is the number of instances in the own zone, this one included.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        model: &ModelRef,
+        own: &ZoneId,
+        peers: usize,
+        zones: &[ZoneWeight],
+    ) -> Option<ZoneId> {
+        let has_own = zones.iter().any(|z| z.zone == *own);
+        if has_own && (model.adapter.is_none() || self.is_popular(now, model, peers)) {
+            return Some(own.clone());
+        }
+        home(model, zones)
+    }
+
+    fn is_popular(&mut self, now: Instant, model: &ModelRef, peers: usize) -> bool {
+        let constant = self.settings.popularity;
+        if self.counts.len() >= self.settings.sweep {
+            self.counts
+                .retain(|_, c| c.value(now, constant) > FORGOTTEN);
+        }
+        if !self.counts.contains_key(model) {
+            self.counts.insert(model.clone(), Decayed::new(now));
+        }
+        let count = self
+            .counts
+            .get_mut(model)
+            .expect("the entry was inserted above");
+        count.add(now, constant);
+        let seen = count.value(now, constant);
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let zone = seen * peers.max(1) as f64;
+        seen >= self.settings.evidence && zone >= self.settings.popular
+    }
+}
+
+/// A decayed count below which an adapter is forgotten.
+const FORGOTTEN: f64 = 0.05;
+
+/// Returns the zone with the highest weighted rendezvous score for `model`.
+fn home(model: &ModelRef, zones: &[ZoneWeight]) -> Option<ZoneId> {
+    let key = key(model);
+    let score = |z: &ZoneWeight| {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "53 bits are enough to choose by"
+        )]
+        let share = (rendezvous(key, &z.zone) >> 11) as f64 / (1_u64 << 53) as f64;
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let weight = z.endpoints as f64;
+        -weight / share.max(f64::MIN_POSITIVE).ln()
+    };
+    zones
+        .iter()
+        .filter(|z| z.endpoints > 0)
+        .max_by(|a, b| score(a).total_cmp(&score(b)))
+        .map(|z| z.zone.clone())
+}
+
+/// Returns a number for a model and adapter that is the same on every instance.
+pub(crate) fn key(model: &ModelRef) -> u64 {
+    let adapter = model.adapter.as_deref().unwrap_or_default();
+    xxh3_64_with_seed(
+        adapter.as_bytes(),
+        xxh3_64_with_seed(model.model.as_bytes(), 0),
+    )
+}
+
+/// Returns the weight of `candidate` for `key` in rendezvous hashing.
+pub(crate) fn rendezvous(key: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), key)
+}
--- /dev/null
+++ b/crates/caraway-placement/src/lib.rs
@@ -0,0 +1,23 @@
+//! Which engine endpoint serves an adapter, and which adapters endpoints hold. No I/O.
+//!
+//! A [`Placer`] decides for the endpoints of one availability zone: it takes requests and the
+//! ends of their runs, and returns grants, refusals and orders. [`Homes`] tells an instance which
+//! zone's placer to ask.
+
+mod ask;
+mod decay;
+mod homes;
+mod order;
+mod output;
+mod placer;
+mod replica;
+mod settings;
+mod waiting;
+
+pub use ask::{Ask, AskId, End, SourceId};
+pub use decay::Decayed;
+pub use homes::{HomeSettings, Homes, ZoneWeight};
+pub use order::{Action, Order, OrderEnd, OrderNumber, Report};
+pub use output::{Output, RefuseReason};
+pub use placer::Placer;
+pub use settings::PlacerSettings;
--- /dev/null
+++ b/crates/caraway-placement/src/placer.rs
@@ -0,0 +1,154 @@
+//! [`Placer`]: decides for the engine endpoints of one availability zone.
+
+mod endpoints;
+mod orders;
+mod plan;
+mod requests;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use caraway_routes::ModelRef;
+use caraway_types::EndpointId;
+
+use crate::{
+    AskId, Decayed, Order, OrderNumber, Output, PlacerSettings, replica::Replica, waiting::Waiting,
+};
+
+/// Pause between looks at requests that wait, for deadlines that can't be met any more.
+const WAIT_CHECK: Duration = Duration::from_millis(50);
+
+/// Decides for the engine endpoints of one availability zone.
+///
+/// Only idle adapters are evicted: a grant pins its adapter until the request's end. Every order
+/// names the number of orders that the endpoint has accepted, so a late one can't overtake.
+#[derive(Debug)]
+pub struct Placer {
+    settings: PlacerSettings,
+    start: Instant,
+    replicas: BTreeMap<EndpointId, Replica>,
+    /// Adapters that an endpoint can hold, by service.
+    places: HashMap<Arc<str>, usize>,
+    newest: HashMap<ModelRef, Newest>,
+    popularity: HashMap<ModelRef, Decayed>,
+    waiting: Waiting,
+    granted: HashMap<AskId, Granted>,
+    outputs: Vec<Output>,
+    last_number: OrderNumber,
+    /// Average time that a load from the weight store takes.
+    load_time: Duration,
+    fetched: u64,
+    leaving: bool,
+}
+
+/// The newest version of an adapter.
+#[derive(Clone, Copy, Debug)]
+struct Newest {
+    version: u64,
+    since: Instant,
+}
+
+/// A request that runs.
+#[derive(Clone, Debug)]
+struct Granted {
+    endpoint: EndpointId,
+    model: ModelRef,
+}
+
+impl Placer {
+    /// Knows of no endpoint; gives its first order at `start` or later.
+    #[must_use]
+    pub fn new(settings: PlacerSettings, start: Instant) -> Self {
+        Self {
+            load_time: settings.load,
+            settings,
+            start,
+            replicas: BTreeMap::new(),
+            places: HashMap::new(),
+            newest: HashMap::new(),
+            popularity: HashMap::new(),
+            waiting: Waiting::default(),
+            granted: HashMap::new(),
+            outputs: Vec::new(),
+            last_number: 0,
+            fetched: 0,
+            leaving: false,
+        }
+    }
+
+    /// Takes what is to be done.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Notes that time has passed.
+    pub fn on_tick(&mut self, now: Instant) {
+        self.refuse_hopeless(now);
+        self.ask_reports(now);
+        self.plan(now);
+        self.pump_all(now);
+    }
+
+    /// Returns when [`Self::on_tick`] is due.
+    #[must_use]
+    pub fn next_wake(&self, now: Instant) -> Option<Instant> {
+        let waits = (self.waiting.len() > 0).then(|| now + WAIT_CHECK);
+        let replicas = self.replicas.values().filter_map(Replica::next_wake);
+        replicas.chain(waits).min()
+    }
+
+    /// Stops giving orders and refuses the requests that wait.
+    pub fn on_leave(&mut self, now: Instant) {
+        self.leaving = true;
+        self.refuse_hopeless(now);
+    }
+
+    /// Tells whether an order's end is awaited.
+    #[must_use]
+    pub fn is_ordering(&self) -> bool {
+        self.replicas.values().any(|r| r.outstanding.is_some())
+    }
+
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the number of requests that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// Returns the number of adapters that were fetched from the weight store.
+    #[must_use]
+    pub fn fetched(&self) -> u64 {
+        self.fetched
+    }
+
+    fn popularity_of(&self, now: Instant, model: &ModelRef) -> f64 {
+        self.popularity
+            .get(model)
+            .map_or(0.0, |d| d.value(now, self.settings.popularity))
+    }
+
+    fn order(
+        &mut self,
+        endpoint: &EndpointId,
+        number: OrderNumber,
+        order: (crate::Action, ModelRef, u64),
+    ) {
+        let (action, model, expect) = order;
+        self.outputs.push(Output::Order(Order {
+            number,
+            endpoint: endpoint.clone(),
+            action,
+            model,
+            expect,
+        }));
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -0,0 +1,137 @@
+//! Endpoints: what the registry and their reports say.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use caraway_routes::{Change, Endpoint, ModelRef};
+use caraway_types::EndpointId;
+
+use super::Placer;
+use crate::{
+    Output, Report,
+    replica::{Held, Phase, Replica},
+};
+
+/// Pause before an endpoint that gave no report is asked again.
+const REPORT_RETRY: Duration = Duration::from_millis(300);
+
+impl Placer {
+    /// Sets how many adapters an endpoint of `service` can hold.
+    pub fn set_places(&mut self, service: &Arc<str>, places: usize) {
+        self.places.insert(service.clone(), places);
+        for replica in self.replicas.values_mut() {
+            if replica.endpoint.service == *service {
+                replica.places = places;
+            }
+        }
+    }
+
+    /// Takes what the registry says about an endpoint of an engine service in this zone.
+    pub fn on_endpoint(&mut self, now: Instant, endpoint: &Arc<Endpoint>, change: Change) {
+        let places = self.places.get(&endpoint.service).copied().unwrap_or(0);
+        match self.replicas.get_mut(&endpoint.id) {
+            Some(replica) if change != Change::Reborn => {
+                replica.endpoint = endpoint.clone();
+            }
+            _ => {
+                self.granted.retain(|_, g| g.endpoint != endpoint.id);
+                let first = now.max(self.start);
+                let replica = Replica::new(first, endpoint.clone(), places);
+                self.replicas.insert(endpoint.id.clone(), replica);
+                self.serve(now, &endpoint.id);
+            }
+        }
+        self.ask_reports(now);
+    }
+
+    /// Notes that an endpoint is gone.
+    pub fn on_gone(&mut self, now: Instant, endpoint: &EndpointId) {
+        self.granted.retain(|_, g| g.endpoint != *endpoint);
+        if self.replicas.remove(endpoint).is_some() {
+            self.plan(now);
+        }
+    }
+
+    /// Takes an endpoint's report, `None` when it gave none.
+    pub fn on_report(&mut self, now: Instant, endpoint: &EndpointId, report: Option<Report>) {
+        let lag = self.settings.report_lag;
+        let Some(replica) = self.replicas.get_mut(endpoint) else {
+            return;
+        };
+        replica.reporting = false;
+        let Some(report) = report else {
+            replica.report_at = Some(now + REPORT_RETRY);
+            return;
+        };
+        if let Some(ordered) = replica.ordered
+            && now < ordered + lag
+        {
+            replica.report_at = Some(ordered + lag);
+            return;
+        }
+        replica.report_at = None;
+        replica.orders = Some(report.orders);
+        replica.reconcile(now, &report, self.settings.poll);
+        if replica.held.values().any(|h| h.phase == Phase::Unloading) {
+            replica.report_at = Some(now + lag);
+        }
+        self.serve(now, endpoint);
+        self.plan(now);
+        self.pump(now, endpoint);
+    }
+
+    /// Asks for the reports that are due.
+    pub(super) fn ask_reports(&mut self, now: Instant) {
+        for (id, replica) in &mut self.replicas {
+            let due = replica.report_at.is_some_and(|at| at <= now);
+            if due && !replica.reporting && replica.outstanding.is_none() {
+                replica.reporting = true;
+                self.outputs.push(Output::Report(id.clone()));
+            }
+        }
+    }
+}
+
+impl Replica {
+    /// Brings the belief in line with a report that no later order has overtaken.
+    fn reconcile(&mut self, now: Instant, report: &Report, step: Duration) {
+        let listed =
+            |m: &ModelRef| report.held.iter().any(|(r, _)| r == m) || report.incoming.contains(m);
+        self.held.retain(|model, held| match held.phase {
+            Phase::Planned | Phase::Leaving => true,
+            _ => listed(model),
+        });
+        for (model, version) in &report.held {
+            let held = self
+                .held
+                .entry(model.clone())
+                .or_insert(Held::ready(*version));
+            match held.phase {
+                Phase::Planned if held.version > *version => {}
+                Phase::Leaving | Phase::Unloading => {}
+                _ => {
+                    held.phase = Phase::Ready;
+                    held.version = *version;
+                }
+            }
+        }
+        for model in &report.incoming {
+            let poll = now + step;
+            let loading = Phase::Loading { since: now, poll };
+            match self.held.get_mut(model) {
+                Some(held) if held.phase == Phase::Doubtful => held.phase = loading,
+                Some(_) => {}
+                None => {
+                    let held = Held {
+                        phase: loading,
+                        ..Held::ready(0)
+                    };
+                    self.held.insert(model.clone(), held);
+                }
+            }
+        }
+        self.todo.retain(|t| self.held.contains_key(&t.model));
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -0,0 +1,230 @@
+//! Loads: which adapter next, to which endpoint, in whose place.
+
+use std::time::Instant;
+
+use caraway_routes::ModelRef;
+use caraway_types::EndpointId;
+
+use super::Placer;
+use crate::{
+    Action,
+    homes::{key, rendezvous},
+    replica::{Held, Phase, Replica, Todo},
+};
+
+/// Cost of each place further down in an adapter's order of endpoints, in ms; below the time that
+/// a reload saves against a load.
+const RANK_COST_MS: f64 = 15.0;
+/// Cost of a full endpoint against an idle one, in ms: the time by which a full batch delays a
+/// first event.
+const FILL_COST_MS: f64 = 200.0;
+/// Cost of an evicted adapter's popularity, in ms for each decayed request: its reload, as one of
+/// them will wait for it.
+const EVICT_COST_MS: f64 = 30.0;
+/// Popularity against its copies that a victim of a further copy has at most.
+const COPY_MARGIN: f64 = 0.5;
+/// Popularity from which an adapter's new version is loaded before it is asked for.
+const REFRESH_POPULARITY: f64 = 0.2;
+
+impl Placer {
+    /// Plans loads for what is waited for, while the weight store's limit allows.
+    pub(super) fn plan(&mut self, now: Instant) {
+        if self.leaving {
+            return;
+        }
+        for model in self.wanted(now) {
+            if self.transit() >= self.transit_limit() {
+                break;
+            }
+            if let Some(target) = self.target(now, &model, None) {
+                self.start_load(now, &model, &target);
+            }
+        }
+    }
+
+    /// Plans a further copy of an adapter whose copies all have many runs.
+    pub(super) fn consider_copy(&mut self, now: Instant, model: &ModelRef) {
+        if model.adapter.is_none() || self.is_coming(model) {
+            return;
+        }
+        let copies = self.replicas.values().filter(|r| r.is_usable(now));
+        let runs = copies.filter_map(|r| r.held.get(model).filter(|h| h.is_ready()));
+        let runs: Vec<u32> = runs.map(|h| h.runs).collect();
+        let crowded = runs
+            .iter()
+            .min()
+            .is_some_and(|r| *r >= self.settings.copy_runs);
+        if !crowded || self.transit() * 2 >= self.transit_limit() {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let share = self.popularity_of(now, model) / (runs.len() + 1) as f64;
+        if let Some(target) = self.target(now, model, Some(share * COPY_MARGIN)) {
+            self.start_load(now, model, &target);
+        }
+    }
+
+    /// Tells whether a copy of `model` is on its way.
+    pub(super) fn is_coming(&self, model: &ModelRef) -> bool {
+        self.replicas
+            .values()
+            .any(|r| r.held.get(model).is_some_and(Held::in_transit))
+    }
+
+    /// Returns how many adapters may be on their way from the weight store.
+    pub(super) fn transit_limit(&self) -> usize {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let limit = self.settings.zone_transit * self.replicas.len() as f64;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count that is small and not negative"
+        )]
+        let limit = limit.ceil() as usize;
+        limit.max(1)
+    }
+
+    /// Returns how many adapters are on their way from the weight store.
+    pub(super) fn transit(&self) -> usize {
+        let held = self.replicas.values().flat_map(|r| r.held.values());
+        held.filter(|h| h.in_transit() && !h.recent).count()
+    }
+
+    /// Returns the adapters that need a load: those with the most waiting requests first.
+    fn wanted(&self, now: Instant) -> Vec<ModelRef> {
+        let waiting = self
+            .waiting
+            .models()
+            .filter(|(m, ..)| m.adapter.is_some() && !self.is_coming(m));
+        let mut wanted: Vec<(usize, Instant, ModelRef)> = waiting
+            .map(|(m, count, goal)| (count, goal, m.clone()))
+            .collect();
+        wanted.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        let mut wanted: Vec<ModelRef> = wanted.into_iter().map(|(.., m)| m).collect();
+        let outdated = self.newest.keys().filter(|m| self.needs_refresh(now, m));
+        wanted.extend(outdated.cloned());
+        wanted
+    }
+
+    /// Tells whether a popular adapter is held only in an older version.
+    fn needs_refresh(&self, now: Instant, model: &ModelRef) -> bool {
+        let copies = self.replicas.values().filter_map(|r| r.held.get(model));
+        let (mut old, mut current) = (false, false);
+        for held in copies {
+            if held.in_transit() || self.is_current(model, held.version) {
+                current = true;
+            } else {
+                old = true;
+            }
+        }
+        old && !current
+            && !self.waiting.wants(model)
+            && self.popularity_of(now, model) > REFRESH_POPULARITY
+    }
+
+    /// Chooses the endpoint to load `model` to. A victim there has at most the popularity `least`,
+    /// where that is given.
+    fn target(&self, now: Instant, model: &ModelRef, least: Option<f64>) -> Option<EndpointId> {
+        let key = key(model);
+        let mut order: Vec<(&EndpointId, &Replica)> = self.replicas.iter().collect();
+        order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous(key, id)));
+        let mut best: Option<(f64, &EndpointId)> = None;
+        for (rank, (id, replica)) in order.into_iter().enumerate() {
+            if !self.can_load(now, model, replica) {
+                continue;
+            }
+            let evict = if replica.held.contains_key(model) || replica.spare() > 0 {
+                0.0
+            } else if let Some((_, popularity)) = self.victim(now, replica) {
+                if least.is_some_and(|l| popularity > l) {
+                    continue;
+                }
+                popularity * EVICT_COST_MS
+            } else {
+                continue;
+            };
+            let load = if replica.remembers(model) {
+                self.settings.reload
+            } else {
+                self.load_time
+            };
+            #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+            let rank = rank as f64 * RANK_COST_MS;
+            let cost = load.as_secs_f64() * 1000.0 + rank + evict + replica.fill() * FILL_COST_MS;
+            if best.is_none_or(|(c, _)| cost < c) {
+                best = Some((cost, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    /// Tells whether an order to load `model` makes sense at `replica`.
+    fn can_load(&self, now: Instant, model: &ModelRef, replica: &Replica) -> bool {
+        let replaceable = match replica.held.get(model) {
+            None => true,
+            Some(held) => {
+                held.is_ready() && held.runs == 0 && !self.is_current(model, held.version)
+            }
+        };
+        replaceable
+            && replica.is_usable(now)
+            && replica.orders.is_some()
+            && replica.endpoint.has_model(&model.model)
+            && replica.transit() < self.settings.endpoint_transit
+    }
+
+    /// Returns the idle adapter that is missed least, with its popularity.
+    fn victim<'a>(&self, now: Instant, replica: &'a Replica) -> Option<(&'a ModelRef, f64)> {
+        replica
+            .held
+            .iter()
+            .filter(|(m, h)| h.is_ready() && h.runs == 0 && !self.waiting.wants(m))
+            .map(|(m, h)| {
+                let current = self.is_current(m, h.version);
+                let popularity = if current {
+                    self.popularity_of(now, m)
+                } else {
+                    0.0
+                };
+                (m, popularity)
+            })
+            .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))
+    }
+
+    fn start_load(&mut self, now: Instant, model: &ModelRef, endpoint: &EndpointId) {
+        let Some(replica) = self.replicas.get(endpoint) else {
+            return;
+        };
+        let in_place = replica.held.contains_key(model);
+        let victim = if in_place || replica.spare() > 0 {
+            None
+        } else {
+            self.victim(now, replica).map(|(m, _)| m.clone())
+        };
+        let version = self.newest.get(model).map_or(0, |n| n.version);
+        let Some(replica) = self.replicas.get_mut(endpoint) else {
+            return;
+        };
+        if let Some(victim) = victim {
+            if let Some(held) = replica.held.get_mut(&victim) {
+                held.phase = Phase::Leaving;
+            }
+            replica.todo.push_back(Todo {
+                action: Action::Unload,
+                model: victim,
+            });
+        }
+        let held = Held {
+            phase: Phase::Planned,
+            version,
+            runs: 0,
+            recent: replica.remembers(model),
+        };
+        replica.held.insert(model.clone(), held);
+        replica.todo.push_back(Todo {
+            action: Action::Load,
+            model: model.clone(),
+        });
+        self.pump(now, endpoint);
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -0,0 +1,267 @@
+//! Requests: who runs, who waits, who is refused.
+
+use std::time::{Duration, Instant};
+
+use caraway_routes::ModelRef;
+use caraway_types::EndpointId;
+
+use super::{Granted, Newest, Placer};
+use crate::{Ask, AskId, Decayed, End, Output, RefuseReason, SourceId, replica::Held};
+
+/// Adapters whose popularity is remembered before the forgotten ones are dropped.
+const SWEEP_SIZE: usize = 4096;
+/// Popularity below which an adapter is forgotten.
+const FORGOTTEN: f64 = 0.01;
+/// Requests in a row that an endpoint fails before it is left alone for a while.
+const FAILURE_LIMIT: u32 = 3;
+/// When a caller may come back that found no endpoint: an instance hears of new ones within this.
+const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
+
+impl Placer {
+    /// Takes a request.
+    pub fn on_ask(&mut self, now: Instant, id: AskId, ask: Ask) {
+        if self.leaving {
+            self.refuse(id, RefuseReason::Leaving, Duration::ZERO);
+            return;
+        }
+        self.count(now, &ask.model);
+        if let Some(endpoint) = self.pick(now, &ask) {
+            self.grant(&endpoint, id, &ask.model, false);
+            self.consider_copy(now, &ask.model);
+            return;
+        }
+        if !self.can_ever_run(&ask) {
+            self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETURN);
+            return;
+        }
+        let wait = self.expected_wait(&ask);
+        if now + wait + self.settings.shortest_run > ask.deadline {
+            self.refuse(id, RefuseReason::Deadline, wait);
+            return;
+        }
+        self.waiting.add(id, ask);
+        self.plan(now);
+    }
+
+    /// Takes a run that began under an earlier holder.
+    pub fn on_running(&mut self, id: AskId, endpoint: &EndpointId, model: &ModelRef) {
+        self.pin(endpoint, id, model);
+    }
+
+    /// Notes that a request has ended, or that its caller left while it waited.
+    pub fn on_end(&mut self, now: Instant, id: AskId, end: End) {
+        let Some(granted) = self.granted.remove(&id) else {
+            self.waiting.drop_if(|i, _| *i == id);
+            return;
+        };
+        let Granted { endpoint, model } = granted;
+        let Some(replica) = self.replicas.get_mut(&endpoint) else {
+            return;
+        };
+        replica.running = replica.running.saturating_sub(1);
+        if let Some(held) = replica.held.get_mut(&model) {
+            held.runs = held.runs.saturating_sub(1);
+        }
+        match end {
+            End::Done => replica.failures = 0,
+            End::NotHeld => {
+                if replica.held.get(&model).is_some_and(Held::is_ready) {
+                    replica.held.remove(&model);
+                }
+                replica.orders = None;
+                replica.report_at.get_or_insert(now);
+            }
+            End::Refused | End::Failed => {
+                replica.failures += 1;
+                if replica.failures >= FAILURE_LIMIT {
+                    replica.failures = 0;
+                    replica.paused = Some(now + self.settings.pause);
+                }
+            }
+        }
+        self.serve(now, &endpoint);
+        self.pump(now, &endpoint);
+    }
+
+    /// Notes that nothing more comes from an asking instance; its runs count as ended.
+    pub fn on_source_lost(&mut self, now: Instant, source: SourceId) {
+        self.waiting.drop_if(|id, _| id.source == source);
+        let runs = self.granted.keys().filter(|id| id.source == source);
+        let runs: Vec<AskId> = runs.copied().collect();
+        for id in runs {
+            self.on_end(now, id, End::Done);
+        }
+    }
+
+    /// Notes that a newer version of an adapter is announced.
+    pub fn on_version(&mut self, now: Instant, model: &ModelRef, version: u64) {
+        let newest = self.newest.get(model);
+        if newest.is_some_and(|n| n.version >= version) {
+            return;
+        }
+        let since = now;
+        self.newest.insert(model.clone(), Newest { version, since });
+        for replica in self.replicas.values_mut() {
+            replica.forget(model);
+        }
+        self.plan(now);
+    }
+
+    /// Lets requests run that wait for what the endpoint holds.
+    pub(super) fn serve(&mut self, now: Instant, endpoint: &EndpointId) {
+        let Some(replica) = self.replicas.get(endpoint) else {
+            return;
+        };
+        let mut models: Vec<ModelRef> = replica
+            .held
+            .iter()
+            .filter(|(m, h)| h.is_ready() && self.waiting.wants(m))
+            .map(|(m, _)| m.clone())
+            .collect();
+        for model in &replica.endpoint.models {
+            let base = ModelRef {
+                model: model.model.clone(),
+                adapter: None,
+            };
+            if self.waiting.wants(&base) {
+                models.push(base);
+            }
+        }
+        for model in models {
+            self.serve_model(now, &model);
+        }
+    }
+
+    /// Lets requests run that wait for `model`, as far as endpoints have room.
+    pub(super) fn serve_model(&mut self, now: Instant, model: &ModelRef) {
+        while let Some((_, ask)) = self.waiting.first(model) {
+            let Some(endpoint) = self.pick(now, ask) else {
+                return;
+            };
+            if let Some((id, ask)) = self.waiting.take(model) {
+                self.grant(&endpoint, id, &ask.model, true);
+            }
+        }
+    }
+
+    /// Refuses the requests that wait and can't be served in time.
+    pub(super) fn refuse_hopeless(&mut self, now: Instant) {
+        let (leaving, shortest) = (self.leaving, self.settings.shortest_run);
+        let hopeless = self
+            .waiting
+            .drop_if(|_, ask| leaving || now + shortest > ask.deadline);
+        let reason = if leaving {
+            RefuseReason::Leaving
+        } else {
+            RefuseReason::Deadline
+        };
+        for id in hopeless {
+            self.refuse(id, reason, Duration::ZERO);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, ask: AskId, reason: RefuseReason, after: Duration) {
+        self.outputs.push(Output::Refuse { ask, reason, after });
+    }
+
+    /// Tells whether copies of this version may serve, and whether it is the newest.
+    pub(super) fn is_current(&self, model: &ModelRef, version: u64) -> bool {
+        self.newest.get(model).is_none_or(|n| version >= n.version)
+    }
+
+    fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
+        self.newest
+            .get(model)
+            .is_none_or(|n| version >= n.version || now < n.since + self.settings.stale)
+    }
+
+    /// Chooses an endpoint that can run the request now.
+    fn pick(&self, now: Instant, ask: &Ask) -> Option<EndpointId> {
+        let mut best: Option<(bool, u32, &EndpointId)> = None;
+        for (id, replica) in &self.replicas {
+            if !replica.is_usable(now)
+                || !replica.has_slot()
+                || replica.endpoint.service != ask.service
+                || ask.avoid.contains(id)
+            {
+                continue;
+            }
+            let current = if ask.model.adapter.is_none() {
+                replica.endpoint.has_model(&ask.model.model).then_some(true)
+            } else {
+                replica
+                    .held
+                    .get(&ask.model)
+                    .filter(|h| h.is_ready() && self.may_serve(now, &ask.model, h.version))
+                    .map(|h| self.is_current(&ask.model, h.version))
+            };
+            let Some(current) = current else {
+                continue;
+            };
+            let rank = (!current, replica.running, id);
+            if best.is_none_or(|b| rank < b) {
+                best = Some(rank);
+            }
+        }
+        best.map(|(_, _, id)| id.clone())
+    }
+
+    /// Tells whether some endpoint could run the request later.
+    fn can_ever_run(&self, ask: &Ask) -> bool {
+        self.replicas.values().any(|r| {
+            r.endpoint.is_ready()
+                && r.endpoint.service == ask.service
+                && r.endpoint.has_model(&ask.model.model)
+        })
+    }
+
+    fn grant(&mut self, endpoint: &EndpointId, ask: AskId, model: &ModelRef, loaded: bool) {
+        self.pin(endpoint, ask, model);
+        self.outputs.push(Output::Grant {
+            ask,
+            endpoint: endpoint.clone(),
+            loaded,
+        });
+    }
+
+    fn pin(&mut self, endpoint: &EndpointId, id: AskId, model: &ModelRef) {
+        let Some(replica) = self.replicas.get_mut(endpoint) else {
+            return;
+        };
+        replica.running += 1;
+        if let Some(held) = replica.held.get_mut(model) {
+            held.runs += 1;
+        }
+        let granted = Granted {
+            endpoint: endpoint.clone(),
+            model: model.clone(),
+        };
+        self.granted.insert(id, granted);
+    }
+
+    fn count(&mut self, now: Instant, model: &ModelRef) {
+        let constant = self.settings.popularity;
+        if self.popularity.len() >= SWEEP_SIZE {
+            self.popularity
+                .retain(|_, d| d.value(now, constant) > FORGOTTEN);
+        }
+        if let Some(decayed) = self.popularity.get_mut(model) {
+            decayed.add(now, constant);
+        } else {
+            let mut decayed = Decayed::new(now);
+            decayed.add(now, constant);
+            self.popularity.insert(model.clone(), decayed);
+        }
+    }
+
+    /// Estimates how long the request waits for its adapter, from the loads before it.
+    fn expected_wait(&self, ask: &Ask) -> Duration {
+        if ask.model.adapter.is_none() || self.waiting.wants(&ask.model) {
+            return Duration::ZERO;
+        }
+        let ahead = self.waiting.models().filter(|(m, ..)| !self.is_coming(m));
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let rounds = ahead.count() as f64 / self.transit_limit().max(1) as f64;
+        self.load_time.mul_f64(rounds)
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/src/replica.rs
@@ -0,0 +1,198 @@
+//! [`Replica`]: what a placer believes about one endpoint.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Instant,
+};
+
+use caraway_routes::{Endpoint, ModelRef};
+
+use crate::{Action, OrderNumber};
+
+/// How far an adapter is on an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// A load is planned, but not sent.
+    Planned,
+    /// The endpoint carries out a load.
+    Loading {
+        /// When it was accepted.
+        since: Instant,
+        /// When to ask next whether it is complete.
+        poll: Instant,
+    },
+    /// It serves.
+    Ready,
+    /// An unload is planned, but not sent.
+    Leaving,
+    /// The endpoint unloads it once runs that this placer doesn't know of have ended.
+    Unloading,
+    /// An order about it got no answer.
+    Doubtful,
+}
+
+/// An adapter on an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Held {
+    pub(crate) phase: Phase,
+    pub(crate) version: u64,
+    /// Granted runs that have not ended.
+    pub(crate) runs: u32,
+    /// Whether the endpoint held it recently, so that the load needs no fetch.
+    pub(crate) recent: bool,
+}
+
+impl Held {
+    pub(crate) fn ready(version: u64) -> Self {
+        Self {
+            phase: Phase::Ready,
+            version,
+            runs: 0,
+            recent: false,
+        }
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase == Phase::Ready
+    }
+
+    /// Tells whether it is on its way to the endpoint, or soon will be.
+    pub(crate) fn in_transit(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Planned | Phase::Loading { .. } | Phase::Doubtful
+        )
+    }
+}
+
+/// An order that waits for its turn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Todo {
+    pub(crate) action: Action,
+    pub(crate) model: ModelRef,
+}
+
+/// An order whose end is not known yet.
+#[derive(Clone, Debug)]
+pub(crate) struct Outstanding {
+    pub(crate) number: OrderNumber,
+    pub(crate) action: Action,
+    /// Whether it asks only if an earlier load is complete.
+    pub(crate) is_poll: bool,
+    pub(crate) model: ModelRef,
+}
+
+/// What a placer believes about one endpoint.
+#[derive(Debug)]
+pub(crate) struct Replica {
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// Adapters that it can hold.
+    pub(crate) places: usize,
+    pub(crate) held: HashMap<ModelRef, Held>,
+    /// Granted runs that have not ended.
+    pub(crate) running: u32,
+    /// Orders that it has accepted; `None` until a report says it.
+    pub(crate) orders: Option<u64>,
+    pub(crate) outstanding: Option<Outstanding>,
+    pub(crate) todo: VecDeque<Todo>,
+    /// When the last order was accepted or got no answer.
+    pub(crate) ordered: Option<Instant>,
+    pub(crate) reporting: bool,
+    /// When to ask for a report, at the earliest.
+    pub(crate) report_at: Option<Instant>,
+    pub(crate) paused: Option<Instant>,
+    /// Requests in a row that it failed.
+    pub(crate) failures: u32,
+    recent: VecDeque<ModelRef>,
+}
+
+impl Replica {
+    /// Takes what the registry says it holds; orders wait for its first report, which is due at
+    /// `report`.
+    pub(crate) fn new(report: Instant, endpoint: Arc<Endpoint>, places: usize) -> Self {
+        let mut held = HashMap::new();
+        for model in &endpoint.models {
+            for resident in &model.adapters {
+                let name = ModelRef {
+                    model: model.model.clone(),
+                    adapter: Some(resident.adapter.clone()),
+                };
+                held.insert(name, Held::ready(resident.version));
+            }
+        }
+        Self {
+            endpoint,
+            places,
+            held,
+            running: 0,
+            orders: None,
+            outstanding: None,
+            todo: VecDeque::new(),
+            ordered: None,
+            reporting: false,
+            report_at: Some(report),
+            paused: None,
+            failures: 0,
+            recent: VecDeque::new(),
+        }
+    }
+
+    /// Tells whether new work may go there.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.endpoint.is_ready() && self.paused.is_none_or(|until| now >= until)
+    }
+
+    /// Tells whether another request can run at once.
+    pub(crate) fn has_slot(&self) -> bool {
+        self.running < self.endpoint.slots
+    }
+
+    /// Returns the part of the slots that is taken.
+    pub(crate) fn fill(&self) -> f64 {
+        f64::from(self.running) / f64::from(self.endpoint.slots.max(1))
+    }
+
+    /// Returns the places that are taken at the endpoint, or may be.
+    pub(crate) fn occupied(&self) -> usize {
+        self.held
+            .values()
+            .filter(|h| h.phase != Phase::Planned)
+            .count()
+    }
+
+    /// Returns the places that planned loads leave free, not counting those that planned unloads
+    /// free.
+    pub(crate) fn spare(&self) -> usize {
+        let kept = self
+            .held
+            .values()
+            .filter(|h| !matches!(h.phase, Phase::Leaving | Phase::Unloading))
+            .count();
+        self.places.saturating_sub(kept)
+    }
+
+    /// Returns the adapters on their way.
+    pub(crate) fn transit(&self) -> usize {
+        self.held.values().filter(|h| h.in_transit()).count()
+    }
+
+    /// Tells whether it held `model` recently.
+    pub(crate) fn remembers(&self, model: &ModelRef) -> bool {
+        self.recent.contains(model)
+    }
+
+    /// Notes that it has a copy of `model` in its memory, and forgets the oldest beyond `limit`.
+    pub(crate) fn remember(&mut self, model: &ModelRef, limit: usize) {
+        self.recent.retain(|m| m != model);
+        self.recent.push_back(model.clone());
+        if self.recent.len() > limit {
+            self.recent.pop_front();
+        }
+    }
+
+    /// Forgets the copy of a version that is not the newest any more.
+    pub(crate) fn forget(&mut self, model: &ModelRef) {
+        self.recent.retain(|m| m != model);
+    }
+}
