--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -106,6 +106,15 @@
         self.with(shared, |placer, now| placer.on_end(now, id, end));
     }
 
+    /// Notes that an endpoint gives no sign of a request of this instance.
+    pub(crate) fn stall_own(self: &Rc<Self>, shared: &Rc<Shared>, ticket: Ticket) {
+        let id = AskId {
+            source: OWN_SOURCE,
+            ticket,
+        };
+        self.with(shared, |placer, now| placer.on_stall(now, id));
+    }
+
     /// Takes runs of this instance that began under an earlier holder.
     pub(crate) fn adopt_own_runs(self: &Rc<Self>, shared: &Rc<Shared>) {
         let runs = shared.runs.borrow().get(&self.zone).cloned();
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -13,8 +13,10 @@
 use crate::{desk::Desk, event::emit, shared::Shared};
 
 /// Longest time for which an order's answer is awaited; endpoints answer within a few ms, and an
-/// instance at a fifth of its speed within some 50.
-const ORDER_LIMIT: Duration = Duration::from_millis(300);
+/// instance whose quota of processor time is used up goes on within 100.
+const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Longest time for which the answer is awaited whether a load is complete; it is asked again.
+const POLL_LIMIT: Duration = Duration::from_millis(60);
 /// Longest time for which a report is awaited.
 const REPORT_LIMIT: Duration = Duration::from_millis(500);
 /// Largest answer that is read, in bytes.
@@ -34,16 +36,32 @@
                 token: desk.token,
             };
             let request = order_request(addr, &command);
-            match call(&shared, &endpoint, request, ORDER_LIMIT).await {
+            let limit = if order.is_poll {
+                POLL_LIMIT
+            } else {
+                ORDER_LIMIT
+            };
+            match call(&shared, &endpoint, request, limit).await {
                 Ok((status, _)) => order_end(status),
                 Err(CallError::NotSent(_)) => OrderEnd::NotSent,
                 Err(_) => OrderEnd::Unanswered,
             }
         }
     };
-    let (action, name) = (action_name(order.action), end_name(end));
+    let action = if order.is_poll {
+        "poll"
+    } else {
+        action_name(order.action)
+    };
+    let name = end_name(end);
     shared.metrics.order(action, name);
     shared.metrics.load(start.elapsed());
+    if order.is_poll && end == OrderEnd::Accepted {
+        desk.with(&shared, |placer, now| {
+            placer.on_order_end(now, &endpoint, order.number, end);
+        });
+        return;
+    }
     emit!(shared, info, Ordered; "zone" => &*desk.zone, "token" => desk.token,
         "endpoint" => &*endpoint, "order" => action, "adapter" => %order.model,
         "expect" => order.expect, "number" => order.number, "end" => name,
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -22,13 +22,17 @@
 
 /// Time for which the store is asked to wait for records of a topic that changes rarely.
 const LONG_WAIT: Duration = Duration::from_secs(15);
-/// Pause between reads of the registry: a leaving endpoint is known within a third of the
-/// shortest time (2 s) that the deployments allow, and reads are priced.
-const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
+/// Time for which the store is asked to wait for the registry's next change. It also bounds how
+/// late a store that answers nothing is noticed, on which the other topics rely.
+const REGISTRY_WAIT: Duration = Duration::from_secs(2);
+/// Pause after a change of the registry, in which further ones gather: a leaving endpoint is known
+/// within a tenth of the shortest time (2 s) that the deployments allow, and reads are priced.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Time without a successful read after which entries may have lapsed.
-const OUTAGE: Duration = Duration::from_millis(1500);
+/// Time without a successful read after which entries may have lapsed: a read that waits, its
+/// answer and the pause, and some more. Entries lapse after three beats of more than a second.
+const OUTAGE: Duration = Duration::from_millis(3200);
 /// Time after the store's return in which lapsed entries come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
@@ -86,10 +90,9 @@
         let pause = match result {
             Ok(()) => {
                 on_reached(&shared, topic);
-                if topic == Topic::Endpoints {
-                    REGISTRY_PAUSE
-                } else {
-                    Duration::ZERO
+                match topic {
+                    Topic::Endpoints => REGISTRY_PAUSE,
+                    Topic::Operators | Topic::Holders => Duration::ZERO,
                 }
             }
             Err(e) => {
@@ -171,10 +174,12 @@
     let Some(from) = next else {
         return read_newest(shared, topic).await;
     };
-    let wait = if topic == Topic::Endpoints {
-        Duration::ZERO
-    } else {
-        LONG_WAIT
+    let failing = shared.topics.borrow_mut().state(topic).failing;
+    let wait = match topic {
+        // After a failure the first answer tells at once that the store is back.
+        _ if failing => Duration::ZERO,
+        Topic::Endpoints => REGISTRY_WAIT,
+        Topic::Operators | Topic::Holders => LONG_WAIT,
     };
     let read = tokio::select! {
         read = shared.store.read(topic, from, wait) => read,
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -62,6 +62,11 @@
         /// How.
         end: EndKind,
     },
+    /// The endpoint has given no sign of a request for long.
+    Stall {
+        /// The request.
+        ticket: Ticket,
+    },
     /// Asks for a sign of life.
     Ping,
     /// Records of the platform's store.
@@ -77,8 +82,10 @@
     NotHeld,
     /// The endpoint did not run it.
     Refused,
-    /// The endpoint could not be reached, or broke off.
+    /// The endpoint broke off, or gave something else than an answer.
     Failed,
+    /// No connection to the endpoint could be made.
+    Unreachable,
 }
 
 /// What a holder tells an instance.
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -60,6 +60,13 @@
     InDoubt(&'static str),
 }
 
+/// Time without a sign of life after which an endpoint is reported; first events take 40 ms at
+/// the median and some 300 at the slowest hundredth.
+const STALL_BASE: Duration = Duration::from_millis(400);
+/// Further time for each token of the prompt; engines read some 38 tokens in a ms, and several
+/// prompts share that.
+const STALL_PER_TOKEN: Duration = Duration::from_micros(100);
+
 /// What is known of a request's attempts so far.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -241,15 +248,17 @@
     resume_after: Option<&str>,
 ) -> Attempt {
     let failed = |placed: &Placed| placed.run.set_end(EndKind::Failed);
-    let until = call.last;
+    let until = patience(call, progress);
     let connect = shared.pool.take(&placed.endpoint, placed.addr);
     let Ok(Ok(mut pooled)) = timeout_at(until, connect).await else {
-        failed(&placed);
+        placed.run.set_end(EndKind::Unreachable);
         return Attempt::NotRun("can't connect");
     };
     let request = onward(call, &placed.endpoint, resume_after, until);
     note_sent(shared, call, progress.sent);
-    let answer = match timeout_at(until, pooled.link.send(request)).await {
+    let stall = Instant::now() + STALL_BASE + STALL_PER_TOKEN * call.head.tokens.prompt;
+    let send = watched(&placed, stall, pooled.link.send(request));
+    let answer = match timeout_at(until, send).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(CallError::NotSent(_))) => return Attempt::NotRun("the connection had ended"),
         Ok(Err(_)) => {
@@ -259,6 +268,7 @@
         }
         Err(_) => {
             (progress.sent, progress.ran) = (progress.sent + 1, progress.ran + 1);
+            failed(&placed);
             return Attempt::InDoubt("no answer in time");
         }
     };
@@ -284,14 +294,17 @@
         .await;
     }
     progress.ran += 1;
-    let first = match timeout_at(until, body.frame()).await {
+    let first = match timeout_at(until, watched(&placed, stall, body.frame())).await {
         Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
         Ok(None) => None,
         Ok(Some(Err(_))) => {
             failed(&placed);
             return Attempt::InDoubt("the stream broke off before its first event");
         }
-        Err(_) => return Attempt::InDoubt("no event in time"),
+        Err(_) => {
+            failed(&placed);
+            return Attempt::InDoubt("no event in time");
+        }
     };
     Attempt::Begun(Box::new(Begun {
         placed,
@@ -304,6 +317,28 @@
     }))
 }
 
+/// Waits for a sign of life; tells who granted the endpoint when none has come by `stall`.
+async fn watched<T>(placed: &Placed, stall: Instant, sign: impl Future<Output = T>) -> T {
+    let mut sign = std::pin::pin!(sign);
+    if let Ok(sign) = timeout_at(stall, sign.as_mut()).await {
+        return sign;
+    }
+    placed.run.stall();
+    sign.await
+}
+
+/// Returns until when an attempt is awaited: a request that may run again is tried elsewhere
+/// while there is time for it.
+fn patience(call: &Call, progress: &Progress) -> Instant {
+    let tries = progress.ran + 1;
+    if call.route.may_rerun() && tries < call.route.attempts {
+        let wait = call.route.goal + STALL_PER_TOKEN * call.head.tokens.prompt;
+        call.last.min(Instant::now() + wait.max(STALL_BASE))
+    } else {
+        call.last
+    }
+}
+
 /// Reads an answer that is no stream of events.
 async fn whole(
     shared: &Rc<Shared>,
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -115,6 +115,10 @@
                 let id = AskId { source, ticket };
                 desk.with(shared, |placer, now| placer.on_end(now, id, end.into()));
             }
+            ToHolder::Stall { ticket } => {
+                let id = AskId { source, ticket };
+                desk.with(shared, |placer, now| placer.on_stall(now, id));
+            }
             ToHolder::Ping => {
                 let peers = desk.peers(zone);
                 let pong = frame::encode(&FromHolder::Pong { peers });
@@ -133,6 +137,7 @@
             EndKind::NotHeld => Self::NotHeld,
             EndKind::Refused => Self::Refused,
             EndKind::Failed => Self::Failed,
+            EndKind::Unreachable => Self::Unreachable,
         }
     }
 }
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -97,6 +97,18 @@
     pub(crate) fn set_end(&self, end: EndKind) {
         self.end.set(end);
     }
+
+    /// Tells who granted the endpoint that it gives no sign of the request.
+    pub(crate) fn stall(&self) {
+        match &self.by {
+            Grantor::Desk(desk) => desk.stall_own(&self.shared, self.ticket),
+            Grantor::Session(session) => {
+                let ticket = self.ticket;
+                session.send(&ToHolder::Stall { ticket });
+            }
+            Grantor::Own(_) => {}
+        }
+    }
 }
 
 impl Drop for RunGuard {
@@ -125,6 +137,7 @@
                     EndKind::Done => Verdict::Dropped,
                     EndKind::NotHeld | EndKind::Refused => Verdict::Refused,
                     EndKind::Failed => Verdict::Broken,
+                    EndKind::Unreachable => Verdict::Unreachable,
                 };
                 let mut chooser = self.shared.chooser.borrow_mut();
                 chooser.on_end(Shared::now(), endpoint, verdict);
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, Payload};
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::timeout_at};
+use tokio::{sync::mpsc, time::{sleep, timeout_at}};
 
 use crate::{
     event::emit,
@@ -33,6 +33,12 @@
     _in_flight: InFlight,
 }
 
+/// Pause between events that is taken where a route names none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(250);
+/// Multiple of the pause that is on time after which a stream goes on elsewhere; callers leave
+/// after eight.
+const SILENT_PAUSES: u32 = 4;
+
 /// How passing on one endpoint's events ended.
 enum Passed {
     Complete,
@@ -120,6 +126,8 @@
             ..
         } = begun;
         let until = self.call.leaves + LATE_LIMIT;
+        let pause = self.call.route.pause.unwrap_or(DEFAULT_PAUSE) * SILENT_PAUSES;
+        let can_resume = self.call.route.may_rerun();
         let mut chunk = first;
         while let Some(bytes) = chunk {
             if let Some(events) = self.cutter.feed(&bytes)
@@ -128,6 +136,10 @@
                 return Passed::CallerLeft;
             }
             chunk = tokio::select! {
+                () = sleep(pause), if can_resume => {
+                    placed.run.set_end(EndKind::Failed);
+                    return Passed::Broken("the stream is silent");
+                }
                 frame = timeout_at(until, body.frame()) => match frame {
                     Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
                     Ok(None) => None,
--- a/crates/caraway-gateway/src/serve.rs
+++ b/crates/caraway-gateway/src/serve.rs
@@ -32,7 +32,8 @@
 }
 
 /// Serves every connection of `listener` by `handle`; connections that are idle for `idle` are
-/// closed, and all are when `closing` turns true, each after the answer that it waits for.
+/// closed. When `closing` turns true, the listener is closed, and each connection after the answer
+/// that it waits for.
 pub(crate) async fn serve<F, R>(
     shared: Rc<Shared>,
     listener: TcpListener,
@@ -43,8 +44,14 @@
     F: Fn(Rc<Shared>, Request<Incoming>) -> R + Clone + 'static,
     R: Future<Output = Response<Payload>> + 'static,
 {
+    let mut closed = closing.clone();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // New connections are refused, so that their callers turn elsewhere at once.
+            _ = closed.wait_for(|c| *c) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    fmt,
     rc::Rc,
     time::Duration,
 };
@@ -64,6 +65,17 @@
     Stopped,
 }
 
+impl fmt::Display for Loss {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Closed(why) => f.write_str(why),
+            Self::Silent => f.write_str("the holder gives no sign of life"),
+            Self::NotHolder => f.write_str("the instance does not hold the zone"),
+            Self::Stopped => f.write_str("the zone has another holder"),
+        }
+    }
+}
+
 impl Session {
     /// Makes a session that is not open yet.
     pub(crate) fn new(zone: ZoneId, holder: Holder) -> Self {
@@ -133,13 +145,19 @@
 
     /// Keeps the session open until it is stopped.
     pub(crate) async fn run(self: Rc<Self>, shared: Rc<Shared>) {
+        let mut told = false;
         while !self.stopped.get() {
             let loss = self.hold_open(&shared).await;
+            // Further failures to open it say nothing new.
+            let is_news = self.is_up() || !told;
+            told = true;
             self.close();
-            if !matches!(loss, Loss::Stopped) {
+            if is_news && !matches!(loss, Loss::Stopped) {
                 emit!(shared, warn, SessionLost; "zone" => &*self.zone,
                     "holder" => &*self.holder.instance, "token" => self.holder.token,
-                    "why" => format!("{loss:?}"));
+                    "why" => %loss);
+            }
+            if !self.stopped.get() {
                 sleep(REOPEN_PAUSE).await;
             }
         }
--- a/crates/caraway-placement/src/ask.rs
+++ b/crates/caraway-placement/src/ask.rs
@@ -45,6 +45,8 @@
     NotHeld,
     /// The endpoint did not run it for another reason.
     Refused,
-    /// The endpoint could not be reached, or broke off.
+    /// The endpoint broke off, or gave something else than an answer.
     Failed,
+    /// No connection to the endpoint could be made.
+    Unreachable,
 }
--- a/crates/caraway-placement/src/order.rs
+++ b/crates/caraway-placement/src/order.rs
@@ -29,6 +29,8 @@
     /// Orders that the endpoint has accepted before; it refuses this one when it has accepted
     /// another since.
     pub expect: u64,
+    /// Whether it repeats an accepted load only to learn whether it is complete.
+    pub is_poll: bool,
 }
 
 /// How an order ended.
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -15,7 +15,7 @@
 use caraway_types::EndpointId;
 
 use crate::{
-    AskId, Decayed, Order, OrderNumber, Output, PlacerSettings, replica::Replica, waiting::Waiting,
+    AskId, Decayed, OrderNumber, Output, PlacerSettings, replica::Replica, waiting::Waiting,
 };
 
 /// Pause between looks at requests that wait, for deadlines that can't be met any more.
@@ -135,20 +135,4 @@
             .get(model)
             .map_or(0.0, |d| d.value(now, self.settings.popularity))
     }
-
-    fn order(
-        &mut self,
-        endpoint: &EndpointId,
-        number: OrderNumber,
-        order: (crate::Action, ModelRef, u64),
-    ) {
-        let (action, model, expect) = order;
-        self.outputs.push(Output::Order(Order {
-            number,
-            endpoint: endpoint.clone(),
-            action,
-            model,
-            expect,
-        }));
-    }
 }
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -109,7 +109,7 @@
                 .entry(model.clone())
                 .or_insert(Held::ready(*version));
             match held.phase {
-                Phase::Planned if held.version > *version => {}
+                Phase::Planned if held.former.is_some() => {}
                 Phase::Leaving | Phase::Unloading => {}
                 _ => {
                     held.phase = Phase::Ready;
@@ -118,7 +118,7 @@
             }
         }
         for model in &report.incoming {
-            let poll = now + step;
+            let poll = Some(now + step);
             let loading = Phase::Loading { since: now, poll };
             match self.held.get_mut(model) {
                 Some(held) if held.phase == Phase::Doubtful => held.phase = loading,
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -1,18 +1,25 @@
 //! Orders: one at a time to each endpoint, and what their ends say.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
 use super::Placer;
 use crate::{
-    Action, OrderEnd, OrderNumber, Output,
-    replica::{Outstanding, Phase, Replica, Todo},
+    Action, Order, OrderEnd, OrderNumber, Output,
+    replica::{Held, Outstanding, Phase, Replica, Todo},
 };
 
 /// Weight of the newest load in the average time of a load.
 const NEWEST_WEIGHT: f64 = 0.1;
+/// Sendings of an order without an answer after which the endpoint's report is awaited.
+const SENDINGS: u8 = 3;
+/// Multiple of a load's usual time after which the endpoint's report is asked for.
+const STUCK_LOADS: u32 = 10;
 /// Part of a load's expected time after which it is asked for the first time.
 const FIRST_POLL_PART: f64 = 0.96;
 
@@ -28,9 +35,8 @@
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
         };
-        let Some(order) = replica.outstanding.take_if(|o| o.number == number) else {
-            return;
-        };
+        let poll = replica.polls.remove(&number);
+        let order = replica.outstanding.take_if(|o| o.number == number);
         match end {
             OrderEnd::Fenced => {
                 self.outputs.push(Output::Deposed(endpoint.clone()));
@@ -40,11 +46,12 @@
                 self.on_gone(now, endpoint);
                 return;
             }
-            _ if order.is_poll => self.on_poll_end(now, endpoint, &order.model, end),
-            _ => match order.action {
-                Action::Load => self.on_load_end(now, endpoint, &order.model, end),
-                Action::Unload => self.on_unload_end(now, endpoint, &order.model, end),
-            },
+            _ => {}
+        }
+        if let Some(model) = poll {
+            self.on_poll_end(now, endpoint, &model, end);
+        } else if let Some(order) = order {
+            self.on_change_end(now, endpoint, order, end);
         }
         self.pump(now, endpoint);
         self.plan(now);
@@ -58,22 +65,48 @@
         }
     }
 
-    /// Sends the next order to an endpoint that has none outstanding.
+    /// Sends what is due to an endpoint: the next order, where none is outstanding, and questions
+    /// whether loads are complete.
     pub(super) fn pump(&mut self, now: Instant, endpoint: &EndpointId) {
         if self.leaving {
             return;
         }
-        let number = self.last_number + 1;
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
         };
-        let Some((outstanding, expect)) = replica.next_order(now, number) else {
+        if let Some(order) = replica.next_order(now, self.last_number + 1) {
+            self.last_number += 1;
+            self.outputs.push(Output::Order(order));
+        }
+        while let Some(poll) = replica.next_poll(now, self.last_number + 1) {
+            self.last_number += 1;
+            self.outputs.push(Output::Order(poll));
+        }
+    }
+
+    fn on_change_end(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        order: Outstanding,
+        end: OrderEnd,
+    ) {
+        if end == OrderEnd::Unanswered && order.sent + 1 < SENDINGS {
+            // The endpoint carries out only one of several sendings, as each expects the same
+            // number of accepted orders.
+            if let Some(replica) = self.replicas.get_mut(endpoint) {
+                replica.todo.push_front(Todo {
+                    action: order.action,
+                    model: order.model,
+                    sent: order.sent + 1,
+                });
+            }
             return;
-        };
-        let (action, model) = (outstanding.action, outstanding.model.clone());
-        replica.outstanding = Some(outstanding);
-        self.last_number = number;
-        self.order(endpoint, number, (action, model, expect));
+        }
+        match order.action {
+            Action::Load => self.on_load_end(now, endpoint, &order.model, end),
+            Action::Unload => self.on_unload_end(now, endpoint, &order.model, end),
+        }
     }
 
     fn on_load_end(
@@ -95,7 +128,7 @@
         match end {
             OrderEnd::Accepted => {
                 let wait = if held.recent { reload } else { expected };
-                let poll = now + wait;
+                let poll = Some(now + wait);
                 held.phase = Phase::Loading { since: now, poll };
                 self.fetched += u64::from(!held.recent);
                 replica.count_order(now);
@@ -113,15 +146,16 @@
                 replica.todo.push_front(Todo {
                     action: Action::Load,
                     model: model.clone(),
+                    sent: 0,
                 });
                 replica.doubt(now, lag);
             }
             OrderEnd::NotSent => {
-                replica.held.remove(model);
+                replica.unplan(model);
                 replica.paused = Some(now + pause);
             }
             OrderEnd::Rejected | OrderEnd::Fenced | OrderEnd::Elsewhere => {
-                replica.held.remove(model);
+                replica.unplan(model);
                 replica.doubt(now, lag);
             }
         }
@@ -135,6 +169,7 @@
         end: OrderEnd,
     ) {
         let (step, lag) = (self.settings.poll, self.settings.report_lag);
+        let patience = self.load_time * STUCK_LOADS;
         let recent_limit = self.settings.recent;
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
@@ -155,10 +190,11 @@
                 }
                 self.serve_model(now, model);
             }
-            OrderEnd::Accepted => *poll = now + step,
             _ => {
-                *poll = now + step;
-                replica.doubt(now, lag);
+                *poll = Some(now + step);
+                if now.saturating_duration_since(*since) > patience && replica.orders.is_some() {
+                    replica.doubt(now, lag);
+                }
             }
         }
     }
@@ -197,6 +233,7 @@
                 replica.todo.push_front(Todo {
                     action: Action::Unload,
                     model: model.clone(),
+                    sent: 0,
                 });
                 replica.doubt(now, lag);
             }
@@ -222,13 +259,11 @@
     /// Returns when something is due without an event.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         let report = self.report_at.filter(|_| !self.reporting);
-        if self.outstanding.is_some() || self.orders.is_none() {
-            return report;
-        }
         let polls = self.held.values().filter_map(|h| match h.phase {
-            Phase::Loading { poll, .. } => Some(poll),
+            Phase::Loading { poll, .. } => poll,
             _ => None,
         });
+        let polls = polls.filter(|_| self.orders.is_some());
         polls.chain(report).min()
     }
 
@@ -245,55 +280,95 @@
         self.report_at = Some(now + lag);
     }
 
-    /// Takes the next order that can be sent, with the number of orders that it expects.
-    fn next_order(&mut self, now: Instant, number: OrderNumber) -> Option<(Outstanding, u64)> {
+    /// Takes the next order that can be sent.
+    fn next_order(&mut self, now: Instant, number: OrderNumber) -> Option<Order> {
         let expect = self.orders?;
         if self.outstanding.is_some() || self.paused.is_some_and(|until| now < until) {
             return None;
         }
-        if let Some(todo) = self.next_todo() {
-            let outstanding = Outstanding {
-                number,
-                action: todo.action,
-                is_poll: false,
-                model: todo.model,
-            };
-            return Some((outstanding, expect));
-        }
-        let due = self
-            .held
-            .iter()
-            .filter_map(|(model, held)| match held.phase {
-                Phase::Loading { poll, .. } if poll <= now => Some((poll, model)),
-                _ => None,
-            });
-        let (_, model) = due.min()?;
-        let outstanding = Outstanding {
+        let Todo {
+            action,
+            model,
+            sent,
+        } = self.next_todo()?;
+        self.outstanding = Some(Outstanding {
             number,
-            action: Action::Load,
-            is_poll: true,
+            action,
             model: model.clone(),
-        };
-        Some((outstanding, expect))
+            sent,
+        });
+        Some(Order {
+            number,
+            endpoint: self.endpoint.id.clone(),
+            action,
+            model,
+            expect,
+            is_poll: false,
+        })
     }
 
-    /// Takes the first planned order that still makes sense, unless it has to wait for a place.
+    /// Takes the next question whether a load is complete.
+    fn next_poll(&mut self, now: Instant, number: OrderNumber) -> Option<Order> {
+        let expect = self.orders?;
+        for (model, held) in &mut self.held {
+            if let Phase::Loading { poll, .. } = &mut held.phase
+                && poll.is_some_and(|at| at <= now)
+            {
+                *poll = None;
+                self.polls.insert(number, model.clone());
+                return Some(Order {
+                    number,
+                    endpoint: self.endpoint.id.clone(),
+                    action: Action::Load,
+                    model: model.clone(),
+                    expect,
+                    is_poll: true,
+                });
+            }
+        }
+        None
+    }
+
+    /// Takes the first planned order that can be carried out now.
     fn next_todo(&mut self) -> Option<Todo> {
-        while let Some(todo) = self.todo.front() {
-            let held = self.held.get(&todo.model);
-            let phase = held.map(|h| h.phase);
-            match todo.action {
-                Action::Unload if phase == Some(Phase::Leaving) => break,
-                Action::Load if phase == Some(Phase::Planned) => {
-                    if self.occupied() >= self.places {
-                        return None;
-                    }
-                    break;
-                }
-                _ => {}
+        let held = &self.held;
+        self.todo.retain(|t| is_planned(t, held));
+        let is_full = self.occupied() >= self.places;
+        let fits = |t: &Todo| {
+            let replaces = held.get(&t.model).is_some_and(|h| h.former.is_some());
+            t.action == Action::Unload || replaces || !is_full
+        };
+        if let Some(first) = self.todo.iter().position(fits) {
+            return self.todo.remove(first);
+        }
+        if !self.frees_place()
+            && let Some(todo) = self.todo.pop_front()
+        {
+            // Nothing will free a place for it any more, so that another plan is needed.
+            self.unplan(&todo.model);
+        }
+        None
+    }
+
+    /// Drops a planned load; what it would have replaced is there as before.
+    fn unplan(&mut self, model: &ModelRef) {
+        let former = self.held.get(model).and_then(|h| h.former);
+        match former {
+            Some(version) => {
+                self.held.insert(model.clone(), Held::ready(version));
+            }
+            None => {
+                self.held.remove(model);
             }
-            self.todo.pop_front();
         }
-        self.todo.pop_front()
+    }
+}
+
+/// Tells whether a planned order still makes sense.
+fn is_planned(todo: &Todo, held: &HashMap<ModelRef, Held>) -> bool {
+    let phase = held.get(&todo.model).map(|h| h.phase);
+    match todo.action {
+        Action::Unload => phase == Some(Phase::Leaving),
+        Action::Load => phase == Some(Phase::Planned),
     }
 }
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -195,7 +195,8 @@
         let Some(replica) = self.replicas.get(endpoint) else {
             return;
         };
-        let in_place = replica.held.contains_key(model);
+        let former = replica.held.get(model).map(|h| h.version);
+        let in_place = former.is_some();
         let victim = if in_place || replica.spare() > 0 {
             None
         } else {
@@ -212,6 +213,7 @@
             replica.todo.push_back(Todo {
                 action: Action::Unload,
                 model: victim,
+                sent: 0,
             });
         }
         let held = Held {
@@ -219,11 +221,13 @@
             version,
             runs: 0,
             recent: replica.remembers(model),
+            former,
         };
         replica.held.insert(model.clone(), held);
         replica.todo.push_back(Todo {
             action: Action::Load,
             model: model.clone(),
+            sent: 0,
         });
         self.pump(now, endpoint);
     }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -14,6 +14,8 @@
 const FORGOTTEN: f64 = 0.01;
 /// Requests in a row that an endpoint fails before it is left alone for a while.
 const FAILURE_LIMIT: u32 = 3;
+/// Requests without a sign of life after which an endpoint counts as silent.
+const STALL_LIMIT: u32 = 2;
 /// When a caller may come back that found no endpoint: an instance hears of new ones within this.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
 
@@ -63,7 +65,10 @@
             held.runs = held.runs.saturating_sub(1);
         }
         match end {
-            End::Done => replica.failures = 0,
+            End::Done => {
+                replica.failures = 0;
+                replica.stalls = 0;
+            }
             End::NotHeld => {
                 if replica.held.get(&model).is_some_and(Held::is_ready) {
                     replica.held.remove(&model);
@@ -71,6 +76,7 @@
                 replica.orders = None;
                 replica.report_at.get_or_insert(now);
             }
+            End::Unreachable => replica.paused = Some(now + self.settings.pause),
             End::Refused | End::Failed => {
                 replica.failures += 1;
                 if replica.failures >= FAILURE_LIMIT {
@@ -83,6 +89,23 @@
         self.pump(now, &endpoint);
     }
 
+    /// Notes that an endpoint has given no sign of a granted request for long.
+    ///
+    /// One such request may be large; several without any that completes mean that the endpoint
+    /// is silent, and new ones go elsewhere for a while.
+    pub fn on_stall(&mut self, now: Instant, id: AskId) {
+        let Some(granted) = self.granted.get(&id) else {
+            return;
+        };
+        let Some(replica) = self.replicas.get_mut(&granted.endpoint) else {
+            return;
+        };
+        replica.stalls += 1;
+        if replica.stalls >= STALL_LIMIT {
+            replica.paused = Some(now + self.settings.silence);
+        }
+    }
+
     /// Notes that nothing more comes from an asking instance; its runs count as ended.
     pub fn on_source_lost(&mut self, now: Instant, source: SourceId) {
         self.waiting.drop_if(|id, _| id.source == source);
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -19,8 +19,8 @@
     Loading {
         /// When it was accepted.
         since: Instant,
-        /// When to ask next whether it is complete.
-        poll: Instant,
+        /// When to ask next whether it is complete; `None` while an answer is awaited.
+        poll: Option<Instant>,
     },
     /// It serves.
     Ready,
@@ -41,6 +41,8 @@
     pub(crate) runs: u32,
     /// Whether the endpoint held it recently, so that the load needs no fetch.
     pub(crate) recent: bool,
+    /// The version that a planned load replaces in its place.
+    pub(crate) former: Option<u64>,
 }
 
 impl Held {
@@ -50,6 +52,7 @@
             version,
             runs: 0,
             recent: false,
+            former: None,
         }
     }
 
@@ -57,6 +60,11 @@
         self.phase == Phase::Ready
     }
 
+    /// Tells whether it takes a place at the endpoint, or may.
+    fn takes_place(&self) -> bool {
+        self.phase != Phase::Planned || self.former.is_some()
+    }
+
     /// Tells whether it is on its way to the endpoint, or soon will be.
     pub(crate) fn in_transit(&self) -> bool {
         matches!(
@@ -71,6 +79,8 @@
 pub(crate) struct Todo {
     pub(crate) action: Action,
     pub(crate) model: ModelRef,
+    /// Sendings without an answer so far.
+    pub(crate) sent: u8,
 }
 
 /// An order whose end is not known yet.
@@ -78,9 +88,9 @@
 pub(crate) struct Outstanding {
     pub(crate) number: OrderNumber,
     pub(crate) action: Action,
-    /// Whether it asks only if an earlier load is complete.
-    pub(crate) is_poll: bool,
     pub(crate) model: ModelRef,
+    /// Earlier sendings without an answer.
+    pub(crate) sent: u8,
 }
 
 /// What a placer believes about one endpoint.
@@ -95,6 +105,8 @@
     /// Orders that it has accepted; `None` until a report says it.
     pub(crate) orders: Option<u64>,
     pub(crate) outstanding: Option<Outstanding>,
+    /// Questions whether a load is complete, by the number of the order that asks.
+    pub(crate) polls: HashMap<OrderNumber, ModelRef>,
     pub(crate) todo: VecDeque<Todo>,
     /// When the last order was accepted or got no answer.
     pub(crate) ordered: Option<Instant>,
@@ -104,6 +116,8 @@
     pub(crate) paused: Option<Instant>,
     /// Requests in a row that it failed.
     pub(crate) failures: u32,
+    /// Requests without a sign of life since it last completed one.
+    pub(crate) stalls: u32,
     recent: VecDeque<ModelRef>,
 }
 
@@ -128,12 +142,14 @@
             running: 0,
             orders: None,
             outstanding: None,
+            polls: HashMap::new(),
             todo: VecDeque::new(),
             ordered: None,
             reporting: false,
             report_at: Some(report),
             paused: None,
             failures: 0,
+            stalls: 0,
             recent: VecDeque::new(),
         }
     }
@@ -155,10 +171,14 @@
 
     /// Returns the places that are taken at the endpoint, or may be.
     pub(crate) fn occupied(&self) -> usize {
+        self.held.values().filter(|h| h.takes_place()).count()
+    }
+
+    /// Tells whether an order under way will free a place.
+    pub(crate) fn frees_place(&self) -> bool {
         self.held
             .values()
-            .filter(|h| h.phase != Phase::Planned)
-            .count()
+            .any(|h| matches!(h.phase, Phase::Leaving | Phase::Unloading))
     }
 
     /// Returns the places that planned loads leave free, not counting those that planned unloads
--- a/crates/caraway-placement/src/settings.rs
+++ b/crates/caraway-placement/src/settings.rs
@@ -28,6 +28,8 @@
     pub stale: Duration,
     /// Time for which an endpoint that could not be reached is left alone.
     pub pause: Duration,
+    /// Time for which an endpoint that gives no sign of life is left alone.
+    pub silence: Duration,
     /// Shortest run that is worth starting before a deadline.
     pub shortest_run: Duration,
 }
@@ -57,6 +59,8 @@
             stale: Duration::from_secs(3),
             // An endpoint that crashed is back after some 2 s.
             pause: Duration::from_millis(300),
+            // Some requests go there to see whether it is back.
+            silence: Duration::from_secs(1),
             // A first event takes some 30 ms on an idle engine.
             shortest_run: Duration::from_millis(30),
         }
--- /dev/null
+++ b/crates/caraway-placement/tests/world/engine.rs
@@ -0,0 +1,221 @@
+//! An engine endpoint that holds adapters and takes orders as the deployments' do.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use caraway_placement::{Action, Order, OrderEnd, Report};
+use caraway_routes::ModelRef;
+
+/// Time by which a report lags behind.
+const REPORT_LAG: Duration = Duration::from_millis(100);
+/// Part of a load's time that a load of a kept copy takes.
+const RELOAD_PART: f64 = 0.1;
+
+/// What an order led to.
+pub(crate) enum Carried {
+    /// An answer.
+    End(OrderEnd),
+    /// The adapter is fetched from the weight store.
+    Fetched,
+    /// The endpoint could not hold it and crashed.
+    Crashed,
+}
+
+#[derive(Clone, Debug)]
+struct Copy {
+    version: u64,
+    /// When the load is complete.
+    ready: Instant,
+    fetched: bool,
+    runs: u32,
+    leaving: bool,
+}
+
+/// An engine endpoint.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    places: usize,
+    limit: usize,
+    orders: u64,
+    copies: HashMap<ModelRef, Copy>,
+    recent: VecDeque<(ModelRef, u64)>,
+    history: VecDeque<(Instant, Report)>,
+    pub(crate) unloads_under_run: usize,
+    pub(crate) runs_on_old: Vec<(ModelRef, u64)>,
+}
+
+impl Engine {
+    pub(crate) fn new(places: usize, limit: usize) -> Self {
+        Self {
+            places,
+            limit,
+            orders: 0,
+            copies: HashMap::new(),
+            recent: VecDeque::new(),
+            history: VecDeque::new(),
+            unloads_under_run: 0,
+            runs_on_old: Vec::new(),
+        }
+    }
+
+    /// Returns how many adapters it fetches from the weight store.
+    pub(crate) fn fetching(&self, now: Instant) -> usize {
+        let fetching = |c: &&Copy| c.fetched && c.ready > now;
+        self.copies.values().filter(fetching).count()
+    }
+
+    /// Starts a run; false when the adapter is not there.
+    pub(crate) fn start_run(&mut self, now: Instant, model: &ModelRef) -> bool {
+        if model.adapter.is_none() {
+            return true;
+        }
+        match self.copies.get_mut(model) {
+            Some(copy) if copy.ready <= now && !copy.leaving => {
+                copy.runs += 1;
+                self.runs_on_old.push((model.clone(), copy.version));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Ends a run.
+    pub(crate) fn end_run(&mut self, model: &ModelRef) {
+        if let Some(copy) = self.copies.get_mut(model) {
+            copy.runs = copy.runs.saturating_sub(1);
+            if copy.leaving && copy.runs == 0 {
+                self.copies.remove(model);
+            }
+        }
+    }
+
+    /// Carries an order out.
+    pub(crate) fn execute(
+        &mut self,
+        now: Instant,
+        order: &Order,
+        load: Duration,
+        version: u64,
+    ) -> Carried {
+        self.note(now);
+        let carried = self.carry_out(now, order, load, version);
+        self.note(now);
+        carried
+    }
+
+    /// Returns what it was a little earlier.
+    pub(crate) fn report(&self, now: Instant) -> Report {
+        let seen = now.checked_sub(REPORT_LAG).unwrap_or(now);
+        let old = self.history.iter().rev().find(|(at, _)| *at <= seen);
+        let mut report = old.map_or_else(Report::default, |(_, r)| r.clone());
+        // What was on its way then may be there by then.
+        let arrived = |m: &ModelRef| self.copies.get(m).is_some_and(|c| c.ready <= seen);
+        let (there, coming): (Vec<_>, Vec<_>) =
+            report.incoming.drain(..).partition(|m| arrived(m));
+        report.incoming = coming;
+        report.held.extend(there.into_iter().map(|m| (m, 1)));
+        report
+    }
+
+    fn carry_out(
+        &mut self,
+        now: Instant,
+        order: &Order,
+        load: Duration,
+        version: u64,
+    ) -> Carried {
+        let model = &order.model;
+        let current = self.copies.get(model).map(|c| (c.version, c.ready, c.runs));
+        match (order.action, current) {
+            (Action::Load, Some((held, ready, _))) if held == version => {
+                if ready <= now {
+                    return Carried::End(OrderEnd::Holds);
+                }
+                return Carried::End(OrderEnd::Accepted);
+            }
+            (Action::Unload, None) => return Carried::End(OrderEnd::Holds),
+            _ => {}
+        }
+        if order.expect != self.orders {
+            return Carried::End(OrderEnd::Conflict);
+        }
+        self.orders += 1;
+        match order.action {
+            Action::Unload => self.unload(model),
+            Action::Load => self.load(now, model, load, version),
+        }
+    }
+
+    fn unload(&mut self, model: &ModelRef) -> Carried {
+        let runs = self.copies.get(model).map_or(0, |c| c.runs);
+        if runs > 0 {
+            self.unloads_under_run += 1;
+            if let Some(copy) = self.copies.get_mut(model) {
+                copy.leaving = true;
+            }
+            return Carried::End(OrderEnd::Accepted);
+        }
+        self.copies.remove(model);
+        Carried::End(OrderEnd::Holds)
+    }
+
+    fn load(&mut self, now: Instant, model: &ModelRef, load: Duration, version: u64) -> Carried {
+        let replaces = self.copies.contains_key(model);
+        if !replaces && self.copies.len() >= self.places {
+            self.copies.clear();
+            self.orders = 0;
+            return Carried::Crashed;
+        }
+        let name = (model.clone(), version);
+        let kept = self.recent.contains(&name);
+        self.recent.retain(|r| *r != name);
+        self.recent.push_back(name);
+        if self.recent.len() > self.limit {
+            self.recent.pop_front();
+        }
+        let took = if kept { load.mul_f64(RELOAD_PART) } else { load };
+        let copy = Copy {
+            version,
+            ready: now + took,
+            fetched: !kept,
+            runs: 0,
+            leaving: false,
+        };
+        self.copies.insert(model.clone(), copy);
+        if kept {
+            Carried::End(OrderEnd::Accepted)
+        } else {
+            Carried::Fetched
+        }
+    }
+
+    fn note(&mut self, now: Instant) {
+        let there = |c: &Copy| c.ready <= now;
+        let report = Report {
+            orders: self.orders,
+            held: self
+                .copies
+                .iter()
+                .filter(|(_, c)| there(c))
+                .map(|(m, c)| (m.clone(), c.version))
+                .collect(),
+            incoming: self
+                .copies
+                .iter()
+                .filter(|(_, c)| !there(c))
+                .map(|(m, _)| m.clone())
+                .collect(),
+            running: self.copies.values().map(|c| c.runs).sum(),
+            waiting: 0,
+        };
+        self.history.push_back((now, report));
+        if self.history.len() > HISTORY {
+            self.history.pop_front();
+        }
+    }
+}
+
+/// States that are kept for reports.
+const HISTORY: usize = 64;
--- /dev/null
+++ b/crates/caraway-placement/tests/world/load.rs
@@ -0,0 +1,45 @@
+//! Loads on a [`World`](super::World).
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_distr::{Distribution, Zipf};
+
+use super::{World, adapter};
+
+/// Requests for adapters of skewed popularity.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Skewed {
+    pub(crate) per_second: f64,
+    pub(crate) adapters: usize,
+    pub(crate) skew: f64,
+    pub(crate) patience: Duration,
+    /// Adds to each adapter's number, so that demand moves to others.
+    pub(crate) shift: usize,
+}
+
+impl Skewed {
+    /// Lets requests come from `from` to `to`; returns the number of requests.
+    pub(crate) fn fill(&self, world: &mut World, from: Duration, to: Duration, first: u64) -> u64 {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let zipf = Zipf::new(self.adapters as f64, self.skew).expect("a skew above zero");
+        let mut at = from;
+        let mut ticket = first;
+        loop {
+            let draw: f64 = world.rng.random_range(f64::EPSILON..1.0);
+            at += Duration::from_secs_f64(-draw.ln() / self.per_second);
+            if at >= to {
+                return ticket - first;
+            }
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a rank of the distribution"
+            )]
+            let rank = zipf.sample(&mut world.rng) as usize;
+            let model = adapter(rank + self.shift);
+            world.ask_at(at, ticket, model, self.patience);
+            ticket += 1;
+        }
+    }
+}
