Pass over zones that are pressed, and take troubled endpoints last

Change: holders tell how many requests run and wait for each endpoint; askers pass a zone over whose pressure is 1.7 times the least (above a floor); endpoints in trouble are taken last instead of never; a conflict of a poll tells whether the belief or the moment was wrong.

--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -7,7 +7,7 @@
     time::Instant,
 };
 
-use caraway_placement::{Ask, AskId, End, Output, Placer, SourceId};
+use caraway_placement::{Ask, AskId, End, Levels, Output, Placer, SourceId};
 use caraway_types::{Fence, Ticket, ZoneId};
 use tokio::sync::{Notify, mpsc, oneshot};
 
@@ -166,9 +166,9 @@
         }
     }
 
-    /// Returns the number of requests that wait.
-    pub(crate) fn waiting(&self) -> usize {
-        self.placer.borrow().waiting()
+    /// Returns what there is to do.
+    pub(crate) fn levels(&self) -> Levels {
+        self.placer.borrow().levels(Shared::now())
     }
 
     /// Tells whether an order's end is awaited.
@@ -257,7 +257,8 @@
         }
         let sources = self.sources.borrow();
         if let Some(source) = sources.get(&ask.source) {
-            let bytes = frame::encode(&decision.into_frame(ask.ticket));
+            let pressure = self.levels().pressure();
+            let bytes = frame::encode(&decision.into_frame(ask.ticket, pressure));
             // A full queue ends the session there, and with it the grant.
             source.frames.try_send(Ok(bytes)).ok();
         }
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -83,6 +83,8 @@
     Reported = 1301, "report", 20;
     /// An endpoint gave no usable report.
     ReportMissing = 1302, "report missing", 20;
+    /// What a placer has to do, once a second.
+    PlacerLevels = 1303, "placer levels", 20;
     /// An endpoint was chosen for a request.
     Granted = 1400, "endpoint granted", 10;
     /// A request was answered whole.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -95,6 +95,8 @@
     Pong {
         /// Instances of the asker's zone that are connected, the holder included where it is one.
         peers: usize,
+        /// How pressed the zone's endpoints are.
+        pressure: f64,
     },
     /// A request may run.
     Grant {
@@ -106,6 +108,8 @@
         addr: SocketAddr,
         /// Whether the request waited for a load or a slot.
         waited: bool,
+        /// How pressed the zone's endpoints are.
+        pressure: f64,
     },
     /// A request gets no endpoint.
     Refuse {
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -121,7 +121,8 @@
             }
             ToHolder::Ping => {
                 let peers = desk.peers(zone);
-                let pong = frame::encode(&FromHolder::Pong { peers });
+                let pressure = desk.levels().pressure();
+                let pong = frame::encode(&FromHolder::Pong { peers, pressure });
                 // A full queue ends the session at the other end by its silence.
                 self.outgoing.try_send(Ok(pong)).ok();
             }
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -148,7 +148,7 @@
 
 impl Decision {
     /// Makes the frame that tells the decision.
-    pub(crate) fn into_frame(self, ticket: Ticket) -> FromHolder {
+    pub(crate) fn into_frame(self, ticket: Ticket, pressure: f64) -> FromHolder {
         match self {
             Self::Granted {
                 endpoint,
@@ -159,6 +159,7 @@
                 endpoint,
                 addr,
                 waited,
+                pressure,
             },
             Self::Refused { reason, after } => FromHolder::Refuse {
                 ticket,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -151,6 +151,7 @@
         looks += 1;
         if looks % SWEEP_LOOKS == 0 {
             shared.pool.sweep();
+            log_levels(&shared);
             for (event, lines) in shared.lines.take_left_out() {
                 emit!(shared, info, LinesDropped; "of" => event, "lines" => lines);
             }
@@ -158,6 +159,20 @@
     }
 }
 
+/// Logs what this instance's placers have to do.
+fn log_levels(shared: &Rc<Shared>) {
+    let desks: Vec<_> = shared.desks.borrow().values().cloned().collect();
+    for desk in desks {
+        let levels = desk.levels();
+        emit!(shared, info, PlacerLevels; "zone" => &*desk.zone, "token" => desk.token,
+            "waiting" => levels.waiting, "running" => levels.running,
+            "endpoints" => levels.endpoints, "usable" => levels.usable,
+            "ordering" => levels.ordering, "transit" => levels.transit,
+            "limit" => levels.limit, "fetched" => levels.fetched,
+            "load_ms" => millis(levels.load_time));
+    }
+}
+
 /// Reads the settings again at each SIGHUP. Addresses stay as they are until a restart.
 async fn reload_settings(shared: Rc<Shared>, path: PathBuf, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -50,6 +50,7 @@
     outgoing: RefCell<Option<Outgoing>>,
     pending: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     peers: Cell<usize>,
+    pressure: Cell<f64>,
     down: Cell<Option<Instant>>,
     refused: Cell<bool>,
     stop: Notify,
@@ -85,6 +86,7 @@
             outgoing: RefCell::default(),
             pending: RefCell::default(),
             peers: Cell::new(0),
+            pressure: Cell::new(0.0),
             down: Cell::new(Some(Instant::now())),
             refused: Cell::new(false),
             stop: Notify::new(),
@@ -112,6 +114,11 @@
         self.peers.get()
     }
 
+    /// Returns how pressed the zone's endpoints were when the holder last said it.
+    pub(crate) fn pressure(&self) -> f64 {
+        self.pressure.get()
+    }
+
     /// Sends a frame; false when the session is not open.
     pub(crate) fn send(&self, frame: &ToHolder) -> bool {
         let outgoing = self.outgoing.borrow();
@@ -269,20 +276,25 @@
 
     fn on_frame(&self, shared: &Rc<Shared>, frame: FromHolder) -> Option<Loss> {
         match frame {
-            FromHolder::Pong { peers } => self.peers.set(peers),
+            FromHolder::Pong { peers, pressure } => {
+                self.peers.set(peers);
+                self.pressure.set(pressure);
+            }
             FromHolder::Grant {
                 ticket,
                 endpoint,
                 addr,
                 waited,
-            } => self.decide(
-                ticket,
-                Decision::Granted {
+                pressure,
+            } => {
+                self.pressure.set(pressure);
+                let granted = Decision::Granted {
                     endpoint,
                     addr,
                     waited,
-                },
-            ),
+                };
+                self.decide(ticket, granted);
+            }
             FromHolder::Refuse {
                 ticket,
                 reason,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -163,14 +163,18 @@
         for endpoint in directory.of_service(service).filter(|e| e.is_ready()) {
             *counts.entry(&endpoint.zone).or_default() += 1;
         }
-        let open =
-            |zone: &ZoneId| self.desks.borrow().contains_key(zone) || self.session(zone).is_some();
+        let pressure = |zone: &ZoneId| {
+            let desk = self.desk(zone).map(|d| d.levels().pressure());
+            desk.or_else(|| self.session(zone).map(|s| s.pressure()))
+        };
         counts
             .into_iter()
-            .filter(|(zone, _)| open(zone))
-            .map(|(zone, endpoints)| ZoneWeight {
-                zone: zone.clone(),
-                endpoints,
+            .filter_map(|(zone, endpoints)| {
+                Some(ZoneWeight {
+                    zone: zone.clone(),
+                    endpoints,
+                    pressure: pressure(zone)?,
+                })
             })
             .collect()
     }
@@ -201,7 +205,7 @@
         Levels {
             config_version: self.routing().map_or(0, |r| r.version),
             in_flight: count(self.in_flight.get()),
-            waiting: count(desks.values().map(|d| d.waiting()).sum()),
+            waiting: count(desks.values().map(|d| d.levels().waiting).sum()),
             holding: count(desks.len()),
             lines_dropped: self.queue.dropped(),
         }
--- a/crates/caraway-placement/src/homes.rs
+++ b/crates/caraway-placement/src/homes.rs
@@ -20,6 +20,10 @@
     pub popular: f64,
     /// Decayed requests at this instance that a guess about the zone needs at least.
     pub evidence: f64,
+    /// Multiple of the least pressed zone's pressure beyond which a zone is passed over.
+    pub pressed_ratio: f64,
+    /// Pressure that is never too much.
+    pub pressed_floor: f64,
     /// Adapters that are remembered before those that are forgotten anyway are dropped.
     pub sweep: usize,
 }
@@ -33,6 +37,11 @@
             popular: 12.0,
             // A single request says nothing about the next.
             evidence: 2.0,
+            // A run lasts some 450 ms; a zone that is pressed twice as much as another answers later
+            // than the way to the other takes, also with a load.
+            pressed_ratio: 1.7,
+            // An engine reads some 50 prompts a second; 12 runs take it a quarter of its time.
+            pressed_floor: 12.0,
             // As many as are asked for within a few time constants at the grown deployments.
             sweep: 4096,
         }
@@ -46,6 +55,8 @@
     pub zone: ZoneId,
     /// Its engine endpoints that take work.
     pub endpoints: usize,
+    /// Requests that run and wait for each of them; see [`Levels::pressure`](crate::Levels::pressure).
+    pub pressure: f64,
 }
 
 /// Chooses the zone whose placer is asked.
@@ -79,11 +90,22 @@
         peers: usize,
         zones: &[ZoneWeight],
     ) -> Option<ZoneId> {
-        let has_own = zones.iter().any(|z| z.zone == *own);
-        if has_own && (model.adapter.is_none() || self.is_popular(now, model, peers)) {
+        let open: Vec<&ZoneWeight> = self.unpressed(zones);
+        let has_own = open.iter().any(|z| z.zone == *own);
+        let is_popular = model.adapter.is_none() || self.is_popular(now, model, peers);
+        if has_own && is_popular {
             return Some(own.clone());
         }
-        home(model, zones)
+        home(model, &open)
+    }
+
+    /// Returns the zones that are not much more pressed than the least pressed one.
+    fn unpressed<'a>(&self, zones: &'a [ZoneWeight]) -> Vec<&'a ZoneWeight> {
+        let open = zones.iter().filter(|z| z.endpoints > 0);
+        let least = open.clone().map(|z| z.pressure).min_by(f64::total_cmp);
+        let most = least.unwrap_or(0.0) * self.settings.pressed_ratio;
+        let most = most.max(self.settings.pressed_floor);
+        open.filter(|z| z.pressure <= most).collect()
     }
 
     fn is_popular(&mut self, now: Instant, model: &ModelRef, peers: usize) -> bool {
@@ -111,7 +133,7 @@
 const FORGOTTEN: f64 = 0.05;
 
 /// Returns the zone with the highest weighted rendezvous score for `model`.
-fn home(model: &ModelRef, zones: &[ZoneWeight]) -> Option<ZoneId> {
+fn home(model: &ModelRef, zones: &[&ZoneWeight]) -> Option<ZoneId> {
     let key = key(model);
     let score = |z: &ZoneWeight| {
         #[expect(
@@ -125,7 +147,6 @@
     };
     zones
         .iter()
-        .filter(|z| z.endpoints > 0)
         .max_by(|a, b| score(a).total_cmp(&score(b)))
         .map(|z| z.zone.clone())
 }
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -19,5 +19,5 @@
 pub use homes::{HomeSettings, Homes, ZoneWeight};
 pub use order::{Action, Order, OrderEnd, OrderNumber, Report};
 pub use output::{Output, RefuseReason};
-pub use placer::Placer;
+pub use placer::{Levels, Placer};
 pub use settings::PlacerSettings;
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -44,6 +44,42 @@
     leaving: bool,
 }
 
+/// What a placer has to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Levels {
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Endpoints of the zone.
+    pub endpoints: usize,
+    /// Those that take new work.
+    pub usable: usize,
+    /// Those of them that take orders.
+    pub ordering: usize,
+    /// Adapters on their way from the weight store.
+    pub transit: usize,
+    /// How many may be.
+    pub limit: usize,
+    /// Adapters fetched from the weight store so far.
+    pub fetched: u64,
+    /// Average time of a load from the weight store.
+    pub load_time: Duration,
+}
+
+impl Levels {
+    /// Returns the requests that run and wait for each endpoint that takes work.
+    #[must_use]
+    pub fn pressure(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let (requests, endpoints) = ((self.running + self.waiting) as f64, self.usable as f64);
+        requests / endpoints.max(NO_ENDPOINT)
+    }
+}
+
+/// Stands for the endpoints of a zone that has none.
+const NO_ENDPOINT: f64 = 0.1;
+
 /// The newest version of an adapter.
 #[derive(Clone, Copy, Debug)]
 struct Newest {
@@ -112,22 +148,21 @@
         self.replicas.values().any(|r| r.outstanding.is_some())
     }
 
-    /// Returns the number of requests that wait.
+    /// Returns what there is to do.
     #[must_use]
-    pub fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Returns the number of requests that run.
-    #[must_use]
-    pub fn running(&self) -> usize {
-        self.granted.len()
-    }
-
-    /// Returns the number of adapters that were fetched from the weight store.
-    #[must_use]
-    pub fn fetched(&self) -> u64 {
-        self.fetched
+    pub fn levels(&self, now: Instant) -> Levels {
+        let usable = self.replicas.values().filter(|r| r.is_usable(now));
+        Levels {
+            waiting: self.waiting.len(),
+            running: self.granted.len(),
+            endpoints: self.replicas.len(),
+            usable: usable.clone().count(),
+            ordering: usable.filter(|r| r.orders.is_some()).count(),
+            transit: self.transit(),
+            limit: self.transit_limit(),
+            fetched: self.fetched,
+            load_time: self.load_time,
+        }
     }
 
     fn popularity_of(&self, now: Instant, model: &ModelRef) -> f64 {
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -14,6 +14,8 @@
     replica::{Held, Phase, Replica},
 };
 
+/// Pause before an endpoint whose report came too early is asked again.
+const REPORT_PAUSE: Duration = Duration::from_millis(100);
 /// Pause before an endpoint that gave no report is asked again.
 const REPORT_RETRY: Duration = Duration::from_millis(300);
 
@@ -65,10 +67,14 @@
             replica.report_at = Some(now + REPORT_RETRY);
             return;
         };
+        // A report shows the state of before, unless it counts more orders than are known of.
+        let is_fresh = replica.orders.is_none() && report.orders > replica.at_least;
         if let Some(ordered) = replica.ordered
             && now < ordered + lag
+            && !is_fresh
         {
-            replica.report_at = Some(ordered + lag);
+            let again = (now + REPORT_PAUSE).min(ordered + lag);
+            replica.report_at = Some(again);
             return;
         }
         replica.report_at = None;
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -11,7 +11,7 @@
 use super::Placer;
 use crate::{
     Action, Order, OrderEnd, OrderNumber, Output,
-    replica::{Held, Outstanding, Phase, Replica, Todo},
+    replica::{Held, Outstanding, Phase, Poll, Replica, Todo},
 };
 
 /// Weight of the newest load in the average time of a load.
@@ -48,8 +48,8 @@
             }
             _ => {}
         }
-        if let Some(model) = poll {
-            self.on_poll_end(now, endpoint, &model, end);
+        if let Some(poll) = poll {
+            self.on_poll_end(now, endpoint, &poll, end);
         } else if let Some(order) = order {
             self.on_change_end(now, endpoint, order, end);
         }
@@ -148,7 +148,7 @@
                     model: model.clone(),
                     sent: 0,
                 });
-                replica.doubt(now, lag);
+                replica.doubt(now, Duration::ZERO);
             }
             OrderEnd::NotSent => {
                 replica.unplan(model);
@@ -165,11 +165,12 @@
         &mut self,
         now: Instant,
         endpoint: &EndpointId,
-        model: &ModelRef,
+        asked: &Poll,
         end: OrderEnd,
     ) {
+        let model = &asked.model;
         let (step, lag) = (self.settings.poll, self.settings.report_lag);
-        let patience = self.load_time * STUCK_LOADS;
+        let (pause, patience) = (self.settings.pause, self.load_time * STUCK_LOADS);
         let recent_limit = self.settings.recent;
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
@@ -190,6 +191,18 @@
                 }
                 self.serve_model(now, model);
             }
+            OrderEnd::NotSent => {
+                *poll = Some(now + pause);
+                replica.paused = Some(now + pause);
+            }
+            // Another order was accepted meanwhile.
+            OrderEnd::Conflict if replica.orders.is_some_and(|o| o != asked.expect) => {
+                *poll = Some(now);
+            }
+            OrderEnd::Conflict => {
+                *poll = Some(now + step);
+                replica.doubt(now, Duration::ZERO);
+            }
             _ => {
                 *poll = Some(now + step);
                 if now.saturating_duration_since(*since) > patience && replica.orders.is_some() {
@@ -235,7 +248,7 @@
                     model: model.clone(),
                     sent: 0,
                 });
-                replica.doubt(now, lag);
+                replica.doubt(now, Duration::ZERO);
             }
             OrderEnd::NotSent => {
                 held.phase = Phase::Ready;
@@ -273,10 +286,13 @@
         self.ordered = Some(now);
     }
 
-    /// Notes that the number of accepted orders is not known any more.
+    /// Notes that the number of accepted orders is not known any more; a report is due after
+    /// `lag`.
     fn doubt(&mut self, now: Instant, lag: Duration) {
-        self.orders = None;
-        self.ordered = Some(now);
+        if let Some(orders) = self.orders.take() {
+            self.at_least = orders;
+            self.ordered = Some(now);
+        }
         self.report_at = Some(now + lag);
     }
 
@@ -315,12 +331,17 @@
                 && poll.is_some_and(|at| at <= now)
             {
                 *poll = None;
-                self.polls.insert(number, model.clone());
+                let model = model.clone();
+                let asked = Poll {
+                    model: model.clone(),
+                    expect,
+                };
+                self.polls.insert(number, asked);
                 return Some(Order {
                     number,
                     endpoint: self.endpoint.id.clone(),
                     action: Action::Load,
-                    model: model.clone(),
+                    model,
                     expect,
                     is_poll: true,
                 });
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -15,7 +15,7 @@
 /// Requests in a row that an endpoint fails before it is left alone for a while.
 const FAILURE_LIMIT: u32 = 3;
 /// Requests without a sign of life after which an endpoint counts as silent.
-const STALL_LIMIT: u32 = 2;
+const STALL_LIMIT: u32 = 3;
 /// When a caller may come back that found no endpoint: an instance hears of new ones within this.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
 
@@ -200,9 +200,9 @@
 
     /// Chooses an endpoint that can run the request now.
     fn pick(&self, now: Instant, ask: &Ask) -> Option<EndpointId> {
-        let mut best: Option<(bool, u32, &EndpointId)> = None;
+        let mut best: Option<(bool, bool, u32, &EndpointId)> = None;
         for (id, replica) in &self.replicas {
-            if !replica.is_usable(now)
+            if !replica.endpoint.is_ready()
                 || !replica.has_slot()
                 || replica.endpoint.service != ask.service
                 || ask.avoid.contains(id)
@@ -221,12 +221,13 @@
             let Some(current) = current else {
                 continue;
             };
-            let rank = (!current, replica.running, id);
+            // Where every copy is on a troubled endpoint, trying one is better than waiting.
+            let rank = (replica.is_paused(now), !current, replica.running, id);
             if best.is_none_or(|b| rank < b) {
                 best = Some(rank);
             }
         }
-        best.map(|(_, _, id)| id.clone())
+        best.map(|(.., id)| id.clone())
     }
 
     /// Tells whether some endpoint could run the request later.
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -93,6 +93,14 @@
     pub(crate) sent: u8,
 }
 
+/// A question whether a load is complete.
+#[derive(Clone, Debug)]
+pub(crate) struct Poll {
+    pub(crate) model: ModelRef,
+    /// Accepted orders that it expected.
+    pub(crate) expect: u64,
+}
+
 /// What a placer believes about one endpoint.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -106,8 +114,10 @@
     pub(crate) orders: Option<u64>,
     pub(crate) outstanding: Option<Outstanding>,
     /// Questions whether a load is complete, by the number of the order that asks.
-    pub(crate) polls: HashMap<OrderNumber, ModelRef>,
+    pub(crate) polls: HashMap<OrderNumber, Poll>,
     pub(crate) todo: VecDeque<Todo>,
+    /// Orders that it had accepted at least, when that became uncertain.
+    pub(crate) at_least: u64,
     /// When the last order was accepted or got no answer.
     pub(crate) ordered: Option<Instant>,
     pub(crate) reporting: bool,
@@ -144,6 +154,7 @@
             outstanding: None,
             polls: HashMap::new(),
             todo: VecDeque::new(),
+            at_least: 0,
             ordered: None,
             reporting: false,
             report_at: Some(report),
@@ -156,7 +167,12 @@
 
     /// Tells whether new work may go there.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        self.endpoint.is_ready() && self.paused.is_none_or(|until| now >= until)
+        self.endpoint.is_ready() && !self.is_paused(now)
+    }
+
+    /// Tells whether it was in trouble just now.
+    pub(crate) fn is_paused(&self, now: Instant) -> bool {
+        self.paused.is_some_and(|until| now < until)
     }
 
     /// Tells whether another request can run at once.
