Load what is worth most first, refuse what can't be there in time

Change: loads are ordered by the requests that they would still serve on time; callers' patience for a first event bounds the wait; what the backlog can't reach by then is refused at once with the time when it will be done; the limit of loads rises while they take no longer.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -191,7 +191,7 @@
         tokens: call.head.tokens,
         priority: call.route.priority,
         goal: call.arrived + call.route.goal,
-        deadline: call.last,
+        deadline: call.last.min(call.arrived + call.route.patience()),
     }
 }
 
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -40,6 +40,10 @@
     last_number: OrderNumber,
     /// Average time that a load from the weight store takes.
     load_time: Duration,
+    /// Shortest time that one took.
+    least_load: Option<Duration>,
+    /// Adapters that may be on their way from the weight store.
+    transit_limit: f64,
     fetched: u64,
     leaving: bool,
 }
@@ -100,6 +104,8 @@
     pub fn new(settings: PlacerSettings, start: Instant) -> Self {
         Self {
             load_time: settings.load,
+            least_load: None,
+            transit_limit: 0.0,
             settings,
             start,
             replicas: BTreeMap::new(),
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -42,6 +42,7 @@
                 let first = now.max(self.start);
                 let replica = Replica::new(first, endpoint.clone(), places);
                 self.replicas.insert(endpoint.id.clone(), replica);
+                self.fit_limit();
                 self.serve(now, &endpoint.id);
             }
         }
@@ -52,6 +53,7 @@
     pub fn on_gone(&mut self, now: Instant, endpoint: &EndpointId) {
         self.granted.retain(|_, g| g.endpoint != *endpoint);
         if self.replicas.remove(endpoint).is_some() {
+            self.fit_limit();
             self.plan(now);
         }
     }
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -20,6 +20,10 @@
 const SENDINGS: u8 = 3;
 /// Multiple of a load's usual time after which the endpoint's report is asked for.
 const STUCK_LOADS: u32 = 10;
+/// Multiple of the shortest load's time from which a load counts as slowed by others.
+const SLOW_LOAD: f64 = 1.2;
+/// Change of the number of loads at once with each load.
+const LIMIT_STEP: f64 = 0.2;
 /// Part of a load's expected time after which it is asked for the first time.
 const FIRST_POLL_PART: f64 = 0.96;
 
@@ -187,7 +191,7 @@
                 held.phase = Phase::Ready;
                 replica.remember(model, recent_limit);
                 if !recent {
-                    self.average_load(now.saturating_duration_since(since));
+                    self.note_load(now.saturating_duration_since(since));
                 }
                 self.serve_model(now, model);
             }
@@ -261,17 +265,46 @@
         }
     }
 
-    fn average_load(&mut self, took: Duration) {
+    /// Notes how long a load took, and fits the number of loads at once to it.
+    ///
+    /// Other zones use the weight store, too, and nobody says how much of it is free; loads that
+    /// take longer than the shortest one tell that too many are on their way.
+    fn note_load(&mut self, took: Duration) {
         let (old, new) = (self.load_time.as_secs_f64(), took.as_secs_f64());
         let average = old + NEWEST_WEIGHT * (new - old);
         self.load_time = Duration::from_secs_f64(average.max(0.0));
+        let least = self.least_load.map_or(took, |l| l.min(took));
+        self.least_load = Some(least);
+        let (floor, ceiling) = self.transit_bounds();
+        let step = if took > least.mul_f64(SLOW_LOAD) {
+            -LIMIT_STEP
+        } else {
+            LIMIT_STEP
+        };
+        self.transit_limit = (self.transit_limit + step).clamp(floor, ceiling);
+    }
+
+    /// Keeps the number of loads at once within its bounds when endpoints come and go.
+    pub(super) fn fit_limit(&mut self) {
+        let (floor, ceiling) = self.transit_bounds();
+        self.transit_limit = self.transit_limit.clamp(floor, ceiling);
+    }
+
+    fn transit_bounds(&self) -> (f64, f64) {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let endpoints = self.replicas.len() as f64;
+        let floor = (endpoints * self.settings.zone_transit).max(1.0);
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let ceiling = endpoints * self.settings.endpoint_transit as f64;
+        (floor, ceiling.max(floor))
     }
 }
 
 impl Replica {
     /// Returns when something is due without an event.
     pub(crate) fn next_wake(&self) -> Option<Instant> {
-        let report = self.report_at.filter(|_| !self.reporting);
+        let can_report = !self.reporting && self.outstanding.is_none();
+        let report = self.report_at.filter(|_| can_report);
         let polls = self.held.values().filter_map(|h| match h.phase {
             Phase::Loading { poll, .. } => poll,
             _ => None,
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -10,6 +10,7 @@
     Action,
     homes::{key, rendezvous},
     replica::{Held, Phase, Replica, Todo},
+    waiting::Demand,
 };
 
 /// Cost of each place further down in an adapter's order of endpoints, in ms; below the time that
@@ -73,14 +74,12 @@
 
     /// Returns how many adapters may be on their way from the weight store.
     pub(super) fn transit_limit(&self) -> usize {
-        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let limit = self.settings.zone_transit * self.replicas.len() as f64;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a count that is small and not negative"
         )]
-        let limit = limit.ceil() as usize;
+        let limit = self.transit_limit.round() as usize;
         limit.max(1)
     }
 
@@ -90,17 +89,32 @@
         held.filter(|h| h.in_transit() && !h.recent).count()
     }
 
-    /// Returns the adapters that need a load: those with the most waiting requests first.
-    fn wanted(&self, now: Instant) -> Vec<ModelRef> {
-        let waiting = self
+    /// Returns the adapters that are waited for and not on their way, those whose load is worth
+    /// most first.
+    ///
+    /// Where more is wanted than the weight store gives, first come first served would make every
+    /// request late; so those that can still be on time go first.
+    pub(super) fn backlog(&self, now: Instant) -> Vec<ModelRef> {
+        let ready = now + self.load_time + self.settings.shortest_run;
+        let mut demands: Vec<(&ModelRef, Demand)> = self
             .waiting
-            .models()
-            .filter(|(m, ..)| m.adapter.is_some() && !self.is_coming(m));
-        let mut wanted: Vec<(usize, Instant, ModelRef)> = waiting
-            .map(|(m, count, goal)| (count, goal, m.clone()))
+            .demands(ready)
+            .filter(|(m, _)| m.adapter.is_some() && !self.is_coming(m))
             .collect();
-        wanted.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
-        let mut wanted: Vec<ModelRef> = wanted.into_iter().map(|(.., m)| m).collect();
+        demands.sort_by(|a, b| a.1.first(&b.1).then_with(|| a.0.cmp(b.0)));
+        demands.into_iter().map(|(m, _)| m.clone()).collect()
+    }
+
+    /// Returns when a load at this place of the backlog is complete.
+    pub(super) fn ready_at(&self, now: Instant, place: usize) -> Instant {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let rounds = place as f64 / self.transit_limit() as f64;
+        now + self.load_time.mul_f64(rounds + 1.0)
+    }
+
+    /// Returns the adapters that need a load: what is waited for, then new versions.
+    fn wanted(&self, now: Instant) -> Vec<ModelRef> {
+        let mut wanted = self.backlog(now);
         let outdated = self.newest.keys().filter(|m| self.needs_refresh(now, m));
         wanted.extend(outdated.cloned());
         wanted
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -1,6 +1,9 @@
 //! Requests: who runs, who waits, who is refused.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
@@ -36,13 +39,9 @@
             self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETURN);
             return;
         }
-        let wait = self.expected_wait(&ask);
-        if now + wait + self.settings.shortest_run > ask.deadline {
-            self.refuse(id, RefuseReason::Deadline, wait);
-            return;
-        }
         self.waiting.add(id, ask);
         self.plan(now);
+        self.refuse_hopeless(now);
     }
 
     /// Takes a run that began under an earlier holder.
@@ -167,19 +166,29 @@
         }
     }
 
-    /// Refuses the requests that wait and can't be served in time.
+    /// Refuses the requests that wait and can't be served in time, and says when to come back: once
+    /// the loads before them are done.
     pub(super) fn refuse_hopeless(&mut self, now: Instant) {
         let (leaving, shortest) = (self.leaving, self.settings.shortest_run);
-        let hopeless = self
-            .waiting
-            .drop_if(|_, ask| leaving || now + shortest > ask.deadline);
-        let reason = if leaving {
-            RefuseReason::Leaving
-        } else {
-            RefuseReason::Deadline
-        };
+        if leaving {
+            for id in self.waiting.drop_if(|_, _| true) {
+                self.refuse(id, RefuseReason::Leaving, Duration::ZERO);
+            }
+            return;
+        }
+        let backlog = self.backlog(now);
+        let ready: HashMap<&ModelRef, Instant> = backlog
+            .iter()
+            .enumerate()
+            .map(|(place, model)| (model, self.ready_at(now, place)))
+            .collect();
+        let hopeless = self.waiting.drop_if(|_, ask| {
+            let ready = ready.get(&ask.model).copied().unwrap_or(now);
+            ready + shortest > ask.deadline
+        });
+        let after = self.ready_at(now, backlog.len()) - now;
         for id in hopeless {
-            self.refuse(id, reason, Duration::ZERO);
+            self.refuse(id, RefuseReason::Deadline, after);
         }
     }
 
@@ -277,15 +286,4 @@
             self.popularity.insert(model.clone(), decayed);
         }
     }
-
-    /// Estimates how long the request waits for its adapter, from the loads before it.
-    fn expected_wait(&self, ask: &Ask) -> Duration {
-        if ask.model.adapter.is_none() || self.waiting.wants(&ask.model) {
-            return Duration::ZERO;
-        }
-        let ahead = self.waiting.models().filter(|(m, ..)| !self.is_coming(m));
-        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let rounds = ahead.count() as f64 / self.transit_limit().max(1) as f64;
-        self.load_time.mul_f64(rounds)
-    }
 }
--- a/crates/caraway-placement/src/settings.rs
+++ b/crates/caraway-placement/src/settings.rs
@@ -11,8 +11,8 @@
     pub copy_runs: u32,
     /// Adapters on their way to one endpoint at once.
     pub endpoint_transit: usize,
-    /// Adapters on their way from the weight store for each endpoint of the zone; beyond the sum
-    /// each takes longer.
+    /// Adapters on their way from the weight store for each endpoint of the zone that are always
+    /// allowed; more are while loads take no longer by it.
     pub zone_transit: f64,
     /// Adapters whose copies an endpoint keeps in its memory after they were unloaded.
     pub recent: usize,
--- a/crates/caraway-placement/src/waiting.rs
+++ b/crates/caraway-placement/src/waiting.rs
@@ -1,6 +1,7 @@
 //! [`Waiting`]: requests that wait for an adapter or a slot.
 
 use std::{
+    cmp::Ordering,
     collections::{HashMap, VecDeque},
     time::Instant,
 };
@@ -9,6 +10,37 @@
 
 use crate::{Ask, AskId};
 
+/// Worth of a request that is answered late, against one on time; the deployments give 0.3.
+const LATE_WORTH: f64 = 0.3;
+
+/// What loading an adapter is worth to those that wait for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Demand {
+    /// Requests, each by whether its first event can still be on time.
+    pub(crate) worth: f64,
+    /// The earliest goal that can still be met, else the earliest deadline.
+    pub(crate) due: Instant,
+}
+
+impl Demand {
+    fn of(list: &VecDeque<(AskId, Ask)>, ready: Instant) -> Self {
+        let in_time = list.iter().filter(|(_, a)| a.goal >= ready);
+        let late = list.iter().filter(|(_, a)| a.goal < ready);
+        let goal = in_time.clone().map(|(_, a)| a.goal).min();
+        let deadline = late.clone().map(|(_, a)| a.deadline).min();
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let worth = in_time.count() as f64 + late.count() as f64 * LATE_WORTH;
+        let due = goal.or(deadline).unwrap_or(ready);
+        Self { worth, due }
+    }
+
+    /// Orders demands: the most worth first, then the most urgent.
+    pub(crate) fn first(&self, other: &Self) -> Ordering {
+        let worth = other.worth.total_cmp(&self.worth);
+        worth.then(self.due.cmp(&other.due))
+    }
+}
+
 /// Requests that wait, by what they wait for.
 #[derive(Debug, Default)]
 pub(crate) struct Waiting {
@@ -58,12 +90,11 @@
         dropped
     }
 
-    /// Returns what is waited for, with the number of requests and the earliest goal.
-    pub(crate) fn models(&self) -> impl Iterator<Item = (&ModelRef, usize, Instant)> {
-        self.lists.iter().filter_map(|(model, list)| {
-            let goal = list.iter().map(|(_, a)| a.goal).min()?;
-            Some((model, list.len(), goal))
-        })
+    /// Returns what is waited for, with what a load that is complete at `ready` is worth.
+    pub(crate) fn demands(&self, ready: Instant) -> impl Iterator<Item = (&ModelRef, Demand)> {
+        self.lists
+            .iter()
+            .map(move |(model, list)| (model, Demand::of(list, ready)))
     }
 
     /// Tells whether a request waits for `model`.
--- a/crates/caraway-routes/src/route.rs
+++ b/crates/caraway-routes/src/route.rs
@@ -14,6 +14,13 @@
     AtMostOnce,
 }
 
+/// Shortest time for which callers wait for an event, by the protocol.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+/// Multiple of a route's goal for which they wait, by the protocol.
+const PATIENCE_GOALS: u32 = 4;
+/// Multiple of a route's longest pause on time for which they wait, by the protocol.
+const PATIENCE_PAUSES: u32 = 8;
+
 /// A service that a route may choose.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -67,6 +74,15 @@
         self.targets.last().map(|t| &t.service)
     }
 
+    /// Returns how long callers wait for a stream's next event, the first one included.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        let pauses = self.pause.unwrap_or_default() * PATIENCE_PAUSES;
+        LEAST_PATIENCE
+            .max(self.goal * PATIENCE_GOALS)
+            .max(pauses)
+    }
+
     /// Tells whether a request may run again after it may have run.
     #[must_use]
     pub fn may_rerun(&self) -> bool {
