Take an endpoint for silent only when nothing completes there

Change: an endpoint is silent when two requests have no sign and none completed for 400 ms; a poll's conflict beside an outstanding order means nothing.

--- a/crates/caraway-placement/src/homes.rs
+++ b/crates/caraway-placement/src/homes.rs
@@ -20,10 +20,10 @@
     pub popular: f64,
     /// Decayed requests at this instance that a guess about the zone needs at least.
     pub evidence: f64,
-    /// Multiple of the least pressed zone's pressure beyond which a zone is passed over.
-    pub pressed_ratio: f64,
-    /// Pressure that is never too much.
-    pub pressed_floor: f64,
+    /// When a zone is too pressed for an adapter that has copies in others.
+    pub popular_bounds: PressureBounds,
+    /// When a zone is too pressed for an adapter that would have to be fetched elsewhere.
+    pub rare_bounds: PressureBounds,
     /// Adapters that are remembered before those that are forgotten anyway are dropped.
     pub sweep: usize,
 }
@@ -37,17 +37,41 @@
             popular: 12.0,
             // A single request says nothing about the next.
             evidence: 2.0,
-            // A run lasts some 450 ms; a zone that is pressed twice as much as another answers later
-            // than the way to the other takes, also with a load.
-            pressed_ratio: 1.7,
-            // An engine reads some 50 prompts a second; 12 runs take it a quarter of its time.
-            pressed_floor: 12.0,
+            // The way to another zone takes a few ms, far less than a more crowded batch.
+            popular_bounds: PressureBounds {
+                ratio: 1.4,
+                floor: 10.0,
+            },
+            // A fetch takes some 260 ms, half of a run's time.
+            rare_bounds: PressureBounds {
+                ratio: 2.0,
+                floor: 24.0,
+            },
             // As many as are asked for within a few time constants at the grown deployments.
             sweep: 4096,
         }
     }
 }
 
+/// Says when a zone is too pressed; see [`Levels::pressure`](crate::Levels::pressure).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PressureBounds {
+    /// Multiple of the least pressed zone's pressure beyond which a zone is passed over.
+    pub ratio: f64,
+    /// Pressure that is never too much.
+    pub floor: f64,
+}
+
+impl PressureBounds {
+    /// Returns the zones that are not too pressed.
+    fn open<'a>(&self, zones: &'a [ZoneWeight]) -> Vec<&'a ZoneWeight> {
+        let open = zones.iter().filter(|z| z.endpoints > 0);
+        let least = open.clone().map(|z| z.pressure).min_by(f64::total_cmp);
+        let most = (least.unwrap_or(0.0) * self.ratio).max(self.floor);
+        open.filter(|z| z.pressure <= most).collect()
+    }
+}
+
 /// A zone that can serve, and its share of the endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZoneWeight {
@@ -90,22 +114,15 @@
         peers: usize,
         zones: &[ZoneWeight],
     ) -> Option<ZoneId> {
-        let open: Vec<&ZoneWeight> = self.unpressed(zones);
-        let has_own = open.iter().any(|z| z.zone == *own);
         let is_popular = model.adapter.is_none() || self.is_popular(now, model, peers);
-        if has_own && is_popular {
-            return Some(own.clone());
+        if is_popular {
+            let open = self.settings.popular_bounds.open(zones);
+            if open.iter().any(|z| z.zone == *own) {
+                return Some(own.clone());
+            }
+            return home(model, &open);
         }
-        home(model, &open)
-    }
-
-    /// Returns the zones that are not much more pressed than the least pressed one.
-    fn unpressed<'a>(&self, zones: &'a [ZoneWeight]) -> Vec<&'a ZoneWeight> {
-        let open = zones.iter().filter(|z| z.endpoints > 0);
-        let least = open.clone().map(|z| z.pressure).min_by(f64::total_cmp);
-        let most = least.unwrap_or(0.0) * self.settings.pressed_ratio;
-        let most = most.max(self.settings.pressed_floor);
-        open.filter(|z| z.pressure <= most).collect()
+        home(model, &self.settings.rare_bounds.open(zones))
     }
 
     fn is_popular(&mut self, now: Instant, model: &ModelRef, peers: usize) -> bool {
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use ask::{Ask, AskId, End, SourceId};
 pub use decay::Decayed;
-pub use homes::{HomeSettings, Homes, ZoneWeight};
+pub use homes::{HomeSettings, Homes, PressureBounds, ZoneWeight};
 pub use order::{Action, Order, OrderEnd, OrderNumber, Report};
 pub use output::{Output, RefuseReason};
 pub use placer::{Levels, Placer};
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -24,6 +24,9 @@
 const SLOW_LOAD: f64 = 1.2;
 /// Change of the number of loads at once with each load.
 const LIMIT_STEP: f64 = 0.2;
+/// Pause before a question that another order has overtaken is asked again: some ways there and
+/// back within a zone.
+const POLL_AGAIN: Duration = Duration::from_millis(2);
 /// Part of a load's expected time after which it is asked for the first time.
 const FIRST_POLL_PART: f64 = 0.96;
 
@@ -199,9 +202,12 @@
                 *poll = Some(now + pause);
                 replica.paused = Some(now + pause);
             }
-            // Another order was accepted meanwhile.
-            OrderEnd::Conflict if replica.orders.is_some_and(|o| o != asked.expect) => {
-                *poll = Some(now);
+            // Another order was accepted meanwhile, or its answer is still on the way.
+            OrderEnd::Conflict
+                if replica.outstanding.is_some()
+                    || replica.orders.is_some_and(|o| o != asked.expect) =>
+            {
+                *poll = Some(now + POLL_AGAIN);
             }
             OrderEnd::Conflict => {
                 *poll = Some(now + step);
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -18,7 +18,10 @@
 /// Requests in a row that an endpoint fails before it is left alone for a while.
 const FAILURE_LIMIT: u32 = 3;
 /// Requests without a sign of life after which an endpoint counts as silent.
-const STALL_LIMIT: u32 = 3;
+const STALL_LIMIT: u32 = 2;
+/// Time without a completed request after which it does: with several running, one completes every
+/// 100 ms.
+const QUIET: Duration = Duration::from_millis(400);
 /// When a caller may come back that found no endpoint: an instance hears of new ones within this.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
 
@@ -67,6 +70,7 @@
             End::Done => {
                 replica.failures = 0;
                 replica.stalls = 0;
+                replica.completed = Some(now);
             }
             End::NotHeld => {
                 if replica.held.get(&model).is_some_and(Held::is_ready) {
@@ -100,7 +104,9 @@
             return;
         };
         replica.stalls += 1;
-        if replica.stalls >= STALL_LIMIT {
+        let completed = replica.completed;
+        let is_quiet = completed.is_none_or(|c| now.saturating_duration_since(c) > QUIET);
+        if replica.stalls >= STALL_LIMIT && is_quiet {
             replica.paused = Some(now + self.settings.silence);
         }
     }
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -128,6 +128,8 @@
     pub(crate) failures: u32,
     /// Requests without a sign of life since it last completed one.
     pub(crate) stalls: u32,
+    /// When it last completed a request.
+    pub(crate) completed: Option<Instant>,
     recent: VecDeque<ModelRef>,
 }
 
@@ -161,6 +163,7 @@
             paused: None,
             failures: 0,
             stalls: 0,
+            completed: None,
             recent: VecDeque::new(),
         }
     }
