Choose endpoints by the prompts that they still read

Cause: endpoints were compared by the number of runs, though a summary's prompt keeps an engine as long as fifteen drafts'. Change: a placer estimates when the prompts that it sent are read, and chooses the endpoint with the least delay by that and the runs.

--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -16,9 +16,6 @@
 /// Cost of each place further down in an adapter's order of endpoints, in ms; below the time that
 /// a reload saves against a load.
 const RANK_COST_MS: f64 = 15.0;
-/// Cost of a full endpoint against an idle one, in ms: the time by which a full batch delays a
-/// first event.
-const FILL_COST_MS: f64 = 200.0;
 /// Cost of an evicted adapter's popularity, in ms for each decayed request: its reload, as one of
 /// them will wait for it.
 const EVICT_COST_MS: f64 = 30.0;
@@ -164,7 +161,7 @@
             };
             #[expect(clippy::cast_precision_loss, reason = "counts are small")]
             let rank = rank as f64 * RANK_COST_MS;
-            let cost = load.as_secs_f64() * 1000.0 + rank + evict + replica.fill() * FILL_COST_MS;
+            let cost = load.as_secs_f64() * 1000.0 + rank + evict + replica.delay_ms(now);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, id));
             }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -34,7 +34,7 @@
         }
         self.count(now, &ask.model);
         if let Some(endpoint) = self.pick(now, &ask) {
-            self.grant(&endpoint, id, &ask.model, false);
+            self.grant(now, &endpoint, id, &ask, false);
             self.consider_copy(now, &ask.model);
             return;
         }
@@ -167,7 +167,7 @@
                 return;
             };
             if let Some((id, ask)) = self.waiting.take(model) {
-                self.grant(&endpoint, id, &ask.model, true);
+                self.grant(now, &endpoint, id, &ask, true);
             }
         }
     }
@@ -215,7 +215,7 @@
 
     /// Chooses an endpoint that can run the request now.
     fn pick(&self, now: Instant, ask: &Ask) -> Option<EndpointId> {
-        let mut best: Option<(bool, bool, u32, &EndpointId)> = None;
+        let mut best: Option<((bool, bool), f64, &EndpointId)> = None;
         for (id, replica) in &self.replicas {
             if !replica.endpoint.is_ready()
                 || !replica.has_slot()
@@ -237,9 +237,10 @@
                 continue;
             };
             // Where every copy is on a troubled endpoint, trying one is better than waiting.
-            let rank = (replica.is_paused(now), !current, replica.running, id);
-            if best.is_none_or(|b| rank < b) {
-                best = Some(rank);
+            let class = (replica.is_paused(now), !current);
+            let delay = replica.delay_ms(now);
+            if best.is_none_or(|(c, d, _)| class < c || class == c && delay < d) {
+                best = Some((class, delay, id));
             }
         }
         best.map(|(.., id)| id.clone())
@@ -254,8 +255,13 @@
         })
     }
 
-    fn grant(&mut self, endpoint: &EndpointId, ask: AskId, model: &ModelRef, loaded: bool) {
-        self.pin(endpoint, ask, model);
+    fn grant(&mut self, now: Instant, endpoint: &EndpointId, id: AskId, ask: &Ask, loaded: bool) {
+        self.pin(endpoint, id, &ask.model);
+        let speed = self.settings.prompt_speed;
+        if let Some(replica) = self.replicas.get_mut(endpoint) {
+            replica.add_prompt(now, ask.tokens.prompt, speed);
+        }
+        let ask = id;
         self.outputs.push(Output::Grant {
             ask,
             endpoint: endpoint.clone(),
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -3,13 +3,16 @@
 use std::{
     collections::{HashMap, VecDeque},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use caraway_routes::{Endpoint, ModelRef};
 
 use crate::{Action, OrderNumber};
 
+/// Time by which each run delays a new request's first event, in ms: its share of some five steps.
+const RUN_DELAY_MS: f64 = 1.0;
+
 /// How far an adapter is on an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -110,6 +113,8 @@
     pub(crate) held: HashMap<ModelRef, Held>,
     /// Granted runs that have not ended.
     pub(crate) running: u32,
+    /// When the prompts that were sent there are read, by estimate.
+    pub(crate) prompts_read: Option<Instant>,
     /// Orders that it has accepted; `None` until a report says it.
     pub(crate) orders: Option<u64>,
     pub(crate) outstanding: Option<Outstanding>,
@@ -152,6 +157,7 @@
             places,
             held,
             running: 0,
+            prompts_read: None,
             orders: None,
             outstanding: None,
             polls: HashMap::new(),
@@ -183,9 +189,19 @@
         self.running < self.endpoint.slots
     }
 
-    /// Returns the part of the slots that is taken.
-    pub(crate) fn fill(&self) -> f64 {
-        f64::from(self.running) / f64::from(self.endpoint.slots.max(1))
+    /// Estimates how long a new request waits there for its first event, in ms: prompts are read
+    /// one after the other, and every run lengthens the steps between.
+    pub(crate) fn delay_ms(&self, now: Instant) -> f64 {
+        let unread = self.prompts_read.map(|at| at.saturating_duration_since(now));
+        let unread = unread.unwrap_or_default().as_secs_f64() * 1000.0;
+        unread + f64::from(self.running) * RUN_DELAY_MS
+    }
+
+    /// Notes that a prompt of so many tokens was sent there.
+    pub(crate) fn add_prompt(&mut self, now: Instant, tokens: u32, speed: f64) {
+        let from = self.prompts_read.map_or(now, |at| at.max(now));
+        let read = Duration::from_secs_f64(f64::from(tokens) / speed / 1000.0);
+        self.prompts_read = Some(from + read);
     }
 
     /// Returns the places that are taken at the endpoint, or may be.
--- a/crates/caraway-placement/src/settings.rs
+++ b/crates/caraway-placement/src/settings.rs
@@ -30,6 +30,8 @@
     pub pause: Duration,
     /// Time for which an endpoint that gives no sign of life is left alone.
     pub silence: Duration,
+    /// Prompt tokens that an engine reads in a ms.
+    pub prompt_speed: f64,
     /// Shortest run that is worth starting before a deadline.
     pub shortest_run: Duration,
 }
@@ -61,6 +63,8 @@
             pause: Duration::from_millis(300),
             // Some requests go there to see whether it is back.
             silence: Duration::from_secs(1),
+            // The deployments' sheets give 38 on an idle engine; each step costs some.
+            prompt_speed: 30.0,
             // A first event takes some 30 ms on an idle engine.
             shortest_run: Duration::from_millis(30),
         }
