--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -17,7 +17,7 @@
     desk::Desk,
     event::emit,
     frame::{FromHolder, RecordsFrame, ToHolder},
-    shared::Shared,
+    shared::{Announcement, Shared},
 };
 
 /// Time for which the store is asked to wait for records of a topic that changes rarely.
@@ -142,7 +142,7 @@
             .cloned()
             .collect()
     };
-    let newest: Vec<(ModelRef, u64)> = {
+    let newest: Vec<(ModelRef, Announcement)> = {
         let newest = shared.newest.borrow();
         newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
     };
@@ -152,8 +152,8 @@
                 placer.set_places(&service.name, engine.adapter_places());
             }
         }
-        for (model, version) in &newest {
-            placer.on_version(now, model, *version);
+        for (model, newest) in &newest {
+            placer.on_version(now, model, newest.version, newest.heard);
         }
         for endpoint in endpoints.iter().filter(|e| !e.models.is_empty()) {
             placer.on_endpoint(now, endpoint, Change::New);
@@ -208,7 +208,7 @@
     let mut records = newest.records;
     records.sort_by_key(|r| r.offset);
     for record in &records {
-        apply(shared, topic, record, lapse);
+        apply(shared, topic, record, lapse, Source::Snapshot);
     }
     shared.topics.borrow_mut().state(topic).next = Some(newest.next);
     Ok(())
@@ -228,20 +228,29 @@
         .cloned()
         .collect();
     for record in &fresh {
-        apply(shared, topic, record, lapse);
+        apply(shared, topic, record, lapse, Source::Log);
     }
     pass_on(shared, topic, known, next, fresh);
 }
 
-fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse) {
+/// Where a record was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Source {
+    /// In the log, soon after it was written.
+    Log,
+    /// Among the newest of all keys, some time after it was written.
+    Snapshot,
+}
+
+fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse, source: Source) {
     match topic {
-        Topic::Operators => apply_operators(shared, record),
+        Topic::Operators => apply_operators(shared, record, source),
         Topic::Endpoints => apply_endpoint(shared, record, lapse),
         Topic::Holders => claim::on_record(shared, record),
     }
 }
 
-fn apply_operators(shared: &Rc<Shared>, record: &Record) {
+fn apply_operators(shared: &Rc<Shared>, record: &Record, source: Source) {
     let Some(value) = record.value.as_deref() else {
         return;
     };
@@ -258,7 +267,11 @@
                 "finding" => %findings),
         },
         OperatorKey::Version => match announced(value) {
-            Ok(announced) => apply_version(shared, &announced.model, announced.version),
+            Ok(announced) => {
+                let heard = (source == Source::Log && !is_behind(shared)).then(Shared::now);
+                let version = announced.version;
+                apply_version(shared, &announced.model, Announcement { version, heard });
+            }
             Err(findings) => emit!(shared, warn, ConfigFinding; "key" => &*record.key,
                 "offset" => record.offset, "finding" => %findings),
         },
@@ -293,17 +306,25 @@
     });
 }
 
-fn apply_version(shared: &Rc<Shared>, model: &ModelRef, version: u64) {
-    let former = shared.newest.borrow().get(model).copied().unwrap_or(0);
-    if version <= former {
+/// Tells whether the operators' topic was not read for so long that its records may be old.
+fn is_behind(shared: &Shared) -> bool {
+    let mut topics = shared.topics.borrow_mut();
+    topics.state(Topic::Operators).failing
+}
+
+fn apply_version(shared: &Rc<Shared>, model: &ModelRef, newest: Announcement) {
+    let former = shared.newest.borrow().get(model).map_or(0, |n| n.version);
+    if newest.version <= former {
         return;
     }
-    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => version,
-        "former" => former);
-    shared.newest.borrow_mut().insert(model.clone(), version);
+    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => newest.version,
+        "former" => former, "fresh" => newest.heard.is_some());
+    shared.newest.borrow_mut().insert(model.clone(), newest);
     let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
     for desk in desks {
-        desk.with(shared, |placer, now| placer.on_version(now, model, version));
+        desk.with(shared, |placer, now| {
+            placer.on_version(now, model, newest.version, newest.heard);
+        });
     }
 }
 
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -305,12 +305,8 @@
 
 /// Takes an endpoint that holds the adapter, without asking a placer.
 fn resident(shared: &Rc<Shared>, want: &Want, avoid: &[EndpointId]) -> Option<Placed> {
-    let newest = shared
-        .newest
-        .borrow()
-        .get(&want.model)
-        .copied()
-        .unwrap_or(0);
+    let newest = shared.newest.borrow().get(&want.model).copied();
+    let newest = newest.map_or(0, |n| n.version);
     let directory = shared.directory.borrow();
     let holds = |e: &caraway_routes::Endpoint| match &want.model.adapter {
         None => e.has_model(&want.model.model),
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, Payload};
 use http_body_util::BodyExt;
-use tokio::{sync::mpsc, time::{sleep, timeout_at}};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout_at},
+};
 
 use crate::{
     event::emit,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -43,6 +43,14 @@
     pub(crate) token: Fence,
 }
 
+/// The newest version of an adapter.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Announcement {
+    pub(crate) version: u64,
+    /// When this instance heard of it, where that was soon after it was made.
+    pub(crate) heard: Option<Instant>,
+}
+
 /// A request that runs at an endpoint by a holder's grant.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -66,7 +74,7 @@
     pub(crate) placer: PlacerSettings,
     pub(crate) routing: RefCell<Option<Arc<Routing>>>,
     pub(crate) directory: RefCell<Directory>,
-    pub(crate) newest: RefCell<HashMap<ModelRef, u64>>,
+    pub(crate) newest: RefCell<HashMap<ModelRef, Announcement>>,
     pub(crate) chooser: RefCell<Chooser>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) homes: RefCell<Homes>,
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -88,7 +88,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Newest {
     version: u64,
-    since: Instant,
+    /// When it was announced, where that is known.
+    since: Option<Instant>,
 }
 
 /// A request that runs.
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -168,13 +168,7 @@
         }
     }
 
-    fn on_poll_end(
-        &mut self,
-        now: Instant,
-        endpoint: &EndpointId,
-        asked: &Poll,
-        end: OrderEnd,
-    ) {
+    fn on_poll_end(&mut self, now: Instant, endpoint: &EndpointId, asked: &Poll, end: OrderEnd) {
         let model = &asked.model;
         let (step, lag) = (self.settings.poll, self.settings.report_lag);
         let (pause, patience) = (self.settings.pause, self.load_time * STUCK_LOADS);
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -121,13 +121,19 @@
         }
     }
 
-    /// Notes that a newer version of an adapter is announced.
-    pub fn on_version(&mut self, now: Instant, model: &ModelRef, version: u64) {
+    /// Notes that a newer version of an adapter was announced at `since`, `None` for a time that is
+    /// not known: then older versions must not serve any more.
+    pub fn on_version(
+        &mut self,
+        now: Instant,
+        model: &ModelRef,
+        version: u64,
+        since: Option<Instant>,
+    ) {
         let newest = self.newest.get(model);
         if newest.is_some_and(|n| n.version >= version) {
             return;
         }
-        let since = now;
         self.newest.insert(model.clone(), Newest { version, since });
         for replica in self.replicas.values_mut() {
             replica.forget(model);
@@ -208,9 +214,10 @@
     }
 
     fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
-        self.newest
-            .get(model)
-            .is_none_or(|n| version >= n.version || now < n.since + self.settings.stale)
+        self.newest.get(model).is_none_or(|n| {
+            let is_recent = n.since.is_some_and(|at| now < at + self.settings.stale);
+            version >= n.version || is_recent
+        })
     }
 
     /// Chooses an endpoint that can run the request now.
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -192,7 +192,9 @@
     /// Estimates how long a new request waits there for its first event, in ms: prompts are read
     /// one after the other, and every run lengthens the steps between.
     pub(crate) fn delay_ms(&self, now: Instant) -> f64 {
-        let unread = self.prompts_read.map(|at| at.saturating_duration_since(now));
+        let unread = self
+            .prompts_read
+            .map(|at| at.saturating_duration_since(now));
         let unread = unread.unwrap_or_default().as_secs_f64() * 1000.0;
         unread + f64::from(self.running) * RUN_DELAY_MS
     }
--- a/crates/caraway-placement/tests/placer.rs
+++ b/crates/caraway-placement/tests/placer.rs
@@ -25,10 +25,16 @@
     load.fill(&mut world, SECOND, 21 * SECOND, 1);
     world.run_until(40 * SECOND);
     let tally = world.tally.clone();
-    assert_eq!(tally.crashes, 0, "seed {seed}: an endpoint was loaded beyond its places");
+    assert_eq!(
+        tally.crashes, 0,
+        "seed {seed}: an endpoint was loaded beyond its places"
+    );
     assert_eq!(world.open(), 0, "seed {seed}: requests were forgotten");
     let under_run: usize = world.engines.values().map(|e| e.unloads_under_run).sum();
-    assert_eq!(under_run, 0, "seed {seed}: an adapter was unloaded under a run");
+    assert_eq!(
+        under_run, 0,
+        "seed {seed}: an adapter was unloaded under a run"
+    );
     tally
 }
 
@@ -50,7 +56,10 @@
         let calm = check(Nature::default(), skewed(20.0), seed);
         let (served, of) = (tally.granted, calm.granted);
         // Three orders in ten are lost; no more than as many requests may be.
-        assert!(served * 10 >= of * 7, "seed {seed}: {served} ran instead of {of}");
+        assert!(
+            served * 10 >= of * 7,
+            "seed {seed}: {served} ran instead of {of}"
+        );
     }
 }
 
@@ -111,5 +120,28 @@
     assert!(world.tally.refused > 20, "most can't be there in time");
     let waits = &world.tally.refuse_waits;
     let at_once = waits.iter().filter(|w| w.is_zero()).count();
-    assert!(at_once * 2 > waits.len(), "{at_once} of {} at once", waits.len());
+    assert!(
+        at_once * 2 > waits.len(),
+        "{at_once} of {} at once",
+        waits.len()
+    );
+}
+
+#[test]
+fn a_version_of_unknown_age_lets_no_older_one_serve() {
+    // A new holder hears of an announcement that may have been made long before.
+    let mut world = World::new(Nature::default(), PlacerSettings::default(), 1);
+    world.ask_at(SECOND, 1, adapter(1), SECOND);
+    world.run_until(3 * SECOND);
+    world.set_version(&adapter(1), 2);
+    world.act(|p, now| p.on_version(now, &adapter(1), 2, None));
+    world.ask_at(4 * SECOND, 2, adapter(1), SECOND);
+    world.run_until(6 * SECOND);
+    assert_eq!(world.tally.granted, 2);
+    let versions: Vec<u64> = world
+        .engines
+        .values()
+        .flat_map(|e| e.versions_run())
+        .collect();
+    assert_eq!(versions, [1, 2], "the second run is on the new version");
 }
--- a/crates/caraway-placement/tests/world/engine.rs
+++ b/crates/caraway-placement/tests/world/engine.rs
@@ -43,7 +43,7 @@
     recent: VecDeque<(ModelRef, u64)>,
     history: VecDeque<(Instant, Report)>,
     pub(crate) unloads_under_run: usize,
-    pub(crate) runs_on_old: Vec<(ModelRef, u64)>,
+    pub(crate) runs_begun: Vec<(ModelRef, u64)>,
 }
 
 impl Engine {
@@ -56,7 +56,7 @@
             recent: VecDeque::new(),
             history: VecDeque::new(),
             unloads_under_run: 0,
-            runs_on_old: Vec::new(),
+            runs_begun: Vec::new(),
         }
     }
 
@@ -74,13 +74,18 @@
         match self.copies.get_mut(model) {
             Some(copy) if copy.ready <= now && !copy.leaving => {
                 copy.runs += 1;
-                self.runs_on_old.push((model.clone(), copy.version));
+                self.runs_begun.push((model.clone(), copy.version));
                 true
             }
             _ => false,
         }
     }
 
+    /// Returns the versions that runs began on, in their order.
+    pub(crate) fn versions_run(&self) -> impl Iterator<Item = u64> {
+        self.runs_begun.iter().map(|(_, version)| *version)
+    }
+
     /// Ends a run.
     pub(crate) fn end_run(&mut self, model: &ModelRef) {
         if let Some(copy) = self.copies.get_mut(model) {
@@ -112,20 +117,13 @@
         let mut report = old.map_or_else(Report::default, |(_, r)| r.clone());
         // What was on its way then may be there by then.
         let arrived = |m: &ModelRef| self.copies.get(m).is_some_and(|c| c.ready <= seen);
-        let (there, coming): (Vec<_>, Vec<_>) =
-            report.incoming.drain(..).partition(|m| arrived(m));
+        let (there, coming): (Vec<_>, Vec<_>) = report.incoming.drain(..).partition(|m| arrived(m));
         report.incoming = coming;
         report.held.extend(there.into_iter().map(|m| (m, 1)));
         report
     }
 
-    fn carry_out(
-        &mut self,
-        now: Instant,
-        order: &Order,
-        load: Duration,
-        version: u64,
-    ) -> Carried {
+    fn carry_out(&mut self, now: Instant, order: &Order, load: Duration, version: u64) -> Carried {
         let model = &order.model;
         let current = self.copies.get(model).map(|c| (c.version, c.ready, c.runs));
         match (order.action, current) {
@@ -175,7 +173,11 @@
         if self.recent.len() > self.limit {
             self.recent.pop_front();
         }
-        let took = if kept { load.mul_f64(RELOAD_PART) } else { load };
+        let took = if kept {
+            load.mul_f64(RELOAD_PART)
+        } else {
+            load
+        };
         let copy = Copy {
             version,
             ready: now + took,
--- a/crates/caraway-placement/tests/world/mod.rs
+++ b/crates/caraway-placement/tests/world/mod.rs
@@ -11,9 +11,7 @@
     time::{Duration, Instant},
 };
 
-use caraway_placement::{
-    Ask, AskId, End, OrderEnd, Output, Placer, PlacerSettings, RefuseReason,
-};
+use caraway_placement::{Ask, AskId, End, OrderEnd, Output, Placer, PlacerSettings, RefuseReason};
 use caraway_routes::{Change, Endpoint, EndpointState, HeldModel, ModelRef, TokenCount};
 use caraway_types::EndpointId;
 use rand::{Rng, SeedableRng};
@@ -166,14 +164,25 @@
     }
 
     /// Lets a request come at a time after the start.
-    pub(crate) fn ask_at(&mut self, at: Duration, ticket: u64, model: ModelRef, patience: Duration) {
+    pub(crate) fn ask_at(
+        &mut self,
+        at: Duration,
+        ticket: u64,
+        model: ModelRef,
+        patience: Duration,
+    ) {
         self.at(self.start + at, Event::Ask(ticket, model, patience));
     }
 
+    /// Sets the version that loads fetch from now on.
+    pub(crate) fn set_version(&mut self, model: &ModelRef, version: u64) {
+        self.versions.insert(model.clone(), version);
+    }
+
     /// Announces a version of an adapter now.
     pub(crate) fn announce(&mut self, model: &ModelRef, version: u64) {
-        self.versions.insert(model.clone(), version);
-        self.act(|p, now| p.on_version(now, model, version));
+        self.set_version(model, version);
+        self.act(|p, now| p.on_version(now, model, version, Some(now)));
     }
 
     /// Lets time pass until a time after the start.
@@ -325,7 +334,10 @@
         let stretch = crowd as f64 / self.nature.at_once as f64;
         let load = self.nature.load.mul_f64(stretch);
         let version = self.versions.get(&order.model).copied().unwrap_or(1);
-        let engine = self.engines.get_mut(&order.endpoint).expect("a known endpoint");
+        let engine = self
+            .engines
+            .get_mut(&order.endpoint)
+            .expect("a known endpoint");
         match engine.execute(self.now, order, load, version) {
             Carried::End(end) => end,
             Carried::Fetched => {
--- a/crates/caraway-routes/src/route.rs
+++ b/crates/caraway-routes/src/route.rs
@@ -78,9 +78,7 @@
     #[must_use]
     pub fn patience(&self) -> Duration {
         let pauses = self.pause.unwrap_or_default() * PATIENCE_PAUSES;
-        LEAST_PATIENCE
-            .max(self.goal * PATIENCE_GOALS)
-            .max(pauses)
+        LEAST_PATIENCE.max(self.goal * PATIENCE_GOALS).max(pauses)
     }
 
     /// Tells whether a request may run again after it may have run.
