Tell a registry that was away from one that only this instance missed

Change: instances tell each other in their signs of life whether they read the registry; entries may have lapsed only when nobody did. Signs of life now go out on a busy session, too.

--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -5,7 +5,7 @@
 use caraway_platform::{
     OperatorKey, Record, StoreError, Topic, announced, configuration, operator_key, registry_entry,
 };
-use caraway_routes::{Change, Endpoint, Lapse, ModelRef};
+use caraway_routes::{Change, Endpoint, Lapse, ModelRef, Outage};
 use caraway_types::{EndpointId, Offset, ZoneId};
 use tokio::{
     sync::Notify,
@@ -30,16 +30,12 @@
 const REGISTRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Time without a successful read after which entries may have lapsed: a read that waits, its
-/// answer and the pause, and some more. Entries lapse after three beats of more than a second.
-const OUTAGE: Duration = Duration::from_millis(3200);
-/// Time after the store's return in which lapsed entries come back.
-const LAPSE_GRACE: Duration = Duration::from_millis(2200);
-
 /// How far this instance has read the topics.
 #[derive(Debug, Default)]
 pub(crate) struct Topics {
     states: HashMap<Topic, TopicState>,
+    /// Whether the registry of endpoints was away.
+    outage: Outage,
     /// When this instance claims a zone, unless its holder is back by then.
     pub(crate) claims: HashMap<ZoneId, Instant>,
     /// Whether a claim is on its way.
@@ -52,8 +48,6 @@
     /// When the topic was read last.
     read: Option<Instant>,
     failing: bool,
-    /// Until when entries may come back that lapsed while the store was away.
-    lapse: Option<Instant>,
     wake: Rc<Notify>,
 }
 
@@ -187,6 +181,7 @@
     };
     match read {
         Ok(log) => {
+            on_read(shared, topic);
             take(shared, topic, from, log.next, &log.records);
             Ok(())
         }
@@ -195,9 +190,19 @@
     }
 }
 
+/// Notes a read; returns what missing entries are by that.
+fn on_read(shared: &Shared, topic: Topic) -> Lapse {
+    let mut topics = shared.topics.borrow_mut();
+    let now = Shared::now();
+    match topic {
+        Topic::Endpoints => topics.outage.on_read(now),
+        Topic::Operators | Topic::Holders => topics.outage.lapse(now),
+    }
+}
+
 async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
     let newest = shared.store.newest(topic).await?;
-    let lapse = lapse(shared, topic);
+    let lapse = on_read(shared, topic);
     if topic == Topic::Endpoints {
         let present = |id: &str| newest.records.iter().any(|r| &*r.key == id);
         let gone = shared.directory.borrow_mut().retain(present, lapse);
@@ -221,7 +226,7 @@
         return;
     }
     shared.topics.borrow_mut().state(topic).next = Some(next);
-    let lapse = lapse(shared, topic);
+    let lapse = shared.topics.borrow().outage.lapse(Shared::now());
     let fresh: Vec<Record> = records
         .iter()
         .filter(|r| r.offset >= known)
@@ -404,19 +409,18 @@
     }
 }
 
-/// Tells whether missing entries may come back.
-fn lapse(shared: &Shared, topic: Topic) -> Lapse {
+/// Tells whether this instance reads the registry as usual.
+pub(crate) fn is_served(shared: &Shared) -> bool {
     let mut topics = shared.topics.borrow_mut();
-    let state = topics.state(topic);
-    let now = Instant::now();
-    let was_away = state.read.is_some_and(|r| now.duration_since(r) > OUTAGE);
-    if was_away {
-        state.lapse = Some(now + LAPSE_GRACE);
-    }
-    match state.lapse {
-        Some(until) if now < until => Lapse::Until(until.into_std()),
-        _ => Lapse::Gone,
-    }
+    let lapse = topics.outage.lapse(Shared::now());
+    let state = topics.state(Topic::Endpoints);
+    !state.failing && state.next.is_some() && lapse == Lapse::Gone
+}
+
+/// Notes that another instance reads the registry as usual.
+pub(crate) fn on_peer_served(shared: &Shared) {
+    let mut topics = shared.topics.borrow_mut();
+    topics.outage.on_peer(Shared::now());
 }
 
 fn on_reached(shared: &Rc<Shared>, topic: Topic) {
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -68,7 +68,10 @@
         ticket: Ticket,
     },
     /// Asks for a sign of life.
-    Ping,
+    Ping {
+        /// Whether the asker reads the registry as usual.
+        served: bool,
+    },
     /// Records of the platform's store.
     Records(RecordsFrame),
 }
@@ -97,6 +100,8 @@
         peers: usize,
         /// How pressed the zone's endpoints are.
         pressure: f64,
+        /// Whether the holder reads the registry as usual.
+        served: bool,
     },
     /// A request may run.
     Grant {
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -119,10 +119,18 @@
                 let id = AskId { source, ticket };
                 desk.with(shared, |placer, now| placer.on_stall(now, id));
             }
-            ToHolder::Ping => {
+            ToHolder::Ping { served } => {
+                if served {
+                    follow::on_peer_served(shared);
+                }
                 let peers = desk.peers(zone);
                 let pressure = desk.levels().pressure();
-                let pong = frame::encode(&FromHolder::Pong { peers, pressure });
+                let served = follow::is_served(shared);
+                let pong = frame::encode(&FromHolder::Pong {
+                    peers,
+                    pressure,
+                    served,
+                });
                 // A full queue ends the session at the other end by its silence.
                 self.outgoing.try_send(Ok(pong)).ok();
             }
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use tokio::{
     sync::{Notify, mpsc, oneshot},
-    time::{Instant, sleep, timeout},
+    time::{Instant, MissedTickBehavior, interval, sleep, timeout},
 };
 
 use crate::{
@@ -181,6 +181,8 @@
         };
         let mut reader = FrameReader::default();
         let mut heard = Instant::now();
+        let mut pings = interval(PING_PAUSE);
+        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let chunk = tokio::select! {
                 frame = body.frame() => match frame {
@@ -188,8 +190,8 @@
                     Some(Err(e)) => return Loss::Closed(e.to_string()),
                     None => return Loss::Closed("the holder closed it".to_owned()),
                 },
-                () = sleep(PING_PAUSE) => {
-                    if heard.elapsed() > SILENCE_LIMIT || !self.send(&ToHolder::Ping) {
+                _ = pings.tick() => {
+                    if heard.elapsed() > SILENCE_LIMIT || !self.ping(shared) {
                         return Loss::Silent;
                     }
                     continue;
@@ -257,12 +259,17 @@
         }
         *self.outgoing.borrow_mut() = Some(outgoing);
         self.down.set(None);
-        self.send(&ToHolder::Ping);
+        self.ping(shared);
         emit!(shared, info, SessionUp; "zone" => &*self.zone,
             "holder" => &*self.holder.instance, "token" => self.holder.token);
         Ok((link, answer.into_body()))
     }
 
+    fn ping(&self, shared: &Shared) -> bool {
+        let served = follow::is_served(shared);
+        self.send(&ToHolder::Ping { served })
+    }
+
     fn close(&self) {
         self.outgoing.borrow_mut().take();
         if self.down.get().is_none() {
@@ -276,7 +283,14 @@
 
     fn on_frame(&self, shared: &Rc<Shared>, frame: FromHolder) -> Option<Loss> {
         match frame {
-            FromHolder::Pong { peers, pressure } => {
+            FromHolder::Pong {
+                peers,
+                pressure,
+                served,
+            } => {
+                if served {
+                    follow::on_peer_served(shared);
+                }
                 self.peers.set(peers);
                 self.pressure.set(pressure);
             }
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -6,6 +6,7 @@
 mod chooser;
 mod directory;
 mod endpoint;
+mod outage;
 mod route;
 mod routing;
 
@@ -14,5 +15,6 @@
 pub use chooser::{Chooser, Verdict};
 pub use directory::{Change, Directory, Lapse};
 pub use endpoint::{Endpoint, EndpointState, HeldModel, Resident};
+pub use outage::{Outage, OutageLimits};
 pub use route::{Repeat, Route, Target};
 pub use routing::{Engine, Limits, Model, Routing, Service};
