--- /dev/null
+++ b/crates/caraway-gateway/tests/sse.rs
@@ -0,0 +1,44 @@
+//! Event streams are cut at the ends of their events, however their bytes arrive.
+
+use caraway_gateway::EventCutter;
+use proptest::prelude::*;
+
+const STREAM: &[u8] =
+    b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: d\n\n";
+
+#[test]
+fn a_torn_event_is_held_back() {
+    let mut cutter = EventCutter::default();
+    let whole = cutter
+        .feed(b"id: 1\ndata: a\n\nid: 2\nda")
+        .expect("one event");
+    assert_eq!(&whole[..], b"id: 1\ndata: a\n\n");
+    assert_eq!(cutter.last_id().map(|i| &**i), Some("1"));
+    assert!(cutter.is_torn());
+    cutter.drop_rest();
+    let whole = cutter
+        .feed(b"id: 2\ndata: b\n\n")
+        .expect("the event of a new run");
+    assert_eq!(&whole[..], b"id: 2\ndata: b\n\n");
+    assert!(!cutter.is_torn());
+}
+
+proptest! {
+    #[test]
+    fn any_cuts_give_the_same_stream(cuts in prop::collection::vec(0..STREAM.len(), 0..8)) {
+        let mut cuts = cuts;
+        cuts.extend([0, STREAM.len()]);
+        cuts.sort_unstable();
+        let mut cutter = EventCutter::default();
+        let mut passed = Vec::new();
+        for pair in cuts.windows(2) {
+            if let Some(events) = cutter.feed(&STREAM[pair[0]..pair[1]]) {
+                prop_assert!(events.ends_with(b"\n\n") || events.ends_with(b"\r\n\r\n"));
+                passed.extend_from_slice(&events);
+            }
+        }
+        prop_assert_eq!(&passed[..], STREAM);
+        prop_assert_eq!(cutter.events(), 4);
+        prop_assert_eq!(cutter.last_id().map(|i| &**i), Some("4"));
+    }
+}
--- a/crates/caraway-http/tests/link.rs
+++ b/crates/caraway-http/tests/link.rs
@@ -66,7 +66,10 @@
     let answer = pooled.link.send(request()).await.expect("an answer");
     let body = read_whole(answer.into_body(), LIMIT_BYTES).await;
     assert_eq!(body.expect("the first answer"), "ok");
-    assert!(!pooled.link.ready().await, "the second answer belongs to no request");
+    assert!(
+        !pooled.link.ready().await,
+        "the second answer belongs to no request"
+    );
 }
 
 #[tokio::test]
@@ -106,5 +109,8 @@
     assert_eq!(pool.len(), 1);
     tokio::time::advance(Duration::from_millis(900)).await;
     pool.sweep();
-    assert!(pool.is_empty(), "used for four fifths of the time that the endpoint names");
+    assert!(
+        pool.is_empty(),
+        "used for four fifths of the time that the endpoint names"
+    );
 }
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -1,6 +1,6 @@
 //! Loads: which adapter next, to which endpoint, in whose place.
 
-use std::time::Instant;
+use std::{collections::HashSet, time::Instant};
 
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
@@ -93,10 +93,18 @@
     /// request late; so those that can still be on time go first.
     pub(super) fn backlog(&self, now: Instant) -> Vec<ModelRef> {
         let ready = now + self.load_time + self.settings.shortest_run;
+        if self.waiting.len() == 0 {
+            return Vec::new();
+        }
+        let held = self.replicas.values().flat_map(|r| &r.held);
+        let coming: HashSet<&ModelRef> = held
+            .filter(|(_, h)| h.in_transit())
+            .map(|(m, _)| m)
+            .collect();
         let mut demands: Vec<(&ModelRef, Demand)> = self
             .waiting
             .demands(ready)
-            .filter(|(m, _)| m.adapter.is_some() && !self.is_coming(m))
+            .filter(|(m, _)| m.adapter.is_some() && !coming.contains(m))
             .collect();
         demands.sort_by(|a, b| a.1.first(&b.1).then_with(|| a.0.cmp(b.0)));
         demands.into_iter().map(|(m, _)| m.clone()).collect()
--- /dev/null
+++ b/crates/caraway-placement/tests/overload.rs
@@ -0,0 +1,76 @@
+//! The heaviest days: more adapters are wanted than the weight store gives.
+
+mod world;
+
+use std::time::Duration;
+
+use caraway_placement::PlacerSettings;
+use world::{Nature, World, load::Skewed};
+
+const SECOND: Duration = Duration::from_secs(1);
+const GOAL: Duration = Duration::from_millis(500);
+
+fn nature() -> Nature {
+    Nature {
+        endpoints: 3,
+        places: 16,
+        at_once: 5,
+        recent: 96,
+        ..Nature::default()
+    }
+}
+
+fn rare(per_second: f64) -> Skewed {
+    Skewed {
+        per_second,
+        adapters: 3000,
+        skew: 0.5,
+        patience: 2 * SECOND,
+        shift: 0,
+    }
+}
+
+/// Twice as many rare adapters a second as can be loaded. First come first served would make all
+/// of them late; the store's loads must mostly serve requests that are still on time.
+#[test]
+fn rare_adapters_beyond_the_store_s_rate_are_served_on_time_or_not_at_all() {
+    for seed in 0..3 {
+        let mut world = World::new(nature(), PlacerSettings::default(), seed);
+        rare(40.0).fill(&mut world, SECOND, 21 * SECOND, 1);
+        world.run_until(25 * SECOND);
+        let tally = &world.tally;
+        let in_time = tally.waits.iter().filter(|w| **w <= GOAL).count();
+        assert!(
+            tally.granted > 0 && tally.refused > 0,
+            "seed {seed}: an overload"
+        );
+        assert!(
+            in_time * 2 >= tally.granted,
+            "seed {seed}: {in_time} of {} on time",
+            tally.granted
+        );
+        assert_eq!(world.open(), 0, "seed {seed}");
+    }
+}
+
+/// The same load: who is refused learns it well before giving up.
+#[test]
+fn who_can_t_be_served_learns_it_before_giving_up() {
+    for seed in 0..3 {
+        let mut world = World::new(nature(), PlacerSettings::default(), seed);
+        rare(60.0).fill(&mut world, SECOND, 21 * SECOND, 1);
+        world.run_until(25 * SECOND);
+        let tally = &world.tally;
+        let late = tally
+            .refuse_waits
+            .iter()
+            .filter(|w| **w > SECOND * 3 / 2)
+            .count();
+        assert!(tally.refused > 100, "seed {seed}: an overload");
+        assert!(
+            late * 2 < tally.refused,
+            "seed {seed}: {late} of {} late",
+            tally.refused
+        );
+    }
+}
