Let one holder read the store for all, and pass on what others need

Change: instances take the store's records from their zone's holder, holders from the first zone's; each sign of life says how far the holder has read, so who misses one reads by itself. Of the entries that only list adapters one in eight goes on. Connections are kept as long as endpoints say.

--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -40,6 +40,8 @@
 #[derive(Debug)]
 struct Source {
     zone: ZoneId,
+    /// Whether it holds a zone itself.
+    holds: bool,
     frames: Outgoing,
 }
 
@@ -133,11 +135,22 @@
     pub(crate) fn add_source(&self, zone: ZoneId, frames: Outgoing) -> SourceId {
         let source = self.last_source.get() + 1;
         self.last_source.set(source);
-        let entry = Source { zone, frames };
+        let entry = Source {
+            zone,
+            holds: false,
+            frames,
+        };
         self.sources.borrow_mut().insert(source, entry);
         source
     }
 
+    /// Notes whether an asking instance holds a zone itself.
+    pub(crate) fn set_holds(&self, source: SourceId, holds: bool) {
+        if let Some(entry) = self.sources.borrow_mut().get_mut(&source) {
+            entry.holds = holds;
+        }
+    }
+
     /// Drops an asking instance.
     pub(crate) fn drop_source(self: &Rc<Self>, shared: &Rc<Shared>, source: SourceId) {
         self.sources.borrow_mut().remove(&source);
@@ -151,18 +164,15 @@
         others + usize::from(&*self.zone == zone)
     }
 
-    /// Sends a frame to every asking instance, but not to `except`.
-    pub(crate) fn broadcast(&self, frame: &FromHolder, except: Option<SourceId>) {
+    /// Passes records on to the instances of the zone and to other zones' holders, which pass
+    /// them on there.
+    pub(crate) fn pass_on(&self, frame: &FromHolder) {
         let sources = self.sources.borrow();
-        if sources.is_empty() {
-            return;
-        }
+        let near = sources.values().filter(|s| s.holds || s.zone == self.zone);
         let bytes = frame::encode(frame);
-        for (source, entry) in sources.iter() {
-            if Some(*source) != except {
-                // A full queue ends the session there, so nothing is lost unnoticed.
-                entry.frames.try_send(Ok(bytes.clone())).ok();
-            }
+        for source in near {
+            // Who misses a frame sees it by the offset of the next sign of life.
+            source.frames.try_send(Ok(bytes.clone())).ok();
         }
     }
 
@@ -179,8 +189,11 @@
     /// Stops: who asks is told to ask elsewhere.
     pub(crate) fn end(&self) {
         self.ended.set(true);
-        self.broadcast(&FromHolder::NotHolder, None);
-        self.sources.borrow_mut().clear();
+        let bytes = frame::encode(&FromHolder::NotHolder);
+        for (_, source) in self.sources.borrow_mut().drain() {
+            // Its end of the session closes in any case.
+            source.frames.try_send(Ok(bytes.clone())).ok();
+        }
         for (_, tell) in self.own.borrow_mut().drain() {
             // Who asked may have left.
             tell.send(Decision::Lost).ok();
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -26,10 +26,14 @@
 /// late a store that answers nothing is noticed, on which the other topics rely.
 const REGISTRY_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a change of the registry, in which further ones gather: a leaving endpoint is known
-/// within a tenth of the shortest time (2 s) that the deployments allow, and reads are priced.
-const REGISTRY_PAUSE: Duration = Duration::from_millis(200);
+/// within a quarter of the shortest time (2 s) that the deployments allow, and reads are priced.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Time for which a holder's word that it passes records on holds: its next sign of life and one
+/// that is lost.
+const PASSED_ON_LIMIT: Duration = Duration::from_millis(1100);
+
 /// How far this instance has read the topics.
 #[derive(Debug, Default)]
 pub(crate) struct Topics {
@@ -48,6 +52,8 @@
     /// When the topic was read last.
     read: Option<Instant>,
     failing: bool,
+    /// When the holder that passes the topic on last showed it.
+    passed_on: Option<Instant>,
     wake: Rc<Notify>,
 }
 
@@ -78,6 +84,13 @@
 pub(crate) async fn follow(shared: Rc<Shared>, topic: Topic) {
     let wake = shared.topics.borrow_mut().state(topic).wake.clone();
     loop {
+        if is_passed_on(&shared, topic) {
+            tokio::select! {
+                () = sleep(PASSED_ON_LIMIT) => {}
+                () = wake.notified() => {}
+            }
+            continue;
+        }
         let result = step(&shared, topic, &wake).await;
         let label = if result.is_ok() { "ok" } else { "failed" };
         shared.metrics.store_call(topic.label(), label);
@@ -110,9 +123,14 @@
         return;
     };
     let next = shared.topics.borrow().next(topic);
-    // Records that don't join what is known are read from the store.
     if next.is_some_and(|n| frame.from <= n && n < frame.next) {
         take(shared, topic, frame.from, frame.next, &frame.records);
+    } else if next.is_none_or(|n| n < frame.from) {
+        // Records that don't join what is known are read from the store.
+        let mut topics = shared.topics.borrow_mut();
+        let state = topics.state(topic);
+        state.passed_on = None;
+        state.wake.notify_one();
     }
 }
 
@@ -232,10 +250,13 @@
         .filter(|r| r.offset >= known)
         .cloned()
         .collect();
-    for record in &fresh {
-        apply(shared, topic, record, lapse, Source::Log);
+    let mut news = Vec::new();
+    for record in fresh {
+        if apply(shared, topic, &record, lapse, Source::Log) {
+            news.push(record);
+        }
     }
-    pass_on(shared, topic, known, next, fresh);
+    pass_on(shared, topic, known, next, news);
 }
 
 /// Where a record was read.
@@ -247,14 +268,20 @@
     Snapshot,
 }
 
-fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse, source: Source) {
+/// Applies a record; returns whether other instances need it, too.
+fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse, source: Source) -> bool {
     match topic {
         Topic::Operators => apply_operators(shared, record, source),
-        Topic::Endpoints => apply_endpoint(shared, record, lapse),
+        Topic::Endpoints => return apply_endpoint(shared, record, lapse),
         Topic::Holders => claim::on_record(shared, record),
     }
+    true
 }
 
+/// Of the entries that tell only which adapters an endpoint holds, one in so many is passed on:
+/// they are most of the registry's records, and matter only to instances that no placer answers.
+const RESIDENTS_PASSED_ON: u64 = 8;
+
 fn apply_operators(shared: &Rc<Shared>, record: &Record, source: Source) {
     let Some(value) = record.value.as_deref() else {
         return;
@@ -333,29 +360,31 @@
     }
 }
 
-fn apply_endpoint(shared: &Rc<Shared>, record: &Record, lapse: Lapse) {
+/// Takes an entry; returns whether it says more than which adapters an endpoint holds.
+fn apply_endpoint(shared: &Rc<Shared>, record: &Record, lapse: Lapse) -> bool {
     let id: EndpointId = record.key.clone();
     let Some(value) = &record.value else {
         if shared.directory.borrow_mut().remove(&id, lapse) {
             on_gone(shared, &id, "its entry was removed");
         }
-        return;
+        return true;
     };
     let endpoint = match registry_entry(&id, value) {
         Ok(endpoint) => endpoint,
         Err(findings) => {
             emit!(shared, warn, EntryUnusable; "endpoint" => &*id, "offset" => record.offset,
                 "finding" => %findings);
-            return;
+            return false;
         }
     };
+    let was_ready = shared.directory.borrow().get(&id).map(|e| e.is_ready());
     let change = shared.directory.borrow_mut().put(Shared::now(), endpoint);
     if change == Change::Same {
-        return;
+        return false;
     }
     let endpoint = shared.directory.borrow().get(&id).cloned();
     let Some(endpoint) = endpoint else {
-        return;
+        return false;
     };
     if matches!(change, Change::New | Change::Reborn) {
         shared.pool.forget(&id);
@@ -374,6 +403,8 @@
             placer.on_endpoint(now, &endpoint, change)
         });
     }
+    let is_sample = record.offset % RESIDENTS_PASSED_ON == 0;
+    change != Change::Updated || was_ready != Some(endpoint.is_ready()) || is_sample
 }
 
 fn on_gone(shared: &Rc<Shared>, id: &EndpointId, why: &str) {
@@ -398,7 +429,7 @@
     if !desks.is_empty() {
         let frame = FromHolder::Records(frame.clone());
         for desk in desks {
-            desk.broadcast(&frame, None);
+            desk.pass_on(&frame);
         }
     }
     if topic == Topic::Operators {
@@ -417,6 +448,64 @@
     !state.failing && state.next.is_some() && lapse == Lapse::Gone
 }
 
+/// Returns where this instance reads the topics on.
+pub(crate) fn positions(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
+    let topics = shared.topics.borrow();
+    let next = Topic::ALL
+        .into_iter()
+        .filter_map(|t| Some((t.label().into(), topics.next(t)?)));
+    next.collect()
+}
+
+/// Notes what the source's holder says of its reading. While it reads as usual and this instance
+/// has what it has, this instance leaves the store alone.
+pub(crate) fn on_holder(shared: &Shared, served: bool, next: &[(Arc<str>, Offset)]) {
+    let mut topics = shared.topics.borrow_mut();
+    let now = Instant::now();
+    for topic in Topic::ALL {
+        let holder = next.iter().find(|(label, _)| **label == *topic.label());
+        let state = topics.state(topic);
+        let has_all = holder.is_some_and(|(_, n)| state.next.is_some_and(|own| own >= *n));
+        if served && has_all {
+            state.passed_on = Some(now);
+        } else if state.passed_on.take().is_some() {
+            state.wake.notify_one();
+        }
+    }
+}
+
+/// Returns the zone whose holder passes the store's records on to this instance; `None` where this
+/// instance reads them itself.
+///
+/// An instance that holds no zone takes them from its own zone's holder. Of the holders the first
+/// zone's reads the store, and the others take them from it.
+pub(crate) fn source_zone(shared: &Shared) -> Option<ZoneId> {
+    let own = &shared.site.zone;
+    let holds = !shared.desks.borrow().is_empty();
+    if !holds && shared.session(own).is_some() {
+        return Some(own.clone());
+    }
+    for zone in &shared.site.zones {
+        if shared.desk(zone).is_some() {
+            return None;
+        }
+        if shared.session(zone).is_some() {
+            return Some(zone.clone());
+        }
+    }
+    None
+}
+
+/// Tells whether a holder passes a topic's records on.
+fn is_passed_on(shared: &Shared, topic: Topic) -> bool {
+    if source_zone(shared).is_none() {
+        return false;
+    }
+    let mut topics = shared.topics.borrow_mut();
+    let passed_on = topics.state(topic).passed_on;
+    passed_on.is_some_and(|at| at.elapsed() < PASSED_ON_LIMIT)
+}
+
 /// Notes that another instance reads the registry as usual.
 pub(crate) fn on_peer_served(shared: &Shared) {
     let mut topics = shared.topics.borrow_mut();
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -71,6 +71,8 @@
     Ping {
         /// Whether the asker reads the registry as usual.
         served: bool,
+        /// Whether the asker holds a zone itself.
+        holds: bool,
     },
     /// Records of the platform's store.
     Records(RecordsFrame),
@@ -102,6 +104,8 @@
         pressure: f64,
         /// Whether the holder reads the registry as usual.
         served: bool,
+        /// Where the holder reads the topics on, by their labels.
+        next: Vec<(Arc<str>, Offset)>,
     },
     /// A request may run.
     Grant {
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -119,7 +119,8 @@
                 let id = AskId { source, ticket };
                 desk.with(shared, |placer, now| placer.on_stall(now, id));
             }
-            ToHolder::Ping { served } => {
+            ToHolder::Ping { served, holds } => {
+                desk.set_holds(source, holds);
                 if served {
                     follow::on_peer_served(shared);
                 }
@@ -130,6 +131,7 @@
                     peers,
                     pressure,
                     served,
+                    next: follow::positions(shared),
                 });
                 // A full queue ends the session at the other end by its silence.
                 self.outgoing.try_send(Ok(pong)).ok();
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -267,7 +267,8 @@
 
     fn ping(&self, shared: &Shared) -> bool {
         let served = follow::is_served(shared);
-        self.send(&ToHolder::Ping { served })
+        let holds = !shared.desks.borrow().is_empty();
+        self.send(&ToHolder::Ping { served, holds })
     }
 
     fn close(&self) {
@@ -287,7 +288,11 @@
                 peers,
                 pressure,
                 served,
+                next,
             } => {
+                if follow::source_zone(shared).as_ref() == Some(&self.zone) {
+                    follow::on_holder(shared, served, &next);
+                }
                 if served {
                     follow::on_peer_served(shared);
                 }
--- a/crates/caraway-http/src/pool.rs
+++ b/crates/caraway-http/src/pool.rs
@@ -100,11 +100,12 @@
     /// Gives a connection back after its answer was read whole; `keep` is the idle time that the
     /// endpoint names.
     pub fn put(&self, endpoint: &EndpointId, pooled: Pooled, keep: Option<Duration>) {
-        let keep = keep.map_or(self.limits.idle, |k| k.mul_f64(self.limits.idle_part));
+        let named = keep.map(|k| k.mul_f64(self.limits.idle_part));
+        let keep = named.unwrap_or(self.limits.idle);
         let idle = Idle {
             link: pooled.link,
             addr: pooled.addr,
-            until: Instant::now() + keep.min(self.limits.idle),
+            until: Instant::now() + keep,
         };
         let mut all = self.idle.borrow_mut();
         if let Some(list) = all.get_mut(endpoint) {
