Log what decided a refusal or a grant, and try the program before a stand-in platform

Cause: a refusal's line did not say who had refused and how many waited there; lines about a zone had two fields named zone; no test ran the program itself.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -73,7 +73,7 @@
         return;
     }
     let start = first_order(shared, zone, former.as_ref());
-    emit!(shared, info, HolderChanged; "zone" => &**zone, "holder" => &*holder.instance,
+    emit!(shared, info, HolderChanged; "held_zone" => &**zone, "holder" => &*holder.instance,
         "incarnation" => holder.incarnation, "token" => holder.token,
         "released" => holder.released,
         "former" => former.as_ref().map_or("", |f| &*f.instance));
@@ -114,7 +114,7 @@
         append(shared, &desk.zone, true).await;
         desk.end();
         shared.desks.borrow_mut().remove(&desk.zone);
-        emit!(shared, info, HolderEnded; "zone" => &*desk.zone, "token" => desk.token,
+        emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token,
             "why" => "the instance stops");
     }
 }
@@ -208,7 +208,7 @@
     };
     let label = if result.is_ok() { "ok" } else { "failed" };
     shared.metrics.store_call("claim", label);
-    emit!(shared, info, ClaimTried; "zone" => &**zone, "at" => at, "released" => released,
+    emit!(shared, info, ClaimTried; "held_zone" => &**zone, "at" => at, "released" => released,
         "outcome" => outcome);
     match result {
         Ok(appended) => {
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -242,7 +242,12 @@
                 );
             }
             Output::Refuse { ask, reason, after } => {
-                self.decide(ask, Decision::Refused { reason, after });
+                let refused = Decision::Refused {
+                    reason,
+                    after,
+                    waiting: self.levels().waiting,
+                };
+                self.decide(ask, refused);
             }
             Output::Order(order) => {
                 let (desk, shared) = (self.clone(), shared.clone());
@@ -253,7 +258,7 @@
                 tokio::task::spawn_local(executor::report(shared, desk, endpoint));
             }
             Output::Deposed(endpoint) => {
-                emit!(shared, warn, HolderEnded; "zone" => &*self.zone, "token" => self.token,
+                emit!(shared, warn, HolderEnded; "held_zone" => &*self.zone, "token" => self.token,
                     "why" => "a later token was used", "endpoint" => &*endpoint);
                 claim::on_deposed(shared, self);
             }
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -62,7 +62,7 @@
         });
         return;
     }
-    emit!(shared, info, Ordered; "zone" => &*desk.zone, "token" => desk.token,
+    emit!(shared, info, Ordered; "held_zone" => &*desk.zone, "token" => desk.token,
         "endpoint" => &*endpoint, "order" => action, "adapter" => %order.model,
         "expect" => order.expect, "number" => order.number, "end" => name,
         "ms" => millis(start.elapsed()));
@@ -79,11 +79,11 @@
         Some(addr) => fetch_report(&shared, &endpoint, report_request(addr, &endpoint)).await,
     };
     match &report {
-        Ok(report) => emit!(shared, info, Reported; "zone" => &*desk.zone,
+        Ok(report) => emit!(shared, info, Reported; "held_zone" => &*desk.zone,
             "endpoint" => &*endpoint, "orders" => report.orders, "held" => report.held.len(),
             "incoming" => report.incoming.len(), "running" => report.running,
             "waiting" => report.waiting),
-        Err(why) => emit!(shared, warn, ReportMissing; "zone" => &*desk.zone,
+        Err(why) => emit!(shared, warn, ReportMissing; "held_zone" => &*desk.zone,
             "endpoint" => &*endpoint, "error" => why),
     }
     desk.with(&shared, |placer, now| {
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -391,11 +391,11 @@
         shared.chooser.borrow_mut().forget(&id);
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
             "change" => format!("{change:?}"), "service" => &*endpoint.service,
-            "zone" => &*endpoint.zone, "addr" => %endpoint.addr,
+            "endpoint_zone" => &*endpoint.zone, "addr" => %endpoint.addr,
             "state" => format!("{:?}", endpoint.state), "offset" => record.offset);
     } else if !endpoint.is_ready() {
         emit!(shared, info, EndpointChanged; "endpoint" => &*id, "change" => "Draining",
-            "zone" => &*endpoint.zone, "offset" => record.offset);
+            "endpoint_zone" => &*endpoint.zone, "offset" => record.offset);
     }
     let desk = shared.desk(&endpoint.zone);
     if let Some(desk) = desk.filter(|_| !endpoint.models.is_empty()) {
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -128,6 +128,8 @@
         reason: RefuseReason,
         /// When to come back.
         after: Millis,
+        /// Requests that wait at the placer.
+        waiting: usize,
     },
     /// The instance does not hold the zone.
     NotHolder,
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -130,6 +130,7 @@
         shared.metrics.place(call.arrived.elapsed());
         emit!(shared, info, Granted; "request" => &*call.head.id, "adapter" => %want.model,
             "endpoint" => &*placed.endpoint, "by" => placed.zone.as_deref().unwrap_or("registry"),
+            "entry_age_ms" => entry_age(shared, &placed), "version" => call.version,
             "waited" => placed.waited, "sent" => progress.sent,
             "ms" => millis(call.arrived.elapsed()));
         let endpoint = placed.endpoint.clone();
@@ -169,6 +170,12 @@
     }
 }
 
+/// Returns the age of the registry's entry that names the endpoint, for a log line.
+fn entry_age(shared: &Shared, placed: &Placed) -> Option<u64> {
+    let directory = shared.directory.borrow();
+    directory.age(Shared::now(), &placed.endpoint).map(millis)
+}
+
 /// When a caller may come back whose request no endpoint took.
 const BUSY_RETURN: Duration = Duration::from_millis(300);
 
@@ -196,20 +203,24 @@
 }
 
 fn not_placed(progress: &Progress, not: NotPlaced) -> Refused {
-    let detail = match not.reason {
+    let why = match not.reason {
         RefuseReason::NoEndpoint => "no endpoint of the service takes work",
         RefuseReason::Deadline => "the adapter can't be there in time",
         RefuseReason::Leaving => "the placer stops",
     };
+    let detail = not.asked.map_or_else(
+        || why.to_owned(),
+        |(zone, waiting)| format!("{why}; zone {zone} was asked, where {waiting} wait"),
+    );
     if progress.ran > 0 {
-        return Refused::in_doubt(Reason::EndpointFailed, detail);
+        return Refused::in_doubt(Reason::EndpointFailed, &detail);
     }
     let reason = match not.reason {
         RefuseReason::Deadline => Reason::Deadline,
         RefuseReason::Leaving => Reason::Leaving,
         RefuseReason::NoEndpoint => Reason::NoEndpoint,
     };
-    Refused::not_run(reason, detail).after(not.after)
+    Refused::not_run(reason, &detail).after(not.after)
 }
 
 fn in_doubt(call: &Call, why: &str) -> Refused {
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -38,6 +38,8 @@
         reason: RefuseReason,
         /// When to come back.
         after: Duration,
+        /// Requests that wait at the placer.
+        waiting: usize,
     },
     /// The placer can't be asked any more.
     Lost,
@@ -69,10 +71,12 @@
 }
 
 /// Why a request gets no endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct NotPlaced {
     pub(crate) reason: RefuseReason,
     pub(crate) after: Duration,
+    /// The zone that was asked last, with the requests that wait there.
+    pub(crate) asked: Option<(ZoneId, usize)>,
 }
 
 /// Tells who granted the endpoint when the request has ended, also when it is dropped.
@@ -161,15 +165,21 @@
                 waited,
                 pressure,
             },
-            Self::Refused { reason, after } => FromHolder::Refuse {
+            Self::Refused {
+                reason,
+                after,
+                waiting,
+            } => FromHolder::Refuse {
                 ticket,
                 reason,
                 after: after.into(),
+                waiting,
             },
             Self::Lost => FromHolder::Refuse {
                 ticket,
                 reason: RefuseReason::NoEndpoint,
                 after: NO_ENDPOINT_RETURN.into(),
+                waiting: 0,
             },
         }
     }
@@ -211,6 +221,7 @@
     resident(shared, want, avoid).ok_or(refused.unwrap_or(NotPlaced {
         reason: RefuseReason::NoEndpoint,
         after: NO_ENDPOINT_RETURN,
+        asked: None,
     }))
 }
 
@@ -287,7 +298,15 @@
                 run,
             })
         }
-        Decision::Refused { reason, after } => Err(Some(NotPlaced { reason, after })),
+        Decision::Refused {
+            reason,
+            after,
+            waiting,
+        } => Err(Some(NotPlaced {
+            reason,
+            after,
+            asked: Some((zone.clone(), waiting)),
+        })),
         Decision::Lost => Err(None),
     }
 }
@@ -299,6 +318,7 @@
         Err(_) => Decision::Refused {
             reason: RefuseReason::Deadline,
             after: Duration::ZERO,
+            waiting: 0,
         },
     }
 }
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -164,7 +164,7 @@
     let desks: Vec<_> = shared.desks.borrow().values().cloned().collect();
     for desk in desks {
         let levels = desk.levels();
-        emit!(shared, info, PlacerLevels; "zone" => &*desk.zone, "token" => desk.token,
+        emit!(shared, info, PlacerLevels; "held_zone" => &*desk.zone, "token" => desk.token,
             "waiting" => levels.waiting, "running" => levels.running,
             "endpoints" => levels.endpoints, "usable" => levels.usable,
             "ordering" => levels.ordering, "transit" => levels.transit,
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -160,7 +160,7 @@
             told = true;
             self.close();
             if is_news && !matches!(loss, Loss::Stopped) {
-                emit!(shared, warn, SessionLost; "zone" => &*self.zone,
+                emit!(shared, warn, SessionLost; "held_zone" => &*self.zone,
                     "holder" => &*self.holder.instance, "token" => self.holder.token,
                     "why" => %loss);
             }
@@ -260,7 +260,7 @@
         *self.outgoing.borrow_mut() = Some(outgoing);
         self.down.set(None);
         self.ping(shared);
-        emit!(shared, info, SessionUp; "zone" => &*self.zone,
+        emit!(shared, info, SessionUp; "held_zone" => &*self.zone,
             "holder" => &*self.holder.instance, "token" => self.holder.token);
         Ok((link, answer.into_body()))
     }
@@ -318,9 +318,14 @@
                 ticket,
                 reason,
                 after,
+                waiting,
             } => {
-                let after = after.get();
-                self.decide(ticket, Decision::Refused { reason, after });
+                let refused = Decision::Refused {
+                    reason,
+                    after: after.get(),
+                    waiting,
+                };
+                self.decide(ticket, refused);
             }
             FromHolder::NotHolder => return Some(Loss::NotHolder),
             FromHolder::Records(records) => follow::on_records(shared, &records),
--- /dev/null
+++ b/crates/caraway-gateway/tests/process.rs
@@ -0,0 +1,103 @@
+//! The program itself in front of a stand-in of the platform.
+
+mod standin;
+
+use std::process::Command;
+
+use standin::{Gateway, Platform, call};
+
+const DRAFT: &str = "X-Attempt-Id: r1\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
+    X-Deadline-Ms: 4000\r\nX-Hold: stolen\r\n";
+
+#[test]
+fn requests_pass_and_the_daemon_stops() {
+    let platform = Platform::start();
+    let mut gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+
+    let answer = call(gateway.front, "GET /status/lot", "X-Attempt-Id: r0\r\n", "");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.ends_with("sold"), "{answer}");
+
+    let answer = call(gateway.front, "POST /draft/x?y=1", DRAFT, "prompt");
+    assert!(answer.contains("x-server-seal: s"), "{answer}");
+    assert!(
+        answer.contains("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+        "{answer}"
+    );
+
+    let missing = call(gateway.front, "GET /none/", "X-Attempt-Id: r2\r\n", "");
+    assert!(missing.starts_with("HTTP/1.1 404"), "{missing}");
+    let bad = "X-Attempt-Id: r3\r\nX-Deadline-Ms: soon\r\n";
+    let bad = call(gateway.front, "GET /status/lot", bad, "");
+    assert!(
+        bad.starts_with("HTTP/1.1 400") && bad.contains("x-deadline-ms"),
+        "{bad}"
+    );
+
+    {
+        let state = platform.state.lock().expect("no panic holds it");
+        assert_eq!(state.held, ["a7"], "the adapter was loaded for the request");
+        assert_eq!(state.orders.len(), 1, "by one order");
+        let (_, headers) = state.runs.last().expect("a run");
+        assert_eq!(headers["x-expect-replica"], "e-1");
+        assert!(!headers.contains_key("x-hold"), "only the system sets it");
+        assert_eq!(state.runs.len(), 2, "nothing else ran");
+    }
+
+    let stop = Command::new("kill")
+        .arg(gateway.child.id().to_string())
+        .status();
+    assert!(stop.expect("kill runs").success());
+    gateway.wait_for("the end of readiness", || {
+        !call(gateway.ready, "GET /v1/readyz", "", "").starts_with("HTTP/1.1 200")
+    });
+    let status = gateway.child.wait().expect("the daemon ends");
+    assert!(status.success(), "{status}");
+    gateway.wait_for("its last line", || gateway.has_event(1002));
+    assert!(gateway.has_event(1202), "it gave its zone up");
+}
+
+#[test]
+fn a_new_configuration_comes_into_force() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    let ask = || call(gateway.front, "GET /moved/lot", "X-Attempt-Id: r1\r\n", "");
+    assert!(ask().starts_with("HTTP/1.1 404"));
+    let config = serde_json::json!({"Version": 9, "Routes": [
+        {"Name": "moved", "Host": "h.example", "PathPrefix": "/moved/", "Kind": "idempotent",
+         "TimeoutMs": 2000, "Service": "desk"}], "Services": [{"Name": "desk"}]});
+    platform.publish("keyed.op", "config", &config);
+    gateway.wait_for("the new route", || ask().starts_with("HTTP/1.1 200"));
+    let older = serde_json::json!({"Version": 4, "Routes": [], "Services": []});
+    platform.publish("keyed.op", "config", &older);
+    platform.publish("keyed.op", "config", &serde_json::json!("no configuration"));
+    gateway.wait_for("the finding", || gateway.has_event(1101));
+    assert!(
+        ask().starts_with("HTTP/1.1 200"),
+        "an older version changes nothing"
+    );
+}
+
+#[test]
+fn bad_settings_are_reported_together() {
+    let path = std::env::temp_dir().join(format!("caraway-bad-{}.json", std::process::id()));
+    std::fs::write(&path, r#"{"NodeName": 5, "Zone": "z"}"#).expect("a file");
+    let run = Command::new(env!("CARGO_BIN_EXE_caraway-gateway"))
+        .args(["--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the program runs");
+    assert_eq!(run.status.code(), Some(2));
+    let told = String::from_utf8_lossy(&run.stderr);
+    for place in [
+        "/NodeName:",
+        "/Zones:",
+        "/Ip:",
+        "/Listen:",
+        "/Bounds:",
+        "/Platform:",
+    ] {
+        assert!(told.contains(place), "{place} is missing in\n{told}");
+    }
+}
--- a/crates/caraway-placement/tests/placer.rs
+++ b/crates/caraway-placement/tests/placer.rs
@@ -141,7 +141,7 @@
     let versions: Vec<u64> = world
         .engines
         .values()
-        .flat_map(|e| e.versions_run())
+        .flat_map(world::engine::Engine::versions_run)
         .collect();
     assert_eq!(versions, [1, 2], "the second run is on the new version");
 }
