Bring the new crates in line with the linter

Change: as it asks; an answer's head says in one field how long its connection can be used. Conclusion: none.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -22,11 +22,11 @@
 
 /// Time for which a holder can't be reached before another instance of its zone claims; a lost
 /// session is opened again well within it.
-const SUSPECT_AFTER: Duration = Duration::from_millis(1000);
+const SUSPECT_AFTER: Duration = Duration::from_secs(1);
 /// The same where the holder's machine says that no process listens.
 const REFUSED_AFTER: Duration = Duration::from_millis(100);
 /// Further time before an instance of another zone claims.
-const FOREIGN_AFTER: Duration = Duration::from_millis(2000);
+const FOREIGN_AFTER: Duration = Duration::from_secs(2);
 /// Claimers spread over this time, so that most see the first one's claim before their own.
 const SPREAD: Duration = Duration::from_millis(300);
 
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -10,7 +10,7 @@
 use http::{Request, StatusCode};
 use tokio::time::{Instant, timeout};
 
-use crate::{desk::Desk, event::emit, shared::Shared};
+use crate::{desk::Desk, event::emit, plain, shared::Shared};
 
 /// Longest time for which an order's answer is awaited; endpoints answer within a few ms, and an
 /// instance whose quota of processor time is used up goes on within 100.
@@ -123,9 +123,7 @@
         let body = read_whole(answer.into_body(), ANSWER_LIMIT_BYTES)
             .await
             .map_err(|e| CallError::Unknown(e.to_string().into()))?;
-        if !head.closes {
-            shared.pool.put(endpoint, pooled, head.keep);
-        }
+        plain::put_back(shared, endpoint, pooled, &head);
         Ok((status, body))
     };
     timeout(limit, exchange)
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -400,10 +400,10 @@
     let desk = shared.desk(&endpoint.zone);
     if let Some(desk) = desk.filter(|_| !endpoint.models.is_empty()) {
         desk.with(shared, |placer, now| {
-            placer.on_endpoint(now, &endpoint, change)
+            placer.on_endpoint(now, &endpoint, change);
         });
     }
-    let is_sample = record.offset % RESIDENTS_PASSED_ON == 0;
+    let is_sample = record.offset.is_multiple_of(RESIDENTS_PASSED_ON);
     change != Change::Updated || was_ready != Some(endpoint.is_ready()) || is_sample
 }
 
--- a/crates/caraway-gateway/src/log.rs
+++ b/crates/caraway-gateway/src/log.rs
@@ -75,7 +75,6 @@
 }
 
 /// Makes a logger whose lines go through `queue`.
-#[must_use]
 pub fn json_logger(queue: LogQueue, instance: &str, zone: &str) -> Logger {
     let drain = LineDrain { queue };
     let values = o!("instance" => instance.to_owned(), "zone" => zone.to_owned());
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use caraway_http::{Payload, Pooled, read_whole};
-use caraway_platform::{AnswerHead, Onward, SEAL_MISSING, answer_head, copy_answer, copy_request};
+use caraway_platform::{
+    AnswerHead, Onward, Reuse, SEAL_MISSING, answer_head, copy_answer, copy_request,
+};
 use caraway_routes::{Endpoint, Repeat, Verdict};
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
@@ -215,8 +217,10 @@
 
 /// Gives a connection back to the pool after a whole answer.
 pub(crate) fn put_back(shared: &Shared, endpoint: &EndpointId, pooled: Pooled, head: &AnswerHead) {
-    if !head.closes {
-        shared.pool.put(endpoint, pooled, head.keep);
+    match head.reuse {
+        Reuse::Close => {}
+        Reuse::Unnamed => shared.pool.put(endpoint, pooled, None),
+        Reuse::Idle(idle) => shared.pool.put(endpoint, pooled, Some(idle)),
     }
 }
 
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -109,8 +109,8 @@
         self.cutter.drop_rest();
         let last = self.cutter.last_id().cloned();
         let last = last.as_deref().or(self.call.head.resume_after.as_deref());
-        let begin = begin(&self.shared, &self.call, &mut self.progress, last).await;
-        let Ok(Begin::Stream(begun)) = begin else {
+        let next = begin(&self.shared, &self.call, &mut self.progress, last).await;
+        let Ok(Begin::Stream(begun)) = next else {
             return None;
         };
         emit!(self.shared, info, Resumed; "request" => &*self.call.head.id,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -217,5 +217,5 @@
 fn incarnation() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     // A clock before 1970 can't tell runs apart; the process id does where it differs.
-    now.map_or_else(|_| u64::from(std::process::id()), |d| millis(d))
+    now.map_or_else(|_| u64::from(std::process::id()), millis)
 }
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -41,8 +41,6 @@
 pub(crate) struct Platform {
     pub(crate) state: Arc<Mutex<State>>,
     pub(crate) store: SocketAddr,
-    pub(crate) engine: SocketAddr,
-    pub(crate) desk: SocketAddr,
 }
 
 impl Platform {
@@ -52,12 +50,7 @@
         let store = serve(state.clone(), store_call);
         let engine = serve(state.clone(), engine_call);
         let desk = serve(state.clone(), desk_call);
-        let platform = Self {
-            state,
-            store,
-            engine,
-            desk,
-        };
+        let platform = Self { state, store };
         platform.publish("keyed.op", "config", &configuration());
         let entry = |service: &str, addr: SocketAddr, models: Value| {
             json!({"Service": service, "Address": addr.to_string(), "Zone": "z1", "Slots": 8,
@@ -239,7 +232,7 @@
     let body = body
         .collect()
         .await
-        .map(|b| b.to_bytes())
+        .map(http_body_util::Collected::to_bytes)
         .unwrap_or_default();
     let response = handler(&state, &parts, &body);
     // A read that waits is answered after a while.
--- a/crates/caraway-placement/tests/homes.rs
+++ b/crates/caraway-placement/tests/homes.rs
@@ -58,7 +58,7 @@
     let start = Instant::now();
     let calm = zones([5.0, 5.0, 5.0]);
     let mut homes = Homes::new(HomeSettings::default());
-    let far = (0..)
+    let far = (0..1000)
         .find(|n| choose(&mut homes, start, *n, &calm) != "a")
         .expect("one of many");
     let mut now = start;
@@ -67,7 +67,7 @@
         choose(&mut homes, now, far, &calm);
     }
     assert_eq!(choose(&mut homes, now, far, &calm), "a");
-    now += Duration::from_secs(60);
+    now += Duration::from_mins(1);
     assert_ne!(
         choose(&mut homes, now, far, &calm),
         "a",
