Keep one copy of the ends of requests and of rendezvous hashing, and drop what nothing uses

Cause: read back: a second enum of the same ends, a second hash, fields and functions without a user.

--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use caraway_placement::RefuseReason;
+use caraway_placement::{End, RefuseReason};
 use caraway_platform::Record;
 use caraway_routes::{ModelRef, TokenCount};
 use caraway_types::{EndpointId, InstanceId, Millis, Offset, Ticket, ZoneId};
@@ -60,7 +60,7 @@
         /// The request.
         ticket: Ticket,
         /// How.
-        end: EndKind,
+        end: End,
     },
     /// The endpoint has given no sign of a request for long.
     Stall {
@@ -78,21 +78,6 @@
     Records(RecordsFrame),
 }
 
-/// How a request ended; see [`caraway_placement::End`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum EndKind {
-    /// The endpoint worked on it, or its caller left.
-    Done,
-    /// The endpoint does not hold the adapter.
-    NotHeld,
-    /// The endpoint did not run it.
-    Refused,
-    /// The endpoint broke off, or gave something else than an answer.
-    Failed,
-    /// No connection to the endpoint could be made.
-    Unreachable,
-}
-
 /// What a holder tells an instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum FromHolder {
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use caraway_http::{Payload, Pooled, read_whole};
-use caraway_placement::RefuseReason;
+use caraway_placement::{End, RefuseReason};
 use caraway_platform::{AnswerHead, answer_head, copy_answer};
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
@@ -17,7 +17,6 @@
 use crate::{
     event::emit,
     executor::millis,
-    frame::EndKind,
     place::{NotPlaced, Placed, Want, place},
     plain::{answer_of, foreign, note_sent, onward, put_back, take_budget},
     relay::{self, Relay},
@@ -258,11 +257,11 @@
     progress: &mut Progress,
     resume_after: Option<&str>,
 ) -> Attempt {
-    let failed = |placed: &Placed| placed.run.set_end(EndKind::Failed);
+    let failed = |placed: &Placed| placed.run.set_end(End::Failed);
     let until = patience(call, progress);
     let connect = shared.pool.take(&placed.endpoint, placed.addr);
     let Ok(Ok(mut pooled)) = timeout_at(until, connect).await else {
-        placed.run.set_end(EndKind::Unreachable);
+        placed.run.set_end(End::Unreachable);
         return Attempt::NotRun("can't connect");
     };
     let request = onward(call, &placed.endpoint, resume_after, until);
@@ -366,15 +365,15 @@
     }
     if head.not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
-            placed.run.set_end(EndKind::NotHeld);
+            placed.run.set_end(End::NotHeld);
             return Attempt::NotRun("the endpoint does not hold the adapter");
         }
-        placed.run.set_end(EndKind::Refused);
+        placed.run.set_end(End::Refused);
         return Attempt::NotRun("the endpoint did not run it");
     }
     progress.ran += 1;
     if status.is_server_error() {
-        placed.run.set_end(EndKind::Failed);
+        placed.run.set_end(End::Failed);
     }
     match body {
         Ok(Ok(body)) => Attempt::Answer(answer_of(status, headers, body)),
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Instant};
 
 use caraway_http::Payload;
-use caraway_placement::{Ask, AskId, End, SourceId};
+use caraway_placement::{Ask, AskId, SourceId};
 use caraway_types::ZoneId;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -13,7 +13,7 @@
 use crate::{
     desk::{self, Desk},
     follow,
-    frame::{self, EndKind, FrameReader, FromHolder, ToHolder},
+    frame::{self, FrameReader, FromHolder, ToHolder},
     session::{Outgoing, SILENCE_LIMIT},
     shared::Shared,
 };
@@ -113,7 +113,7 @@
             }
             ToHolder::End { ticket, end } => {
                 let id = AskId { source, ticket };
-                desk.with(shared, |placer, now| placer.on_end(now, id, end.into()));
+                desk.with(shared, |placer, now| placer.on_end(now, id, end));
             }
             ToHolder::Stall { ticket } => {
                 let id = AskId { source, ticket };
@@ -140,15 +140,3 @@
         }
     }
 }
-
-impl From<EndKind> for End {
-    fn from(end: EndKind) -> Self {
-        match end {
-            EndKind::Done => Self::Done,
-            EndKind::NotHeld => Self::NotHeld,
-            EndKind::Refused => Self::Refused,
-            EndKind::Failed => Self::Failed,
-            EndKind::Unreachable => Self::Unreachable,
-        }
-    }
-}
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use caraway_placement::{Ask, RefuseReason};
+use caraway_placement::{Ask, End, RefuseReason};
 use caraway_routes::{ModelRef, TokenCount, Verdict};
 use caraway_types::{EndpointId, Ticket, ZoneId};
 use tokio::{
@@ -12,7 +12,7 @@
 
 use crate::{
     desk::Desk,
-    frame::{EndKind, FromHolder, ToHolder},
+    frame::{FromHolder, ToHolder},
     session::Session,
     shared::{Run, Shared},
 };
@@ -85,7 +85,7 @@
     shared: Rc<Shared>,
     ticket: Ticket,
     by: Grantor,
-    end: Cell<EndKind>,
+    end: Cell<End>,
 }
 
 #[derive(Debug)]
@@ -98,7 +98,7 @@
 
 impl RunGuard {
     /// Sets how the request ended; otherwise it counts as done.
-    pub(crate) fn set_end(&self, end: EndKind) {
+    pub(crate) fn set_end(&self, end: End) {
         self.end.set(end);
     }
 
@@ -123,7 +123,7 @@
                 self.shared.forget_run(&desk.zone, ticket);
                 // A later holder of the zone may be this instance, too.
                 let desk = self.shared.desk(&desk.zone).unwrap_or(desk.clone());
-                desk.end_own(&self.shared, ticket, end.into());
+                desk.end_own(&self.shared, ticket, end);
             }
             Grantor::Session(session) => {
                 self.shared.forget_run(&session.zone, ticket);
@@ -131,17 +131,17 @@
                 let frame = ToHolder::End { ticket, end };
                 let zone = &session.zone;
                 if let Some(desk) = self.shared.desk(zone) {
-                    desk.end_own(&self.shared, ticket, end.into());
+                    desk.end_own(&self.shared, ticket, end);
                 } else if let Some(session) = self.shared.session(zone) {
                     session.send(&frame);
                 }
             }
             Grantor::Own(endpoint) => {
                 let verdict = match end {
-                    EndKind::Done => Verdict::Dropped,
-                    EndKind::NotHeld | EndKind::Refused => Verdict::Refused,
-                    EndKind::Failed => Verdict::Broken,
-                    EndKind::Unreachable => Verdict::Unreachable,
+                    End::Done => Verdict::Dropped,
+                    End::NotHeld | End::Refused => Verdict::Refused,
+                    End::Failed => Verdict::Broken,
+                    End::Unreachable => Verdict::Unreachable,
                 };
                 let mut chooser = self.shared.chooser.borrow_mut();
                 chooser.on_end(Shared::now(), endpoint, verdict);
@@ -277,7 +277,7 @@
         shared: shared.clone(),
         ticket,
         by,
-        end: Cell::new(EndKind::Done),
+        end: Cell::new(End::Done),
     };
     match decision(told, want.deadline).await {
         Decision::Granted {
@@ -349,7 +349,7 @@
             shared: shared.clone(),
             ticket: shared.ticket(),
             by: Grantor::Own(endpoint.id.clone()),
-            end: Cell::new(EndKind::Done),
+            end: Cell::new(End::Done),
         },
     })
 }
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -257,7 +257,6 @@
             endpoint,
             deadline: until.saturating_duration_since(Instant::now()),
             resume_after,
-            urgency: None,
         },
     );
     request
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use caraway_http::{Aborted, Payload};
+use caraway_placement::End;
 use http_body_util::BodyExt;
 use tokio::{
     sync::mpsc,
@@ -13,7 +14,6 @@
 use crate::{
     event::emit,
     executor::millis,
-    frame::EndKind,
     generate::{Begin, Begun, Progress, begin, may_rerun},
     plain::put_back,
     request::{Call, InFlight},
@@ -140,14 +140,14 @@
             }
             chunk = tokio::select! {
                 () = sleep(pause), if can_resume => {
-                    placed.run.set_end(EndKind::Failed);
+                    placed.run.set_end(End::Failed);
                     return Passed::Broken("the stream is silent");
                 }
                 frame = timeout_at(until, body.frame()) => match frame {
                     Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
                     Ok(None) => None,
                     Ok(Some(Err(_))) => {
-                        placed.run.set_end(EndKind::Failed);
+                        placed.run.set_end(End::Failed);
                         return Passed::Broken("the stream broke off");
                     }
                     Err(_) => return Passed::TooLate,
@@ -156,7 +156,7 @@
             };
         }
         if self.cutter.is_torn() {
-            placed.run.set_end(EndKind::Failed);
+            placed.run.set_end(End::Failed);
             return Passed::Broken("the stream ended in the middle of an event");
         }
         put_back(&self.shared, &placed.endpoint, pooled, &head);
--- a/crates/caraway-members/src/lib.rs
+++ b/crates/caraway-members/src/lib.rs
@@ -27,5 +27,6 @@
 pub use fences::{maker as fence_maker, tag as fence_tag};
 pub use heartbeat::{Ack, Heartbeat, Holding, Mark, Phase, Stage, Vouch};
 pub use members::Members;
+pub use rendezvous::weight as rendezvous_weight;
 pub use right::{Presence, Right};
 pub use settings::{EndpointInfo, ListedMember, Me, MemberSettings};
--- a/crates/caraway-members/src/rendezvous.rs
+++ b/crates/caraway-members/src/rendezvous.rs
@@ -3,8 +3,9 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Returns the weight of `candidate` for `key`.
-pub(crate) fn weight(key: &str, candidate: &str) -> u64 {
+/// Returns the weight of `candidate` for `key` in rendezvous hashing.
+#[must_use]
+pub fn weight(key: &str, candidate: &str) -> u64 {
     xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
 }
 
--- a/crates/caraway-placement/src/ask.rs
+++ b/crates/caraway-placement/src/ask.rs
@@ -4,6 +4,7 @@
 
 use caraway_routes::{ModelRef, TokenCount};
 use caraway_types::{EndpointId, Ticket};
+use serde::{Deserialize, Serialize};
 
 /// Names one connection to an asking instance.
 pub type SourceId = u64;
@@ -37,7 +38,7 @@
 }
 
 /// How a granted or waiting request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
     /// The endpoint worked on it, or its caller left.
     Done,
--- a/crates/caraway-placement/src/homes.rs
+++ b/crates/caraway-placement/src/homes.rs
@@ -5,9 +5,9 @@
     time::{Duration, Instant},
 };
 
+use caraway_members::rendezvous_weight;
 use caraway_routes::ModelRef;
 use caraway_types::ZoneId;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Decayed;
 
@@ -151,13 +151,13 @@
 
 /// Returns the zone with the highest weighted rendezvous score for `model`.
 fn home(model: &ModelRef, zones: &[&ZoneWeight]) -> Option<ZoneId> {
-    let key = key(model);
+    let key = model.to_string();
     let score = |z: &ZoneWeight| {
         #[expect(
             clippy::cast_precision_loss,
             reason = "53 bits are enough to choose by"
         )]
-        let share = (rendezvous(key, &z.zone) >> 11) as f64 / (1_u64 << 53) as f64;
+        let share = (rendezvous_weight(&key, &z.zone) >> 11) as f64 / (1_u64 << 53) as f64;
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
         let weight = z.endpoints as f64;
         -weight / share.max(f64::MIN_POSITIVE).ln()
@@ -167,17 +167,3 @@
         .max_by(|a, b| score(a).total_cmp(&score(b)))
         .map(|z| z.zone.clone())
 }
-
-/// Returns a number for a model and adapter that is the same on every instance.
-pub(crate) fn key(model: &ModelRef) -> u64 {
-    let adapter = model.adapter.as_deref().unwrap_or_default();
-    xxh3_64_with_seed(
-        adapter.as_bytes(),
-        xxh3_64_with_seed(model.model.as_bytes(), 0),
-    )
-}
-
-/// Returns the weight of `candidate` for `key` in rendezvous hashing.
-pub(crate) fn rendezvous(key: u64, candidate: &str) -> u64 {
-    xxh3_64_with_seed(candidate.as_bytes(), key)
-}
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::HashSet, time::Instant};
 
+use caraway_members::rendezvous_weight;
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
 use super::Placer;
 use crate::{
     Action,
-    homes::{key, rendezvous},
     replica::{Held, Phase, Replica, Todo},
     waiting::Demand,
 };
@@ -144,9 +144,9 @@
     /// Chooses the endpoint to load `model` to. A victim there has at most the popularity `least`,
     /// where that is given.
     fn target(&self, now: Instant, model: &ModelRef, least: Option<f64>) -> Option<EndpointId> {
-        let key = key(model);
+        let key = model.to_string();
         let mut order: Vec<(&EndpointId, &Replica)> = self.replicas.iter().collect();
-        order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous(key, id)));
+        order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
         let mut best: Option<(f64, &EndpointId)> = None;
         for (rank, (id, replica)) in order.into_iter().enumerate() {
             if !self.can_load(now, model, replica) {
--- a/crates/caraway-routes/src/budget.rs
+++ b/crates/caraway-routes/src/budget.rs
@@ -80,14 +80,6 @@
         fits
     }
 
-    /// Returns the repeats that are left in the window.
-    pub fn left(&mut self, now: Instant, service: &Arc<str>) -> f64 {
-        let allowed = self.allowed(now, service);
-        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let used = self.counts(now, service).repeats.len() as f64;
-        (allowed - used).max(0.0)
-    }
-
     fn allowed(&mut self, now: Instant, service: &Arc<str>) -> f64 {
         let limits = self.limits;
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
--- a/crates/caraway-routes/src/chooser.rs
+++ b/crates/caraway-routes/src/chooser.rs
@@ -102,12 +102,6 @@
         self.seen.remove(endpoint);
     }
 
-    /// Returns the calls to an endpoint that have not ended.
-    #[must_use]
-    pub fn outstanding(&self, endpoint: &str) -> u32 {
-        self.seen.get(endpoint).map_or(0, |s| s.outstanding)
-    }
-
     /// Orders endpoints: paused ones last, then failing ones, then by outstanding calls, then by
     /// turn.
     fn cost(&self, now: Instant, zone: &ZoneId, endpoint: &Endpoint) -> (bool, bool, u32, u64) {
--- a/crates/caraway-routes/src/routing.rs
+++ b/crates/caraway-routes/src/routing.rs
@@ -57,8 +57,6 @@
 pub struct Service {
     /// The service's name.
     pub name: Arc<str>,
-    /// Connections that an endpoint takes from all callers.
-    pub connections: u32,
     /// Set where endpoints are model engines.
     pub engine: Option<Engine>,
 }
