Share repeats by the instances that there are; tell at once when the store is lost

Change: the share follows the instances of the own zone; a reader asks the registry every second and tells its askers at once when a call fails.

--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -14,7 +14,7 @@
 use crate::{
     claim,
     event::emit,
-    executor,
+    executor, follow,
     frame::{self, FromHolder},
     place::Decision,
     session::Outgoing,
@@ -176,6 +176,31 @@
         }
     }
 
+    /// Makes a sign of life for an instance of `zone`.
+    pub(crate) fn pong(&self, shared: &Shared, zone: &str) -> FromHolder {
+        FromHolder::Pong {
+            peers: self.peers(zone),
+            pressure: self.levels().pressure(),
+            served: follow::is_served(shared),
+            next: follow::positions(shared),
+        }
+    }
+
+    /// Sends a sign of life to every asking instance, unasked.
+    pub(crate) fn tell_levels(&self, shared: &Shared) {
+        let sources: Vec<(ZoneId, Outgoing)> = {
+            let sources = self.sources.borrow();
+            let all = sources.values();
+            all.map(|s| (s.zone.clone(), s.frames.clone())).collect()
+        };
+        for (zone, frames) in sources {
+            // The next sign of life says it again.
+            frames
+                .try_send(Ok(frame::encode(&self.pong(shared, &zone))))
+                .ok();
+        }
+    }
+
     /// Returns what there is to do.
     pub(crate) fn levels(&self) -> Levels {
         self.placer.borrow().levels(Shared::now())
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -23,8 +23,10 @@
 /// Time for which the store is asked to wait for records of a topic that changes rarely.
 const LONG_WAIT: Duration = Duration::from_secs(15);
 /// Time for which the store is asked to wait for the registry's next change. It also bounds how
-/// late a store that answers nothing is noticed, on which the other topics rely.
-const REGISTRY_WAIT: Duration = Duration::from_secs(2);
+/// late a store that answers nothing is noticed, on which the other topics and the instances that
+/// take this one's records rely: with the answer's limit well within the shortest time (2 s) in which
+/// a configuration has to be in force.
+const REGISTRY_WAIT: Duration = Duration::from_millis(600);
 /// Pause after a change of the registry, in which further ones gather: a leaving endpoint is known
 /// within a quarter of the shortest time (2 s) that the deployments allow, and reads are priced.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(400);
@@ -537,6 +539,11 @@
         !std::mem::replace(&mut state.failing, true)
     };
     if first {
+        // Who takes this instance's records reads the store itself from now on.
+        let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+        for desk in desks {
+            desk.tell_levels(shared);
+        }
         emit!(shared, warn, StoreLost; "topic" => topic.label(), "error" => %error);
     }
 }
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -124,15 +124,7 @@
                 if served {
                     follow::on_peer_served(shared);
                 }
-                let peers = desk.peers(zone);
-                let pressure = desk.levels().pressure();
-                let served = follow::is_served(shared);
-                let pong = frame::encode(&FromHolder::Pong {
-                    peers,
-                    pressure,
-                    served,
-                    next: follow::positions(shared),
-                });
+                let pong = frame::encode(&desk.pong(shared, zone));
                 // A full queue ends the session at the other end by its silence.
                 self.outgoing.try_send(Ok(pong)).ok();
             }
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -151,6 +151,7 @@
         looks += 1;
         if looks % SWEEP_LOOKS == 0 {
             shared.pool.sweep();
+            shared.share_repeats();
             log_levels(&shared);
             for (event, lines) in shared.lines.take_left_out() {
                 emit!(shared, info, LinesDropped; "of" => event, "lines" => lines);
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -11,7 +11,7 @@
 
 use caraway_http::{Pool, PoolLimits};
 use caraway_placement::{HomeSettings, Homes, PlacerSettings, ZoneWeight};
-use caraway_platform::{Site, Store};
+use caraway_platform::{Bounds, Site, Store};
 use caraway_routes::{Chooser, Directory, ModelRef, RepeatBudget, RepeatLimits, Routing};
 use caraway_types::{EndpointId, Fence, Incarnation, InstanceId, Ticket, ZoneId};
 use rand::Rng;
@@ -64,6 +64,8 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) site: Site,
+    /// Bounds of the settings that were read last.
+    bounds: RefCell<Bounds>,
     pub(crate) incarnation: Incarnation,
     pub(crate) log: Logger,
     pub(crate) lines: LineRates,
@@ -100,7 +102,11 @@
     ) -> Self {
         Self {
             store: Store::new(site.store.clone()),
-            budget: RefCell::new(RepeatBudget::new(repeat_limits(&site))),
+            budget: RefCell::new(RepeatBudget::new(repeat_limits(
+                &site.bounds,
+                START_PER_ZONE * site.zones.len().max(1),
+            ))),
+            bounds: RefCell::new(site.bounds.clone()),
             site,
             incarnation,
             log,
@@ -198,7 +204,20 @@
 
     /// Takes the limits of settings that were read again.
     pub(crate) fn set_limits(&self, site: &Site) {
-        self.budget.borrow_mut().set_limits(repeat_limits(site));
+        *self.bounds.borrow_mut() = site.bounds.clone();
+        self.share_repeats();
+    }
+
+    /// Fits this instance's share of the repeats to the instances that there are.
+    pub(crate) fn share_repeats(&self) {
+        let limits = repeat_limits(&self.bounds.borrow(), self.instances());
+        self.budget.borrow_mut().set_limits(limits);
+    }
+
+    /// Returns how many instances there are at most, from those of the own zone.
+    fn instances(&self) -> usize {
+        let zone = self.zone_peers().max(LEAST_PER_ZONE);
+        zone * self.site.zones.len().max(1)
     }
 
     /// Draws a number in 0 to 1.
@@ -220,15 +239,17 @@
     }
 }
 
-/// Instances that are taken to share the repeats of a deployment, for each availability zone;
-/// larger than the smallest deployments have, so that the sum stays below the bound.
-const INSTANCES_PER_ZONE: usize = 3;
+/// Instances of a zone that share the repeats at least; one more than the smallest deployments have,
+/// as zones differ.
+const LEAST_PER_ZONE: usize = 3;
+/// Instances of a zone that are taken before any are known; the largest deployments have 24.
+const START_PER_ZONE: usize = 24;
 
-fn repeat_limits(site: &Site) -> RepeatLimits {
+fn repeat_limits(bounds: &Bounds, instances: usize) -> RepeatLimits {
     RepeatLimits {
-        window: site.bounds.repeat_window,
-        ratio: site.bounds.repeat_ratio,
-        slack: site.bounds.repeat_slack,
-        instances: INSTANCES_PER_ZONE * site.zones.len().max(1),
+        window: bounds.repeat_window,
+        ratio: bounds.repeat_ratio,
+        slack: bounds.repeat_slack,
+        instances,
     }
 }
