--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -13,7 +13,7 @@
 use crate::{
     desk::{self, Desk},
     follow,
-    frame::{self, FrameReader, FromHolder, ToHolder},
+    frame::{self, FrameReader, ToHolder},
     session::{Outgoing, SILENCE_LIMIT},
     shared::Shared,
 };
