--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -20,8 +20,12 @@
     shared::{Announcement, Shared},
 };
 
-/// Time for which the store is asked to wait for records of a topic that changes rarely.
-const LONG_WAIT: Duration = Duration::from_secs(15);
+/// Time for which the store is asked to wait for a new configuration. An answer that is lost delays
+/// the next one by this and the answer's limit, within the shortest time (2 s) in which a
+/// configuration has to be in force.
+const OPERATORS_WAIT: Duration = Duration::from_secs(1);
+/// Time for which the store is asked to wait for a change of a zone's holder, which is rare.
+const HOLDERS_WAIT: Duration = Duration::from_secs(15);
 /// Time for which the store is asked to wait for the registry's next change. It also bounds how
 /// late a store that answers nothing is noticed, on which the other topics and the instances that
 /// take this one's records rely: with the answer's limit well within the shortest time (2 s) in which
@@ -97,7 +101,8 @@
         let label = if result.is_ok() { "ok" } else { "failed" };
         shared.metrics.store_call(topic.label(), label);
         let pause = match result {
-            Ok(()) => {
+            Ok(Step::Woken) => continue,
+            Ok(Step::Read) => {
                 on_reached(&shared, topic);
                 match topic {
                     Topic::Endpoints => REGISTRY_PAUSE,
@@ -183,29 +188,44 @@
     }
 }
 
-async fn step(shared: &Rc<Shared>, topic: Topic, wake: &Notify) -> Result<(), StoreError> {
+/// How a step of following a topic ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// The store has answered.
+    Read,
+    /// Something else asked for a look first.
+    Woken,
+}
+
+async fn step(shared: &Rc<Shared>, topic: Topic, wake: &Notify) -> Result<Step, StoreError> {
     let next = shared.topics.borrow().next(topic);
     let Some(from) = next else {
-        return read_newest(shared, topic).await;
+        read_newest(shared, topic).await?;
+        return Ok(Step::Read);
     };
     let failing = shared.topics.borrow_mut().state(topic).failing;
     let wait = match topic {
         // After a failure the first answer tells at once that the store is back.
         _ if failing => Duration::ZERO,
         Topic::Endpoints => REGISTRY_WAIT,
-        Topic::Operators | Topic::Holders => LONG_WAIT,
+        Topic::Operators => OPERATORS_WAIT,
+        Topic::Holders => HOLDERS_WAIT,
     };
     let read = tokio::select! {
         read = shared.store.read(topic, from, wait) => read,
-        () = wake.notified(), if !wait.is_zero() => return Ok(()),
+        // What was asked for may be known by now.
+        () = wake.notified(), if !wait.is_zero() => return Ok(Step::Woken),
     };
     match read {
         Ok(log) => {
             on_read(shared, topic);
             take(shared, topic, from, log.next, &log.records);
-            Ok(())
+            Ok(Step::Read)
+        }
+        Err(StoreError::Trimmed) => {
+            read_newest(shared, topic).await?;
+            Ok(Step::Read)
         }
-        Err(StoreError::Trimmed) => read_newest(shared, topic).await,
         Err(e) => Err(e),
     }
 }
