--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -1,4 +1,4 @@
-//! Numbered log events; docs/EVENTS.md is their catalogue.
+//! Numbered log events; docs/GATEWAY-EVENTS.md is their catalogue.
 
 /// Declares the events with their numbers, names and the lines of each that a second may have.
 macro_rules! events {
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! [`Metrics`] of the daemon; docs/METRICS.md is their catalogue.
+//! [`Metrics`] of the daemon; docs/GATEWAY-METRICS.md is their catalogue.
 //!
 //! No label has more values than there are kinds of request, outcomes or topics, so that the
 //! number of series does not grow with adapters or endpoints.
--- a/crates/caraway-gateway/tests/catalogue.rs
+++ b/crates/caraway-gateway/tests/catalogue.rs
@@ -13,10 +13,10 @@
 
 #[test]
 fn every_event_stands_on_its_page() {
-    let page = page("EVENTS.md");
+    let page = page("GATEWAY-EVENTS.md");
     for event in Event::ALL {
         let row = format!("| {} | {} |", event.code(), event.text());
-        assert!(page.contains(&row), "docs/EVENTS.md lacks {row}");
+        assert!(page.contains(&row), "docs/GATEWAY-EVENTS.md lacks {row}");
     }
 }
 
@@ -30,7 +30,7 @@
 
 #[test]
 fn every_metric_stands_on_its_page() {
-    let page = page("METRICS.md");
+    let page = page("GATEWAY-METRICS.md");
     for metric in METRICS {
         let row = format!(
             "| {} | {} | {} |",
@@ -38,6 +38,6 @@
             metric.unit,
             metric.labels.join(", ")
         );
-        assert!(page.contains(&row), "docs/METRICS.md lacks {row}");
+        assert!(page.contains(&row), "docs/GATEWAY-METRICS.md lacks {row}");
     }
 }
