Keep one piece where the gateway had two

Cause: read back: the ends of loads and unloads, of attempts and of requests in doubt were written twice; the description and the exporter of metrics stood in both daemons; a request's head was parsed twice, a desk's levels were counted over all endpoints for each grant; follow.rs did two jobs. Change: each has one place (caraway-metrics is new); follow.rs reads, apply.rs applies. Behaviour is as it was, but that a request's service is looked up in the same configuration as its route. Conclusion: none.

--- a/crates/caraway-entry/src/lib.rs
+++ b/crates/caraway-entry/src/lib.rs
@@ -22,9 +22,10 @@
 mod shared;
 mod threads;
 
+pub use caraway_metrics::MetricInfo;
 pub use entry::Entry;
 pub use events::{Event, json_logger};
-pub use metrics::{METRICS, MetricInfo};
+pub use metrics::METRICS;
 pub use settings::{
     EndpointKind, EndpointSettings, LimitSettings, PeerSettings, Settings, TimeSettings,
 };
--- a/crates/caraway-entry/src/metrics.rs
+++ b/crates/caraway-entry/src/metrics.rs
@@ -5,41 +5,29 @@
 
 use std::time::Duration;
 
+use caraway_metrics::{Exporter, MetricInfo};
 use caraway_types::Class;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
 
 /// Upper bounds of the buckets for times, in seconds.
 const TIME_BOUNDS_SECONDS: [f64; 14] = [
     0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.25, 0.5, 1.0, 1.9, 5.0, 10.0, 30.0, 60.0,
 ];
 
-/// One metric: its name as exported, its unit and its labels.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MetricInfo {
-    /// The exported name.
-    pub name: &'static str,
-    /// The unit.
-    pub unit: &'static str,
-    /// The labels.
-    pub labels: &'static [&'static str],
-}
-
 /// Every metric of a daemon.
 pub const METRICS: &[MetricInfo] = &[
-    metric("caraway_requests_total", "requests", &["class", "outcome"]),
-    metric("caraway_tokens_total", "tokens", &["class"]),
-    metric("caraway_first_token_seconds", "seconds", &["class"]),
-    metric("caraway_between_tokens_seconds", "seconds", &["class"]),
-    metric("caraway_verdict_seconds", "seconds", &["class"]),
-    metric("caraway_orders_total", "orders", &["order", "result"]),
-    metric("caraway_control_bytes_total", "bytes", &["message"]),
-    metric("caraway_chunks_dropped_total", "chunks", &[]),
-    metric("caraway_attempts_failed_total", "attempts", &[]),
+    MetricInfo::new("caraway_requests_total", "requests", &["class", "outcome"]),
+    MetricInfo::new("caraway_tokens_total", "tokens", &["class"]),
+    MetricInfo::new("caraway_first_token_seconds", "seconds", &["class"]),
+    MetricInfo::new("caraway_between_tokens_seconds", "seconds", &["class"]),
+    MetricInfo::new("caraway_verdict_seconds", "seconds", &["class"]),
+    MetricInfo::new("caraway_orders_total", "orders", &["order", "result"]),
+    MetricInfo::new("caraway_control_bytes_total", "bytes", &["message"]),
+    MetricInfo::new("caraway_chunks_dropped_total", "chunks", &[]),
+    MetricInfo::new("caraway_attempts_failed_total", "attempts", &[]),
 ];
 
 /// How a request ended.
@@ -58,8 +46,7 @@
 /// The instruments of a daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     requests: Counter<u64>,
     tokens: Counter<u64>,
     first_token: Histogram<f64>,
@@ -78,41 +65,26 @@
     ///
     /// Returns an error when the exporter can't be set up.
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .without_target_info()
-            .without_units()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("caraway");
+        let exporter = Exporter::new("caraway")?;
+        let meter = &exporter.meter;
         Ok(Self {
-            registry,
             requests: meter.u64_counter("caraway_requests").build(),
             tokens: meter.u64_counter("caraway_tokens").build(),
-            first_token: times(&meter, "caraway_first_token_seconds"),
-            between_tokens: times(&meter, "caraway_between_tokens_seconds"),
-            verdict: times(&meter, "caraway_verdict_seconds"),
+            first_token: exporter.times("caraway_first_token_seconds", &TIME_BOUNDS_SECONDS),
+            between_tokens: exporter.times("caraway_between_tokens_seconds", &TIME_BOUNDS_SECONDS),
+            verdict: exporter.times("caraway_verdict_seconds", &TIME_BOUNDS_SECONDS),
             orders: meter.u64_counter("caraway_orders").build(),
             control_bytes: meter.u64_counter("caraway_control_bytes").build(),
             chunks_dropped: meter.u64_counter("caraway_chunks_dropped").build(),
             attempts_failed: meter.u64_counter("caraway_attempts_failed").build(),
-            _provider: provider,
+            exporter,
         })
     }
 
     /// Writes every metric in the text format that scrapers read.
     pub(crate) fn text(&self) -> String {
-        let mut text = String::new();
-        let families = self.registry.gather();
-        if TextEncoder::new()
-            .encode_utf8(&families, &mut text)
-            .is_err()
-        {
-            text.clear();
-        }
-        text
+        // Scrapers see the gap; a metric can't be written when its name or labels are malformed.
+        self.exporter.text().unwrap_or_default()
     }
 
     /// Counts the end of a request.
@@ -171,21 +143,6 @@
     }
 }
 
-const fn metric(
-    name: &'static str,
-    unit: &'static str,
-    labels: &'static [&'static str],
-) -> MetricInfo {
-    MetricInfo { name, unit, labels }
-}
-
-fn times(meter: &Meter, name: &'static str) -> Histogram<f64> {
-    meter
-        .f64_histogram(name)
-        .with_boundaries(TIME_BOUNDS_SECONDS.to_vec())
-        .build()
-}
-
 fn of(class: Class) -> KeyValue {
     KeyValue::new("class", class.name())
 }
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    apply,
     desk::Desk,
     event::emit,
     follow,
@@ -103,8 +104,7 @@
 
 /// Gives up every zone, as the instance stops.
 pub(crate) async fn release_all(shared: &Rc<Shared>) {
-    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
-    for desk in desks {
+    for desk in shared.own_desks() {
         desk.with(shared, caraway_placement::Placer::on_leave);
         let mut patience = RELEASE_CHECKS;
         while desk.is_ordering() && patience > 0 {
@@ -230,7 +230,7 @@
 fn open_desk(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, start: std::time::Instant) {
     let desk = Rc::new(Desk::new(shared, zone.clone(), holder.token, start));
     shared.desks.borrow_mut().insert(zone.clone(), desk.clone());
-    follow::fill_desk(shared, &desk);
+    apply::fill_desk(shared, &desk);
     desk.adopt_own_runs(shared);
     tokio::task::spawn_local(desk.run(shared.clone()));
 }
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -24,6 +24,14 @@
 /// The source of this instance's own requests.
 const OWN_SOURCE: SourceId = 0;
 
+/// Names a request of this instance at its own placer.
+fn own(ticket: Ticket) -> AskId {
+    AskId {
+        source: OWN_SOURCE,
+        ticket,
+    }
+}
+
 /// A zone's placer on the instance that holds the zone.
 #[derive(Debug)]
 pub(crate) struct Desk {
@@ -90,31 +98,19 @@
     ) -> oneshot::Receiver<Decision> {
         let (tell, told) = oneshot::channel();
         self.own.borrow_mut().insert(ticket, tell);
-        let id = AskId {
-            source: OWN_SOURCE,
-            ticket,
-        };
-        self.with(shared, |placer, now| placer.on_ask(now, id, ask));
+        self.with(shared, |placer, now| placer.on_ask(now, own(ticket), ask));
         told
     }
 
     /// Notes that a request of this instance has ended.
     pub(crate) fn end_own(self: &Rc<Self>, shared: &Rc<Shared>, ticket: Ticket, end: End) {
         self.own.borrow_mut().remove(&ticket);
-        let id = AskId {
-            source: OWN_SOURCE,
-            ticket,
-        };
-        self.with(shared, |placer, now| placer.on_end(now, id, end));
+        self.with(shared, |placer, now| placer.on_end(now, own(ticket), end));
     }
 
     /// Notes that an endpoint gives no sign of a request of this instance.
     pub(crate) fn stall_own(self: &Rc<Self>, shared: &Rc<Shared>, ticket: Ticket) {
-        let id = AskId {
-            source: OWN_SOURCE,
-            ticket,
-        };
-        self.with(shared, |placer, now| placer.on_stall(now, id));
+        self.with(shared, |placer, now| placer.on_stall(now, own(ticket)));
     }
 
     /// Takes runs of this instance that began under an earlier holder.
@@ -122,11 +118,7 @@
         let runs = shared.runs.borrow().get(&self.zone).cloned();
         self.with(shared, |placer, _| {
             for (ticket, run) in runs.into_iter().flatten() {
-                let id = AskId {
-                    source: OWN_SOURCE,
-                    ticket,
-                };
-                placer.on_running(id, &run.endpoint, &run.model);
+                placer.on_running(own(ticket), &run.endpoint, &run.model);
             }
         });
     }
@@ -180,7 +172,7 @@
     pub(crate) fn pong(&self, shared: &Shared, zone: &str) -> FromHolder {
         FromHolder::Pong {
             peers: self.peers(zone),
-            pressure: self.levels().pressure(),
+            pressure: self.pressure(),
             served: follow::is_served(shared),
             next: follow::positions(shared),
         }
@@ -206,6 +198,16 @@
         self.placer.borrow().levels(Shared::now())
     }
 
+    /// Returns the number of requests that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.placer.borrow().waiting()
+    }
+
+    /// Returns how pressed the zone's endpoints are.
+    pub(crate) fn pressure(&self) -> f64 {
+        self.placer.borrow().pressure(Shared::now())
+    }
+
     /// Tells whether an order's end is awaited.
     pub(crate) fn is_ordering(&self) -> bool {
         self.placer.borrow().is_ordering()
@@ -270,7 +272,7 @@
                 let refused = Decision::Refused {
                     reason,
                     after,
-                    waiting: self.levels().waiting,
+                    waiting: self.waiting(),
                 };
                 self.decide(ask, refused);
             }
@@ -300,7 +302,7 @@
         }
         let sources = self.sources.borrow();
         if let Some(source) = sources.get(&ask.source) {
-            let pressure = self.levels().pressure();
+            let pressure = self.pressure();
             let bytes = frame::encode(&decision.into_frame(ask.ticket, pressure));
             // A full queue ends the session there, and with it the grant.
             source.frames.try_send(Ok(bytes)).ok();
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -2,22 +2,20 @@
 
 use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
-use caraway_platform::{
-    OperatorKey, Record, StoreError, Topic, announced, configuration, operator_key, registry_entry,
-};
-use caraway_routes::{Change, Endpoint, Lapse, ModelRef, Outage};
-use caraway_types::{EndpointId, Offset, ZoneId};
+use caraway_platform::{Record, StoreError, Topic};
+use caraway_routes::{Lapse, Outage};
+use caraway_types::{Offset, ZoneId};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep},
 };
 
 use crate::{
-    claim,
-    desk::Desk,
+    apply::{self, Source},
     event::emit,
+    executor::millis,
     frame::{FromHolder, RecordsFrame, ToHolder},
-    shared::{Announcement, Shared},
+    shared::Shared,
 };
 
 /// Time for which the store is asked to wait for a new configuration. An answer that is lost delays
@@ -150,44 +148,6 @@
     shared.topics.borrow().wake(topic);
 }
 
-/// Tells a new placer what is known of its endpoints.
-pub(crate) fn fill_desk(shared: &Rc<Shared>, desk: &Rc<Desk>) {
-    let routing = shared.routing();
-    let endpoints: Vec<Arc<Endpoint>> = {
-        let directory = shared.directory.borrow();
-        directory
-            .all()
-            .filter(|e| e.zone == desk.zone)
-            .cloned()
-            .collect()
-    };
-    let newest: Vec<(ModelRef, Announcement)> = {
-        let newest = shared.newest.borrow();
-        newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
-    };
-    desk.with(shared, |placer, now| {
-        for service in routing.iter().flat_map(|r| r.services()) {
-            if let Some(engine) = &service.engine {
-                placer.set_places(&service.name, engine.adapter_places());
-            }
-        }
-        for (model, newest) in &newest {
-            placer.on_version(now, model, newest.version, newest.heard);
-        }
-        for endpoint in endpoints.iter().filter(|e| !e.models.is_empty()) {
-            placer.on_endpoint(now, endpoint, Change::New);
-        }
-    });
-}
-
-/// Drops the endpoints whose entries did not come back in time.
-pub(crate) fn expire(shared: &Rc<Shared>) {
-    let gone = shared.directory.borrow_mut().expire(Shared::now());
-    for id in gone {
-        on_gone(shared, &id, "its entry did not come back");
-    }
-}
-
 /// How a step of following a topic ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
@@ -247,13 +207,13 @@
         let present = |id: &str| newest.records.iter().any(|r| &*r.key == id);
         let gone = shared.directory.borrow_mut().retain(present, lapse);
         for id in gone {
-            on_gone(shared, &id, "it has no entry");
+            apply::on_gone(shared, &id, "it has no entry");
         }
     }
     let mut records = newest.records;
     records.sort_by_key(|r| r.offset);
     for record in &records {
-        apply(shared, topic, record, lapse, Source::Snapshot);
+        apply::apply(shared, topic, record, lapse, Source::Snapshot);
     }
     shared.topics.borrow_mut().state(topic).next = Some(newest.next);
     Ok(())
@@ -267,178 +227,21 @@
     }
     shared.topics.borrow_mut().state(topic).next = Some(next);
     let lapse = shared.topics.borrow().outage.lapse(Shared::now());
-    let fresh: Vec<Record> = records
-        .iter()
-        .filter(|r| r.offset >= known)
-        .cloned()
-        .collect();
     let mut news = Vec::new();
-    for record in fresh {
-        if apply(shared, topic, &record, lapse, Source::Log) {
-            news.push(record);
+    for record in records.iter().filter(|r| r.offset >= known) {
+        if apply::apply(shared, topic, record, lapse, Source::Log) {
+            news.push(record.clone());
         }
     }
     pass_on(shared, topic, known, next, news);
 }
 
-/// Where a record was read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// In the log, soon after it was written.
-    Log,
-    /// Among the newest of all keys, some time after it was written.
-    Snapshot,
-}
-
-/// Applies a record; returns whether other instances need it, too.
-fn apply(shared: &Rc<Shared>, topic: Topic, record: &Record, lapse: Lapse, source: Source) -> bool {
-    match topic {
-        Topic::Operators => apply_operators(shared, record, source),
-        Topic::Endpoints => return apply_endpoint(shared, record, lapse),
-        Topic::Holders => claim::on_record(shared, record),
-    }
-    true
-}
-
-/// Of the entries that tell only which adapters an endpoint holds, one in so many is passed on:
-/// they are most of the registry's records, and matter only to instances that no placer answers.
-const RESIDENTS_PASSED_ON: u64 = 8;
-
-fn apply_operators(shared: &Rc<Shared>, record: &Record, source: Source) {
-    let Some(value) = record.value.as_deref() else {
-        return;
-    };
-    match operator_key(&record.key) {
-        OperatorKey::Configuration => match configuration(value) {
-            Ok((routing, findings)) => {
-                for finding in findings.list() {
-                    emit!(shared, warn, ConfigFinding; "offset" => record.offset,
-                        "place" => &*finding.place, "finding" => &*finding.problem);
-                }
-                apply_routing(shared, routing, record.offset);
-            }
-            Err(findings) => emit!(shared, error, ConfigFinding; "offset" => record.offset,
-                "finding" => %findings),
-        },
-        OperatorKey::Version => match announced(value) {
-            Ok(announced) => {
-                let heard = (source == Source::Log && !is_behind(shared)).then(Shared::now);
-                let version = announced.version;
-                apply_version(shared, &announced.model, Announcement { version, heard });
-            }
-            Err(findings) => emit!(shared, warn, ConfigFinding; "key" => &*record.key,
-                "offset" => record.offset, "finding" => %findings),
-        },
-        OperatorKey::Other => {}
-    }
-}
-
-fn apply_routing(shared: &Rc<Shared>, routing: caraway_routes::Routing, offset: Offset) {
-    let former = shared.routing().map_or(0, |r| r.version);
-    if routing.version <= former {
-        return;
-    }
-    emit!(shared, info, ConfigApplied; "version" => routing.version, "former" => former,
-        "offset" => offset, "routes" => routing.routes().len());
-    *shared.routing.borrow_mut() = Some(Arc::new(routing));
-    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
-    for desk in desks {
-        fill_places(shared, &desk);
-    }
-}
-
-fn fill_places(shared: &Rc<Shared>, desk: &Rc<Desk>) {
-    let Some(routing) = shared.routing() else {
-        return;
-    };
-    desk.with(shared, |placer, _| {
-        for service in routing.services() {
-            if let Some(engine) = &service.engine {
-                placer.set_places(&service.name, engine.adapter_places());
-            }
-        }
-    });
-}
-
 /// Tells whether the operators' topic was not read for so long that its records may be old.
-fn is_behind(shared: &Shared) -> bool {
+pub(crate) fn is_behind(shared: &Shared) -> bool {
     let mut topics = shared.topics.borrow_mut();
     topics.state(Topic::Operators).failing
 }
 
-fn apply_version(shared: &Rc<Shared>, model: &ModelRef, newest: Announcement) {
-    let former = shared.newest.borrow().get(model).map_or(0, |n| n.version);
-    if newest.version <= former {
-        return;
-    }
-    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => newest.version,
-        "former" => former, "fresh" => newest.heard.is_some());
-    shared.newest.borrow_mut().insert(model.clone(), newest);
-    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
-    for desk in desks {
-        desk.with(shared, |placer, now| {
-            placer.on_version(now, model, newest.version, newest.heard);
-        });
-    }
-}
-
-/// Takes an entry; returns whether it says more than which adapters an endpoint holds.
-fn apply_endpoint(shared: &Rc<Shared>, record: &Record, lapse: Lapse) -> bool {
-    let id: EndpointId = record.key.clone();
-    let Some(value) = &record.value else {
-        if shared.directory.borrow_mut().remove(&id, lapse) {
-            on_gone(shared, &id, "its entry was removed");
-        }
-        return true;
-    };
-    let endpoint = match registry_entry(&id, value) {
-        Ok(endpoint) => endpoint,
-        Err(findings) => {
-            emit!(shared, warn, EntryUnusable; "endpoint" => &*id, "offset" => record.offset,
-                "finding" => %findings);
-            return false;
-        }
-    };
-    let was_ready = shared.directory.borrow().get(&id).map(|e| e.is_ready());
-    let change = shared.directory.borrow_mut().put(Shared::now(), endpoint);
-    if change == Change::Same {
-        return false;
-    }
-    let endpoint = shared.directory.borrow().get(&id).cloned();
-    let Some(endpoint) = endpoint else {
-        return false;
-    };
-    if matches!(change, Change::New | Change::Reborn) {
-        shared.pool.forget(&id);
-        shared.chooser.borrow_mut().forget(&id);
-        emit!(shared, info, EndpointChanged; "endpoint" => &*id,
-            "change" => format!("{change:?}"), "service" => &*endpoint.service,
-            "endpoint_zone" => &*endpoint.zone, "addr" => %endpoint.addr,
-            "state" => format!("{:?}", endpoint.state), "offset" => record.offset);
-    } else if !endpoint.is_ready() {
-        emit!(shared, info, EndpointChanged; "endpoint" => &*id, "change" => "Draining",
-            "endpoint_zone" => &*endpoint.zone, "offset" => record.offset);
-    }
-    let desk = shared.desk(&endpoint.zone);
-    if let Some(desk) = desk.filter(|_| !endpoint.models.is_empty()) {
-        desk.with(shared, |placer, now| {
-            placer.on_endpoint(now, &endpoint, change);
-        });
-    }
-    let is_sample = record.offset.is_multiple_of(RESIDENTS_PASSED_ON);
-    change != Change::Updated || was_ready != Some(endpoint.is_ready()) || is_sample
-}
-
-fn on_gone(shared: &Rc<Shared>, id: &EndpointId, why: &str) {
-    emit!(shared, info, EndpointChanged; "endpoint" => &**id, "change" => "Gone", "why" => why);
-    shared.pool.forget(id);
-    shared.chooser.borrow_mut().forget(id);
-    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
-    for desk in desks {
-        desk.with(shared, |placer, now| placer.on_gone(now, id));
-    }
-}
-
 /// Passes records on to the instances that hold a session with this one.
 fn pass_on(shared: &Rc<Shared>, topic: Topic, from: Offset, next: Offset, records: Vec<Record>) {
     let frame = RecordsFrame {
@@ -447,7 +250,7 @@
         next,
         records,
     };
-    let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
+    let desks = shared.own_desks();
     if !desks.is_empty() {
         let frame = FromHolder::Records(frame.clone());
         for desk in desks {
@@ -549,7 +352,7 @@
     }
     drop(topics);
     emit!(shared, info, StoreRegained; "topic" => topic.label(),
-        "away_ms" => away.map_or(0, crate::executor::millis));
+        "away_ms" => away.map_or(0, millis));
 }
 
 fn on_failed(shared: &Rc<Shared>, topic: Topic, error: &StoreError) {
@@ -560,8 +363,7 @@
     };
     if first {
         // Who takes this instance's records reads the store itself from now on.
-        let desks: Vec<Rc<Desk>> = shared.desks.borrow().values().cloned().collect();
-        for desk in desks {
+        for desk in shared.own_desks() {
             desk.tell_levels(shared);
         }
         emit!(shared, warn, StoreLost; "topic" => topic.label(), "error" => %error);
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -150,13 +150,13 @@
             }
             Attempt::InDoubt(why) => {
                 if !may_rerun(shared, call, progress) {
-                    return Err(in_doubt(call, why));
+                    return Err(call.in_doubt(why, SHORTEST_TRY));
                 }
                 why
             }
         };
         progress.avoid.push(endpoint);
-        if Instant::now() + SHORTEST_TRY > call.last {
+        if !call.has_time(SHORTEST_TRY) {
             break;
         }
         shared.metrics.repeat("stream");
@@ -165,7 +165,7 @@
     }
     match kept {
         Some(response) => Ok(Begin::Answer(response)),
-        None => Err(in_doubt(call, "no attempt gave an answer in time")),
+        None => Err(call.in_doubt("no attempt gave an answer in time", SHORTEST_TRY)),
     }
 }
 
@@ -182,7 +182,7 @@
 pub(crate) fn may_rerun(shared: &Shared, call: &Call, progress: &Progress) -> bool {
     call.route.may_rerun()
         && progress.ran < call.route.attempts
-        && Instant::now() + SHORTEST_TRY < call.last
+        && call.has_time(SHORTEST_TRY)
         && take_budget(shared, call)
 }
 
@@ -222,14 +222,6 @@
     Refused::not_run(reason, &detail).after(not.after)
 }
 
-fn in_doubt(call: &Call, why: &str) -> Refused {
-    if Instant::now() + SHORTEST_TRY > call.last {
-        Refused::in_doubt(Reason::Deadline, why)
-    } else {
-        Refused::in_doubt(Reason::EndpointFailed, why)
-    }
-}
-
 async fn attempt(
     shared: &Rc<Shared>,
     call: &Call,
@@ -241,11 +233,8 @@
     let endpoint = placed.endpoint.clone();
     let outcome = exchange(shared, call, placed, progress, resume_after).await;
     if let Attempt::NotRun(why) | Attempt::InDoubt(why) = &outcome {
-        shared.metrics.attempt_failed(why);
-        emit!(shared, info, AttemptFailed; "request" => &*call.head.id,
-            "endpoint" => &*endpoint, "why" => *why,
-            "in_doubt" => matches!(outcome, Attempt::InDoubt(_)),
-            "ms" => millis(start.elapsed()));
+        let in_doubt = matches!(outcome, Attempt::InDoubt(_));
+        call.log_failed(shared, &endpoint, why, in_doubt, start);
     }
     outcome
 }
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! One thread does everything: an instance has a part of one core, and every change of threads on
 //! a request's path would cost it a wake-up.
 
+mod apply;
 mod claim;
 mod desk;
 mod event;
@@ -25,8 +26,9 @@
 mod shared;
 mod sse;
 
+pub use caraway_metrics::MetricInfo;
 pub use event::Event;
 pub use log::{LogLimits, LogQueue, json_logger};
-pub use metrics::{METRICS, MetricInfo};
+pub use metrics::METRICS;
 pub use run::{Options, run};
 pub use sse::EventCutter;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -5,63 +5,50 @@
 
 use std::time::Duration;
 
+use caraway_metrics::{Exporter, MetricInfo};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
 
 /// Upper bounds of the buckets for times, in seconds.
 const TIME_BOUNDS_SECONDS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 12.0,
 ];
 
-/// One metric: its name as exported, its unit and its labels.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct MetricInfo {
-    /// The exported name.
-    pub name: &'static str,
-    /// The unit.
-    pub unit: &'static str,
-    /// The labels.
-    pub labels: &'static [&'static str],
-}
-
 /// Every metric of the daemon.
 pub const METRICS: &[MetricInfo] = &[
-    metric(
+    MetricInfo::new(
         "caraway_gateway_requests_total",
         "requests",
         &["kind", "outcome"],
     ),
-    metric("caraway_gateway_answer_seconds", "seconds", &["kind"]),
-    metric("caraway_gateway_place_seconds", "seconds", &[]),
-    metric(
+    MetricInfo::new("caraway_gateway_answer_seconds", "seconds", &["kind"]),
+    MetricInfo::new("caraway_gateway_place_seconds", "seconds", &[]),
+    MetricInfo::new(
         "caraway_gateway_attempts_failed_total",
         "attempts",
         &["why"],
     ),
-    metric("caraway_gateway_repeats_total", "requests", &["kind"]),
-    metric("caraway_gateway_orders_total", "orders", &["order", "end"]),
-    metric("caraway_gateway_load_seconds", "seconds", &[]),
-    metric(
+    MetricInfo::new("caraway_gateway_repeats_total", "requests", &["kind"]),
+    MetricInfo::new("caraway_gateway_orders_total", "orders", &["order", "end"]),
+    MetricInfo::new("caraway_gateway_load_seconds", "seconds", &[]),
+    MetricInfo::new(
         "caraway_gateway_store_calls_total",
         "calls",
         &["topic", "result"],
     ),
-    metric("caraway_gateway_config_version", "version", &[]),
-    metric("caraway_gateway_in_flight", "requests", &[]),
-    metric("caraway_gateway_waiting", "requests", &[]),
-    metric("caraway_gateway_holding", "zones", &[]),
-    metric("caraway_gateway_log_lines_dropped", "lines", &[]),
+    MetricInfo::new("caraway_gateway_config_version", "version", &[]),
+    MetricInfo::new("caraway_gateway_in_flight", "requests", &[]),
+    MetricInfo::new("caraway_gateway_waiting", "requests", &[]),
+    MetricInfo::new("caraway_gateway_holding", "zones", &[]),
+    MetricInfo::new("caraway_gateway_log_lines_dropped", "lines", &[]),
 ];
 
 /// The instruments of the daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     requests: Counter<u64>,
     answer: Histogram<f64>,
     place: Histogram<f64>,
@@ -99,25 +86,12 @@
     ///
     /// Returns an error when the exporter can't be set up.
     pub(crate) fn new() -> anyhow::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_scope_info()
-            .without_target_info()
-            .without_units()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("caraway-gateway");
+        let exporter = Exporter::new("caraway-gateway")?;
+        let meter = &exporter.meter;
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let gauge = |name: &'static str| meter.u64_gauge(name).build();
-        let times = |name: &'static str| {
-            meter
-                .f64_histogram(name)
-                .with_boundaries(TIME_BOUNDS_SECONDS.to_vec())
-                .build()
-        };
+        let times = |name: &'static str| exporter.times(name, &TIME_BOUNDS_SECONDS);
         Ok(Self {
-            registry,
             requests: counter("caraway_gateway_requests"),
             answer: times("caraway_gateway_answer_seconds"),
             place: times("caraway_gateway_place_seconds"),
@@ -131,7 +105,7 @@
             waiting: gauge("caraway_gateway_waiting"),
             holding: gauge("caraway_gateway_holding"),
             lines_dropped: gauge("caraway_gateway_log_lines_dropped"),
-            _provider: provider,
+            exporter,
         })
     }
 
@@ -146,9 +120,7 @@
         self.waiting.record(levels.waiting, &[]);
         self.holding.record(levels.holding, &[]);
         self.lines_dropped.record(levels.lines_dropped, &[]);
-        let mut text = String::new();
-        TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text)?;
-        Ok(text)
+        self.exporter.text()
     }
 
     /// Counts the end of a request.
@@ -201,11 +173,3 @@
         self.store_calls.add(1, &labels);
     }
 }
-
-const fn metric(
-    name: &'static str,
-    unit: &'static str,
-    labels: &'static [&'static str],
-) -> MetricInfo {
-    MetricInfo { name, unit, labels }
-}
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -49,8 +49,7 @@
     let mut kept = None;
     let mut why = "no endpoint takes work";
     while tried.len() < TRIES {
-        let now = Instant::now();
-        if now + SHORTEST_TRY > call.last {
+        if !call.has_time(SHORTEST_TRY) {
             break;
         }
         let Some(endpoint) = choose(shared, call, &tried) else {
@@ -76,7 +75,7 @@
             Attempt::InDoubt(reason) => {
                 why = reason;
                 if !may_repeat(shared, call, sent) {
-                    return Err(in_doubt(call, reason));
+                    return Err(call.in_doubt(reason, SHORTEST_TRY));
                 }
             }
         }
@@ -87,20 +86,12 @@
     if let Some(response) = kept {
         return Ok(response);
     }
-    if Instant::now() + SHORTEST_TRY > call.last {
-        return Err(in_doubt(call, why));
+    if !call.has_time(SHORTEST_TRY) {
+        return Err(call.in_doubt(why, SHORTEST_TRY));
     }
     Err(Refused::not_run(Reason::NoEndpoint, why).after(FULL_RETURN))
 }
 
-fn in_doubt(call: &Call, why: &str) -> Refused {
-    if Instant::now() + SHORTEST_TRY > call.last {
-        Refused::in_doubt(Reason::Deadline, why)
-    } else {
-        Refused::in_doubt(Reason::EndpointFailed, why)
-    }
-}
-
 fn choose(shared: &Shared, call: &Call, tried: &[EndpointId]) -> Option<std::sync::Arc<Endpoint>> {
     let directory = shared.directory.borrow();
     let candidates = directory.of_service(&call.service);
@@ -112,7 +103,7 @@
 fn may_repeat(shared: &Shared, call: &Call, sent: u32) -> bool {
     call.route.repeat == Repeat::Idempotent
         && sent < call.route.attempts
-        && Instant::now() + SHORTEST_TRY < call.last
+        && call.has_time(SHORTEST_TRY)
         && take_budget(shared, call)
 }
 
@@ -138,11 +129,8 @@
     let (outcome, verdict) = exchange(shared, call, endpoint, until, sent).await;
     guard.end(verdict);
     if let Attempt::NotRun(why) | Attempt::InDoubt(why) = &outcome {
-        shared.metrics.attempt_failed(why);
-        emit!(shared, info, AttemptFailed; "request" => &*call.head.id,
-            "endpoint" => &*endpoint.id, "why" => *why,
-            "in_doubt" => matches!(outcome, Attempt::InDoubt(_)),
-            "ms" => millis(start.elapsed()));
+        let in_doubt = matches!(outcome, Attempt::InDoubt(_));
+        call.log_failed(shared, &endpoint.id, why, in_doubt, start);
     }
     outcome
 }
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -6,7 +6,7 @@
 use caraway_http::{BodyError, Payload, read_whole};
 use caraway_platform::{call_head, refusal};
 use caraway_routes::{CallHead, Limits, Route, Routing};
-use caraway_types::{Reason, Refusal};
+use caraway_types::{EndpointId, Findings, Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -28,6 +28,8 @@
     pub(crate) body: Bytes,
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
+    /// Whether the service's endpoints are model engines.
+    pub(crate) on_engine: bool,
     /// Version of the configuration that it is handled by.
     pub(crate) version: u64,
     pub(crate) arrived: Instant,
@@ -37,6 +39,39 @@
     pub(crate) leaves: Instant,
 }
 
+impl Call {
+    /// Tells whether a try that takes `shortest` still makes sense.
+    pub(crate) fn has_time(&self, shortest: Duration) -> bool {
+        Instant::now() + shortest <= self.last
+    }
+
+    /// Makes the end of this request where it may have run; `shortest` is the time that another
+    /// try would have needed.
+    pub(crate) fn in_doubt(&self, why: &str, shortest: Duration) -> Refused {
+        let reason = if self.has_time(shortest) {
+            Reason::EndpointFailed
+        } else {
+            Reason::Deadline
+        };
+        Refused::in_doubt(reason, why)
+    }
+
+    /// Logs and counts an attempt that gave no answer.
+    pub(crate) fn log_failed(
+        &self,
+        shared: &Shared,
+        endpoint: &EndpointId,
+        why: &'static str,
+        in_doubt: bool,
+        start: Instant,
+    ) {
+        shared.metrics.attempt_failed(why);
+        emit!(shared, info, AttemptFailed; "request" => &*self.head.id,
+            "endpoint" => &**endpoint, "why" => why, "in_doubt" => in_doubt,
+            "ms" => millis(start.elapsed()));
+    }
+}
+
 /// The end of a request that no endpoint answers.
 #[derive(Debug)]
 pub(crate) struct Refused {
@@ -102,21 +137,18 @@
 pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
     let in_flight = InFlight::new(&shared);
     let arrived = Instant::now();
-    let id = id_of(&request);
-    let call = match prepare(&shared, request, arrived).await {
+    let head = call_head(request.headers());
+    let id = head.as_ref().map_or_else(|_| "".into(), |h| h.id.clone());
+    let call = match prepare(&shared, request, head, arrived).await {
         Ok(call) => call,
         Err(refused) => return finish_refused(&shared, "unrouted", &id, arrived, &refused),
     };
-    let engine = shared
-        .routing()
-        .and_then(|r| r.service(&call.service).map(|s| s.engine.is_some()))
-        .unwrap_or(false);
     let kind = if call.route.streaming {
         "stream"
     } else {
         "plain"
     };
-    let result = if engine && call.head.model.is_some() {
+    let result = if call.on_engine && call.head.model.is_some() {
         generate::serve(&shared, Rc::new(call), in_flight).await
     } else {
         plain::serve(&shared, &call).await
@@ -133,18 +165,14 @@
     }
 }
 
-fn id_of(request: &Request<Incoming>) -> Arc<str> {
-    call_head(request.headers()).map_or_else(|_| "".into(), |head| head.id)
-}
-
 async fn prepare(
     shared: &Rc<Shared>,
     request: Request<Incoming>,
+    head: Result<CallHead, Findings>,
     arrived: Instant,
 ) -> Result<Call, Refused> {
     let (parts, body) = request.into_parts();
-    let head = call_head(&parts.headers)
-        .map_err(|f| Refused::not_run(Reason::BadRequest, &f.to_string()))?;
+    let head = head.map_err(|f| Refused::not_run(Reason::BadRequest, &f.to_string()))?;
     let routing = shared.routing().ok_or_else(|| {
         Refused::not_run(Reason::NoEndpoint, "no configuration is known yet")
             .after(NO_CONFIG_RETURN)
@@ -175,6 +203,9 @@
         headers: parts.headers,
         body,
         route,
+        on_engine: routing
+            .service(&service)
+            .is_some_and(|s| s.engine.is_some()),
         service,
         version: routing.version,
         arrived,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    claim,
+    apply, claim,
     event::emit,
     executor::millis,
     follow, front,
@@ -146,7 +146,7 @@
     let mut looks = 0;
     loop {
         sleep(UPKEEP_PAUSE).await;
-        follow::expire(&shared);
+        apply::expire(&shared);
         claim::look(&shared);
         looks += 1;
         if looks % SWEEP_LOOKS == 0 {
@@ -162,8 +162,7 @@
 
 /// Logs what this instance's placers have to do.
 fn log_levels(shared: &Rc<Shared>) {
-    let desks: Vec<_> = shared.desks.borrow().values().cloned().collect();
-    for desk in desks {
+    for desk in shared.own_desks() {
         let levels = desk.levels();
         emit!(shared, info, PlacerLevels; "held_zone" => &*desk.zone, "token" => desk.token,
             "waiting" => levels.waiting, "running" => levels.running,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -164,6 +164,11 @@
         self.desks.borrow().get(zone).cloned()
     }
 
+    /// Returns this instance's placers.
+    pub(crate) fn own_desks(&self) -> Vec<Rc<Desk>> {
+        self.desks.borrow().values().cloned().collect()
+    }
+
     /// Returns the open session to a zone's holder.
     pub(crate) fn session(&self, zone: &str) -> Option<Rc<Session>> {
         let sessions = self.sessions.borrow();
@@ -178,7 +183,7 @@
             *counts.entry(&endpoint.zone).or_default() += 1;
         }
         let pressure = |zone: &ZoneId| {
-            let desk = self.desk(zone).map(|d| d.levels().pressure());
+            let desk = self.desk(zone).map(|d| d.pressure());
             desk.or_else(|| self.session(zone).map(|s| s.pressure()))
         };
         counts
@@ -232,7 +237,7 @@
         Levels {
             config_version: self.routing().map_or(0, |r| r.version),
             in_flight: count(self.in_flight.get()),
-            waiting: count(desks.values().map(|d| d.levels().waiting).sum()),
+            waiting: count(desks.values().map(|d| d.waiting()).sum()),
             holding: count(desks.len()),
             lines_dropped: self.queue.dropped(),
         }
--- a/crates/caraway-placement/src/homes.rs
+++ b/crates/caraway-placement/src/homes.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Says when a zone is too pressed; see [`Levels::pressure`](crate::Levels::pressure).
+/// Says when a zone is too pressed; see [`Placer::pressure`](crate::Placer::pressure).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PressureBounds {
     /// Multiple of the least pressed zone's pressure beyond which a zone is passed over.
@@ -79,7 +79,7 @@
     pub zone: ZoneId,
     /// Its engine endpoints that take work.
     pub endpoints: usize,
-    /// Requests that run and wait for each of them; see [`Levels::pressure`](crate::Levels::pressure).
+    /// Requests that run and wait for each of them; see [`Placer::pressure`](crate::Placer::pressure).
     pub pressure: f64,
 }
 
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -71,16 +71,6 @@
     pub load_time: Duration,
 }
 
-impl Levels {
-    /// Returns the requests that run and wait for each endpoint that takes work.
-    #[must_use]
-    pub fn pressure(&self) -> f64 {
-        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let (requests, endpoints) = ((self.running + self.waiting) as f64, self.usable as f64);
-        requests / endpoints.max(NO_ENDPOINT)
-    }
-}
-
 /// Stands for the endpoints of a zone that has none.
 const NO_ENDPOINT: f64 = 0.1;
 
@@ -172,6 +162,22 @@
         }
     }
 
+    /// Returns the number of requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns the requests that run and wait for each endpoint that takes work.
+    #[must_use]
+    pub fn pressure(&self, now: Instant) -> f64 {
+        let usable = self.replicas.values().filter(|r| r.is_usable(now)).count();
+        let requests = self.granted.len() + self.waiting.len();
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let (requests, endpoints) = (requests as f64, usable as f64);
+        requests / endpoints.max(NO_ENDPOINT)
+    }
+
     fn popularity_of(&self, now: Instant, model: &ModelRef) -> f64 {
         self.popularity
             .get(model)
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -110,9 +110,36 @@
             }
             return;
         }
-        match order.action {
-            Action::Load => self.on_load_end(now, endpoint, &order.model, end),
-            Action::Unload => self.on_unload_end(now, endpoint, &order.model, end),
+        match end {
+            OrderEnd::Unanswered | OrderEnd::Conflict => {
+                self.on_doubt(now, endpoint, order, end);
+            }
+            _ => match order.action {
+                Action::Load => self.on_load_end(now, endpoint, &order.model, end),
+                Action::Unload => self.on_unload_end(now, endpoint, &order.model, end),
+            },
+        }
+    }
+
+    /// Notes that an order's end leaves open what the endpoint holds.
+    fn on_doubt(&mut self, now: Instant, endpoint: &EndpointId, order: Outstanding, end: OrderEnd) {
+        let lag = self.settings.report_lag;
+        let Some(replica) = self.replicas.get_mut(endpoint) else {
+            return;
+        };
+        let Some(held) = replica.held.get_mut(&order.model) else {
+            return;
+        };
+        if end == OrderEnd::Conflict {
+            replica.todo.push_front(Todo {
+                action: order.action,
+                model: order.model,
+                sent: 0,
+            });
+            replica.doubt(now, Duration::ZERO);
+        } else {
+            held.phase = Phase::Doubtful;
+            replica.doubt(now, lag);
         }
     }
 
@@ -145,23 +172,11 @@
                 replica.remember(model, recent_limit);
                 self.serve_model(now, model);
             }
-            OrderEnd::Unanswered => {
-                held.phase = Phase::Doubtful;
-                replica.doubt(now, lag);
-            }
-            OrderEnd::Conflict => {
-                replica.todo.push_front(Todo {
-                    action: Action::Load,
-                    model: model.clone(),
-                    sent: 0,
-                });
-                replica.doubt(now, Duration::ZERO);
-            }
             OrderEnd::NotSent => {
                 replica.unplan(model);
                 replica.paused = Some(now + pause);
             }
-            OrderEnd::Rejected | OrderEnd::Fenced | OrderEnd::Elsewhere => {
+            _ => {
                 replica.unplan(model);
                 replica.doubt(now, lag);
             }
@@ -242,23 +257,11 @@
                 replica.count_order(now);
                 replica.report_at = Some(now + lag);
             }
-            OrderEnd::Unanswered => {
-                held.phase = Phase::Doubtful;
-                replica.doubt(now, lag);
-            }
-            OrderEnd::Conflict => {
-                replica.todo.push_front(Todo {
-                    action: Action::Unload,
-                    model: model.clone(),
-                    sent: 0,
-                });
-                replica.doubt(now, Duration::ZERO);
-            }
             OrderEnd::NotSent => {
                 held.phase = Phase::Ready;
                 replica.paused = Some(now + pause);
             }
-            OrderEnd::Rejected | OrderEnd::Fenced | OrderEnd::Elsewhere => {
+            _ => {
                 replica.held.remove(model);
                 replica.doubt(now, lag);
             }
