Never call a request not run that an endpoint may have run

Cause: found on reading the change back: a request that may run again, whose first attempt broke and whose second was refused by its endpoint, got the refusal "not run", though the first may have run. Change: such a request ends in doubt, for plain services and generations alike. Requests that must not run twice were never sent again, so they were not concerned.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -144,7 +144,11 @@
             }
             Attempt::NotRun(why) => {
                 if progress.sent >= TRIES || progress.sent > 0 && !take_budget(shared, call) {
-                    return Err(Refused::not_run(Reason::NoEndpoint, why).after(BUSY_RETURN));
+                    return Err(if progress.ran > 0 {
+                        call.in_doubt(why, SHORTEST_TRY)
+                    } else {
+                        Refused::not_run(Reason::NoEndpoint, why).after(BUSY_RETURN)
+                    });
                 }
                 why
             }
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -46,6 +46,7 @@
 pub(crate) async fn serve(shared: &Rc<Shared>, call: &Call) -> Result<Response<Payload>, Refused> {
     let mut tried: Vec<EndpointId> = Vec::new();
     let mut sent = 0;
+    let mut ran = false;
     let mut kept = None;
     let mut why = "no endpoint takes work";
     while tried.len() < TRIES {
@@ -74,6 +75,7 @@
             }
             Attempt::InDoubt(reason) => {
                 why = reason;
+                ran = true;
                 if !may_repeat(shared, call, sent) {
                     return Err(call.in_doubt(reason, SHORTEST_TRY));
                 }
@@ -86,7 +88,7 @@
     if let Some(response) = kept {
         return Ok(response);
     }
-    if !call.has_time(SHORTEST_TRY) {
+    if ran || !call.has_time(SHORTEST_TRY) {
         return Err(call.in_doubt(why, SHORTEST_TRY));
     }
     Err(Refused::not_run(Reason::NoEndpoint, why).after(FULL_RETURN))
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -101,3 +101,30 @@
         assert!(told.contains(place), "{place} is missing in\n{told}");
     }
 }
+
+/// One endpoint of the service runs requests and breaks off, the other says that it ran none.
+#[test]
+fn a_request_that_an_endpoint_may_have_run_is_not_called_not_run() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the endpoints", || {
+        let lines = gateway.lines.lock().expect("no panic holds it");
+        lines
+            .iter()
+            .any(|l| l["event"] == 1120 && l["endpoint"] == "f-2")
+    });
+    for number in 0..8 {
+        let id = format!("X-Attempt-Id: flaky-{number}\r\n");
+        let answer = call(gateway.front, "GET /flaky/x", &id, "");
+        let state = platform.state.lock().expect("no panic holds it");
+        let ran = state
+            .runs
+            .iter()
+            .any(|(_, h)| h["x-attempt-id"] == *format!("flaky-{number}"));
+        let says_not_run = answer.contains("\"not_run\"") || answer.starts_with("HTTP/1.1 503");
+        assert!(!(ran && says_not_run), "it ran: {answer}");
+    }
+    let state = platform.state.lock().expect("no panic holds it");
+    let ran = state.runs.iter().filter(|(path, _)| path == "/flaky/x");
+    assert!(ran.count() > 0, "some of them ran");
+}
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::HashMap,
-    convert::Infallible,
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
@@ -50,6 +49,8 @@
         let store = serve(state.clone(), store_call);
         let engine = serve(state.clone(), engine_call);
         let desk = serve(state.clone(), desk_call);
+        let breaks = serve(state.clone(), breaking_call);
+        let refuses = serve(state.clone(), refusing_call);
         let platform = Self { state, store };
         platform.publish("keyed.op", "config", &configuration());
         let entry = |service: &str, addr: SocketAddr, models: Value| {
@@ -59,6 +60,8 @@
         let model = json!([{"Name": "base", "Version": 1, "Adapters": []}]);
         platform.publish("keyed.servers", "e-1", &entry("lm", engine, model));
         platform.publish("keyed.servers", "d-1", &entry("desk", desk, json!([])));
+        platform.publish("keyed.servers", "f-1", &entry("flaky", breaks, json!([])));
+        platform.publish("keyed.servers", "f-2", &entry("flaky", refuses, json!([])));
         platform
     }
 
@@ -180,11 +183,13 @@
         {"Name": "draft", "Host": "h.example", "PathPrefix": "/draft/", "Kind": "streaming",
          "TimeoutMs": 5000, "GoalMs": 500, "Service": "lm", "MaxAttempts": 1},
         {"Name": "status", "Host": "h.example", "PathPrefix": "/status/", "Kind": "idempotent",
-         "TimeoutMs": 2000, "GoalMs": 100, "Service": "desk", "MaxAttempts": 2}],
+         "TimeoutMs": 2000, "GoalMs": 100, "Service": "desk", "MaxAttempts": 2},
+        {"Name": "flaky", "Host": "h.example", "PathPrefix": "/flaky/", "Kind": "idempotent",
+         "TimeoutMs": 2000, "GoalMs": 100, "Service": "flaky", "MaxAttempts": 2}],
       "Services": [
         {"Name": "lm", "MaxConns": 50, "Engine": {"Slots": 8, "WeightSize": 100,
          "AdapterSlots": 2, "Models": [{"Name": "base", "WeightSize": 90, "AdapterMb": 1}]}},
-        {"Name": "desk", "MaxConns": 50}]})
+        {"Name": "desk", "MaxConns": 50}, {"Name": "flaky", "MaxConns": 50}]})
 }
 
 fn free_addrs<const N: usize>() -> [SocketAddr; N] {
@@ -227,7 +232,7 @@
     state: Arc<Mutex<State>>,
     handler: Handler,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
     let (parts, body) = request.into_parts();
     let body = body
         .collect()
@@ -235,6 +240,10 @@
         .map(http_body_util::Collected::to_bytes)
         .unwrap_or_default();
     let response = handler(&state, &parts, &body);
+    // Stands for no answer at all; an error ends the connection.
+    if response.status() == StatusCode::IM_A_TEAPOT {
+        return Err(std::io::Error::other("no answer"));
+    }
     // A read that waits is answered after a while.
     if response.status() == StatusCode::OK && parts.uri.query().is_some_and(|q| q.contains("Wait"))
     {
@@ -337,6 +346,25 @@
     run(&mut state.lock().expect("no panic holds it"), head, "sold")
 }
 
+/// Runs the request and closes the connection without an answer.
+fn breaking_call(
+    state: &Mutex<State>,
+    head: &http::request::Parts,
+    _: &[u8],
+) -> Response<Full<Bytes>> {
+    run(&mut state.lock().expect("no panic holds it"), head, "");
+    respond(StatusCode::IM_A_TEAPOT, "")
+}
+
+/// Says that it did not run the request.
+fn refusing_call(_: &Mutex<State>, head: &http::request::Parts, _: &[u8]) -> Response<Full<Bytes>> {
+    let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "");
+    let headers = response.headers_mut();
+    headers.insert("x-attempt-id", head.headers["x-attempt-id"].clone());
+    headers.insert("x-not-executed", http::HeaderValue::from_static("1"));
+    response
+}
+
 fn run(
     state: &mut State,
     head: &http::request::Parts,
