Tell a run's end to whoever holds the zone now

Cause: found on reading the change back: the end of a run had one path for a grant of this instance's own placer and one for another's. The first knew no session, so a run whose instance lost its zone stayed pinned at the next holder. Change: one path for both: the zone's placer here, else the session to its holder.

--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -11,9 +11,7 @@
 };
 
 use crate::{
-    desk::Desk,
     frame::{FromHolder, ToHolder},
-    session::Session,
     shared::{Run, Shared},
 };
 
@@ -90,8 +88,8 @@
 
 #[derive(Debug)]
 enum Grantor {
-    Desk(Rc<Desk>),
-    Session(Rc<Session>),
+    /// The zone's placer; its holder may change while the request runs.
+    Zone(ZoneId),
     /// This instance chose by itself.
     Own(EndpointId),
 }
@@ -102,42 +100,38 @@
         self.end.set(end);
     }
 
-    /// Tells who granted the endpoint that it gives no sign of the request.
+    /// Tells the zone's placer that the endpoint gives no sign of the request.
     pub(crate) fn stall(&self) {
-        match &self.by {
-            Grantor::Desk(desk) => desk.stall_own(&self.shared, self.ticket),
-            Grantor::Session(session) => {
-                let ticket = self.ticket;
-                session.send(&ToHolder::Stall { ticket });
-            }
-            Grantor::Own(_) => {}
+        let Grantor::Zone(zone) = &self.by else {
+            return;
+        };
+        let ticket = self.ticket;
+        if let Some(desk) = self.shared.desk(zone) {
+            desk.stall_own(&self.shared, ticket);
+        } else if let Some(session) = self.shared.session(zone) {
+            session.send(&ToHolder::Stall { ticket });
+        }
+    }
+
+    /// Tells whoever holds the zone now that the request has ended.
+    fn end_at(&self, zone: &ZoneId) {
+        let (ticket, end) = (self.ticket, self.end.get());
+        self.shared.forget_run(zone, ticket);
+        if let Some(desk) = self.shared.desk(zone) {
+            desk.end_own(&self.shared, ticket, end);
+        } else if let Some(session) = self.shared.session(zone) {
+            session.forget(ticket);
+            session.send(&ToHolder::End { ticket, end });
         }
     }
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let (ticket, end) = (self.ticket, self.end.get());
         match &self.by {
-            Grantor::Desk(desk) => {
-                self.shared.forget_run(&desk.zone, ticket);
-                // A later holder of the zone may be this instance, too.
-                let desk = self.shared.desk(&desk.zone).unwrap_or(desk.clone());
-                desk.end_own(&self.shared, ticket, end);
-            }
-            Grantor::Session(session) => {
-                self.shared.forget_run(&session.zone, ticket);
-                session.forget(ticket);
-                let frame = ToHolder::End { ticket, end };
-                let zone = &session.zone;
-                if let Some(desk) = self.shared.desk(zone) {
-                    desk.end_own(&self.shared, ticket, end);
-                } else if let Some(session) = self.shared.session(zone) {
-                    session.send(&frame);
-                }
-            }
+            Grantor::Zone(zone) => self.end_at(zone),
             Grantor::Own(endpoint) => {
-                let verdict = match end {
+                let verdict = match self.end.get() {
                     End::Done => Verdict::Dropped,
                     End::NotHeld | End::Refused => Verdict::Refused,
                     End::Failed => Verdict::Broken,
@@ -243,7 +237,7 @@
     zone: &ZoneId,
 ) -> Result<Placed, Option<NotPlaced>> {
     let ticket = shared.ticket();
-    let (by, told) = if let Some(desk) = shared.desk(zone) {
+    let told = if let Some(desk) = shared.desk(zone) {
         let ask = Ask {
             service: want.service.clone(),
             model: want.model.clone(),
@@ -253,8 +247,7 @@
             deadline: want.deadline.into_std(),
             avoid: avoid.to_vec(),
         };
-        let told = desk.ask_own(shared, ticket, ask);
-        (Grantor::Desk(desk), told)
+        desk.ask_own(shared, ticket, ask)
     } else if let Some(session) = shared.session(zone) {
         let now = Instant::now();
         let frame = ToHolder::Ask {
@@ -267,8 +260,7 @@
             deadline: want.deadline.saturating_duration_since(now).into(),
             avoid: avoid.to_vec(),
         };
-        let told = session.ask(ticket, &frame);
-        (Grantor::Session(session), told)
+        session.ask(ticket, &frame)
     } else {
         return Err(None);
     };
@@ -276,7 +268,7 @@
     let run = RunGuard {
         shared: shared.clone(),
         ticket,
-        by,
+        by: Grantor::Zone(zone.clone()),
         end: Cell::new(End::Done),
     };
     match decision(told, want.deadline).await {
