Load the weights of a model to endpoints that started empty

Cause: an endpoint that crashes starts again with no model, and its registry entry lists none.

Change: entries of engines are told by their list of models, also an empty one; the placer orders the weights of the model that is asked for most against its copies, within the zone's share of the weight store's rate (CeilingWindowS, LoadRateFactor, LoadsPerS), and asks until they are there.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -59,12 +59,12 @@
         let newest = shared.newest.borrow();
         newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
     };
-    fill_places(shared, desk);
+    fill_engines(shared, desk);
     desk.with(shared, |placer, now| {
         for (model, newest) in &newest {
             placer.on_version(now, model, newest.version, newest.heard);
         }
-        for endpoint in endpoints.iter().filter(|e| !e.models.is_empty()) {
+        for endpoint in endpoints.iter().filter(|e| e.is_engine) {
             placer.on_endpoint(now, endpoint, Change::New);
         }
     });
@@ -116,18 +116,18 @@
         "offset" => offset, "routes" => routing.routes().len());
     *shared.routing.borrow_mut() = Some(Arc::new(routing));
     for desk in shared.own_desks() {
-        fill_places(shared, &desk);
+        fill_engines(shared, &desk);
     }
 }
 
-fn fill_places(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+fn fill_engines(shared: &Rc<Shared>, desk: &Rc<Desk>) {
     let Some(routing) = shared.routing() else {
         return;
     };
     desk.with(shared, |placer, _| {
         for service in routing.services() {
             if let Some(engine) = &service.engine {
-                placer.set_places(&service.name, engine.adapter_places());
+                placer.set_engine(&service.name, engine);
             }
         }
     });
@@ -186,7 +186,7 @@
             "endpoint_zone" => &*endpoint.zone, "offset" => record.offset);
     }
     let desk = shared.desk(&endpoint.zone);
-    if let Some(desk) = desk.filter(|_| !endpoint.models.is_empty()) {
+    if let Some(desk) = desk.filter(|_| endpoint.is_engine) {
         desk.with(shared, |placer, now| {
             placer.on_endpoint(now, &endpoint, change);
         });
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -256,9 +256,7 @@
 
 fn has_engines(shared: &Shared, zone: &ZoneId) -> bool {
     let directory = shared.directory.borrow();
-    directory
-        .all()
-        .any(|e| e.zone == *zone && !e.models.is_empty())
+    directory.all().any(|e| e.zone == *zone && e.is_engine)
 }
 
 /// Returns this instance's place in the spread of claimers, 0 to 1.
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -167,7 +167,7 @@
         emit!(shared, info, PlacerLevels; "held_zone" => &*desk.zone, "token" => desk.token,
             "waiting" => levels.waiting, "running" => levels.running,
             "endpoints" => levels.endpoints, "usable" => levels.usable,
-            "ordering" => levels.ordering, "transit" => levels.transit,
+            "ordering" => levels.ordering, "empty" => levels.empty, "transit" => levels.transit,
             "limit" => levels.limit, "fetched" => levels.fetched,
             "load_ms" => millis(levels.load_time));
     }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -107,6 +107,7 @@
                 START_PER_ZONE * site.zones.len().max(1),
             ))),
             bounds: RefCell::new(site.bounds.clone()),
+            placer: placer_settings(&site),
             site,
             incarnation,
             log,
@@ -114,7 +115,6 @@
             queue,
             metrics,
             pool: Pool::new(PoolLimits::default()),
-            placer: PlacerSettings::default(),
             routing: RefCell::default(),
             directory: RefCell::default(),
             newest: RefCell::default(),
@@ -250,6 +250,15 @@
 /// Instances of a zone that are taken before any are known; the largest deployments have 24.
 const START_PER_ZONE: usize = 24;
 
+fn placer_settings(site: &Site) -> PlacerSettings {
+    PlacerSettings {
+        load_window: site.bounds.load_window,
+        load_factor: site.bounds.load_factor,
+        zones: u32::try_from(site.zones.len()).unwrap_or(u32::MAX),
+        ..PlacerSettings::default()
+    }
+}
+
 fn repeat_limits(bounds: &Bounds, instances: usize) -> RepeatLimits {
     RepeatLimits {
         window: bounds.repeat_window,
--- a/crates/caraway-placement/src/order.rs
+++ b/crates/caraway-placement/src/order.rs
@@ -1,5 +1,7 @@
 //! Orders to endpoints, their ends, and endpoints' reports.
 
+use std::sync::Arc;
+
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
@@ -9,7 +11,8 @@
 /// What an order asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Loads the adapter's newest version, or replaces an older one.
+    /// Loads the adapter's newest version, or replaces an older one; without an adapter, loads the
+    /// model's weights.
     Load,
     /// Unloads the adapter.
     Unload,
@@ -59,6 +62,10 @@
 pub struct Report {
     /// Orders that it has accepted.
     pub orders: u64,
+    /// Whether it carries out a load of a model.
+    pub busy: bool,
+    /// Models that it holds.
+    pub models: Vec<Arc<str>>,
     /// Adapters that it holds, with their versions.
     pub held: Vec<(ModelRef, u64)>,
     /// Adapters on their way to it.
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -4,14 +4,15 @@
 mod orders;
 mod plan;
 mod requests;
+mod weights;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use caraway_routes::ModelRef;
+use caraway_routes::{Engine, ModelRef};
 use caraway_types::EndpointId;
 
 use crate::{
@@ -30,8 +31,10 @@
     settings: PlacerSettings,
     start: Instant,
     replicas: BTreeMap<EndpointId, Replica>,
-    /// Adapters that an endpoint can hold, by service.
-    places: HashMap<Arc<str>, usize>,
+    /// What the endpoints of each service can hold.
+    engines: HashMap<Arc<str>, Engine>,
+    /// When loads of weights were ordered lately.
+    weight_loads: VecDeque<Instant>,
     newest: HashMap<ModelRef, Newest>,
     popularity: HashMap<ModelRef, Decayed>,
     waiting: Waiting,
@@ -61,6 +64,8 @@
     pub usable: usize,
     /// Those of them that take orders.
     pub ordering: usize,
+    /// Endpoints that hold no model's weights.
+    pub empty: usize,
     /// Adapters on their way from the weight store.
     pub transit: usize,
     /// How many may be.
@@ -100,7 +105,8 @@
             settings,
             start,
             replicas: BTreeMap::new(),
-            places: HashMap::new(),
+            engines: HashMap::new(),
+            weight_loads: VecDeque::new(),
             newest: HashMap::new(),
             popularity: HashMap::new(),
             waiting: Waiting::default(),
@@ -121,6 +127,7 @@
     pub fn on_tick(&mut self, now: Instant) {
         self.refuse_hopeless(now);
         self.ask_reports(now);
+        self.plan_weights(now);
         self.plan(now);
         self.pump_all(now);
     }
@@ -130,7 +137,7 @@
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let waits = (self.waiting.len() > 0).then(|| now + WAIT_CHECK);
         let replicas = self.replicas.values().filter_map(Replica::next_wake);
-        replicas.chain(waits).min()
+        replicas.chain(waits).chain(self.weights_wake()).min()
     }
 
     /// Stops giving orders and refuses the requests that wait.
@@ -155,6 +162,11 @@
             endpoints: self.replicas.len(),
             usable: usable.clone().count(),
             ordering: usable.filter(|r| r.orders.is_some()).count(),
+            empty: self
+                .replicas
+                .values()
+                .filter(|r| r.models.is_empty())
+                .count(),
             transit: self.transit(),
             limit: self.transit_limit(),
             fetched: self.fetched,
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use caraway_routes::{Change, Endpoint, ModelRef};
+use caraway_routes::{Change, Endpoint, Engine, ModelRef};
 use caraway_types::EndpointId;
 
 use super::Placer;
@@ -20,22 +20,26 @@
 const REPORT_RETRY: Duration = Duration::from_millis(300);
 
 impl Placer {
-    /// Sets how many adapters an endpoint of `service` can hold.
-    pub fn set_places(&mut self, service: &Arc<str>, places: usize) {
-        self.places.insert(service.clone(), places);
+    /// Sets what an endpoint of `service` can hold.
+    pub fn set_engine(&mut self, service: &Arc<str>, engine: &Engine) {
+        self.engines.insert(service.clone(), engine.clone());
         for replica in self.replicas.values_mut() {
             if replica.endpoint.service == *service {
-                replica.places = places;
+                replica.places = engine.adapter_places();
             }
         }
     }
 
     /// Takes what the registry says about an endpoint of an engine service in this zone.
     pub fn on_endpoint(&mut self, now: Instant, endpoint: &Arc<Endpoint>, change: Change) {
-        let places = self.places.get(&endpoint.service).copied().unwrap_or(0);
+        let engine = self.engines.get(&endpoint.service);
+        let places = engine.map_or(0, Engine::adapter_places);
         match self.replicas.get_mut(&endpoint.id) {
             Some(replica) if change != Change::Reborn => {
                 replica.endpoint = endpoint.clone();
+                for held in &endpoint.models {
+                    replica.add_model(&held.model);
+                }
             }
             _ => {
                 self.granted.retain(|_, g| g.endpoint != endpoint.id);
@@ -81,11 +85,17 @@
         }
         replica.report_at = None;
         replica.orders = Some(report.orders);
+        replica.models.clone_from(&report.models);
+        replica.busy = report.busy;
+        if replica.busy {
+            replica.report_at = Some(now + REPORT_RETRY);
+        }
         replica.reconcile(now, &report, self.settings.poll);
         if replica.held.values().any(|h| h.phase == Phase::Unloading) {
             replica.report_at = Some(now + lag);
         }
         self.serve(now, endpoint);
+        self.plan_weights(now);
         self.plan(now);
         self.pump(now, endpoint);
     }
@@ -107,6 +117,19 @@
     fn reconcile(&mut self, now: Instant, report: &Report, step: Duration) {
         let listed =
             |m: &ModelRef| report.held.iter().any(|(r, _)| r == m) || report.incoming.contains(m);
+        if let Some(weights) = &mut self.weights
+            && weights.phase == Phase::Doubtful
+        {
+            weights.phase = Phase::Loading {
+                since: now,
+                poll: Some(now + step),
+            };
+        }
+        let models = &self.models;
+        self.weights.take_if(|w| {
+            let is_sent = w.phase != Phase::Planned;
+            models.contains(&w.model) || is_sent && !report.busy
+        });
         self.held.retain(|model, held| match held.phase {
             Phase::Planned | Phase::Leaving => true,
             _ => listed(model),
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -1,9 +1,6 @@
 //! Orders: one at a time to each endpoint, and what their ends say.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
@@ -56,9 +53,17 @@
             _ => {}
         }
         if let Some(poll) = poll {
-            self.on_poll_end(now, endpoint, &poll, end);
+            if poll.model.adapter.is_none() {
+                self.on_weights_poll(now, endpoint, &poll.model, end);
+            } else {
+                self.on_poll_end(now, endpoint, &poll, end);
+            }
         } else if let Some(order) = order {
-            self.on_change_end(now, endpoint, order, end);
+            if order.model.adapter.is_none() {
+                self.on_weights_end(now, endpoint, &order.model, end);
+            } else {
+                self.on_change_end(now, endpoint, order, end);
+            }
         }
         self.pump(now, endpoint);
         self.plan(now);
@@ -312,19 +317,23 @@
             Phase::Loading { poll, .. } => poll,
             _ => None,
         });
-        let polls = polls.filter(|_| self.orders.is_some());
+        let weights = self.weights.as_ref().and_then(|w| match w.phase {
+            Phase::Loading { poll, .. } => poll,
+            _ => None,
+        });
+        let polls = polls.chain(weights).filter(|_| self.orders.is_some());
         polls.chain(report).min()
     }
 
     /// Notes that the endpoint has accepted an order.
-    fn count_order(&mut self, now: Instant) {
+    pub(super) fn count_order(&mut self, now: Instant) {
         self.orders = self.orders.map(|n| n + 1);
         self.ordered = Some(now);
     }
 
     /// Notes that the number of accepted orders is not known any more; a report is due after
     /// `lag`.
-    fn doubt(&mut self, now: Instant, lag: Duration) {
+    pub(super) fn doubt(&mut self, now: Instant, lag: Duration) {
         if let Some(orders) = self.orders.take() {
             self.at_least = orders;
             self.ordered = Some(now);
@@ -362,38 +371,57 @@
     /// Takes the next question whether a load is complete.
     fn next_poll(&mut self, now: Instant, number: OrderNumber) -> Option<Order> {
         let expect = self.orders?;
+        if let Some(weights) = &mut self.weights
+            && let Phase::Loading { poll, .. } = &mut weights.phase
+            && poll.is_some_and(|at| at <= now)
+        {
+            *poll = None;
+            let model = ModelRef {
+                model: weights.model.clone(),
+                adapter: None,
+            };
+            return Some(self.ask_whether_there(number, model, expect));
+        }
+        let mut due = None;
         for (model, held) in &mut self.held {
             if let Phase::Loading { poll, .. } = &mut held.phase
                 && poll.is_some_and(|at| at <= now)
             {
                 *poll = None;
-                let model = model.clone();
-                let asked = Poll {
-                    model: model.clone(),
-                    expect,
-                };
-                self.polls.insert(number, asked);
-                return Some(Order {
-                    number,
-                    endpoint: self.endpoint.id.clone(),
-                    action: Action::Load,
-                    model,
-                    expect,
-                    is_poll: true,
-                });
+                due = Some(model.clone());
+                break;
             }
         }
-        None
+        due.map(|model| self.ask_whether_there(number, model, expect))
+    }
+
+    /// Repeats the order to load `model`, which tells whether the load is complete.
+    fn ask_whether_there(&mut self, number: OrderNumber, model: ModelRef, expect: u64) -> Order {
+        let asked = Poll {
+            model: model.clone(),
+            expect,
+        };
+        self.polls.insert(number, asked);
+        Order {
+            number,
+            endpoint: self.endpoint.id.clone(),
+            action: Action::Load,
+            model,
+            expect,
+            is_poll: true,
+        }
     }
 
     /// Takes the first planned order that can be carried out now.
     fn next_todo(&mut self) -> Option<Todo> {
-        let held = &self.held;
-        self.todo.retain(|t| is_planned(t, held));
+        let mut todo = std::mem::take(&mut self.todo);
+        todo.retain(|t| is_planned(t, self.phase(&t.model)));
+        self.todo = todo;
         let is_full = self.occupied() >= self.places;
         let fits = |t: &Todo| {
-            let replaces = held.get(&t.model).is_some_and(|h| h.former.is_some());
-            t.action == Action::Unload || replaces || !is_full
+            let replaces = self.held.get(&t.model).is_some_and(|h| h.former.is_some());
+            let needs_place = t.action == Action::Load && t.model.adapter.is_some() && !replaces;
+            !needs_place || !is_full
         };
         if let Some(first) = self.todo.iter().position(fits) {
             return self.todo.remove(first);
@@ -421,9 +449,8 @@
     }
 }
 
-/// Tells whether a planned order still makes sense.
-fn is_planned(todo: &Todo, held: &HashMap<ModelRef, Held>) -> bool {
-    let phase = held.get(&todo.model).map(|h| h.phase);
+/// Tells whether a planned order still makes sense where what it names is in this phase.
+fn is_planned(todo: &Todo, phase: Option<Phase>) -> bool {
     match todo.action {
         Action::Unload => phase == Some(Phase::Leaving),
         Action::Load => phase == Some(Phase::Planned),
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -188,7 +188,7 @@
         replaceable
             && replica.is_usable(now)
             && replica.orders.is_some()
-            && replica.endpoint.has_model(&model.model)
+            && replica.has_model(&model.model)
             && replica.transit() < self.settings.endpoint_transit
     }
 
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -152,9 +153,9 @@
             .filter(|(m, h)| h.is_ready() && self.waiting.wants(m))
             .map(|(m, _)| m.clone())
             .collect();
-        for model in &replica.endpoint.models {
+        for model in &replica.models {
             let base = ModelRef {
-                model: model.model.clone(),
+                model: model.clone(),
                 adapter: None,
             };
             if self.waiting.wants(&base) {
@@ -194,8 +195,15 @@
             .enumerate()
             .map(|(place, model)| (model, self.ready_at(now, place)))
             .collect();
+        let weights: HashMap<Arc<str>, Instant> = backlog
+            .iter()
+            .filter_map(|m| Some((m.model.clone(), self.weights_ready(now, &m.model)?)))
+            .collect();
         let hopeless = self.waiting.drop_if(|_, ask| {
             let ready = ready.get(&ask.model).copied().unwrap_or(now);
+            let ready = weights
+                .get(&ask.model.model)
+                .map_or(ready, |at| ready.max(*at));
             ready + shortest > ask.deadline
         });
         let after = self.ready_at(now, backlog.len()) - now;
@@ -232,7 +240,7 @@
                 continue;
             }
             let current = if ask.model.adapter.is_none() {
-                replica.endpoint.has_model(&ask.model.model).then_some(true)
+                replica.has_model(&ask.model.model).then_some(true)
             } else {
                 replica
                     .held
@@ -258,7 +266,8 @@
         self.replicas.values().any(|r| {
             r.endpoint.is_ready()
                 && r.endpoint.service == ask.service
-                && r.endpoint.has_model(&ask.model.model)
+                && (r.has_model(&ask.model.model)
+                    || r.models.is_empty() && self.offers(&ask.service, &ask.model.model))
         })
     }
 
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -104,12 +104,25 @@
     pub(crate) expect: u64,
 }
 
+/// A load of a model's weights.
+#[derive(Clone, Debug)]
+pub(crate) struct WeightsLoad {
+    pub(crate) model: Arc<str>,
+    pub(crate) phase: Phase,
+}
+
 /// What a placer believes about one endpoint.
 #[derive(Debug)]
 pub(crate) struct Replica {
     pub(crate) endpoint: Arc<Endpoint>,
     /// Adapters that it can hold.
     pub(crate) places: usize,
+    /// Models whose weights it holds.
+    pub(crate) models: Vec<Arc<str>>,
+    /// The model whose weights it loads.
+    pub(crate) weights: Option<WeightsLoad>,
+    /// Whether its last report had it carry out a load of weights.
+    pub(crate) busy: bool,
     pub(crate) held: HashMap<ModelRef, Held>,
     /// Granted runs that have not ended.
     pub(crate) running: u32,
@@ -153,6 +166,9 @@
             }
         }
         Self {
+            models: endpoint.models.iter().map(|m| m.model.clone()).collect(),
+            weights: None,
+            busy: false,
             endpoint,
             places,
             held,
@@ -184,6 +200,20 @@
         self.paused.is_some_and(|until| now < until)
     }
 
+    /// Tells whether it holds the weights of `model`.
+    pub(crate) fn has_model(&self, model: &str) -> bool {
+        self.models.iter().any(|m| **m == *model)
+    }
+
+    /// Returns how far what an order names is on this endpoint.
+    pub(crate) fn phase(&self, model: &ModelRef) -> Option<Phase> {
+        if model.adapter.is_some() {
+            return self.held.get(model).map(|h| h.phase);
+        }
+        let weights = self.weights.as_ref()?;
+        (weights.model == model.model).then_some(weights.phase)
+    }
+
     /// Tells whether another request can run at once.
     pub(crate) fn has_slot(&self) -> bool {
         self.running < self.endpoint.slots
--- a/crates/caraway-placement/src/settings.rs
+++ b/crates/caraway-placement/src/settings.rs
@@ -22,6 +22,14 @@
     pub reload: Duration,
     /// Pause between questions whether a load is complete.
     pub poll: Duration,
+    /// Pause between questions whether a model's weights are there.
+    pub weights_poll: Duration,
+    /// Span over which loads of weights from the weight store are counted.
+    pub load_window: Duration,
+    /// Multiple of the weight store's rate that a span may have.
+    pub load_factor: f64,
+    /// Zones that share the weight store's rate evenly.
+    pub zones: u32,
     /// How long an endpoint's report lags behind.
     pub report_lag: Duration,
     /// Time after the announcement of a version in which an older one may still serve.
@@ -55,6 +63,12 @@
             reload: Duration::from_millis(27),
             // A question costs less than a hundredth of a late request.
             poll: Duration::from_millis(12),
+            // A twentieth of a load from the store.
+            weights_poll: Duration::from_millis(100),
+            // The deployments' bounds.
+            load_window: Duration::from_secs(5),
+            load_factor: 1.0,
+            zones: 1,
             // The protocol names some hundred ms; the deployments use 100 and 200.
             report_lag: Duration::from_millis(250),
             // Leaves 2 s of the 5 s that the deployments allow for runs to begin.
--- a/crates/caraway-placement/tests/world/engine.rs
+++ b/crates/caraway-placement/tests/world/engine.rs
@@ -8,6 +8,8 @@
 use caraway_placement::{Action, Order, OrderEnd, Report};
 use caraway_routes::ModelRef;
 
+use super::MODEL;
+
 /// Time by which a report lags behind.
 const REPORT_LAG: Duration = Duration::from_millis(100);
 /// Part of a load's time that a load of a kept copy takes.
@@ -19,6 +21,8 @@
     End(OrderEnd),
     /// The adapter is fetched from the weight store.
     Fetched,
+    /// The model's weights are loaded.
+    Weights,
     /// The endpoint could not hold it and crashed.
     Crashed,
 }
@@ -39,6 +43,8 @@
     places: usize,
     limit: usize,
     orders: u64,
+    /// When the weights of its model are there; `None` where it was not told to load them.
+    weights: Option<Instant>,
     copies: HashMap<ModelRef, Copy>,
     recent: VecDeque<(ModelRef, u64)>,
     history: VecDeque<(Instant, Report)>,
@@ -47,11 +53,13 @@
 }
 
 impl Engine {
-    pub(crate) fn new(places: usize, limit: usize) -> Self {
+    /// Makes an engine that holds weights from `weights` on.
+    pub(crate) fn new(places: usize, limit: usize, weights: Option<Instant>) -> Self {
         Self {
             places,
             limit,
             orders: 0,
+            weights,
             copies: HashMap::new(),
             recent: VecDeque::new(),
             history: VecDeque::new(),
@@ -66,10 +74,15 @@
         self.copies.values().filter(fetching).count()
     }
 
+    /// Tells whether it holds its model's weights.
+    pub(crate) fn has_weights(&self, now: Instant) -> bool {
+        self.weights.is_some_and(|at| at <= now)
+    }
+
     /// Starts a run; false when the adapter is not there.
     pub(crate) fn start_run(&mut self, now: Instant, model: &ModelRef) -> bool {
         if model.adapter.is_none() {
-            return true;
+            return self.has_weights(now);
         }
         match self.copies.get_mut(model) {
             Some(copy) if copy.ready <= now && !copy.leaving => {
@@ -115,6 +128,10 @@
         let seen = now.checked_sub(REPORT_LAG).unwrap_or(now);
         let old = self.history.iter().rev().find(|(at, _)| *at <= seen);
         let mut report = old.map_or_else(Report::default, |(_, r)| r.clone());
+        if self.weights.is_some_and(|at| at <= seen) {
+            report.busy = false;
+            report.models = vec![MODEL.into()];
+        }
         // What was on its way then may be there by then.
         let arrived = |m: &ModelRef| self.copies.get(m).is_some_and(|c| c.ready <= seen);
         let (there, coming): (Vec<_>, Vec<_>) = report.incoming.drain(..).partition(|m| arrived(m));
@@ -125,6 +142,12 @@
 
     fn carry_out(&mut self, now: Instant, order: &Order, load: Duration, version: u64) -> Carried {
         let model = &order.model;
+        if model.adapter.is_none() {
+            return self.load_weights(now, order, load);
+        }
+        if !self.has_weights(now) {
+            return Carried::End(OrderEnd::Rejected);
+        }
         let current = self.copies.get(model).map(|c| (c.version, c.ready, c.runs));
         match (order.action, current) {
             (Action::Load, Some((held, ready, _))) if held == version => {
@@ -146,6 +169,19 @@
         }
     }
 
+    fn load_weights(&mut self, now: Instant, order: &Order, load: Duration) -> Carried {
+        match self.weights {
+            Some(at) if at <= now => Carried::End(OrderEnd::Holds),
+            Some(_) => Carried::End(OrderEnd::Accepted),
+            None if order.expect == self.orders => {
+                self.orders += 1;
+                self.weights = Some(now + load);
+                Carried::Weights
+            }
+            None => Carried::End(OrderEnd::Conflict),
+        }
+    }
+
     fn unload(&mut self, model: &ModelRef) -> Carried {
         let runs = self.copies.get(model).map_or(0, |c| c.runs);
         if runs > 0 {
@@ -195,8 +231,15 @@
 
     fn note(&mut self, now: Instant) {
         let there = |c: &Copy| c.ready <= now;
+        let has_weights = self.has_weights(now);
         let report = Report {
             orders: self.orders,
+            busy: self.weights.is_some() && !has_weights,
+            models: if has_weights {
+                vec![MODEL.into()]
+            } else {
+                Vec::new()
+            },
             held: self
                 .copies
                 .iter()
--- a/crates/caraway-placement/tests/world/mod.rs
+++ b/crates/caraway-placement/tests/world/mod.rs
@@ -12,7 +12,9 @@
 };
 
 use caraway_placement::{Ask, AskId, End, OrderEnd, Output, Placer, PlacerSettings, RefuseReason};
-use caraway_routes::{Change, Endpoint, EndpointState, HeldModel, ModelRef, TokenCount};
+use caraway_routes::{
+    Change, Endpoint, EndpointState, Engine as EngineSpec, HeldModel, Model, ModelRef, TokenCount,
+};
 use caraway_types::EndpointId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -39,6 +41,10 @@
     pub(crate) late: f64,
     /// Time of a run.
     pub(crate) run: Duration,
+    /// Time of a load of a model's weights from an endpoint's disk.
+    pub(crate) weights: Duration,
+    /// Loads of weights that the weight store gives in a second.
+    pub(crate) weights_rate: f64,
 }
 
 impl Default for Nature {
@@ -52,6 +58,27 @@
             recent: 96,
             late: 0.0,
             run: Duration::from_millis(450),
+            weights: Duration::from_millis(840),
+            weights_rate: 3.0,
+        }
+    }
+}
+
+impl Nature {
+    /// Returns what the configuration says of the endpoints.
+    fn engine(&self) -> EngineSpec {
+        EngineSpec {
+            slots: self.slots,
+            places: u32::try_from(self.places).expect("small"),
+            memory_mb: 100.0,
+            models: vec![Model {
+                name: MODEL.into(),
+                weight_mb: 90.0,
+                adapter_mb: 0.0,
+                load: self.weights * 2,
+                reload: self.weights,
+            }],
+            loads_rate: self.weights_rate,
         }
     }
 }
@@ -69,6 +96,8 @@
     pub(crate) orders: usize,
     pub(crate) crashes: usize,
     pub(crate) unloads_under_run: usize,
+    /// When loads of weights began.
+    pub(crate) weights: Vec<Instant>,
 }
 
 #[derive(Clone, Debug)]
@@ -114,8 +143,12 @@
     format!("e{number}").into()
 }
 
-/// Describes an endpoint as the registry does.
-pub(crate) fn entry(number: usize, slots: u32) -> Arc<Endpoint> {
+/// Describes an endpoint as the registry does; one that has just started holds no model.
+pub(crate) fn entry(number: usize, slots: u32, born: u64, holds: bool) -> Arc<Endpoint> {
+    let held = HeldModel {
+        model: MODEL.into(),
+        adapters: Vec::new(),
+    };
     Arc::new(Endpoint {
         id: endpoint_id(number),
         service: SERVICE.into(),
@@ -124,11 +157,9 @@
         slots,
         state: EndpointState::Ready,
         remaining: None,
-        born: Some(1),
-        models: vec![HeldModel {
-            model: MODEL.into(),
-            adapters: Vec::new(),
-        }],
+        born: Some(born),
+        is_engine: true,
+        models: holds.then_some(held).into_iter().collect(),
     })
 }
 
@@ -136,7 +167,7 @@
     pub(crate) fn new(nature: Nature, settings: PlacerSettings, seed: u64) -> Self {
         let start = Instant::now();
         let mut placer = Placer::new(settings, start);
-        placer.set_places(&SERVICE.into(), nature.places);
+        placer.set_engine(&SERVICE.into(), &nature.engine());
         let mut world = Self {
             start,
             now: start,
@@ -155,9 +186,9 @@
             nature,
         };
         for number in 0..world.nature.endpoints {
-            let engine = Engine::new(world.nature.places, world.nature.recent);
+            let engine = Engine::new(world.nature.places, world.nature.recent, Some(start));
             world.engines.insert(endpoint_id(number), engine);
-            let entry = entry(number, world.nature.slots);
+            let entry = entry(number, world.nature.slots, 1, true);
             world.act(|p, now| p.on_endpoint(now, &entry, Change::New));
         }
         world
@@ -174,6 +205,16 @@
         self.at(self.start + at, Event::Ask(ticket, model, patience));
     }
 
+    /// Lets an endpoint crash and start again, empty, under the same id.
+    pub(crate) fn restart(&mut self, number: usize) {
+        let id = endpoint_id(number);
+        let engine = Engine::new(self.nature.places, self.nature.recent, None);
+        self.engines.insert(id.clone(), engine);
+        self.running.retain(|_, (endpoint, _)| *endpoint != id);
+        let entry = entry(number, self.nature.slots, 2, false);
+        self.act(|p, now| p.on_endpoint(now, &entry, Change::Reborn));
+    }
+
     /// Sets the version that loads fetch from now on.
     pub(crate) fn set_version(&mut self, model: &ModelRef, version: u64) {
         self.versions.insert(model.clone(), version);
@@ -332,7 +373,10 @@
         let crowd = (transit + 1).max(self.nature.at_once);
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
         let stretch = crowd as f64 / self.nature.at_once as f64;
-        let load = self.nature.load.mul_f64(stretch);
+        let load = match order.model.adapter {
+            Some(_) => self.nature.load.mul_f64(stretch),
+            None => self.nature.weights,
+        };
         let version = self.versions.get(&order.model).copied().unwrap_or(1);
         let engine = self
             .engines
@@ -344,6 +388,10 @@
                 self.tally.fetched += 1;
                 OrderEnd::Accepted
             }
+            Carried::Weights => {
+                self.tally.weights.push(self.now);
+                OrderEnd::Accepted
+            }
             Carried::Crashed => {
                 self.tally.crashes += 1;
                 OrderEnd::Unanswered
--- a/crates/caraway-routes/src/endpoint.rs
+++ b/crates/caraway-routes/src/endpoint.rs
@@ -51,6 +51,8 @@
     pub remaining: Option<Duration>,
     /// When this run of it started, in Unix milliseconds; tells runs under one id apart.
     pub born: Option<u64>,
+    /// Whether it is a model engine; one that has just started may hold no model yet.
+    pub is_engine: bool,
     /// The models that it holds.
     pub models: Vec<HeldModel>,
 }
--- a/crates/caraway-routes/src/routing.rs
+++ b/crates/caraway-routes/src/routing.rs
@@ -15,6 +15,10 @@
     pub weight_mb: f64,
     /// Memory of each of its adapters, in MB.
     pub adapter_mb: f64,
+    /// Time of a load from the weight store.
+    pub load: Duration,
+    /// Time of a load from an endpoint's own disk.
+    pub reload: Duration,
 }
 
 /// What the endpoints of a service that are model engines have.
@@ -28,6 +32,8 @@
     pub memory_mb: f64,
     /// The models that the service offers.
     pub models: Vec<Model>,
+    /// Loads of models that the weight store gives in a second, to all endpoints together.
+    pub loads_rate: f64,
 }
 
 impl Engine {
--- a/crates/caraway-routes/tests/choice.rs
+++ b/crates/caraway-routes/tests/choice.rs
@@ -18,6 +18,7 @@
         state: EndpointState::Ready,
         remaining: None,
         born: None,
+        is_engine: false,
         models: Vec::new(),
     })
 }
