Follow a holder at once whose run of the program is over

Cause: after all processes are killed, each zone's holder of before answers again, but as a new run that does not hold the zone. That counted as a holder that can't be reached: claimed after 1 to 1.3 s, first order one lease (3 s) later. The placer also took plain services whose entries list no models for engines (found by the process test).

Change: who answers at a session's address names its run; a run other than the holder's means that the holder gives no more orders, so it is followed after 0.1 to 0.4 s without waiting for the lease. When to follow and when to order is HolderState, without I/O. Endpoints of services without an engine in the configuration are no placer's.

Test: caraway-gateway succession (the rule of before waits 1.3 s and a lease); process tests.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -45,29 +45,18 @@
     true
 }
 
-/// Tells a new placer what is known of its endpoints.
+/// Tells a new placer what is known of its endpoints and their adapters.
 pub(crate) fn fill_desk(shared: &Rc<Shared>, desk: &Rc<Desk>) {
-    let endpoints: Vec<Arc<Endpoint>> = {
-        let directory = shared.directory.borrow();
-        directory
-            .all()
-            .filter(|e| e.zone == desk.zone)
-            .cloned()
-            .collect()
-    };
     let newest: Vec<(ModelRef, Announcement)> = {
         let newest = shared.newest.borrow();
         newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
     };
-    fill_engines(shared, desk);
     desk.with(shared, |placer, now| {
         for (model, newest) in &newest {
             placer.on_version(now, model, newest.version, newest.heard);
         }
-        for endpoint in endpoints.iter().filter(|e| e.is_engine) {
-            placer.on_endpoint(now, endpoint, Change::New);
-        }
     });
+    fill_engines(shared, desk);
 }
 
 /// Drops the endpoints whose entries did not come back in time.
@@ -120,16 +109,25 @@
     }
 }
 
+/// Tells a placer what the endpoints of its zone are and can hold.
 fn fill_engines(shared: &Rc<Shared>, desk: &Rc<Desk>) {
     let Some(routing) = shared.routing() else {
         return;
     };
-    desk.with(shared, |placer, _| {
+    let endpoints: Vec<Arc<Endpoint>> = {
+        let directory = shared.directory.borrow();
+        let own = directory.all().filter(|e| e.zone == desk.zone);
+        own.filter(|e| e.is_engine).cloned().collect()
+    };
+    desk.with(shared, |placer, now| {
         for service in routing.services() {
             if let Some(engine) = &service.engine {
                 placer.set_engine(&service.name, engine);
             }
         }
+        for endpoint in &endpoints {
+            placer.on_endpoint(now, endpoint, Change::Updated);
+        }
     });
 }
 
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -19,18 +19,9 @@
     follow,
     session::Session,
     shared::{Holder, Shared},
+    succession::HolderState,
 };
 
-/// Time for which a holder can't be reached before another instance of its zone claims; a lost
-/// session is opened again well within it.
-const SUSPECT_AFTER: Duration = Duration::from_secs(1);
-/// The same where the holder's machine says that no process listens.
-const REFUSED_AFTER: Duration = Duration::from_millis(100);
-/// Further time before an instance of another zone claims.
-const FOREIGN_AFTER: Duration = Duration::from_secs(2);
-/// Claimers spread over this time, so that most see the first one's claim before their own.
-const SPREAD: Duration = Duration::from_millis(300);
-
 /// Looks whether a zone needs a holder that this instance could be.
 pub(crate) fn look(shared: &Rc<Shared>) {
     if shared.is_leaving() || !shared.topics.borrow().is_read(Topic::Holders) {
@@ -73,7 +64,8 @@
     if former.as_ref().is_some_and(|f| f.token >= holder.token) {
         return;
     }
-    let start = first_order(shared, zone, former.as_ref());
+    let wait = holder_state(shared, zone).order_after(shared.site.bounds.lease);
+    let start = Shared::now() + wait;
     emit!(shared, info, HolderChanged; "held_zone" => &**zone, "holder" => &*holder.instance,
         "incarnation" => holder.incarnation, "token" => holder.token,
         "released" => holder.released,
@@ -127,55 +119,33 @@
 /// Returns how long this instance waits before it claims a zone; `None` when the zone has a
 /// holder.
 fn wait_before_claim(shared: &Shared, zone: &ZoneId) -> Option<Duration> {
-    if shared.desks.borrow().contains_key(zone) {
-        return None;
-    }
-    let holders = shared.holders.borrow();
     let is_home = *zone == shared.site.zone;
-    let distance = if is_home {
-        Duration::ZERO
-    } else if has_engines(shared, zone) {
-        FOREIGN_AFTER
-    } else {
+    if shared.desks.borrow().contains_key(zone) || !is_home && !has_engines(shared, zone) {
         return None;
-    };
-    let spread = SPREAD.mul_f64(share(shared, zone));
-    match holders.get(zone) {
-        None => Some(distance + spread),
-        Some(holder) if holder.released => Some(distance + spread),
-        // An earlier run of this instance, or this run whose endpoints have seen a later token.
-        Some(holder) if holder.instance == shared.site.instance => Some(distance),
-        Some(_) => {
-            let sessions = shared.sessions.borrow();
-            let session = sessions.get(zone)?;
-            let down = session.down_since()?.elapsed();
-            let after = if session.is_refused() {
-                REFUSED_AFTER
-            } else {
-                SUSPECT_AFTER
-            };
-            (down >= after).then_some(distance + spread)
-        }
     }
+    holder_state(shared, zone).claim_after(is_home, share(shared, zone))
 }
 
-/// Returns when a new holder's first order may go out.
-///
-/// A holder whose process is gone gives no more orders. One that can't be reached may, until it
-/// sees the new record or an endpoint refuses its token; the lease keeps their orders apart.
-fn first_order(shared: &Shared, zone: &ZoneId, former: Option<&Holder>) -> std::time::Instant {
-    let now = Shared::now();
-    let Some(former) = former else {
-        return now;
+/// Returns what is known of a zone's holder.
+fn holder_state(shared: &Shared, zone: &ZoneId) -> HolderState {
+    let holders = shared.holders.borrow();
+    let Some(holder) = holders.get(zone) else {
+        return HolderState::None;
     };
+    if holder.released {
+        return HolderState::Released;
+    }
+    if holder.instance == shared.site.instance {
+        return HolderState::Own;
+    }
     let sessions = shared.sessions.borrow();
-    let is_dead = sessions
+    let session = sessions
         .get(zone)
-        .is_some_and(|s| s.holder.token == former.token && s.is_refused());
-    if former.released || former.instance == shared.site.instance || is_dead {
-        now
-    } else {
-        now + shared.site.bounds.lease
+        .filter(|s| s.holder.token == holder.token);
+    match session.and_then(|s| Some((s.down_since()?, s.is_gone()))) {
+        None => HolderState::Reachable,
+        Some((since, true)) => HolderState::Gone(since.elapsed()),
+        Some((since, false)) => HolderState::Silent(since.elapsed()),
     }
 }
 
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod session;
 mod shared;
 mod sse;
+mod succession;
 
 pub use caraway_metrics::MetricInfo;
 pub use event::Event;
@@ -32,3 +33,4 @@
 pub use metrics::METRICS;
 pub use run::{Options, run};
 pub use sse::EventCutter;
+pub use succession::HolderState;
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -4,8 +4,8 @@
 
 use caraway_http::Payload;
 use caraway_placement::{Ask, AskId, SourceId};
-use caraway_types::ZoneId;
-use http::{Method, Request, Response, StatusCode};
+use caraway_types::{Incarnation, ZoneId};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -21,11 +21,22 @@
 /// Path of sessions; the zone's name follows.
 pub(crate) const SESSION_PATH: &str = "/session/";
 
+/// Names the run of the program that answers, so that who looks for an earlier run's zone learns
+/// that it is over.
+const RUN_HEADER: HeaderName = HeaderName::from_static("caraway-run");
+
+/// Returns the run that an answer names.
+pub(crate) fn run_of(headers: &HeaderMap) -> Option<Incarnation> {
+    headers.get(RUN_HEADER)?.to_str().ok()?.parse().ok()
+}
+
 /// Takes a session.
 pub(crate) fn handle(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
     let zone = request.uri().path().strip_prefix(SESSION_PATH);
     let desk = zone.and_then(|z| shared.desk(z));
     let mut response = Response::new(Payload::empty());
+    let run = HeaderValue::from(shared.incarnation);
+    response.headers_mut().insert(RUN_HEADER, run);
     match desk {
         Some(desk) if request.method() == Method::POST => {
             let (outgoing, frames) = desk::frames();
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -25,7 +25,7 @@
     event::emit,
     follow,
     frame::{self, FrameReader, FromHolder, ToHolder},
-    peer::SESSION_PATH,
+    peer::{self, SESSION_PATH},
     place::Decision,
     shared::{Holder, Shared},
 };
@@ -52,7 +52,7 @@
     peers: Cell<usize>,
     pressure: Cell<f64>,
     down: Cell<Option<Instant>>,
-    refused: Cell<bool>,
+    gone: Cell<bool>,
     stop: Notify,
     stopped: Cell<bool>,
 }
@@ -88,7 +88,7 @@
             peers: Cell::new(0),
             pressure: Cell::new(0.0),
             down: Cell::new(Some(Instant::now())),
-            refused: Cell::new(false),
+            gone: Cell::new(false),
             stop: Notify::new(),
             stopped: Cell::new(false),
         }
@@ -104,9 +104,9 @@
         self.down.get()
     }
 
-    /// Tells whether the holder's machine said that no process listens.
-    pub(crate) fn is_refused(&self) -> bool {
-        self.refused.get()
+    /// Tells whether the holder's run of the program is over.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.gone.get()
     }
 
     /// Returns the instances of this instance's zone that are connected to the holder.
@@ -220,11 +220,11 @@
         let mut link = match Link::connect(self.holder.addr, &ConnectLimits::default()).await {
             Ok(link) => link,
             Err(e) => {
-                self.refused.set(e.to_string().contains("refused"));
+                self.gone.set(e.to_string().contains("refused"));
                 return Err(closed(e));
             }
         };
-        self.refused.set(false);
+        self.gone.set(false);
         let (outgoing, frames) = desk::frames();
         let mut request = Request::new(Payload::Stream(frames));
         *request.method_mut() = Method::POST;
@@ -255,6 +255,9 @@
             .map_err(|_| Loss::Silent)?
             .map_err(closed)?;
         if !answer.status().is_success() {
+            let run = peer::run_of(answer.headers());
+            self.gone
+                .set(run.is_some_and(|r| r != self.holder.incarnation));
             return Err(Loss::NotHolder);
         }
         *self.outgoing.borrow_mut() = Some(outgoing);
--- /dev/null
+++ b/crates/caraway-gateway/src/succession.rs
@@ -0,0 +1,63 @@
+//! [`HolderState`]: when another instance follows a zone's holder, and when it may give orders.
+
+use std::time::Duration;
+
+/// Time for which a holder can't be reached before another instance of its zone claims; a lost
+/// session is opened again well within it.
+const SUSPECT_AFTER: Duration = Duration::from_secs(1);
+/// The same where the holder's run of the program is known to be over.
+const GONE_AFTER: Duration = Duration::from_millis(100);
+/// Further time before an instance of another zone claims.
+const FOREIGN_AFTER: Duration = Duration::from_secs(2);
+/// Claimers spread over this time, so that most see the first one's claim before their own.
+const SPREAD: Duration = Duration::from_millis(300);
+
+/// What an instance knows of the holder of a zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderState {
+    /// The zone never had one.
+    None,
+    /// It gave the zone up.
+    Released,
+    /// It was an earlier run of this instance, or this run before endpoints saw a later token.
+    Own,
+    /// It can be asked.
+    Reachable,
+    /// It can't be reached for so long, and may still give orders.
+    Silent(Duration),
+    /// It can't be reached for so long, and its run of the program is over: its machine refuses
+    /// connections, or runs the program anew.
+    Gone(Duration),
+}
+
+impl HolderState {
+    /// Returns how long this instance waits before it claims the zone; `None` while it leaves the
+    /// zone to its holder. `share` is this instance's place among the claimers, 0 to 1.
+    #[must_use]
+    pub fn claim_after(self, is_home: bool, share: f64) -> Option<Duration> {
+        let distance = if is_home {
+            Duration::ZERO
+        } else {
+            FOREIGN_AFTER
+        };
+        let wait = distance + SPREAD.mul_f64(share);
+        match self {
+            Self::None | Self::Released => Some(wait),
+            Self::Own => Some(distance),
+            Self::Reachable => None,
+            Self::Silent(down) => (down >= SUSPECT_AFTER).then_some(wait),
+            Self::Gone(down) => (down >= GONE_AFTER).then_some(wait),
+        }
+    }
+
+    /// Returns how long the first order of whoever follows has to wait. One that can't be reached
+    /// may give orders until it sees its follower's record or an endpoint refuses its token; the
+    /// lease keeps their orders apart.
+    #[must_use]
+    pub fn order_after(self, lease: Duration) -> Duration {
+        match self {
+            Self::None | Self::Released | Self::Own | Self::Gone(_) => Duration::ZERO,
+            Self::Reachable | Self::Silent(_) => lease,
+        }
+    }
+}
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -30,10 +30,13 @@
         }
     }
 
-    /// Takes what the registry says about an endpoint of an engine service in this zone.
+    /// Takes what the registry says about an endpoint in this zone; one whose service is not known
+    /// by [`Self::set_engine`] is left out.
     pub fn on_endpoint(&mut self, now: Instant, endpoint: &Arc<Endpoint>, change: Change) {
-        let engine = self.engines.get(&endpoint.service);
-        let places = engine.map_or(0, Engine::adapter_places);
+        let Some(engine) = self.engines.get(&endpoint.service) else {
+            return;
+        };
+        let places = engine.adapter_places();
         match self.replicas.get_mut(&endpoint.id) {
             Some(replica) if change != Change::Reborn => {
                 replica.endpoint = endpoint.clone();
