Date a holder's sign of life by its question, and let every holder read the configuration

An instance leaves the reading to its holder for 1.1 s after each sign of life, counted from when the sign came; a holder that goes on between two freezes answers the questions of before, and each such answer kept the others from reading for another 1.1 s. One holder read for the whole fleet, so its freeze was everybody's.

Change: a sign counts from when it was asked for (PassedOn, without I/O); every zone's holder reads the operators' topic itself and tells the others; the wait of a read is 0.7 s, so that a lost answer costs 1.5 s of the 2 s.

--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -8,7 +8,7 @@
 };
 
 use caraway_placement::{Ask, AskId, End, Levels, Output, Placer, SourceId};
-use caraway_types::{Fence, Ticket, ZoneId};
+use caraway_types::{Fence, Millis, Ticket, ZoneId};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
@@ -168,9 +168,11 @@
         }
     }
 
-    /// Makes a sign of life for an instance of `zone`.
-    pub(crate) fn pong(&self, shared: &Shared, zone: &str) -> FromHolder {
+    /// Makes a sign of life for an instance of `zone`, which answers a question that it sent at
+    /// `asked`.
+    pub(crate) fn pong(&self, shared: &Shared, zone: &str, asked: Option<Millis>) -> FromHolder {
         FromHolder::Pong {
+            asked,
             peers: self.peers(zone),
             pressure: self.pressure(),
             served: follow::is_served(shared),
@@ -188,7 +190,7 @@
         for (zone, frames) in sources {
             // The next sign of life says it again.
             frames
-                .try_send(Ok(frame::encode(&self.pong(shared, &zone))))
+                .try_send(Ok(frame::encode(&self.pong(shared, &zone, None))))
                 .ok();
         }
     }
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -15,13 +15,14 @@
     event::emit,
     executor::millis,
     frame::{FromHolder, RecordsFrame, ToHolder},
+    passed_on::PassedOn,
     shared::Shared,
 };
 
 /// Time for which the store is asked to wait for a new configuration. An answer that is lost delays
-/// the next one by this and the answer's limit, within the shortest time (2 s) in which a
-/// configuration has to be in force.
-const OPERATORS_WAIT: Duration = Duration::from_secs(1);
+/// the next one by this, the answer's limit and the pause after a failure, together well within the
+/// shortest time (2 s) in which a configuration has to be in force.
+const OPERATORS_WAIT: Duration = Duration::from_millis(700);
 /// Time for which the store is asked to wait for a change of a zone's holder, which is rare.
 const HOLDERS_WAIT: Duration = Duration::from_secs(15);
 /// Time for which the store is asked to wait for the registry's next change. It also bounds how
@@ -34,9 +35,8 @@
 const REGISTRY_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
-/// Time for which a holder's word that it passes records on holds: its next sign of life and one
-/// that is lost.
-const PASSED_ON_LIMIT: Duration = Duration::from_millis(1100);
+/// Pause between looks whether a holder still passes a topic on.
+const PASSED_ON_PAUSE: Duration = Duration::from_millis(200);
 
 /// How far this instance has read the topics.
 #[derive(Debug, Default)]
@@ -56,8 +56,7 @@
     /// When the topic was read last.
     read: Option<Instant>,
     failing: bool,
-    /// When the holder that passes the topic on last showed it.
-    passed_on: Option<Instant>,
+    passed_on: PassedOn,
     wake: Rc<Notify>,
 }
 
@@ -90,7 +89,7 @@
     loop {
         if is_passed_on(&shared, topic) {
             tokio::select! {
-                () = sleep(PASSED_ON_LIMIT) => {}
+                () = sleep(PASSED_ON_PAUSE) => {}
                 () = wake.notified() => {}
             }
             continue;
@@ -134,7 +133,7 @@
         // Records that don't join what is known are read from the store.
         let mut topics = shared.topics.borrow_mut();
         let state = topics.state(topic);
-        state.passed_on = None;
+        state.passed_on.clear();
         state.wake.notify_one();
     }
 }
@@ -284,16 +283,18 @@
 
 /// Notes what the source's holder says of its reading. While it reads as usual and this instance
 /// has what it has, this instance leaves the store alone.
-pub(crate) fn on_holder(shared: &Shared, served: bool, next: &[(Arc<str>, Offset)]) {
+pub(crate) fn on_holder(
+    shared: &Shared,
+    asked: Option<std::time::Instant>,
+    served: bool,
+    next: &[(Arc<str>, Offset)],
+) {
     let mut topics = shared.topics.borrow_mut();
-    let now = Instant::now();
     for topic in Topic::ALL {
         let holder = next.iter().find(|(label, _)| **label == *topic.label());
         let state = topics.state(topic);
         let has_all = holder.is_some_and(|(_, n)| state.next.is_some_and(|own| own >= *n));
-        if served && has_all {
-            state.passed_on = Some(now);
-        } else if state.passed_on.take().is_some() {
+        if state.passed_on.on_sign(asked, served && has_all) {
             state.wake.notify_one();
         }
     }
@@ -322,13 +323,16 @@
 }
 
 /// Tells whether a holder passes a topic's records on.
+///
+/// Every holder reads the operators' topic itself and tells the others, so that a new configuration
+/// is in force in time although the store's answer to one of them is lost.
 fn is_passed_on(shared: &Shared, topic: Topic) -> bool {
-    if source_zone(shared).is_none() {
+    let reads = topic == Topic::Operators && !shared.desks.borrow().is_empty();
+    if reads || source_zone(shared).is_none() {
         return false;
     }
     let mut topics = shared.topics.borrow_mut();
-    let passed_on = topics.state(topic).passed_on;
-    passed_on.is_some_and(|at| at.elapsed() < PASSED_ON_LIMIT)
+    topics.state(topic).passed_on.holds(Shared::now())
 }
 
 /// Notes that another instance reads the registry as usual.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -73,6 +73,8 @@
         served: bool,
         /// Whether the asker holds a zone itself.
         holds: bool,
+        /// When it is sent, from the session's start.
+        sent: Millis,
     },
     /// Records of the platform's store.
     Records(RecordsFrame),
@@ -83,6 +85,8 @@
 pub(crate) enum FromHolder {
     /// A sign of life.
     Pong {
+        /// When the question was sent that it answers; `None` where it comes unasked.
+        asked: Option<Millis>,
         /// Instances of the asker's zone that are connected, the holder included where it is one.
         peers: usize,
         /// How pressed the zone's endpoints are.
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -130,12 +130,16 @@
                 let id = AskId { source, ticket };
                 desk.with(shared, |placer, now| placer.on_stall(now, id));
             }
-            ToHolder::Ping { served, holds } => {
+            ToHolder::Ping {
+                served,
+                holds,
+                sent,
+            } => {
                 desk.set_holds(source, holds);
                 if served {
                     follow::on_peer_served(shared);
                 }
-                let pong = frame::encode(&desk.pong(shared, zone));
+                let pong = frame::encode(&desk.pong(shared, zone, Some(sent)));
                 // A full queue ends the session at the other end by its silence.
                 self.outgoing.try_send(Ok(pong)).ok();
             }
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -51,6 +51,7 @@
     pending: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     peers: Cell<usize>,
     pressure: Cell<f64>,
+    opened: Cell<Instant>,
     down: Cell<Option<Instant>>,
     gone: Cell<bool>,
     stop: Notify,
@@ -87,6 +88,7 @@
             pending: RefCell::default(),
             peers: Cell::new(0),
             pressure: Cell::new(0.0),
+            opened: Cell::new(Instant::now()),
             down: Cell::new(Some(Instant::now())),
             gone: Cell::new(false),
             stop: Notify::new(),
@@ -262,6 +264,7 @@
         }
         *self.outgoing.borrow_mut() = Some(outgoing);
         self.down.set(None);
+        self.opened.set(Instant::now());
         self.ping(shared);
         emit!(shared, info, SessionUp; "held_zone" => &*self.zone,
             "holder" => &*self.holder.instance, "token" => self.holder.token);
@@ -271,7 +274,12 @@
     fn ping(&self, shared: &Shared) -> bool {
         let served = follow::is_served(shared);
         let holds = !shared.desks.borrow().is_empty();
-        self.send(&ToHolder::Ping { served, holds })
+        let sent = self.opened.get().elapsed().into();
+        self.send(&ToHolder::Ping {
+            served,
+            holds,
+            sent,
+        })
     }
 
     fn close(&self) {
@@ -288,13 +296,15 @@
     fn on_frame(&self, shared: &Rc<Shared>, frame: FromHolder) -> Option<Loss> {
         match frame {
             FromHolder::Pong {
+                asked,
                 peers,
                 pressure,
                 served,
                 next,
             } => {
                 if follow::source_zone(shared).as_ref() == Some(&self.zone) {
-                    follow::on_holder(shared, served, &next);
+                    let asked = asked.map(|at| (self.opened.get() + at.get()).into_std());
+                    follow::on_holder(shared, asked, served, &next);
                 }
                 if served {
                     follow::on_peer_served(shared);
