Hand a zone over without the store when its holder stops

Change: a holder that can't record its release names one of its asking instances, of its own zone where there is one, as its successor and tells all of them. Records are 256 tokens apart, so the successor has the next token; it records itself once the store is back, and keeps its placer then.

Test: caraway-gateway process a_stopping_holder_hands_its_zone_over_without_the_store (no second holder without the change).

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -1,14 +1,15 @@
 //! Which instance holds an availability zone's endpoints, by records in the platform's store.
 //!
 //! A claim is an append that succeeds only where the topic ends as the claimer knows it, so of
-//! several claimers one wins, and the record's offset is a fencing token that no other has. A
+//! several claimers one wins, and the record's offset makes a fencing token that no other has. A
 //! holder stays until it stops or can't be reached; it renews nothing, so it goes on while the
-//! store is away.
+//! store is away. One that stops while the store is away hands its zone over to one instance, which
+//! takes the next token and records itself once the store is back.
 
 use std::{rc::Rc, time::Duration};
 
 use caraway_platform::{Record, StoreError, Topic, holder_key};
-use caraway_types::ZoneId;
+use caraway_types::{Fence, ZoneId};
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,6 +23,12 @@
     succession::HolderState,
 };
 
+/// Fencing tokens from one record to the next: those after the record's own are for holders that
+/// follow each other without the store. No outage lasts for as many.
+const TOKENS_PER_RECORD: Fence = 1 << 8;
+/// Pause between tries to record a zone that was handed over.
+const RECORD_PAUSE: Duration = Duration::from_millis(500);
+
 /// Looks whether a zone needs a holder that this instance could be.
 pub(crate) fn look(shared: &Rc<Shared>) {
     if shared.is_leaving() || !shared.topics.borrow().is_read(Topic::Holders) {
@@ -30,7 +37,12 @@
     let zones = shared.site.zones.clone();
     for zone in zones {
         keep_session(shared, &zone);
-        let wait = wait_before_claim(shared, &zone);
+        let is_unrecorded = shared.desk(&zone).is_some_and(|d| !d.is_recorded());
+        let wait = if is_unrecorded {
+            Some(RECORD_PAUSE)
+        } else {
+            wait_before_claim(shared, &zone)
+        };
         let mut topics = shared.topics.borrow_mut();
         let Some(wait) = wait else {
             topics.claims.remove(&zone);
@@ -59,7 +71,24 @@
             "finding" => "the record of a holder can't be read");
         return;
     };
-    holder.token = record.offset;
+    holder.token = record.offset * TOKENS_PER_RECORD;
+    take(shared, zone, &holder);
+}
+
+/// Takes the word of a holder that stops about who holds its zone from now on.
+pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
+    let former = shared.holders.borrow().get(zone).cloned();
+    if let Some(mut former) = former
+        && former.token < holder.token
+    {
+        // It has given its last order.
+        former.released = true;
+        shared.holders.borrow_mut().insert(zone.clone(), former);
+    }
+    take(shared, zone, holder);
+}
+
+fn take(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
     let former = shared.holders.borrow().get(zone).cloned();
     if former.as_ref().is_some_and(|f| f.token >= holder.token) {
         return;
@@ -74,13 +103,19 @@
         .holders
         .borrow_mut()
         .insert(zone.clone(), holder.clone());
+    if former.is_some_and(|f| f.is_same_run(holder)) {
+        if let Some(desk) = shared.desk(zone) {
+            desk.record(holder.token);
+        }
+        return;
+    }
     let desk = shared.desks.borrow_mut().remove(zone);
     if let Some(desk) = desk {
         desk.end();
     }
     let is_own = holder.instance == shared.site.instance;
     if is_own && holder.incarnation == shared.incarnation && !holder.released {
-        open_desk(shared, zone, &holder, start);
+        open_desk(shared, zone, holder, start);
     }
     keep_session(shared, zone);
 }
@@ -89,7 +124,7 @@
 pub(crate) fn on_deposed(shared: &Rc<Shared>, desk: &Rc<Desk>) {
     desk.end();
     let mut desks = shared.desks.borrow_mut();
-    if desks.get(&desk.zone).is_some_and(|d| d.token == desk.token) {
+    if desks.get(&desk.zone).is_some_and(|d| Rc::ptr_eq(d, desk)) {
         desks.remove(&desk.zone);
     }
 }
@@ -103,11 +138,19 @@
             patience -= 1;
             sleep(RELEASE_PAUSE).await;
         }
-        append(shared, &desk.zone, true).await;
+        let successor = if append(shared, &desk.zone, true).await {
+            None
+        } else {
+            desk.hand_over()
+        };
         desk.end();
         shared.desks.borrow_mut().remove(&desk.zone);
-        emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token,
-            "why" => "the instance stops");
+        emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token(),
+            "why" => "the instance stops",
+            "successor" => successor.as_ref().map_or("", |s| &*s.instance));
+        if let Some(successor) = successor {
+            on_successor(shared, &desk.zone, &successor);
+        }
     }
 }
 
@@ -139,9 +182,7 @@
         return HolderState::Own;
     }
     let sessions = shared.sessions.borrow();
-    let session = sessions
-        .get(zone)
-        .filter(|s| s.holder.token == holder.token);
+    let session = sessions.get(zone).filter(|s| s.holder.is_same_run(holder));
     match session.and_then(|s| Some((s.down_since()?, s.is_gone()))) {
         None => HolderState::Reachable,
         Some((since, true)) => HolderState::Gone(since.elapsed()),
@@ -154,17 +195,14 @@
     shared.topics.borrow_mut().is_claiming = false;
 }
 
-/// Appends this instance's record of a zone.
-async fn append(shared: &Rc<Shared>, zone: &ZoneId, released: bool) {
+/// Appends this instance's record of a zone; returns whether it lies there.
+async fn append(shared: &Rc<Shared>, zone: &ZoneId, released: bool) -> bool {
     let Some(at) = shared.topics.borrow().next(Topic::Holders) else {
-        return;
+        return false;
     };
     let holder = Holder {
-        instance: shared.site.instance.clone(),
-        incarnation: shared.incarnation,
-        addr: shared.peer_addr(),
         released,
-        token: 0,
+        ..shared.as_holder()
     };
     let value = serde_json::to_vec(&holder).expect("a holder has only texts and numbers");
     let key = holder_key(zone);
@@ -188,17 +226,22 @@
                 value: Some(value.into()),
             };
             follow::on_own_append(shared, Topic::Holders, at, &record);
+            return true;
         }
         // The topic has moved, or the record may lie there: reading on tells.
         Err(StoreError::Moved(_) | StoreError::Unanswered(_)) => {
             shared.topics.borrow().wake(Topic::Holders);
         }
+        // The next look tries again.
         Err(_) => {}
     }
+    false
 }
 
 fn open_desk(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, start: std::time::Instant) {
-    let desk = Rc::new(Desk::new(shared, zone.clone(), holder.token, start));
+    let is_recorded = holder.token.is_multiple_of(TOKENS_PER_RECORD);
+    let desk = Desk::new(shared, zone.clone(), holder.token, is_recorded, start);
+    let desk = Rc::new(desk);
     shared.desks.borrow_mut().insert(zone.clone(), desk.clone());
     apply::fill_desk(shared, &desk);
     desk.adopt_own_runs(shared);
@@ -211,7 +254,12 @@
     let wanted = holder.filter(|h| !h.released && h.instance != shared.site.instance);
     let mut sessions = shared.sessions.borrow_mut();
     let current = sessions.get(zone);
-    if current.map(|s| s.holder.token) == wanted.as_ref().map(|h| h.token) {
+    let is_kept = match (current, &wanted) {
+        (Some(session), Some(wanted)) => session.holder.is_same_run(wanted),
+        (None, None) => true,
+        _ => false,
+    };
+    if is_kept {
         return;
     }
     if let Some(old) = sessions.remove(zone) {
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -18,7 +18,7 @@
     frame::{self, FromHolder},
     place::Decision,
     session::Outgoing,
-    shared::Shared,
+    shared::{Holder, Shared},
 };
 
 /// The source of this instance's own requests.
@@ -36,7 +36,9 @@
 #[derive(Debug)]
 pub(crate) struct Desk {
     pub(crate) zone: ZoneId,
-    pub(crate) token: Fence,
+    token: Cell<Fence>,
+    /// Whether a record in the store says that this instance holds the zone.
+    recorded: Cell<bool>,
     placer: RefCell<Placer>,
     own: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     sources: RefCell<HashMap<SourceId, Source>>,
@@ -48,17 +50,28 @@
 #[derive(Debug)]
 struct Source {
     zone: ZoneId,
+    /// What its record would say if it held this zone.
+    holder: Holder,
     /// Whether it holds a zone itself.
     holds: bool,
+    /// Whether it stops.
+    leaving: bool,
     frames: Outgoing,
 }
 
 impl Desk {
     /// Makes the desk of a zone whose orders may begin at `start`.
-    pub(crate) fn new(shared: &Shared, zone: ZoneId, token: Fence, start: Instant) -> Self {
+    pub(crate) fn new(
+        shared: &Shared,
+        zone: ZoneId,
+        token: Fence,
+        recorded: bool,
+        start: Instant,
+    ) -> Self {
         Self {
             zone,
-            token,
+            token: Cell::new(token),
+            recorded: Cell::new(recorded),
             placer: RefCell::new(Placer::new(shared.placer.clone(), start)),
             own: RefCell::default(),
             sources: RefCell::default(),
@@ -68,6 +81,44 @@
         }
     }
 
+    /// Returns the fencing token of the zone's orders.
+    pub(crate) fn token(&self) -> Fence {
+        self.token.get()
+    }
+
+    /// Tells whether a record in the store says that this instance holds the zone.
+    pub(crate) fn is_recorded(&self) -> bool {
+        self.recorded.get()
+    }
+
+    /// Notes that a record in the store says that this instance holds the zone.
+    pub(crate) fn record(&self, token: Fence) {
+        self.token.set(token);
+        self.recorded.set(true);
+    }
+
+    /// Hands the zone over to an asking instance, of the zone itself where there is one, and tells
+    /// all of them; returns what they take for its record.
+    pub(crate) fn hand_over(&self) -> Option<Holder> {
+        let sources = self.sources.borrow();
+        let staying = sources.values().filter(|s| !s.leaving);
+        let next = staying.min_by_key(|s| (s.zone != self.zone, s.holds, &s.holder.instance))?;
+        let token = self.token() + 1;
+        let holder = Holder {
+            token,
+            ..next.holder.clone()
+        };
+        let frame = frame::encode(&FromHolder::Successor {
+            holder: holder.clone(),
+            token,
+        });
+        for source in sources.values() {
+            // Who misses it finds that this instance holds nothing, and learns it from the store.
+            source.frames.try_send(Ok(frame.clone())).ok();
+        }
+        Some(holder)
+    }
+
     /// Lets `act` change the placer, and carries out what follows.
     pub(crate) fn with(
         self: &Rc<Self>,
@@ -124,22 +175,25 @@
     }
 
     /// Adds an asking instance.
-    pub(crate) fn add_source(&self, zone: ZoneId, frames: Outgoing) -> SourceId {
+    pub(crate) fn add_source(&self, zone: ZoneId, holder: Holder, frames: Outgoing) -> SourceId {
         let source = self.last_source.get() + 1;
         self.last_source.set(source);
         let entry = Source {
             zone,
+            holder,
             holds: false,
+            leaving: false,
             frames,
         };
         self.sources.borrow_mut().insert(source, entry);
         source
     }
 
-    /// Notes whether an asking instance holds a zone itself.
-    pub(crate) fn set_holds(&self, source: SourceId, holds: bool) {
+    /// Notes whether an asking instance holds a zone itself, and whether it stops.
+    pub(crate) fn set_state(&self, source: SourceId, holds: bool, leaving: bool) {
         if let Some(entry) = self.sources.borrow_mut().get_mut(&source) {
             entry.holds = holds;
+            entry.leaving = leaving;
         }
     }
 
@@ -287,7 +341,7 @@
                 tokio::task::spawn_local(executor::report(shared, desk, endpoint));
             }
             Output::Deposed(endpoint) => {
-                emit!(shared, warn, HolderEnded; "held_zone" => &*self.zone, "token" => self.token,
+                emit!(shared, warn, HolderEnded; "held_zone" => &*self.zone, "token" => self.token(),
                     "why" => "a later token was used", "endpoint" => &*endpoint);
                 claim::on_deposed(shared, self);
             }
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -33,7 +33,7 @@
             let command = Command {
                 order: &order,
                 holder: &shared.site.instance,
-                token: desk.token,
+                token: desk.token(),
             };
             let request = order_request(addr, &command);
             let limit = if order.is_poll {
@@ -62,7 +62,7 @@
         });
         return;
     }
-    emit!(shared, info, Ordered; "held_zone" => &*desk.zone, "token" => desk.token,
+    emit!(shared, info, Ordered; "held_zone" => &*desk.zone, "token" => desk.token(),
         "endpoint" => &*endpoint, "order" => action, "adapter" => %order.model,
         "expect" => order.expect, "number" => order.number, "end" => name,
         "ms" => millis(start.elapsed()));
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -9,9 +9,11 @@
 use caraway_placement::{End, RefuseReason};
 use caraway_platform::Record;
 use caraway_routes::{ModelRef, TokenCount};
-use caraway_types::{EndpointId, InstanceId, Millis, Offset, Ticket, ZoneId};
+use caraway_types::{EndpointId, Fence, Millis, Offset, Ticket, ZoneId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use crate::shared::Holder;
+
 /// Bytes of the length before a frame.
 const LENGTH_BYTES: usize = 4;
 /// Largest frame that is accepted, in bytes: a configuration with its records.
@@ -22,8 +24,8 @@
 pub(crate) enum ToHolder {
     /// Who speaks; the first frame.
     Hello {
-        /// The instance.
-        instance: InstanceId,
+        /// What its record would say if it held the zone.
+        holder: Holder,
         /// Its availability zone.
         zone: ZoneId,
     },
@@ -73,6 +75,8 @@
         served: bool,
         /// Whether the asker holds a zone itself.
         holds: bool,
+        /// Whether the asker stops.
+        leaving: bool,
         /// When it is sent, from the session's start.
         sent: Millis,
     },
@@ -120,6 +124,13 @@
         /// Requests that wait at the placer.
         waiting: usize,
     },
+    /// The instance has given its last order and hands the zone over.
+    Successor {
+        /// Who holds the zone from now on.
+        holder: Holder,
+        /// The fencing token of its orders.
+        token: Fence,
+    },
     /// The instance does not hold the zone.
     NotHolder,
     /// Records of the platform's store.
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -79,8 +79,9 @@
     }
 
     fn on_frame(&mut self, frame: ToHolder) {
-        if let ToHolder::Hello { zone, .. } = frame {
-            let source = self.desk.add_source(zone.clone(), self.outgoing.clone());
+        if let ToHolder::Hello { holder, zone } = frame {
+            let frames = self.outgoing.clone();
+            let source = self.desk.add_source(zone.clone(), holder, frames);
             self.source = Some((source, zone));
             return;
         }
@@ -133,9 +134,10 @@
             ToHolder::Ping {
                 served,
                 holds,
+                leaving,
                 sent,
             } => {
-                desk.set_holds(source, holds);
+                desk.set_state(source, holds, leaving);
                 if served {
                     follow::on_peer_served(shared);
                 }
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -164,7 +164,7 @@
 fn log_levels(shared: &Rc<Shared>) {
     for desk in shared.own_desks() {
         let levels = desk.levels();
-        emit!(shared, info, PlacerLevels; "held_zone" => &*desk.zone, "token" => desk.token,
+        emit!(shared, info, PlacerLevels; "held_zone" => &*desk.zone, "token" => desk.token(),
             "waiting" => levels.waiting, "running" => levels.running,
             "endpoints" => levels.endpoints, "usable" => levels.usable,
             "ordering" => levels.ordering, "empty" => levels.empty, "transit" => levels.transit,
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -21,7 +21,7 @@
 };
 
 use crate::{
-    desk,
+    claim, desk,
     event::emit,
     follow,
     frame::{self, FrameReader, FromHolder, ToHolder},
@@ -238,7 +238,7 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let hello = ToHolder::Hello {
-            instance: shared.site.instance.clone(),
+            holder: shared.as_holder(),
             zone: shared.site.zone.clone(),
         };
         // The queue is empty and its receiver is in the request, so these can't fail.
@@ -278,6 +278,7 @@
         self.send(&ToHolder::Ping {
             served,
             holds,
+            leaving: shared.is_leaving(),
             sent,
         })
     }
@@ -340,6 +341,10 @@
                 };
                 self.decide(ticket, refused);
             }
+            FromHolder::Successor { holder, token } => {
+                claim::on_successor(shared, &self.zone, &Holder { token, ..holder });
+                return Some(Loss::Stopped);
+            }
             FromHolder::NotHolder => return Some(Loss::NotHolder),
             FromHolder::Records(records) => follow::on_records(shared, &records),
         }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -38,11 +38,19 @@
     pub(crate) addr: SocketAddr,
     /// Whether it has given the zone up.
     pub(crate) released: bool,
-    /// The record's offset, which is the fencing token of the holder's orders.
+    /// The fencing token of the holder's orders.
     #[serde(skip)]
     pub(crate) token: Fence,
 }
 
+impl Holder {
+    /// Tells whether both are the same run of the same instance, and hold the zone.
+    pub(crate) fn is_same_run(&self, other: &Self) -> bool {
+        let run = |h: &Self| (h.instance.clone(), h.incarnation, h.addr);
+        run(self) == run(other) && !self.released && !other.released
+    }
+}
+
 /// The newest version of an adapter.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Announcement {
@@ -159,6 +167,17 @@
         SocketAddr::new(self.site.ip, self.site.ports.0)
     }
 
+    /// Returns what this instance's record says where it holds a zone.
+    pub(crate) fn as_holder(&self) -> Holder {
+        Holder {
+            instance: self.site.instance.clone(),
+            incarnation: self.incarnation,
+            addr: self.peer_addr(),
+            released: false,
+            token: 0,
+        }
+    }
+
     /// Returns this instance's placer for a zone.
     pub(crate) fn desk(&self, zone: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(zone).cloned()
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -45,10 +45,7 @@
         assert_eq!(state.runs.len(), 2, "nothing else ran");
     }
 
-    let stop = Command::new("kill")
-        .arg(gateway.child.id().to_string())
-        .status();
-    assert!(stop.expect("kill runs").success());
+    gateway.stop();
     gateway.wait_for("the end of readiness", || {
         !call(gateway.ready, "GET /v1/readyz", "", "").starts_with("HTTP/1.1 200")
     });
@@ -128,3 +125,44 @@
     let ran = state.runs.iter().filter(|(path, _)| path == "/flaky/x");
     assert!(ran.count() > 0, "some of them ran");
 }
+
+/// Instances are stopped one after the other while the store is away: nobody can claim a zone, so
+/// the one that stops hands it over.
+#[test]
+fn a_stopping_holder_hands_its_zone_over_without_the_store() {
+    let platform = Platform::start();
+    let first = Gateway::start_as(&platform, "gate-1");
+    first.wait_for("the first holder", || {
+        first.has_line(1200, "holder", "gate-1")
+    });
+    let second = Gateway::start_as(&platform, "gate-2");
+    second.wait_for("its session", || second.has_event(1210));
+    platform.state.lock().expect("no panic holds it").store_away = true;
+    first.stop();
+    second.wait_for("the zone", || second.has_line(1200, "holder", "gate-2"));
+
+    let answer = call(second.front, "POST /draft/x?y=1", DRAFT, "prompt");
+    assert!(answer.contains("x-server-seal: s"), "{answer}");
+    {
+        let mut state = platform.state.lock().expect("no panic holds it");
+        assert_eq!(state.held, ["a7"], "the adapter was loaded for the request");
+        assert_eq!(
+            state.orders.last().expect("an order").1,
+            1,
+            "the token after the first holder's"
+        );
+        state.store_away = false;
+    }
+    second.wait_for("the record of the zone", || {
+        second.has_line(1201, "outcome", "offset 1")
+    });
+    let again = DRAFT.replace("base/a7", "base/a8");
+    let answer = call(second.front, "POST /draft/x?y=1", &again, "prompt");
+    assert!(answer.contains("x-server-seal: s"), "{answer}");
+    let state = platform.state.lock().expect("no panic holds it");
+    assert_eq!(
+        state.orders.last().expect("an order").1,
+        256,
+        "the record's token"
+    );
+}
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -31,6 +31,8 @@
     pub(crate) held: Vec<String>,
     /// Orders that the engine has accepted, with their fencing tokens.
     pub(crate) orders: Vec<(String, u64)>,
+    /// Whether the store refuses every call.
+    pub(crate) store_away: bool,
     /// Requests that ran, with the headers that came.
     pub(crate) runs: Vec<(String, http::HeaderMap)>,
 }
@@ -86,9 +88,14 @@
 impl Gateway {
     /// Starts a gateway in front of the platform and waits until it is ready.
     pub(crate) fn start(platform: &Platform) -> Self {
+        Self::start_as(platform, "gate-1")
+    }
+
+    /// Starts a gateway as this instance, and waits until it is ready.
+    pub(crate) fn start_as(platform: &Platform, instance: &str) -> Self {
         let [front, ready, peers] = free_addrs();
         let settings = json!({
-            "NodeName": "gate-1", "Zone": "z1", "Zones": {"z1": "r"}, "Ip": "127.0.0.1",
+            "NodeName": instance, "Zone": "z1", "Zones": {"z1": "r"}, "Ip": "127.0.0.1",
             "Listen": {"Front": front.to_string(), "ReadyAddr": ready.to_string()},
             "PortRange": [peers.port(), peers.port()],
             "Bounds": {"DrainMs": 2000, "GraceS": 8, "ConfigApplyMs": 2000, "LeaseMs": 3000,
@@ -143,6 +150,22 @@
         }
     }
 
+    /// Asks the daemon to stop.
+    pub(crate) fn stop(&self) {
+        let stop = Command::new("kill")
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(stop.expect("kill runs").success());
+    }
+
+    /// Tells whether a line with this event has this text in this field.
+    pub(crate) fn has_line(&self, event: u16, field: &str, text: &str) -> bool {
+        let lines = self.lines.lock().expect("no panic holds it");
+        lines
+            .iter()
+            .any(|l| l["event"] == event && l[field] == text)
+    }
+
     /// Tells whether a line with this event was written.
     pub(crate) fn has_event(&self, event: u16) -> bool {
         let lines = self.lines.lock().expect("no panic holds it");
@@ -264,6 +287,9 @@
     body: &[u8],
 ) -> Response<Full<Bytes>> {
     let mut state = state.lock().expect("no panic holds it");
+    if state.store_away {
+        return respond(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
     let query = head.uri.query().unwrap_or_default();
     let field = |name: &str| {
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
