Rank requests within an engine by the length of their prompts

Change: Urgency, one rank for each doubling of the prompt, goes to engines with every generation.

Test: caraway-placement urgency (first come, first served makes one short request in 20 late).

--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use caraway_http::{Payload, Pooled, read_whole};
+use caraway_placement::Urgency;
 use caraway_platform::{
     AnswerHead, Onward, Reuse, SEAL_MISSING, answer_head, copy_answer, copy_request,
 };
@@ -247,6 +248,7 @@
             endpoint,
             deadline: until.saturating_duration_since(Instant::now()),
             resume_after,
+            urgency: call.on_engine.then(|| Urgency::of(call.head.tokens)),
         },
     );
     request
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -12,6 +12,7 @@
 mod placer;
 mod replica;
 mod settings;
+mod urgency;
 mod waiting;
 
 pub use ask::{Ask, AskId, End, SourceId};
@@ -21,3 +22,4 @@
 pub use output::{Output, RefuseReason};
 pub use placer::{Levels, Placer};
 pub use settings::PlacerSettings;
+pub use urgency::Urgency;
--- /dev/null
+++ b/crates/caraway-placement/src/urgency.rs
@@ -0,0 +1,42 @@
+//! [`Urgency`]: which requests an engine takes first.
+
+use std::fmt;
+
+use caraway_routes::TokenCount;
+
+/// The rank of a request within an engine, 0 to 9; lower ones are taken first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency(u8);
+
+/// Prompt of the rank [`MIDDLE_RANK`], in tokens; about the median of the deployments' short
+/// requests.
+const MIDDLE_TOKENS: f64 = 700.0;
+/// Rank of a prompt of [`MIDDLE_TOKENS`]; leaves room for prompts of 50 times as many.
+const MIDDLE_RANK: f64 = 3.0;
+/// The last rank that engines know.
+const LAST_RANK: f64 = 9.0;
+
+impl Urgency {
+    /// Ranks a request by the length of its prompt, one rank for each doubling.
+    ///
+    /// An engine reads prompts one after the other, so a long one that goes first makes all the
+    /// short ones behind it late, while they would delay it by little.
+    #[must_use]
+    pub fn of(tokens: TokenCount) -> Self {
+        let size = f64::from(tokens.prompt.max(1)) / MIDDLE_TOKENS;
+        let rank = (MIDDLE_RANK + size.log2()).round().clamp(0.0, LAST_RANK);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to what fits"
+        )]
+        let rank = rank as u8;
+        Self(rank)
+    }
+}
+
+impl fmt::Display for Urgency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/caraway-placement/tests/urgency.rs
@@ -0,0 +1,80 @@
+//! Long summaries among many short requests, on an engine that is nearly busy all the time.
+
+use caraway_placement::Urgency;
+use caraway_routes::TokenCount;
+
+/// Tokens that the engine reads in a ms.
+const SPEED: f64 = 38.1;
+/// Time within which a first event is on time, in ms.
+const GOAL_MS: f64 = 500.0;
+/// Time for which the callers of long ones wait, in ms.
+const DEADLINE_MS: f64 = 5000.0;
+
+/// Requests as they come: short ones of 400 to 900 tokens every 25 ms, and three long ones of
+/// 9,200 at once every 3 s.
+fn arrivals() -> Vec<(f64, u32)> {
+    let short = (0..400_u32).map(|i| (f64::from(i) * 25.0, 400 + i * 37 % 500));
+    let long = (0..9_u32).map(|i| (f64::from(i / 3) * 3000.0 + 5.0, 9200));
+    let mut all: Vec<(f64, u32)> = short.chain(long).collect();
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
+
+/// Reads prompts whole, one after the other, the first by `rank` of those that are there; returns
+/// the share of the short ones that are read in time, and the longest wait of a long one in ms.
+fn read(rank: impl Fn(u32) -> u64) -> (f64, f64) {
+    let mut coming = arrivals().into_iter().peekable();
+    let mut there: Vec<(f64, u32)> = Vec::new();
+    let (mut now, mut on_time, mut short, mut longest) = (0.0_f64, 0.0, 0.0, 0.0_f64);
+    loop {
+        while let Some(next) = coming.next_if(|(at, _)| *at <= now) {
+            there.push(next);
+        }
+        let first = there.iter().enumerate().min_by(|(_, a), (_, b)| {
+            let by_rank = rank(a.1).cmp(&rank(b.1));
+            by_rank.then(a.0.total_cmp(&b.0))
+        });
+        let Some((place, _)) = first else {
+            match coming.peek() {
+                Some((at, _)) => now = *at,
+                None => return (on_time / short, longest),
+            }
+            continue;
+        };
+        let (at, tokens) = there.remove(place);
+        now += f64::from(tokens) / SPEED;
+        if tokens < 1000 {
+            short += 1.0;
+            on_time += f64::from(u8::from(now - at <= GOAL_MS));
+        } else {
+            longest = longest.max(now - at);
+        }
+    }
+}
+
+#[test]
+fn short_requests_are_not_late_behind_long_ones() {
+    let (in_order, _) = read(|_| 0);
+    let ranked = |tokens| {
+        let urgency = Urgency::of(TokenCount {
+            prompt: tokens,
+            output: 0,
+        });
+        urgency.to_string().parse().expect("a number")
+    };
+    let (by_rank, longest) = read(ranked);
+    assert!(
+        in_order < 0.95,
+        "first come, first served makes {in_order} on time"
+    );
+    assert!(by_rank > 0.99, "only {by_rank} on time");
+    assert!(longest < DEADLINE_MS, "a long one waits {longest} ms");
+}
+
+#[test]
+fn ranks_stay_within_what_engines_know() {
+    let rank = |prompt| Urgency::of(TokenCount { prompt, output: 0 }).to_string();
+    assert_eq!(rank(0), "0");
+    assert_eq!(rank(700), "3");
+    assert_eq!(rank(u32::MAX), "9");
+}
