Do not wait for loads to endpoints that have gone silent

Change: an adapter counts as coming only while its endpoint answers; else it is loaded elsewhere, the limit is free for others, and the time of a load across a silence is not measured.

--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -167,7 +167,7 @@
                 .values()
                 .filter(|r| r.models.is_empty())
                 .count(),
-            transit: self.transit(),
+            transit: self.transit(now),
             limit: self.transit_limit(),
             fetched: self.fetched,
             load_time: self.load_time,
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -72,6 +72,7 @@
             return;
         };
         replica.reporting = false;
+        replica.mute = report.is_none();
         let Some(report) = report else {
             replica.report_at = Some(now + REPORT_RETRY);
             return;
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -202,12 +202,15 @@
         let Phase::Loading { since, poll } = &mut held.phase else {
             return;
         };
+        let was_missed = held.missed;
+        held.missed = matches!(end, OrderEnd::Unanswered | OrderEnd::NotSent);
         match end {
             OrderEnd::Holds => {
                 let (since, recent) = (*since, held.recent);
                 held.phase = Phase::Ready;
                 replica.remember(model, recent_limit);
-                if !recent {
+                // While the endpoint was silent, nobody knows since when it was there.
+                if !recent && !was_missed {
                     self.note_load(now.saturating_duration_since(since));
                 }
                 self.serve_model(now, model);
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -31,7 +31,7 @@
             return;
         }
         for model in self.wanted(now) {
-            if self.transit() >= self.transit_limit() {
+            if self.transit(now) >= self.transit_limit() {
                 break;
             }
             if let Some(target) = self.target(now, &model, None) {
@@ -42,7 +42,7 @@
 
     /// Plans a further copy of an adapter whose copies all have many runs.
     pub(super) fn consider_copy(&mut self, now: Instant, model: &ModelRef) {
-        if model.adapter.is_none() || self.is_coming(model) {
+        if model.adapter.is_none() || self.is_coming(now, model) {
             return;
         }
         let copies = self.replicas.values().filter(|r| r.is_usable(now));
@@ -52,7 +52,7 @@
             .iter()
             .min()
             .is_some_and(|r| *r >= self.settings.copy_runs);
-        if !crowded || self.transit() * 2 >= self.transit_limit() {
+        if !crowded || self.transit(now) * 2 >= self.transit_limit() {
             return;
         }
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
@@ -63,10 +63,17 @@
     }
 
     /// Tells whether a copy of `model` is on its way.
-    pub(super) fn is_coming(&self, model: &ModelRef) -> bool {
-        self.replicas
-            .values()
-            .any(|r| r.held.get(model).is_some_and(Held::in_transit))
+    pub(super) fn is_coming(&self, now: Instant, model: &ModelRef) -> bool {
+        self.coming(now).any(|(m, _)| m == model)
+    }
+
+    /// Returns the adapters that are on their way to endpoints that answer. An endpoint that has
+    /// gone silent neither uses the weight store nor serves who waits.
+    fn coming(&self, now: Instant) -> impl Iterator<Item = (&ModelRef, &Held)> {
+        let replicas = self.replicas.values();
+        let answering = replicas.filter(move |r| r.is_usable(now) && !r.mute);
+        let held = answering.flat_map(|r| &r.held);
+        held.filter(|(_, h)| h.is_coming())
     }
 
     /// Returns how many adapters may be on their way from the weight store.
@@ -81,9 +88,8 @@
     }
 
     /// Returns how many adapters are on their way from the weight store.
-    pub(super) fn transit(&self) -> usize {
-        let held = self.replicas.values().flat_map(|r| r.held.values());
-        held.filter(|h| h.in_transit() && !h.recent).count()
+    pub(super) fn transit(&self, now: Instant) -> usize {
+        self.coming(now).filter(|(_, h)| !h.recent).count()
     }
 
     /// Returns the adapters that are waited for and not on their way, those whose load is worth
@@ -96,11 +102,7 @@
         if self.waiting.len() == 0 {
             return Vec::new();
         }
-        let held = self.replicas.values().flat_map(|r| &r.held);
-        let coming: HashSet<&ModelRef> = held
-            .filter(|(_, h)| h.in_transit())
-            .map(|(m, _)| m)
-            .collect();
+        let coming: HashSet<&ModelRef> = self.coming(now).map(|(m, _)| m).collect();
         let mut demands: Vec<(&ModelRef, Demand)> = self
             .waiting
             .demands(ready)
@@ -241,6 +243,7 @@
             runs: 0,
             recent: replica.remembers(model),
             former,
+            missed: false,
         };
         replica.held.insert(model.clone(), held);
         replica.todo.push_back(Todo {
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -46,6 +46,8 @@
     pub(crate) recent: bool,
     /// The version that a planned load replaces in its place.
     pub(crate) former: Option<u64>,
+    /// Whether the last question about its load got no answer.
+    pub(crate) missed: bool,
 }
 
 impl Held {
@@ -56,6 +58,7 @@
             runs: 0,
             recent: false,
             former: None,
+            missed: false,
         }
     }
 
@@ -68,6 +71,11 @@
         self.phase != Phase::Planned || self.former.is_some()
     }
 
+    /// Tells whether it will be there after the usual time, as far as the endpoint says.
+    pub(crate) fn is_coming(&self) -> bool {
+        self.in_transit() && !self.missed
+    }
+
     /// Tells whether it is on its way to the endpoint, or soon will be.
     pub(crate) fn in_transit(&self) -> bool {
         matches!(
@@ -139,6 +147,8 @@
     /// When the last order was accepted or got no answer.
     pub(crate) ordered: Option<Instant>,
     pub(crate) reporting: bool,
+    /// Whether it gave no report when it was asked last.
+    pub(crate) mute: bool,
     /// When to ask for a report, at the earliest.
     pub(crate) report_at: Option<Instant>,
     pub(crate) paused: Option<Instant>,
@@ -181,6 +191,7 @@
             at_least: 0,
             ordered: None,
             reporting: false,
+            mute: false,
             report_at: Some(report),
             paused: None,
             failures: 0,
--- a/crates/caraway-placement/tests/overload.rs
+++ b/crates/caraway-placement/tests/overload.rs
@@ -74,3 +74,21 @@
         );
     }
 }
+
+/// Two of three endpoints go silent in the middle of their loads. What they were to load is loaded
+/// elsewhere, and the weight store is not taken for busy by it.
+#[test]
+fn loads_to_silent_endpoints_hold_up_no_others() {
+    for seed in 0..5 {
+        let mut world = World::new(nature(), PlacerSettings::default(), seed);
+        rare(15.0).fill(&mut world, SECOND, 16 * SECOND, 1);
+        world.run_until(6 * SECOND);
+        world.silent = [0, 1].map(world::endpoint_id).into();
+        world.run_until(8 * SECOND);
+        let before = world.tally.granted;
+        world.run_until(13 * SECOND);
+        let granted = world.tally.granted - before;
+        // One endpoint's four loads at once of 250 ms are more than is asked for.
+        assert!(granted >= 5 * 15 / 2, "seed {seed}: {granted} of some 75");
+    }
+}
--- a/crates/caraway-placement/tests/world/mod.rs
+++ b/crates/caraway-placement/tests/world/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod load;
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -120,6 +120,8 @@
     pub(crate) engines: BTreeMap<EndpointId, Engine>,
     pub(crate) tally: Tally,
     pub(crate) rng: ChaCha8Rng,
+    /// Endpoints that answer nothing.
+    pub(crate) silent: BTreeSet<EndpointId>,
     events: BTreeMap<(Instant, u64), Event>,
     sequence: u64,
     asked: HashMap<u64, (Instant, Instant)>,
@@ -175,6 +177,7 @@
             engines: BTreeMap::new(),
             tally: Tally::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            silent: BTreeSet::new(),
             events: BTreeMap::new(),
             sequence: 0,
             asked: HashMap::new(),
@@ -291,7 +294,12 @@
                     if let Some(engine) = self.engines.get_mut(&endpoint) {
                         engine.end_run(&model);
                     }
-                    self.act(|p, now| p.on_end(now, id, End::Done));
+                    let end = if self.silent.contains(&endpoint) {
+                        End::Failed
+                    } else {
+                        End::Done
+                    };
+                    self.act(|p, now| p.on_end(now, id, end));
                 }
             }
             Event::Left(id) => {
@@ -308,7 +316,9 @@
                 }
             }
             Event::Report(endpoint) => {
-                let report = self.engines.get(&endpoint).map(|e| e.report(self.now));
+                let engine = self.engines.get(&endpoint);
+                let heard = engine.filter(|_| !self.silent.contains(&endpoint));
+                let report = heard.map(|e| e.report(self.now));
                 self.act(|p, now| p.on_report(now, &endpoint, report));
             }
             Event::Tick => {
@@ -331,7 +341,11 @@
             Output::Order(order) => {
                 self.tally.orders += 1;
                 let (endpoint, number) = (order.endpoint.clone(), order.number);
-                if self.rng.random::<f64>() < self.nature.late {
+                if self.silent.contains(&endpoint) {
+                    let limit = Duration::from_millis(if order.is_poll { 60 } else { 150 });
+                    let end = OrderEnd::Unanswered;
+                    self.at(self.now + limit, Event::Answer(endpoint, number, end));
+                } else if self.rng.random::<f64>() < self.nature.late {
                     let delay = Duration::from_millis(self.rng.random_range(2000..12000));
                     self.at(self.now + delay, Event::Late(endpoint.clone(), number));
                     let limit = Duration::from_millis(if order.is_poll { 60 } else { 150 });
