Call a store that is away less often where a holder listens for it

Change: an instance that a holder passes records on to doubles its pause after each failure up to 1 s (RetryPause); instances without a zone pause 0.2 s after a change of the holders' topic.

--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -16,6 +16,7 @@
     executor::millis,
     frame::{FromHolder, RecordsFrame, ToHolder},
     passed_on::PassedOn,
+    retry::RetryPause,
     shared::Shared,
 };
 
@@ -33,8 +34,9 @@
 /// Pause after a change of the registry, in which further ones gather: a leaving endpoint is known
 /// within a quarter of the shortest time (2 s) that the deployments allow, and reads are priced.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a failed call to the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a change of a zone's holder of an instance that holds none: the zones are claimed
+/// one after the other, as at a start, and each record would be read by every instance.
+const HOLDERS_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between looks whether a holder still passes a topic on.
 const PASSED_ON_PAUSE: Duration = Duration::from_millis(200);
 
@@ -86,6 +88,7 @@
 /// Follows one topic for as long as the daemon runs.
 pub(crate) async fn follow(shared: Rc<Shared>, topic: Topic) {
     let wake = shared.topics.borrow_mut().state(topic).wake.clone();
+    let mut retry = RetryPause::default();
     loop {
         if is_passed_on(&shared, topic) {
             tokio::select! {
@@ -101,14 +104,16 @@
             Ok(Step::Woken) => continue,
             Ok(Step::Read) => {
                 on_reached(&shared, topic);
+                retry.on_answer();
                 match topic {
                     Topic::Endpoints => REGISTRY_PAUSE,
+                    Topic::Holders if !is_relied_on(&shared) => HOLDERS_PAUSE,
                     Topic::Operators | Topic::Holders => Duration::ZERO,
                 }
             }
             Err(e) => {
                 on_failed(&shared, topic, &e);
-                RETRY_PAUSE
+                retry.on_failure(is_relied_on(&shared))
             }
         };
         if !pause.is_zero() {
@@ -120,6 +125,11 @@
     }
 }
 
+/// Tells whether other instances take this one's records, or none could pass any on to it.
+fn is_relied_on(shared: &Shared) -> bool {
+    !shared.desks.borrow().is_empty() || source_zone(shared).is_none()
+}
+
 /// Takes records that another instance passed on.
 pub(crate) fn on_records(shared: &Rc<Shared>, frame: &RecordsFrame) {
     let topic = Topic::ALL.into_iter().find(|t| t.label() == &*frame.topic);
--- /dev/null
+++ b/crates/caraway-gateway/src/retry.rs
@@ -0,0 +1,34 @@
+//! [`RetryPause`]: how long an instance waits before it calls a store again that did not answer.
+
+use std::time::Duration;
+
+/// Pause after a first failure, and after each one of an instance that others rely on.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause of an instance that hears from a holder once the store is back; half of the two
+/// seconds in which lapsed entries of the registry come back.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// The pause before the next call, which grows with each failure in a row.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RetryPause {
+    last: Duration,
+}
+
+impl RetryPause {
+    /// Notes a failure and returns the pause after it. `relied_on` tells whether other instances
+    /// take this one's records: it has to see at once that the store is back, while the others
+    /// hear it from there. In a zone without the store all others only add to its load.
+    pub fn on_failure(&mut self, relied_on: bool) -> Duration {
+        self.last = if relied_on {
+            FIRST_PAUSE
+        } else {
+            (self.last * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE)
+        };
+        self.last
+    }
+
+    /// Notes an answer.
+    pub fn on_answer(&mut self) {
+        self.last = Duration::ZERO;
+    }
+}
