--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -137,7 +137,10 @@
         return;
     };
     let next = shared.topics.borrow().next(topic);
-    if next.is_some_and(|n| frame.from <= n && n < frame.next) {
+    if frame.complete && next.is_none_or(|n| n < frame.next) {
+        let lapse = shared.topics.borrow().outage.lapse(Shared::now());
+        take_newest(shared, topic, frame.next, frame.records.clone(), lapse);
+    } else if next.is_some_and(|n| frame.from <= n && n < frame.next) {
         take(shared, topic, frame.from, frame.next, &frame.records);
     } else if next.is_none_or(|n| n < frame.from) {
         // Records that don't join what is known are read from the store.
@@ -212,20 +215,39 @@
 async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
     let newest = shared.store.newest(topic).await?;
     let lapse = on_read(shared, topic);
+    take_newest(shared, topic, newest.next, newest.records, lapse);
+    Ok(())
+}
+
+/// Takes the newest records of all keys of a topic, and passes them on to those who miss the
+/// records before them, too.
+fn take_newest(
+    shared: &Rc<Shared>,
+    topic: Topic,
+    next: Offset,
+    mut records: Vec<Record>,
+    lapse: Lapse,
+) {
     if topic == Topic::Endpoints {
-        let present = |id: &str| newest.records.iter().any(|r| &*r.key == id);
+        let present = |id: &str| records.iter().any(|r| &*r.key == id);
         let gone = shared.directory.borrow_mut().retain(present, lapse);
         for id in gone {
             apply::on_gone(shared, &id, "it has no entry");
         }
     }
-    let mut records = newest.records;
     records.sort_by_key(|r| r.offset);
     for record in &records {
         apply::apply(shared, topic, record, lapse, Source::Snapshot);
     }
-    shared.topics.borrow_mut().state(topic).next = Some(newest.next);
-    Ok(())
+    shared.topics.borrow_mut().state(topic).next = Some(next);
+    let frame = RecordsFrame {
+        topic: topic.label().into(),
+        complete: true,
+        from: 0,
+        next,
+        records,
+    };
+    pass_on(shared, topic, frame);
 }
 
 /// Applies the records from `from` on that are new here, and passes them on.
@@ -242,7 +264,14 @@
             news.push(record.clone());
         }
     }
-    pass_on(shared, topic, known, next, news);
+    let frame = RecordsFrame {
+        topic: topic.label().into(),
+        complete: false,
+        from: known,
+        next,
+        records: news,
+    };
+    pass_on(shared, topic, frame);
 }
 
 /// Tells whether the operators' topic was not read for so long that its records may be old.
@@ -252,13 +281,7 @@
 }
 
 /// Passes records on to the instances that hold a session with this one.
-fn pass_on(shared: &Rc<Shared>, topic: Topic, from: Offset, next: Offset, records: Vec<Record>) {
-    let frame = RecordsFrame {
-        topic: topic.label().into(),
-        from,
-        next,
-        records,
-    };
+fn pass_on(shared: &Rc<Shared>, topic: Topic, frame: RecordsFrame) {
     let desks = shared.own_desks();
     if !desks.is_empty() {
         let frame = FromHolder::Records(frame.clone());
@@ -282,13 +305,13 @@
     !state.failing && state.next.is_some() && lapse == Lapse::Gone
 }
 
-/// Returns where this instance reads the topics on.
+/// Returns where this instance reads the topics on that it can read; who takes its records reads the
+/// others by itself.
 pub(crate) fn positions(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
     let topics = shared.topics.borrow();
-    let next = Topic::ALL
-        .into_iter()
-        .filter_map(|t| Some((t.label().into(), topics.next(t)?)));
-    next.collect()
+    let read = topics.states.iter().filter(|(_, state)| !state.failing);
+    read.filter_map(|(topic, state)| Some((topic.label().into(), state.next?)))
+        .collect()
 }
 
 /// Notes what the source's holder says of its reading. While it reads as usual and this instance
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -142,6 +142,8 @@
 pub(crate) struct RecordsFrame {
     /// The topic's label.
     pub(crate) topic: Arc<str>,
+    /// Whether these are the newest records of all keys, so that nothing before them is needed.
+    pub(crate) complete: bool,
     /// Where the records begin.
     pub(crate) from: Offset,
     /// Where to read on.
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -131,11 +131,11 @@
 #[test]
 fn a_stopping_holder_hands_its_zone_over_without_the_store() {
     let platform = Platform::start();
-    let first = Gateway::start_as(&platform, "gate-1");
+    let first = Gateway::start_as(platform.store, "gate-1");
     first.wait_for("the first holder", || {
         first.has_line(1200, "holder", "gate-1")
     });
-    let second = Gateway::start_as(&platform, "gate-2");
+    let second = Gateway::start_as(platform.store, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
     platform.state.lock().expect("no panic holds it").store_away = true;
     first.stop();
@@ -166,3 +166,30 @@
         "the record's token"
     );
 }
+
+/// The store turns the holder of a zone away and drops its history, while another instance of the
+/// zone reads it: both must have the new configuration.
+#[test]
+fn a_configuration_reaches_instances_that_the_store_turns_away() {
+    let platform = Platform::start();
+    let first = Gateway::start_as(platform.store, "gate-1");
+    first.wait_for("the first holder", || {
+        first.has_line(1200, "holder", "gate-1")
+    });
+    let second = Gateway::start_as(platform.second, "gate-2");
+    second.wait_for("its session", || second.has_event(1210));
+    {
+        let mut state = platform.state.lock().expect("no panic holds it");
+        state.store_away = true;
+        state.compacted = true;
+    }
+    first.wait_for("the loss of the store", || first.has_event(1110));
+    let config = serde_json::json!({"Version": 9, "Routes": [
+        {"Name": "moved", "Host": "h.example", "PathPrefix": "/moved/", "Kind": "idempotent",
+         "TimeoutMs": 2000, "Service": "desk"}], "Services": [{"Name": "desk"}]});
+    platform.publish("keyed.op", "config", &config);
+    for gateway in [&second, &first] {
+        let ask = || call(gateway.front, "GET /moved/lot", "X-Attempt-Id: r1\r\n", "");
+        gateway.wait_for("the new route", || ask().starts_with("HTTP/1.1 200"));
+    }
+}
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -31,8 +31,10 @@
     pub(crate) held: Vec<String>,
     /// Orders that the engine has accepted, with their fencing tokens.
     pub(crate) orders: Vec<(String, u64)>,
-    /// Whether the store refuses every call.
+    /// Whether the store refuses every call to its first address.
     pub(crate) store_away: bool,
+    /// Whether it has dropped the records that newer ones of their keys follow.
+    pub(crate) compacted: bool,
     /// Requests that ran, with the headers that came.
     pub(crate) runs: Vec<(String, http::HeaderMap)>,
 }
@@ -42,18 +44,25 @@
 pub(crate) struct Platform {
     pub(crate) state: Arc<Mutex<State>>,
     pub(crate) store: SocketAddr,
+    /// The store's second address, which is never away.
+    pub(crate) second: SocketAddr,
 }
 
 impl Platform {
     /// Starts the platform with a configuration and its two endpoints registered.
     pub(crate) fn start() -> Self {
         let state: Arc<Mutex<State>> = Arc::default();
-        let store = serve(state.clone(), store_call);
+        let store = serve(state.clone(), first_store_call);
+        let second = serve(state.clone(), store_call);
         let engine = serve(state.clone(), engine_call);
         let desk = serve(state.clone(), desk_call);
         let breaks = serve(state.clone(), breaking_call);
         let refuses = serve(state.clone(), refusing_call);
-        let platform = Self { state, store };
+        let platform = Self {
+            state,
+            store,
+            second,
+        };
         platform.publish("keyed.op", "config", &configuration());
         let entry = |service: &str, addr: SocketAddr, models: Value| {
             json!({"Service": service, "Address": addr.to_string(), "Zone": "z1", "Slots": 8,
@@ -88,11 +97,11 @@
 impl Gateway {
     /// Starts a gateway in front of the platform and waits until it is ready.
     pub(crate) fn start(platform: &Platform) -> Self {
-        Self::start_as(platform, "gate-1")
+        Self::start_as(platform.store, "gate-1")
     }
 
-    /// Starts a gateway as this instance, and waits until it is ready.
-    pub(crate) fn start_as(platform: &Platform, instance: &str) -> Self {
+    /// Starts a gateway as this instance with a store, and waits until it is ready.
+    pub(crate) fn start_as(store: SocketAddr, instance: &str) -> Self {
         let [front, ready, peers] = free_addrs();
         let settings = json!({
             "NodeName": instance, "Zone": "z1", "Zones": {"z1": "r"}, "Ip": "127.0.0.1",
@@ -100,7 +109,7 @@
             "PortRange": [peers.port(), peers.port()],
             "Bounds": {"DrainMs": 2000, "GraceS": 8, "ConfigApplyMs": 2000, "LeaseMs": 3000,
                 "ContactMs": 3000, "RetryRatio": 0.2, "RetryWindowS": 10, "RetrySlack": 50},
-            "Platform": {"Address": platform.store.to_string(), "WritesPerS": 400,
+            "Platform": {"Address": store.to_string(), "WritesPerS": 400,
                 "ReadsPerS": 2000},
         });
         let name = format!(
@@ -281,15 +290,24 @@
     response
 }
 
-fn store_call(
+fn first_store_call(
     state: &Mutex<State>,
     head: &http::request::Parts,
     body: &[u8],
 ) -> Response<Full<Bytes>> {
-    let mut state = state.lock().expect("no panic holds it");
-    if state.store_away {
+    let away = state.lock().expect("no panic holds it").store_away;
+    if away {
         return respond(StatusCode::SERVICE_UNAVAILABLE, "");
     }
+    store_call(state, head, body)
+}
+
+fn store_call(
+    state: &Mutex<State>,
+    head: &http::request::Parts,
+    body: &[u8],
+) -> Response<Full<Bytes>> {
+    let mut state = state.lock().expect("no panic holds it");
     let query = head.uri.query().unwrap_or_default();
     let field = |name: &str| {
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -298,6 +316,7 @@
             .find(|(n, _)| *n == name)
             .map(|(_, v)| v.to_owned())
     };
+    let compacted = state.compacted;
     let records = state
         .topics
         .entry(field("Topic").expect("a topic"))
@@ -315,6 +334,9 @@
             let from: usize = field("From")
                 .and_then(|f| f.parse().ok())
                 .expect("an offset");
+            if compacted && from < records.len() {
+                return respond(StatusCode::GONE, r#"{"First": 0}"#);
+            }
             let mut bytes = vec![0; 16];
             for (key, value) in records.iter().skip(from) {
                 let len = u32::try_from(1 + key.len() + value.len()).expect("short");
