--- /dev/null
+++ b/crates/caraway-explain/tests/story.rs
@@ -0,0 +1,69 @@
+//! Stories of failed requests from the logs of two instances.
+
+use caraway_explain::{Logs, Story};
+
+/// The log of the instance that served the request, and of the one that held the zone.
+const SERVING: &str = r#"
+{"msg":"configuration applied","ts":"2026-09-16T05:56:20.000000000Z","instance":"gate-1","version":7,"event":1100}
+{"msg":"configuration applied","ts":"2026-09-16T05:56:21.000000000Z","instance":"gate-1","version":9,"event":1100}
+{"msg":"holder changed","ts":"2026-09-16T05:56:22.000000000Z","instance":"gate-1","holder":"gate-2","held_zone":"z1","event":1200}
+{"msg":"endpoint changed","ts":"2026-09-16T05:56:22.500000000Z","instance":"gate-1","endpoint":"e-1","change":"New","event":1120}
+{"msg":"endpoint granted","ts":"2026-09-16T05:56:26.300000000Z","instance":"gate-1","ms":263,"waited":true,"by":"z1","endpoint":"e-1","adapter":"m/a1","request":"r1","event":1400}
+{"msg":"answered","ts":"2026-09-16T05:56:26.340000000Z","instance":"gate-1","ms":298,"request":"r2","event":1401}
+{"msg":"attempt failed","ts":"2026-09-16T05:56:27.300000000Z","instance":"gate-1","endpoint":"e-1","why":"the stream broke off","request":"r1","event":1403}
+{"msg":"request failed","ts":"2026-09-16T05:56:27.301000000Z","instance":"gate-1","reason":"the stream broke off","request":"r1","event":1402}
+{"msg":"configuration applied","ts":"2026-09-16T05:56:28.000000000Z","instance":"gate-1","version":10,"event":1100}
+{"msg":"endpoint changed","ts":"2026-09-16T05:56:30.000000000Z","instance":"gate-1","endpoint":"e-1","change":"Gone","event":1120}
+{"msg":"endpoint changed","ts":"2026-09-16T05:56:50.000000000Z","instance":"gate-1","endpoint":"e-1","change":"New","event":1120}
+{"msg":"request fai"#;
+const HOLDING: &str = r#"
+no JSON
+{"msg":"order ended","ts":"2026-09-16T05:56:26.050000000Z","instance":"gate-2","held_zone":"z1","order":"load","end":"accepted","adapter":"m/a1","event":1300}
+{"msg":"order ended","ts":"2026-09-16T05:56:26.060000000Z","instance":"gate-2","held_zone":"z1","order":"load","end":"accepted","adapter":"m/a2","event":1300}
+{"msg":"order ended","ts":"2026-09-16T05:56:26.299000000Z","instance":"gate-2","held_zone":"z1","order":"poll","end":"holds","adapter":"m/a1","event":1300}
+{"msg":"placer levels","ts":"2026-09-16T05:56:25.500000000Z","instance":"gate-2","held_zone":"z1","waiting":12,"event":1303}
+{"msg":"placer levels","ts":"2026-09-16T05:56:26.500000000Z","instance":"gate-2","held_zone":"z2","waiting":99,"event":1303}
+"#;
+
+fn logs() -> Logs {
+    let mut logs = Logs::default();
+    for log in [SERVING, HOLDING] {
+        logs.read(log.as_bytes()).expect("memory can be read");
+    }
+    logs
+}
+
+#[test]
+fn a_request_s_lines_are_told_in_order_with_what_was_known() {
+    let logs = logs();
+    let story = Story::of(&logs, "r1").expect("the request is named");
+    let own: Vec<u16> = story.own.iter().map(|l| l.event).collect();
+    assert_eq!(own, [1400, 1403, 1402]);
+    let text = story.to_string();
+    let told = [
+        "its configuration: configuration applied (1100) version=9",
+        "the holder of z1: holder changed (1200) held_zone=\"z1\" holder=\"gate-2\"",
+        "endpoint e-1 before: endpoint changed (1120) change=\"New\"",
+        "endpoint e-1 later: endpoint changed (1120) change=\"Gone\"",
+        "the placer of z1: placer levels (1303) held_zone=\"z1\" waiting=12",
+        "order=\"load\"",
+        "order=\"poll\"",
+        "2 lines could not be read",
+    ];
+    for part in told {
+        assert!(text.contains(part), "{part} is missing in\n{text}");
+    }
+    for part in ["version=7", "version=10", "m/a2", "waiting=99", "r2"] {
+        assert!(!text.contains(part), "{part} does not belong into\n{text}");
+    }
+}
+
+#[test]
+fn a_request_that_no_log_names_has_no_story() {
+    assert_eq!(Story::of(&logs(), "r9"), None);
+    assert_eq!(
+        logs().unreadable(),
+        2,
+        "the cut line and the one without JSON"
+    );
+}
