Soak gateways under injected faults

caraway-soak runs gateways as processes of their own in front of a stand-in of the platform (store, engines, plain endpoints, proxies; platform/standin), injects a seed's faults from outside, and checks what callers and endpoints see.

--- /dev/null
+++ b/crates/caraway-soak/src/gateway.rs
@@ -0,0 +1,117 @@
+//! [`Gateway`]: one process, ended only by its own id.
+
+use std::{
+    fs::File,
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::Stdio,
+};
+
+use anyhow::{Context, Result};
+use caraway_platform_standin::{Addresses, settings};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use tokio::process::{Child, Command};
+
+/// Where a gateway's files lie.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) program: PathBuf,
+    pub(crate) folder: PathBuf,
+}
+
+/// One gateway: its settings, and its process while it runs.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub(crate) name: String,
+    pub(crate) front: SocketAddr,
+    place: Place,
+    child: Option<Child>,
+}
+
+impl Gateway {
+    /// Writes the settings of an instance whose store is at `store`, and starts it.
+    pub(crate) fn start(
+        place: &Place,
+        name: &str,
+        zone: &str,
+        zones: &[&str],
+        store: SocketAddr,
+    ) -> Result<Self> {
+        let [front, ready, peers] = free_addrs().context("no free ports")?;
+        let addresses = Addresses {
+            front,
+            ready,
+            peers,
+            store,
+        };
+        let text = settings(name, zone, zones, &addresses).to_string();
+        let mut gateway = Self {
+            name: name.to_owned(),
+            front,
+            place: place.clone(),
+            child: None,
+        };
+        std::fs::write(gateway.file("json"), text).context("can't write the settings")?;
+        gateway.run()?;
+        Ok(gateway)
+    }
+
+    /// Starts the process where it does not run.
+    pub(crate) fn run(&mut self) -> Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.file("log"))
+            .context("can't write the log")?;
+        let child = Command::new(&self.place.program)
+            .arg("--settings")
+            .arg(self.file("json"))
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("can't start {}", self.place.program.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, where it runs.
+    pub(crate) fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let id = self.child.as_ref().and_then(Child::id);
+        let id = id.and_then(|id| i32::try_from(id).ok());
+        if let Some(id) = id {
+            // It may end in this moment.
+            kill(Pid::from_raw(id), signal).ok();
+        }
+    }
+
+    /// Tells whether the process runs.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let running = |c: &mut Child| matches!(c.try_wait(), Ok(None));
+        self.child.as_mut().is_some_and(running)
+    }
+
+    fn file(&self, kind: &str) -> PathBuf {
+        Path::new(&self.place.folder).join(format!("{}.{kind}", self.name))
+    }
+}
+
+fn free_addrs<const N: usize>() -> Option<[SocketAddr; N]> {
+    let listeners: Vec<TcpListener> = (0..N)
+        .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok())
+        .collect();
+    let addrs: Vec<SocketAddr> = listeners
+        .iter()
+        .filter_map(|l| l.local_addr().ok())
+        .collect();
+    addrs.try_into().ok()
+}
--- /dev/null
+++ b/crates/caraway-soak/src/run.rs
@@ -0,0 +1,241 @@
+//! A whole run, and what it found.
+
+use std::{cell::RefCell, fmt, path::PathBuf, rc::Rc, time::Duration};
+
+use anyhow::{Context, Result};
+use tokio::{
+    sync::watch,
+    task::LocalSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    Plan, Timed,
+    caller::{Caller, End, Kind, Log, Seen, has_route},
+    gateway::Place,
+    schedule,
+    world::{KEEP_PAUSE, World},
+};
+
+/// Time for the first gateways to serve.
+const START: Duration = Duration::from_secs(20);
+/// Requests of each kind that an instance serves in a row to count as recovered.
+const IN_A_ROW: u32 = 5;
+/// Pause between looks at an instance that has not recovered.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+/// Time in which requests that callers gave up may still reach endpoints.
+const SETTLE: Duration = Duration::from_millis(1500);
+
+/// What a run found.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// Faults that were injected.
+    pub faults: usize,
+    /// Requests that callers sent.
+    pub sent: usize,
+    /// Those that were served.
+    pub served: usize,
+    /// Those that were refused.
+    pub refused: usize,
+    /// Broken promises.
+    pub broken: Vec<String>,
+    /// Where the gateways' logs lie, where something was broken.
+    pub logs: Option<PathBuf>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = if self.broken.is_empty() {
+            "ok"
+        } else {
+            "BROKEN"
+        };
+        write!(
+            f,
+            "seed {}: {verdict}; {} faults; {} requests, {} served, {} refused",
+            self.seed, self.faults, self.sent, self.served, self.refused
+        )?;
+        for what in &self.broken {
+            write!(f, "\n  {what}")?;
+        }
+        if let Some(logs) = &self.logs {
+            write!(f, "\n  logs: {}", logs.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a plan.
+///
+/// # Errors
+///
+/// Returns an error when a process or an address can't be had; what the gateways break is in the
+/// report.
+pub fn run(plan: &Plan) -> Result<Report> {
+    let name = format!("caraway-soak-{}-{}", std::process::id(), plan.seed);
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).context("can't make a folder for logs")?;
+    let place = Place {
+        program: plan.program.clone(),
+        folder: folder.clone(),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("can't start the runtime")?;
+    let mut report = LocalSet::new().block_on(&runtime, live(plan, &place))?;
+    if report.broken.is_empty() {
+        std::fs::remove_dir_all(&folder).context("can't remove the logs")?;
+    } else {
+        report.logs = Some(folder);
+    }
+    Ok(report)
+}
+
+async fn live(plan: &Plan, place: &Place) -> Result<Report> {
+    let world = World::start(plan, place).await?;
+    let ledger = world.ledger.clone();
+    let fronts: Vec<_> = world.gateways.iter().map(|g| g.front).collect();
+    let world = Rc::new(RefCell::new(world));
+    let keeper = tokio::task::spawn_local(keep(world.clone()));
+    for (number, front) in fronts.iter().enumerate() {
+        let caller = Caller::new(format!("start{number}"), *front, ledger.clone());
+        if !recovers(caller, START).await {
+            anyhow::bail!(
+                "instance {number} did not start: see {}",
+                place.folder.display()
+            );
+        }
+    }
+    let log = Log::default();
+    let stop = watch::Sender::new(false);
+    let mut callers = Vec::new();
+    for (number, front) in fronts.iter().enumerate() {
+        for place in 0..plan.callers {
+            let name = format!("c{number}-{place}");
+            let seed = plan.seed * 1000 + (number * plan.callers + place) as u64;
+            let caller = Caller::new(name, *front, ledger.clone());
+            let run = caller.run(seed, log.clone(), stop.subscribe());
+            callers.push(tokio::task::spawn_local(run));
+        }
+    }
+    let faults = schedule(plan);
+    inject(&world, &faults).await?;
+    world.borrow_mut().calm()?;
+    world.borrow_mut().publish_configuration(Some("last"));
+    let mut broken = Vec::new();
+    let calm = Instant::now();
+    for (number, front) in fronts.iter().enumerate() {
+        let left = || plan.recovery.saturating_sub(calm.elapsed());
+        let mut looks = 0;
+        while !has_route(*front, "last", &format!("last{number}-{looks}")).await {
+            looks += 1;
+            if left().is_zero() {
+                broken.push(format!(
+                    "CONFIG: instance {number} lacks the last configuration"
+                ));
+                break;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        let caller = Caller::new(format!("end{number}"), *front, ledger.clone());
+        if !recovers(caller, left()).await {
+            broken.push(format!(
+                "RECOVER: instance {number} does not serve every kind"
+            ));
+        }
+    }
+    stop.send_replace(true);
+    for caller in callers {
+        caller.await.context("a caller failed")?;
+    }
+    sleep(SETTLE).await;
+    keeper.abort();
+    let seen = log.take();
+    broken.extend(ledger.broken());
+    broken.extend(
+        seen.iter()
+            .filter_map(|s| judge(s, ledger.runs(&s.request))),
+    );
+    let count = |holds: &dyn Fn(&End) -> bool| seen.iter().filter(|s| holds(&s.end)).count();
+    Ok(Report {
+        seed: plan.seed,
+        faults: faults.len(),
+        sent: seen.len(),
+        served: count(&|e| *e == End::Served),
+        refused: count(&|e| *e == End::Status(503)),
+        broken,
+        logs: None,
+    })
+}
+
+/// Says what is wrong with the end of a request that ran so often.
+fn judge(seen: &Seen, runs: usize) -> Option<String> {
+    let (request, end) = (&seen.request, seen.end);
+    if runs > 1 && !seen.kind.may_repeat() {
+        return Some(format!("TWICE: {request} ran {runs} times"));
+    }
+    match end {
+        End::Served if runs == 0 => Some(format!("MIXED: {request} was served and never ran")),
+        End::Status(408 | 421 | 429 | 503) if runs > 0 && !seen.kind.may_repeat() => {
+            Some(format!("REFUSED: {request} ran, but got {end:?}"))
+        }
+        End::Status(400..=407 | 409..=420 | 422..=428 | 430..=499) => {
+            Some(format!("DENIED: {request} got {end:?}"))
+        }
+        _ => None,
+    }
+}
+
+/// Injects faults at their times; returns once the last one has begun and its time is over.
+async fn inject(world: &Rc<RefCell<World>>, faults: &[Timed]) -> Result<()> {
+    let start = Instant::now();
+    let mut steps: Vec<(Duration, bool, &Timed)> = Vec::new();
+    for timed in faults {
+        steps.push((timed.at, true, timed));
+        steps.push((timed.at + timed.lasts, false, timed));
+    }
+    steps.sort_by_key(|(at, ..)| *at);
+    for (at, begins, timed) in steps {
+        sleep_until(start + at).await;
+        let mut world = world.borrow_mut();
+        if begins {
+            world.begin(timed.fault);
+        } else {
+            world.end(timed.fault)?;
+        }
+    }
+    Ok(())
+}
+
+/// Starts gateways again that have ended.
+async fn keep(world: Rc<RefCell<World>>) {
+    loop {
+        sleep(KEEP_PAUSE).await;
+        // A process that can't be started now is tried again at the next look.
+        world.borrow_mut().keep().ok();
+    }
+}
+
+/// Tells whether an instance serves every kind of request within `limit`.
+async fn recovers(mut caller: Caller, limit: Duration) -> bool {
+    let until = Instant::now() + limit;
+    for kind in Kind::ALL {
+        let mut in_a_row = 0;
+        while in_a_row < IN_A_ROW {
+            let end = caller.call(kind, 0).await.map(|s| s.end);
+            if end == Some(End::Served) {
+                in_a_row += 1;
+                continue;
+            }
+            in_a_row = 0;
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/crates/caraway-soak/src/world.rs
@@ -0,0 +1,232 @@
+//! [`World`]: the platform, the endpoints and the gateways.
+
+use std::{net::SocketAddr, time::Duration};
+
+use anyhow::{Context, Result};
+use caraway_platform_standin::{
+    Desk, Engine, EngineSpec, Ledger, Mode, Orders, Proxy, Store, StoreMode, configuration, entry,
+};
+use nix::sys::signal::Signal;
+use serde_json::json;
+
+use crate::{
+    Fault, Plan,
+    gateway::{Gateway, Place},
+};
+
+/// Adapters that an engine holds at most.
+const PLACES: usize = 4;
+
+/// An endpoint behind its proxy.
+#[derive(Debug)]
+struct Endpoint {
+    id: String,
+    zone: String,
+    proxy: Proxy,
+    born: u64,
+    what: Service,
+}
+
+#[derive(Debug)]
+enum Service {
+    Engine(Engine),
+    Desk(Desk),
+}
+
+/// The platform, the endpoints and the gateways.
+#[derive(Debug)]
+pub(crate) struct World {
+    pub(crate) ledger: Ledger,
+    pub(crate) gateways: Vec<Gateway>,
+    store: Store,
+    store_ways: Vec<Proxy>,
+    endpoints: Vec<Endpoint>,
+    version: u64,
+    further: Vec<String>,
+    /// Gateways that are started again as soon as they have ended.
+    pub(crate) kept: Vec<bool>,
+}
+
+impl World {
+    /// Starts everything; gateways write their logs to `place`.
+    pub(crate) async fn start(plan: &Plan, place: &Place) -> Result<Self> {
+        let ledger = Ledger::default();
+        let store = Store::default();
+        let addr = store.start().await.context("the store")?;
+        let names: Vec<String> = (0..plan.zones).map(|z| format!("z{z}")).collect();
+        let zones: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut world = Self {
+            ledger,
+            gateways: Vec::new(),
+            store,
+            store_ways: Vec::new(),
+            endpoints: Vec::new(),
+            version: 0,
+            further: Vec::new(),
+            kept: Vec::new(),
+        };
+        for zone in &zones {
+            for number in 0..plan.engines {
+                let spec = EngineSpec {
+                    id: format!("e-{zone}-{number}").into(),
+                    model: "base".into(),
+                    places: PLACES,
+                };
+                let id = spec.id.to_string();
+                let engine = Engine::new(spec, world.ledger.clone());
+                let addr = engine.start().await.context("an engine")?;
+                world.add(&id, zone, addr, Service::Engine(engine)).await?;
+            }
+        }
+        for zone in &zones {
+            let id = format!("d-{zone}");
+            let desk = Desk::new(&id, world.ledger.clone());
+            let addr = desk.start().await.context("a plain endpoint")?;
+            world.add(&id, zone, addr, Service::Desk(desk)).await?;
+        }
+        world.publish_configuration(None);
+        for zone in &zones {
+            for number in 0..plan.instances {
+                let way = Proxy::start(addr).await.context("a proxy")?;
+                let name = format!("gate-{zone}-{number}");
+                let gateway = Gateway::start(place, &name, zone, &zones, way.addr())?;
+                world.store_ways.push(way);
+                world.gateways.push(gateway);
+                world.kept.push(true);
+            }
+        }
+        Ok(world)
+    }
+
+    async fn add(&mut self, id: &str, zone: &str, addr: SocketAddr, what: Service) -> Result<()> {
+        let endpoint = Endpoint {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            proxy: Proxy::start(addr).await.context("a proxy")?,
+            born: 1,
+            what,
+        };
+        self.register(&endpoint);
+        self.endpoints.push(endpoint);
+        Ok(())
+    }
+
+    /// Writes an endpoint's entry; an engine that has just started again lists no model.
+    fn register(&self, endpoint: &Endpoint) {
+        let (service, models) = match &endpoint.what {
+            Service::Desk(_) => ("desk", None),
+            Service::Engine(engine) if engine.has_weights() => {
+                let model = json!([{"Name": "base", "Version": 1, "Adapters": []}]);
+                ("lm", Some(model))
+            }
+            Service::Engine(_) => ("lm", Some(json!([]))),
+        };
+        let addr = endpoint.proxy.addr();
+        let entry = entry(service, &endpoint.zone, addr, endpoint.born, models);
+        self.store.publish("keyed.servers", &endpoint.id, &entry);
+    }
+
+    /// Publishes a configuration, with one route more where it is named.
+    pub(crate) fn publish_configuration(&mut self, route: Option<&str>) {
+        self.version += 1;
+        self.further.extend(route.map(str::to_owned));
+        let configuration = configuration(self.version, PLACES, &self.further);
+        self.store.publish("keyed.op", "config", &configuration);
+    }
+
+    /// Begins a fault.
+    pub(crate) fn begin(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(number) => {
+                self.kept[number] = false;
+                self.gateways[number].signal(Signal::SIGKILL);
+            }
+            Fault::Pause(number) => self.gateways[number].signal(Signal::SIGSTOP),
+            Fault::Stop(number) => self.gateways[number].signal(Signal::SIGTERM),
+            Fault::Reload(number) => self.gateways[number].signal(Signal::SIGHUP),
+            Fault::Store(mode) => self.store.set_mode(mode),
+            Fault::StoreWay(number, mode) => self.store_ways[number].set_mode(mode),
+            Fault::EndpointWay(number, mode) => self.endpoints[number].proxy.set_mode(mode),
+            Fault::Restart(number) => {
+                self.endpoints[number].born += 1;
+                if let Service::Engine(engine) = &self.endpoints[number].what {
+                    engine.restart();
+                }
+                self.register(&self.endpoints[number]);
+            }
+            Fault::LateOrders(number, by) => self.set_orders(number, Orders::Late(by)),
+            Fault::LostAnswers(number) => self.set_loses(number, true),
+            Fault::Configuration => {
+                let name = format!("more{}", self.version);
+                self.publish_configuration(Some(&name));
+            }
+        }
+    }
+
+    /// Ends a fault.
+    pub(crate) fn end(&mut self, fault: Fault) -> Result<()> {
+        match fault {
+            Fault::Kill(number) => {
+                self.kept[number] = true;
+                self.gateways[number].run()?;
+            }
+            Fault::Pause(number) => self.gateways[number].signal(Signal::SIGCONT),
+            Fault::Store(_) => self.store.set_mode(StoreMode::Up),
+            Fault::StoreWay(number, _) => self.store_ways[number].set_mode(Mode::Pass),
+            Fault::EndpointWay(number, _) => self.endpoints[number].proxy.set_mode(Mode::Pass),
+            Fault::LateOrders(number, _) => self.set_orders(number, Orders::Answered),
+            Fault::LostAnswers(number) => self.set_loses(number, false),
+            Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
+        }
+        Ok(())
+    }
+
+    /// Ends every fault.
+    pub(crate) fn calm(&mut self) -> Result<()> {
+        self.store.set_mode(StoreMode::Up);
+        for way in &self.store_ways {
+            way.set_mode(Mode::Pass);
+        }
+        for endpoint in &self.endpoints {
+            endpoint.proxy.set_mode(Mode::Pass);
+            match &endpoint.what {
+                Service::Engine(engine) => engine.set_orders(Orders::Answered),
+                Service::Desk(desk) => desk.set_loses(false),
+            }
+        }
+        for gateway in &mut self.gateways {
+            gateway.signal(Signal::SIGCONT);
+        }
+        self.kept.fill(true);
+        self.keep()
+    }
+
+    /// Starts gateways that have ended by themselves or as they were told, as a platform does.
+    pub(crate) fn keep(&mut self) -> Result<()> {
+        for (gateway, kept) in self.gateways.iter_mut().zip(&self.kept) {
+            if *kept {
+                gateway.run()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn set_orders(&self, number: usize, orders: Orders) {
+        if let Service::Engine(engine) = &self.endpoints[number].what {
+            engine.set_orders(orders);
+        }
+    }
+
+    fn set_loses(&self, number: usize, loses: bool) {
+        let mut desks = self.endpoints.iter().filter_map(|e| match &e.what {
+            Service::Desk(desk) => Some(desk),
+            Service::Engine(_) => None,
+        });
+        if let Some(desk) = desks.nth(number) {
+            desk.set_loses(loses);
+        }
+    }
+}
+
+/// Pause between looks whether a gateway has to be started again, as long as platforms take.
+pub(crate) const KEEP_PAUSE: Duration = Duration::from_millis(200);
