Let the gateway's process tests run in front of the platform's stand-in

One stand-in of the platform serves the process tests and the soak. The tests keep their checks; answers now name the request, so each is held to its own.

Tests: caraway-gateway process, six passed.

--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -4,6 +4,7 @@
 
 use std::process::Command;
 
+use caraway_platform_standin::{Mode, StoreMode};
 use standin::{Gateway, Platform, call};
 
 const DRAFT: &str = "X-Attempt-Id: r1\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
@@ -17,12 +18,12 @@
 
     let answer = call(gateway.front, "GET /status/lot", "X-Attempt-Id: r0\r\n", "");
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-    assert!(answer.ends_with("sold"), "{answer}");
+    assert!(answer.ends_with("r0"), "{answer}");
 
     let answer = call(gateway.front, "POST /draft/x?y=1", DRAFT, "prompt");
-    assert!(answer.contains("x-server-seal: s"), "{answer}");
+    assert!(answer.contains("x-server-seal: r1"), "{answer}");
     assert!(
-        answer.contains("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"),
+        answer.contains("id: 1\ndata: r1 1\n\n") && answer.contains("id: 4\ndata: r1 4\n\n"),
         "{answer}"
     );
 
@@ -35,15 +36,17 @@
         "{bad}"
     );
 
-    {
-        let state = platform.state.lock().expect("no panic holds it");
-        assert_eq!(state.held, ["a7"], "the adapter was loaded for the request");
-        assert_eq!(state.orders.len(), 1, "by one order");
-        let (_, headers) = state.runs.last().expect("a run");
-        assert_eq!(headers["x-expect-replica"], "e-1");
-        assert!(!headers.contains_key("x-hold"), "only the system sets it");
-        assert_eq!(state.runs.len(), 2, "nothing else ran");
-    }
+    let loads = platform.act(|parts| parts.engine.loads());
+    assert_eq!(
+        loads,
+        [("a7".to_owned(), 0)],
+        "the adapter was loaded for the request, by one order"
+    );
+    let headers = platform.ledger.headers("r1").expect("a run");
+    assert_eq!(headers["x-expect-replica"], "e-1");
+    assert!(!headers.contains_key("x-hold"), "only the system sets it");
+    assert_eq!(platform.ledger.requests().len(), 2, "nothing else ran");
+    assert_eq!(platform.ledger.broken(), [""; 0]);
 
     gateway.stop();
     gateway.wait_for("the end of readiness", || {
@@ -64,11 +67,11 @@
     let config = serde_json::json!({"Version": 9, "Routes": [
         {"Name": "moved", "Host": "h.example", "PathPrefix": "/moved/", "Kind": "idempotent",
          "TimeoutMs": 2000, "Service": "desk"}], "Services": [{"Name": "desk"}]});
-    platform.publish("keyed.op", "config", &config);
+    platform.publish("keyed.op", "config", config);
     gateway.wait_for("the new route", || ask().starts_with("HTTP/1.1 200"));
     let older = serde_json::json!({"Version": 4, "Routes": [], "Services": []});
-    platform.publish("keyed.op", "config", &older);
-    platform.publish("keyed.op", "config", &serde_json::json!("no configuration"));
+    platform.publish("keyed.op", "config", older);
+    platform.publish("keyed.op", "config", serde_json::json!("no configuration"));
     gateway.wait_for("the finding", || gateway.has_event(1101));
     assert!(
         ask().starts_with("HTTP/1.1 200"),
@@ -113,17 +116,12 @@
     for number in 0..8 {
         let id = format!("X-Attempt-Id: flaky-{number}\r\n");
         let answer = call(gateway.front, "GET /flaky/x", &id, "");
-        let state = platform.state.lock().expect("no panic holds it");
-        let ran = state
-            .runs
-            .iter()
-            .any(|(_, h)| h["x-attempt-id"] == *format!("flaky-{number}"));
+        let ran = platform.ledger.runs(&format!("flaky-{number}")) > 0;
         let says_not_run = answer.contains("\"not_run\"") || answer.starts_with("HTTP/1.1 503");
         assert!(!(ran && says_not_run), "it ran: {answer}");
     }
-    let state = platform.state.lock().expect("no panic holds it");
-    let ran = state.runs.iter().filter(|(path, _)| path == "/flaky/x");
-    assert!(ran.count() > 0, "some of them ran");
+    let ran = platform.ledger.requests();
+    assert!(!ran.is_empty(), "some of them ran");
 }
 
 /// Instances are stopped one after the other while the store is away: nobody can claim a zone, so
@@ -131,40 +129,34 @@
 #[test]
 fn a_stopping_holder_hands_its_zone_over_without_the_store() {
     let platform = Platform::start();
-    let first = Gateway::start_as(platform.store, "gate-1");
+    let first = Gateway::start_as(platform.way, "gate-1");
     first.wait_for("the first holder", || {
         first.has_line(1200, "holder", "gate-1")
     });
-    let second = Gateway::start_as(platform.store, "gate-2");
+    let second = Gateway::start_as(platform.way, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
-    platform.state.lock().expect("no panic holds it").store_away = true;
+    platform.act(|parts| parts.store.set_mode(StoreMode::Away));
     first.stop();
     second.wait_for("the zone", || second.has_line(1200, "holder", "gate-2"));
 
     let answer = call(second.front, "POST /draft/x?y=1", DRAFT, "prompt");
-    assert!(answer.contains("x-server-seal: s"), "{answer}");
-    {
-        let mut state = platform.state.lock().expect("no panic holds it");
-        assert_eq!(state.held, ["a7"], "the adapter was loaded for the request");
-        assert_eq!(
-            state.orders.last().expect("an order").1,
-            1,
-            "the token after the first holder's"
-        );
-        state.store_away = false;
-    }
+    assert!(answer.contains("x-server-seal: r1"), "{answer}");
+    let loads = platform.act(|parts| parts.engine.loads());
+    assert_eq!(
+        loads,
+        [("a7".to_owned(), 1)],
+        "by the token after the first holder's"
+    );
+    platform.act(|parts| parts.store.set_mode(StoreMode::Up));
     second.wait_for("the record of the zone", || {
         second.has_line(1201, "outcome", "offset 1")
     });
-    let again = DRAFT.replace("base/a7", "base/a8");
+    let again = DRAFT.replace("base/a7", "base/a8").replace("r1", "r2");
     let answer = call(second.front, "POST /draft/x?y=1", &again, "prompt");
-    assert!(answer.contains("x-server-seal: s"), "{answer}");
-    let state = platform.state.lock().expect("no panic holds it");
-    assert_eq!(
-        state.orders.last().expect("an order").1,
-        256,
-        "the record's token"
-    );
+    assert!(answer.contains("x-server-seal: r2"), "{answer}");
+    let loads = platform.act(|parts| parts.engine.loads());
+    assert_eq!(loads[1], ("a8".to_owned(), 256), "by the record's token");
+    assert_eq!(platform.ledger.broken(), [""; 0]);
 }
 
 /// The store turns the holder of a zone away and drops its history, while another instance of the
@@ -172,22 +164,21 @@
 #[test]
 fn a_configuration_reaches_instances_that_the_store_turns_away() {
     let platform = Platform::start();
-    let first = Gateway::start_as(platform.store, "gate-1");
+    let first = Gateway::start_as(platform.way, "gate-1");
     first.wait_for("the first holder", || {
         first.has_line(1200, "holder", "gate-1")
     });
-    let second = Gateway::start_as(platform.second, "gate-2");
+    let second = Gateway::start_as(platform.store, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
-    {
-        let mut state = platform.state.lock().expect("no panic holds it");
-        state.store_away = true;
-        state.compacted = true;
-    }
+    platform.act(|parts| {
+        parts.way.set_mode(Mode::Reset);
+        parts.store.compact();
+    });
     first.wait_for("the loss of the store", || first.has_event(1110));
     let config = serde_json::json!({"Version": 9, "Routes": [
         {"Name": "moved", "Host": "h.example", "PathPrefix": "/moved/", "Kind": "idempotent",
          "TimeoutMs": 2000, "Service": "desk"}], "Services": [{"Name": "desk"}]});
-    platform.publish("keyed.op", "config", &config);
+    platform.publish("keyed.op", "config", config);
     for gateway in [&second, &first] {
         let ask = || call(gateway.front, "GET /moved/lot", "X-Attempt-Id: r1\r\n", "");
         gateway.wait_for("the new route", || ask().starts_with("HTTP/1.1 200"));
--- a/crates/caraway-soak/src/world.rs
+++ b/crates/caraway-soak/src/world.rs
@@ -4,7 +4,8 @@
 
 use anyhow::{Context, Result};
 use caraway_platform_standin::{
-    Desk, Engine, EngineSpec, Ledger, Mode, Orders, Proxy, Store, StoreMode, configuration, entry,
+    Desk, Engine, EngineSpec, Habit, Ledger, Mode, Orders, Proxy, Store, StoreMode, configuration,
+    entry,
 };
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -155,7 +156,7 @@
                 self.register(&self.endpoints[number]);
             }
             Fault::LateOrders(number, by) => self.set_orders(number, Orders::Late(by)),
-            Fault::LostAnswers(number) => self.set_loses(number, true),
+            Fault::LostAnswers(number) => self.set_habit(number, Habit::Loses),
             Fault::Configuration => {
                 let name = format!("more{}", self.version);
                 self.publish_configuration(Some(&name));
@@ -175,7 +176,7 @@
             Fault::StoreWay(number, _) => self.store_ways[number].set_mode(Mode::Pass),
             Fault::EndpointWay(number, _) => self.endpoints[number].proxy.set_mode(Mode::Pass),
             Fault::LateOrders(number, _) => self.set_orders(number, Orders::Answered),
-            Fault::LostAnswers(number) => self.set_loses(number, false),
+            Fault::LostAnswers(number) => self.set_habit(number, Habit::Answers),
             Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
         }
         Ok(())
@@ -191,7 +192,7 @@
             endpoint.proxy.set_mode(Mode::Pass);
             match &endpoint.what {
                 Service::Engine(engine) => engine.set_orders(Orders::Answered),
-                Service::Desk(desk) => desk.set_loses(false),
+                Service::Desk(desk) => desk.set_habit(Habit::Answers),
             }
         }
         for gateway in &mut self.gateways {
@@ -217,13 +218,13 @@
         }
     }
 
-    fn set_loses(&self, number: usize, loses: bool) {
+    fn set_habit(&self, number: usize, habit: Habit) {
         let mut desks = self.endpoints.iter().filter_map(|e| match &e.what {
             Service::Desk(desk) => Some(desk),
             Service::Engine(_) => None,
         });
         if let Some(desk) = desks.nth(number) {
-            desk.set_loses(loses);
+            desk.set_habit(habit);
         }
     }
 }
