Let strong instances claim first, and spare holders what they read themselves

An instance with a weak link claimed zone a at 29.9; every restarted instance read the operators' topic by itself and sent each configuration to every holder, and the holder passed each on to its zone.

Change: claimers spread by their link and share of a core, which the settings name; records of the operators' topic go only to holders whose last sign of life says that they don't read it.

Test: caraway-gateway succession strong_instances_claim_before_weak_ones.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -20,7 +20,7 @@
     follow,
     session::Session,
     shared::{Holder, Shared},
-    succession::HolderState,
+    succession::{HolderState, claim_place},
 };
 
 /// Fencing tokens from one record to the next: those after the record's own are for holders that
@@ -284,6 +284,6 @@
         clippy::cast_precision_loss,
         reason = "53 bits are enough to spread by"
     )]
-    let share = (xxh3_64(key.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
-    share
+    let draw = (xxh3_64(key.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+    claim_place(shared.site.link_mbps, shared.site.cpu_share, draw)
 }
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -291,7 +291,9 @@
     }
     if topic == Topic::Operators {
         let frame = ToHolder::Records(frame);
-        for session in shared.sessions.borrow().values() {
+        let sessions = shared.sessions.borrow();
+        // A holder that reads the topic gets nothing from its many instances.
+        for session in sessions.values().filter(|s| s.lacks(topic)) {
             session.send(&frame);
         }
     }
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -37,4 +37,4 @@
 pub use retry::RetryPause;
 pub use run::{Options, run};
 pub use sse::EventCutter;
-pub use succession::HolderState;
+pub use succession::{HolderState, claim_place};
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use caraway_http::{Aborted, ConnectLimits, Link, Payload};
+use caraway_platform::Topic;
 use caraway_types::{Ticket, ZoneId};
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
@@ -51,6 +52,8 @@
     pending: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
     peers: Cell<usize>,
     pressure: Cell<f64>,
+    /// Topics that the holder does not read, by its last sign of life.
+    unread: RefCell<Vec<Topic>>,
     opened: Cell<Instant>,
     down: Cell<Option<Instant>>,
     gone: Cell<bool>,
@@ -88,6 +91,7 @@
             pending: RefCell::default(),
             peers: Cell::new(0),
             pressure: Cell::new(0.0),
+            unread: RefCell::default(),
             opened: Cell::new(Instant::now()),
             down: Cell::new(Some(Instant::now())),
             gone: Cell::new(false),
@@ -121,6 +125,11 @@
         self.pressure.get()
     }
 
+    /// Tells whether the holder said that it does not read a topic.
+    pub(crate) fn lacks(&self, topic: Topic) -> bool {
+        self.unread.borrow().contains(&topic)
+    }
+
     /// Sends a frame; false when the session is not open.
     pub(crate) fn send(&self, frame: &ToHolder) -> bool {
         let outgoing = self.outgoing.borrow();
@@ -310,6 +319,8 @@
                 if served {
                     follow::on_peer_served(shared);
                 }
+                let reads = |t: &Topic| next.iter().any(|(label, _)| **label == *t.label());
+                *self.unread.borrow_mut() = Topic::ALL.into_iter().filter(|t| !reads(t)).collect();
                 self.peers.set(peers);
                 self.pressure.set(pressure);
             }
--- a/crates/caraway-gateway/src/succession.rs
+++ b/crates/caraway-gateway/src/succession.rs
@@ -30,6 +30,26 @@
     Gone(Duration),
 }
 
+/// Link from which an instance counts as strong, in Mbit/s: a configuration of 15 KB every third of
+/// a second for each of 25 instances takes a tenth of it.
+const STRONG_LINK_MBPS: f64 = 100.0;
+/// Share of a core from which an instance counts as strong; the smaller deployments have it.
+const STRONG_CPU_SHARE: f64 = 0.25;
+
+/// Part of the spread by which the weakest come after the strongest; the rest tells equal ones apart
+/// by 90 ms, ten times the way to the store and back.
+const WEAKNESS_PART: f64 = 0.7;
+
+/// Returns an instance's place among the claimers of a zone, 0 to 1: strong instances come first, as
+/// a holder reads and speaks for its whole zone. `draw` tells equal ones apart, 0 to 1.
+#[must_use]
+pub fn claim_place(link_mbps: f64, cpu_share: f64, draw: f64) -> f64 {
+    let link = (link_mbps / STRONG_LINK_MBPS).min(1.0);
+    let cpu = (cpu_share / STRONG_CPU_SHARE).min(1.0);
+    let weakness = 1.0 - link.min(cpu);
+    WEAKNESS_PART * weakness + (1.0 - WEAKNESS_PART) * draw
+}
+
 impl HolderState {
     /// Returns how long this instance waits before it claims the zone; `None` while it leaves the
     /// zone to its holder. `share` is this instance's place among the claimers, 0 to 1.
--- a/crates/caraway-gateway/tests/succession.rs
+++ b/crates/caraway-gateway/tests/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use caraway_gateway::HolderState;
+use caraway_gateway::{HolderState, claim_place};
 
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -44,3 +44,19 @@
         assert!(home < foreign, "{state:?}");
     }
 }
+
+/// Half of a zone's instances are killed while configurations come in quick succession: an instance
+/// with a link of 10 Mbit/s that speaks for the zone has no room left for its orders.
+#[test]
+fn strong_instances_claim_before_weak_ones() {
+    let strong = claim_place(200.0, 0.5, 1.0);
+    for (link, cpu) in [(10.0, 0.5), (200.0, 0.06), (10.0, 0.06)] {
+        let weak = claim_place(link, cpu, 0.2);
+        assert!(strong < weak, "{link} Mbit/s, {cpu} cores");
+    }
+    let places = [0.0, 0.5, 1.0].map(|draw| claim_place(1000.0, 0.25, draw));
+    assert!(
+        places.is_sorted() && places[0] < places[2],
+        "equal ones spread"
+    );
+}
