--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -214,6 +214,11 @@
 
 async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
     let newest = shared.store.newest(topic).await?;
+    let known = shared.topics.borrow().next(topic);
+    if known.is_some_and(|known| newest.next < known) {
+        let why = "the newest records are older than those that are known";
+        return Err(StoreError::Unanswered(why.into()));
+    }
     let lapse = on_read(shared, topic);
     take_newest(shared, topic, newest.next, newest.records, lapse);
     Ok(())
