Do less for each order and request at a busy placer

Each answer to the question whether a load is complete, every 12 ms for each slow load, planned anew, and each request that came looked at all that wait twice.

Change: a load that goes on plans nothing; it is asked for again after a tenth of the time that it has taken, where that is longer; planning stops first where the limit of loads is reached; a request that comes leads to a look at all only where it seems hopeless itself, the others are found at the next tick.

Tests: caraway-placement, all as before.

--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -24,6 +24,9 @@
 /// Pause before a question that another order has overtaken is asked again: some ways there and
 /// back within a zone.
 const POLL_AGAIN: Duration = Duration::from_millis(2);
+/// Part of the time that a load has taken so far after which it is asked for again, where that is
+/// longer than the usual pause: slow loads are not asked for ever more often in all.
+const POLL_PART: f64 = 0.1;
 /// Part of a load's expected time after which it is asked for the first time.
 const FIRST_POLL_PART: f64 = 0.96;
 
@@ -40,6 +43,8 @@
             return;
         };
         let poll = replica.polls.remove(&number);
+        // That a load goes on changes nothing for others.
+        let is_news = poll.is_none() || end != OrderEnd::Accepted;
         let order = replica.outstanding.take_if(|o| o.number == number);
         match end {
             OrderEnd::Fenced => {
@@ -66,7 +71,9 @@
             }
         }
         self.pump(now, endpoint);
-        self.plan(now);
+        if is_news {
+            self.plan(now);
+        }
     }
 
     /// Sends what is due to every endpoint.
@@ -231,8 +238,9 @@
                 replica.doubt(now, Duration::ZERO);
             }
             _ => {
-                *poll = Some(now + step);
-                if now.saturating_duration_since(*since) > patience && replica.orders.is_some() {
+                let took = now.saturating_duration_since(*since);
+                *poll = Some(now + step.max(took.mul_f64(POLL_PART)));
+                if took > patience && replica.orders.is_some() {
                     replica.doubt(now, lag);
                 }
             }
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -30,8 +30,12 @@
         if self.leaving {
             return;
         }
+        let limit = self.transit_limit();
+        if self.transit(now) >= limit {
+            return;
+        }
         for model in self.wanted(now) {
-            if self.transit(now) >= self.transit_limit() {
+            if self.transit(now) >= limit {
                 break;
             }
             if let Some(target) = self.target(now, &model, None) {
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -43,9 +43,14 @@
             self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETURN);
             return;
         }
+        let deadline = ask.deadline;
         self.waiting.add(id, ask);
         self.plan(now);
-        self.refuse_hopeless(now);
+        // Looking at all that wait costs most where most wait; a look each tick finds the others.
+        let ahead = self.waiting.models().saturating_sub(self.transit(now) + 1);
+        if self.ready_at(now, ahead) + self.settings.shortest_run > deadline {
+            self.refuse_hopeless(now);
+        }
     }
 
     /// Takes a run that began under an earlier holder.
--- a/crates/caraway-placement/src/waiting.rs
+++ b/crates/caraway-placement/src/waiting.rs
@@ -102,6 +102,11 @@
         self.lists.contains_key(model)
     }
 
+    /// Returns the number of adapters and models that are waited for.
+    pub(crate) fn models(&self) -> usize {
+        self.lists.len()
+    }
+
     /// Returns the number of requests that wait.
     pub(crate) fn len(&self) -> usize {
         self.count
