--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -2,10 +2,9 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use caraway_http::{ConnectLimits, Link, Payload, read_whole};
-use caraway_platform_standin::{Ledger, STREAM_EVENTS};
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use caraway_http::{ConnectLimits, Link, read_whole};
+use caraway_platform_standin::{Kind, Ledger, fault, message, route_message};
+use http::StatusCode;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{
@@ -22,31 +21,6 @@
 /// Adapters that callers ask for; more than an engine has places for.
 const ADAPTERS: u32 = 12;
 
-/// A kind of request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Kind {
-    Draft,
-    Status,
-    Deposit,
-}
-
-impl Kind {
-    pub(crate) const ALL: [Self; 3] = [Self::Draft, Self::Status, Self::Deposit];
-
-    /// Tells whether it may run more than once.
-    pub(crate) fn may_repeat(self) -> bool {
-        self == Self::Status
-    }
-
-    fn path(self) -> &'static str {
-        match self {
-            Self::Draft => "/draft/x",
-            Self::Status => "/status/x",
-            Self::Deposit => "/deposit/x",
-        }
-    }
-}
-
 /// How a request ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum End {
@@ -140,7 +114,8 @@
         let Some(link) = self.link.as_mut() else {
             return End::Broken;
         };
-        let Ok(answer) = link.send(message(kind, adapter, request)).await else {
+        let message = message(kind, adapter, request, PATIENCE);
+        let Ok(answer) = link.send(message).await else {
             return End::Broken;
         };
         let (head, body) = answer.into_parts();
@@ -150,52 +125,19 @@
         if head.status != StatusCode::OK {
             return End::Status(head.status.as_u16());
         }
-        let seal = head.headers.get("x-server-seal");
-        let is_own = seal.is_some_and(|s| s.as_bytes() == request.as_bytes());
-        if !is_own || body != expected(kind, request) {
-            let text = String::from_utf8_lossy(&body).into_owned();
-            let what = format!("MIXED: {request} got the seal {seal:?} and {text:?}");
-            self.ledger.on_broken(what);
+        if let Some(fault) = fault(kind, request, &head.headers, &body) {
+            self.ledger.on_broken(format!("MIXED: {fault}"));
         }
         End::Served
     }
 }
 
-fn message(kind: Kind, adapter: u32, request: &str) -> Request<Payload> {
-    let mut message = Request::new(Payload::whole(Bytes::from_static(b"prompt")));
-    *message.method_mut() = Method::POST;
-    *message.uri_mut() = http::Uri::from_static(kind.path());
-    let headers = message.headers_mut();
-    headers.insert(header::HOST, HeaderValue::from_static("h.example"));
-    headers.insert("x-hold", HeaderValue::from_static("the client's"));
-    let text = |text: String| HeaderValue::from_str(&text).expect("plain text");
-    headers.insert("x-attempt-id", text(request.to_owned()));
-    headers.insert("x-deadline-ms", text(PATIENCE.as_millis().to_string()));
-    if kind == Kind::Draft {
-        headers.insert("x-model", text(format!("base/a{adapter}")));
-        headers.insert("x-token-count", HeaderValue::from_static("100,20"));
-    }
-    message
-}
-
-/// Returns the whole body of a request's answer.
-fn expected(kind: Kind, request: &str) -> Bytes {
-    if kind == Kind::Draft {
-        let event = |n| format!("id: {n}\ndata: {request} {n}\n\n");
-        (1..=STREAM_EVENTS).map(event).collect::<String>().into()
-    } else {
-        request.to_owned().into()
-    }
-}
-
 /// Asks whether an instance takes a path that a configuration names.
 pub(crate) async fn has_route(front: SocketAddr, name: &str, request: &str) -> bool {
     let Ok(mut link) = Link::connect(front, &ConnectLimits::default()).await else {
         return false;
     };
-    let mut message = message(Kind::Status, 0, request);
-    let path = format!("/{name}/x");
-    *message.uri_mut() = path.parse().expect("a path");
+    let message = route_message(name, request, PATIENCE);
     let answer = timeout(PATIENCE, link.send(message)).await;
     matches!(answer, Ok(Ok(answer)) if answer.status() == StatusCode::OK)
 }
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, fmt, path::PathBuf, rc::Rc, time::Duration};
 
 use anyhow::{Context, Result};
+use caraway_platform_standin::Kind;
 use tokio::{
     sync::watch,
     task::LocalSet,
@@ -11,7 +12,7 @@
 
 use crate::{
     Plan, Timed,
-    caller::{Caller, End, Kind, Log, Seen, has_route},
+    caller::{Caller, End, Log, Seen, has_route},
     gateway::Place,
     schedule,
     world::{KEEP_PAUSE, World},
--- a/crates/caraway-soak/src/world.rs
+++ b/crates/caraway-soak/src/world.rs
@@ -5,10 +5,9 @@
 use anyhow::{Context, Result};
 use caraway_platform_standin::{
     Desk, Engine, EngineSpec, Habit, Ledger, Mode, Orders, Proxy, Store, StoreMode, configuration,
-    entry,
+    entry, models,
 };
 use nix::sys::signal::Signal;
-use serde_json::json;
 
 use crate::{
     Fault, Plan,
@@ -116,15 +115,11 @@
     fn register(&self, endpoint: &Endpoint) {
         let (service, models) = match &endpoint.what {
             Service::Desk(_) => ("desk", None),
-            Service::Engine(engine) if engine.has_weights() => {
-                let model = json!([{"Name": "base", "Version": 1, "Adapters": []}]);
-                ("lm", Some(model))
-            }
-            Service::Engine(_) => ("lm", Some(json!([]))),
+            Service::Engine(engine) => ("lm", Some(models(engine.has_weights()))),
         };
         let addr = endpoint.proxy.addr();
         let entry = entry(service, &endpoint.zone, addr, endpoint.born, models);
-        self.store.publish("keyed.servers", &endpoint.id, &entry);
+        self.store.publish_endpoint(&endpoint.id, &entry);
     }
 
     /// Publishes a configuration, with one route more where it is named.
@@ -132,7 +127,7 @@
         self.version += 1;
         self.further.extend(route.map(str::to_owned));
         let configuration = configuration(self.version, PLACES, &self.further);
-        self.store.publish("keyed.op", "config", &configuration);
+        self.store.publish_configuration(&configuration);
     }
 
     /// Begins a fault.
