Start a zone's placer anew where its holder was overtaken and claims again

Cause (found by reading the diff): a holder whose endpoints saw a later token gives its placer up and claims the zone again. Its own new record counted as the same run going on, so it opened no placer, and its zone had none until another instance claimed it.

Change: the record of a run that has no placer for the zone any more opens one.

Test: caraway-gateway process a_holder_that_was_overtaken_claims_its_zone_anew (no answer before).

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -103,17 +103,21 @@
         .holders
         .borrow_mut()
         .insert(zone.clone(), holder.clone());
+    let is_own = holder.instance == shared.site.instance;
     if former.is_some_and(|f| f.is_same_run(holder)) {
         if let Some(desk) = shared.desk(zone) {
             desk.record(holder.token);
+            return;
+        }
+        // One that was overtaken by a later token has no placer any more, and starts anew.
+        if !is_own {
+            return;
         }
-        return;
     }
     let desk = shared.desks.borrow_mut().remove(zone);
     if let Some(desk) = desk {
         desk.end();
     }
-    let is_own = holder.instance == shared.site.instance;
     if is_own && holder.incarnation == shared.incarnation && !holder.released {
         open_desk(shared, zone, holder, start);
     }
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -184,3 +184,22 @@
         gateway.wait_for("the new route", || ask().starts_with("HTTP/1.1 200"));
     }
 }
+
+/// Another holder's order with a later token reaches an engine: the instance gives its zone up,
+/// claims it anew, and orders again by the new record's token.
+#[test]
+fn a_holder_that_was_overtaken_claims_its_zone_anew() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    let engine = platform.act(|parts| parts.engine_addr);
+    let order = r#"{"Operation":"load","Model":"base","Adapter":"a1","Holder":"other",
+        "FencingToken":100}"#;
+    let answer = call(engine, "POST /v1/order", "", order);
+    assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
+    let ask = || call(gateway.front, "POST /draft/x?y=1", DRAFT, "prompt");
+    gateway.wait_for("an answer", || ask().contains("x-server-seal: r1"));
+    assert!(gateway.has_event(1202), "it gave the zone up");
+    let loads = platform.act(|parts| parts.engine.loads());
+    assert_eq!(loads.last(), Some(&("a7".to_owned(), 256)));
+}
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -25,6 +25,7 @@
     /// The way to the store of gateways that are started with [`Platform::way`].
     pub(crate) way: Proxy,
     pub(crate) engine: Engine,
+    pub(crate) engine_addr: SocketAddr,
 }
 
 type Act = Box<dyn FnOnce(&Parts) + Send>;
@@ -116,7 +117,13 @@
         store.publish("keyed.servers", id, &listed);
     }
     let way = Proxy::start(addr).await.expect("an address");
-    (Parts { store, way, engine }, addr)
+    let parts = Parts {
+        store,
+        way,
+        engine,
+        engine_addr,
+    };
+    (parts, addr)
 }
 
 /// A gateway process, killed when it is dropped.
