Do not wake a placer that stops for weights

Cause (found by reading): where a window of loads ended while the placer stopped, it was woken again and again until it had stopped, at most 0.3 s.

Change: a placer that stops waits for no load of weights.

Tests: caraway-placement, all as before.

--- a/crates/caraway-placement/src/placer/weights.rs
+++ b/crates/caraway-placement/src/placer/weights.rs
@@ -59,7 +59,7 @@
     /// Returns when a further load of weights may begin, where one is wanted.
     pub(super) fn weights_wake(&self) -> Option<Instant> {
         let is_empty = |r: &Replica| r.models.is_empty() && r.weights.is_none();
-        let is_wanted = self.replicas.values().any(is_empty);
+        let is_wanted = !self.leaving && self.replicas.values().any(is_empty);
         let first = self.weight_loads.front().filter(|_| is_wanted)?;
         Some(*first + self.settings.load_window)
     }
