Log callers that leave before their first event

Change: a request that is dropped before it has an answer leaves event 1405.

Test: caraway-gateway process a_caller_that_leaves_before_its_first_event_leaves_a_line (no line before).

--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -133,15 +133,52 @@
     }
 }
 
+/// Logs that the caller left, where a request is dropped before it has an answer.
+#[derive(Debug)]
+struct LeftGuard {
+    shared: Rc<Shared>,
+    id: Arc<str>,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Drop for LeftGuard {
+    fn drop(&mut self) {
+        if !self.answered {
+            emit!(self.shared, info, CallerLeft; "request" => &*self.id, "events" => 0,
+                "ms" => millis(self.arrived.elapsed()));
+        }
+    }
+}
+
 /// Serves a request.
 pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
     let in_flight = InFlight::new(&shared);
     let arrived = Instant::now();
     let head = call_head(request.headers());
     let id = head.as_ref().map_or_else(|_| "".into(), |h| h.id.clone());
-    let call = match prepare(&shared, request, head, arrived).await {
+    let mut guard = LeftGuard {
+        shared: shared.clone(),
+        id: id.clone(),
+        arrived,
+        answered: false,
+    };
+    let response = answer(&shared, request, head, arrived, &id, in_flight).await;
+    guard.answered = true;
+    response
+}
+
+async fn answer(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    head: Result<CallHead, Findings>,
+    arrived: Instant,
+    id: &str,
+    in_flight: InFlight,
+) -> Response<Payload> {
+    let call = match prepare(shared, request, head, arrived).await {
         Ok(call) => call,
-        Err(refused) => return finish_refused(&shared, "unrouted", &id, arrived, &refused),
+        Err(refused) => return finish_refused(shared, "unrouted", id, arrived, &refused),
     };
     let kind = if call.route.streaming {
         "stream"
@@ -149,19 +186,19 @@
         "plain"
     };
     let result = if call.on_engine && call.head.model.is_some() {
-        generate::serve(&shared, Rc::new(call), in_flight).await
+        generate::serve(shared, Rc::new(call), in_flight).await
     } else {
-        plain::serve(&shared, &call).await
+        plain::serve(shared, &call).await
     };
     match result {
         Ok(response) => {
             shared.metrics.request(kind, "answered");
             shared.metrics.answer(kind, arrived.elapsed());
-            emit!(shared, info, Answered; "request" => &*id, "kind" => kind,
+            emit!(shared, info, Answered; "request" => id, "kind" => kind,
                 "status" => response.status().as_u16(), "ms" => millis(arrived.elapsed()));
             response
         }
-        Err(refused) => finish_refused(&shared, kind, &id, arrived, &refused),
+        Err(refused) => finish_refused(shared, kind, id, arrived, &refused),
     }
 }
 
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -2,10 +2,10 @@
 
 mod standin;
 
-use std::process::Command;
+use std::{io::Write, net::TcpStream, process::Command};
 
-use caraway_platform_standin::{Mode, StoreMode};
-use standin::{Gateway, Platform, call};
+use caraway_platform_standin::{Mode, Orders, StoreMode};
+use standin::{Gateway, PATIENCE, Platform, call};
 
 const DRAFT: &str = "X-Attempt-Id: r1\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
     X-Deadline-Ms: 4000\r\nX-Hold: stolen\r\n";
@@ -203,3 +203,22 @@
     let loads = platform.act(|parts| parts.engine.loads());
     assert_eq!(loads.last(), Some(&("a7".to_owned(), 256)));
 }
+
+#[test]
+fn a_caller_that_leaves_before_its_first_event_leaves_a_line() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    // The adapter can't be loaded, so that the request waits.
+    platform.act(|parts| parts.engine.set_orders(Orders::Late(PATIENCE)));
+    let mut caller = TcpStream::connect(gateway.front).expect("a connection");
+    let request = format!(
+        "POST /draft/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 6\r\n{DRAFT}\r\nprompt"
+    );
+    caller
+        .write_all(request.as_bytes())
+        .expect("the request is sent");
+    gateway.wait_for("the order", || gateway.has_event(1300));
+    drop(caller);
+    gateway.wait_for("the line", || gateway.has_line(1405, "request", "r1"));
+}
