--- a/crates/caraway-soak/src/gateway.rs
+++ b/crates/caraway-soak/src/gateway.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fs::File,
-    net::{SocketAddr, TcpListener},
+    hash::{DefaultHasher, Hash, Hasher},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::Stdio,
 };
@@ -40,7 +41,7 @@
         zones: &[&str],
         store: SocketAddr,
     ) -> Result<Self> {
-        let [front, ready, peers] = free_addrs().context("no free ports")?;
+        let [front, ready, peers] = free_addrs(name).context("no free ports")?;
         let addresses = Addresses {
             front,
             ready,
@@ -105,9 +106,15 @@
     }
 }
 
-fn free_addrs<const N: usize>() -> Option<[SocketAddr; N]> {
+/// Returns free ports at a loopback address of this instance's own: connections from 127.0.0.1 can't
+/// take them while the process is down.
+fn free_addrs<const N: usize>(name: &str) -> Option<[SocketAddr; N]> {
+    let mut hasher = DefaultHasher::new();
+    (std::process::id(), name).hash(&mut hasher);
+    let [a, b, c, ..] = hasher.finish().to_be_bytes();
+    let ip = Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254));
     let listeners: Vec<TcpListener> = (0..N)
-        .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok())
+        .filter_map(|_| TcpListener::bind((ip, 0)).ok())
         .collect();
     let addrs: Vec<SocketAddr> = listeners
         .iter()
