Read a load's next question in one place, and count the soak's ends without dyn

Cause: read back; the placer took the time of the next question out of a phase twice, and the soak counted ends by a boxed-style closure where a comparison does.

Change: Phase::poll; counts by the end itself. Behaviour is as it was.

Tests: caraway-placement and caraway-gateway soak, all passed, none changed.

--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -324,14 +324,8 @@
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         let can_report = !self.reporting && self.outstanding.is_none();
         let report = self.report_at.filter(|_| can_report);
-        let polls = self.held.values().filter_map(|h| match h.phase {
-            Phase::Loading { poll, .. } => poll,
-            _ => None,
-        });
-        let weights = self.weights.as_ref().and_then(|w| match w.phase {
-            Phase::Loading { poll, .. } => poll,
-            _ => None,
-        });
+        let polls = self.held.values().filter_map(|h| h.phase.poll());
+        let weights = self.weights.as_ref().and_then(|w| w.phase.poll());
         let polls = polls.chain(weights).filter(|_| self.orders.is_some());
         polls.chain(report).min()
     }
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -35,6 +35,16 @@
     Doubtful,
 }
 
+impl Phase {
+    /// Returns when to ask next whether a load is complete.
+    pub(crate) fn poll(self) -> Option<Instant> {
+        match self {
+            Self::Loading { poll, .. } => poll,
+            _ => None,
+        }
+    }
+}
+
 /// An adapter on an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Held {
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -160,13 +160,13 @@
         seen.iter()
             .filter_map(|s| judge(s, ledger.runs(&s.request))),
     );
-    let count = |holds: &dyn Fn(&End) -> bool| seen.iter().filter(|s| holds(&s.end)).count();
+    let count = |end: End| seen.iter().filter(|s| s.end == end).count();
     Ok(Report {
         seed: plan.seed,
         faults: faults.len(),
         sent: seen.len(),
-        served: count(&|e| *e == End::Served),
-        refused: count(&|e| *e == End::Status(503)),
+        served: count(End::Served),
+        refused: count(End::Status(503)),
         broken,
         logs: None,
     })
