Give process tests ports that nothing else on the machine takes

The tests freed ports at 127.0.0.1 and let the program bind them later; the stand-ins' listeners and every connection of the tests beside it get ports from the same range, so one of them took the port meanwhile. The soak had the same fault and its own mend.

Change: the soak's function moves to the stand-in of the platform, gives every call a loopback address of its own, and serves the process tests too.

Conclusion: the fault was the tests' own; the program is unchanged.

--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, mpsc},
     thread,
@@ -10,7 +10,7 @@
 };
 
 use caraway_platform_standin::{
-    Addresses, Desk, Engine, EngineSpec, Habit, Ledger, Proxy, Store, entry, settings,
+    Addresses, Desk, Engine, EngineSpec, Habit, Ledger, Proxy, Store, entry, free_addrs, settings,
 };
 use serde_json::{Value, json};
 use tokio::{sync::mpsc as requests, task::LocalSet};
@@ -143,7 +143,7 @@
 
     /// Starts a gateway as this instance with a store, and waits until it is ready.
     pub(crate) fn start_as(store: SocketAddr, instance: &str) -> Self {
-        let [front, ready, peers] = free_addrs();
+        let [front, ready, peers] = free_addrs().expect("free ports");
         let addresses = Addresses {
             front,
             ready,
@@ -260,9 +260,3 @@
     services.push(json!({"Name": "flaky", "MaxConns": 50}));
     configuration
 }
-
-fn free_addrs<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] =
-        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
-    listeners.map(|l| l.local_addr().expect("an address"))
-}
--- a/crates/caraway-soak/src/gateway.rs
+++ b/crates/caraway-soak/src/gateway.rs
@@ -2,14 +2,13 @@
 
 use std::{
     fs::File,
-    hash::{DefaultHasher, Hash, Hasher},
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::Stdio,
 };
 
 use anyhow::{Context, Result};
-use caraway_platform_standin::{Addresses, settings};
+use caraway_platform_standin::{Addresses, free_addrs, settings};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -41,7 +40,7 @@
         zones: &[&str],
         store: SocketAddr,
     ) -> Result<Self> {
-        let [front, ready, peers] = free_addrs(name).context("no free ports")?;
+        let [front, ready, peers] = free_addrs().context("no free ports")?;
         let addresses = Addresses {
             front,
             ready,
@@ -105,20 +104,3 @@
         Path::new(&self.place.folder).join(format!("{}.{kind}", self.name))
     }
 }
-
-/// Returns free ports at a loopback address of this instance's own: connections from 127.0.0.1 can't
-/// take them while the process is down.
-fn free_addrs<const N: usize>(name: &str) -> Option<[SocketAddr; N]> {
-    let mut hasher = DefaultHasher::new();
-    (std::process::id(), name).hash(&mut hasher);
-    let [a, b, c, ..] = hasher.finish().to_be_bytes();
-    let ip = Ipv4Addr::new(127, a.max(1), b, c.clamp(1, 254));
-    let listeners: Vec<TcpListener> = (0..N)
-        .filter_map(|_| TcpListener::bind((ip, 0)).ok())
-        .collect();
-    let addrs: Vec<SocketAddr> = listeners
-        .iter()
-        .filter_map(|l| l.local_addr().ok())
-        .collect();
-    addrs.try_into().ok()
-}
