Keep a claimer's place when another zone's claim came first

Cause: all zones' records lie in one topic, so of claims of several zones at a start one wins and the others find the topic moved.

Change: Claims keeps a claim's place while the topic is read on, and tries again at the new end.

The failed holder test of caraway-entry prints the orders before a wrong one from now on.

--- a/crates/caraway-entry/tests/holder_faults.rs
+++ b/crates/caraway-entry/tests/holder_faults.rs
@@ -19,6 +19,8 @@
 };
 
 const ADAPTERS: usize = 6;
+/// Orders before a wrong one that a failed test prints.
+const SHOWN: usize = 8;
 /// More than the lease and guard of [`plan`] and what the list takes to be read.
 const BEYOND_LEASE: Duration = Duration::from_millis(2_500);
 
@@ -80,9 +82,15 @@
 fn check_engines(bed: &Testbed) {
     assert_eq!(bed.violations(), 0);
     for n in 0..bed.engines.len() {
+        let orders = orders(bed, n);
+        let executed: Vec<_> = orders.iter().filter(|o| o.error.is_none()).collect();
         let mut largest = 0;
-        for order in orders(bed, n).iter().filter(|o| o.error.is_none()) {
-            assert!(fence(order) >= largest, "engine {n}: {order:?}");
+        for (at, order) in executed.iter().enumerate() {
+            let before = &executed[at.saturating_sub(SHOWN)..at];
+            assert!(
+                fence(order) >= largest,
+                "engine {n}: {order:#?}\nafter {before:#?}"
+            );
             largest = largest.max(fence(order));
         }
     }
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -10,7 +10,7 @@
 
 use caraway_platform::{Record, StoreError, Topic, holder_key};
 use caraway_types::{Fence, ZoneId};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
@@ -45,14 +45,11 @@
         };
         let mut topics = shared.topics.borrow_mut();
         let Some(wait) = wait else {
-            topics.claims.remove(&zone);
+            topics.claims.forget(&zone);
             continue;
         };
-        let now = Instant::now();
-        let due = *topics.claims.entry(zone.clone()).or_insert(now + wait);
-        if now >= due && !topics.is_claiming {
-            topics.is_claiming = true;
-            topics.claims.remove(&zone);
+        let at = topics.next(Topic::Holders);
+        if topics.claims.begin(Shared::now(), &zone, wait, at) {
             drop(topics);
             tokio::task::spawn_local(claim(shared.clone(), zone));
         }
@@ -142,7 +139,7 @@
             patience -= 1;
             sleep(RELEASE_PAUSE).await;
         }
-        let successor = if append(shared, &desk.zone, true).await {
+        let successor = if append(shared, &desk.zone, true).await.is_ok() {
             None
         } else {
             desk.hand_over()
@@ -195,14 +192,16 @@
 }
 
 async fn claim(shared: Rc<Shared>, zone: ZoneId) {
-    append(&shared, &zone, false).await;
-    shared.topics.borrow_mut().is_claiming = false;
+    let at = shared.topics.borrow().next(Topic::Holders);
+    let result = append(&shared, &zone, false).await;
+    let moved = at.filter(|_| matches!(result, Err(StoreError::Moved(_))));
+    shared.topics.borrow_mut().claims.end(&zone, moved);
 }
 
-/// Appends this instance's record of a zone; returns whether it lies there.
-async fn append(shared: &Rc<Shared>, zone: &ZoneId, released: bool) -> bool {
+/// Appends this instance's record of a zone.
+async fn append(shared: &Rc<Shared>, zone: &ZoneId, released: bool) -> Result<(), StoreError> {
     let Some(at) = shared.topics.borrow().next(Topic::Holders) else {
-        return false;
+        return Err(StoreError::Unavailable("the topic is not read yet".into()));
     };
     let holder = Holder {
         released,
@@ -222,7 +221,7 @@
     shared.metrics.store_call("claim", label);
     emit!(shared, info, ClaimTried; "held_zone" => &**zone, "at" => at, "released" => released,
         "outcome" => outcome);
-    match result {
+    match &result {
         Ok(appended) => {
             let record = Record {
                 offset: appended.offset,
@@ -230,7 +229,6 @@
                 value: Some(value.into()),
             };
             follow::on_own_append(shared, Topic::Holders, at, &record);
-            return true;
         }
         // The topic has moved, or the record may lie there: reading on tells.
         Err(StoreError::Moved(_) | StoreError::Unanswered(_)) => {
@@ -239,7 +237,7 @@
         // The next look tries again.
         Err(_) => {}
     }
-    false
+    result.map(drop)
 }
 
 fn open_desk(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, start: std::time::Instant) {
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     apply::{self, Source},
+    claims::Claims,
     event::emit,
     executor::millis,
     frame::{FromHolder, RecordsFrame, ToHolder},
@@ -46,10 +47,7 @@
     states: HashMap<Topic, TopicState>,
     /// Whether the registry of endpoints was away.
     outage: Outage,
-    /// When this instance claims a zone, unless its holder is back by then.
-    pub(crate) claims: HashMap<ZoneId, Instant>,
-    /// Whether a claim is on its way.
-    pub(crate) is_claiming: bool,
+    pub(crate) claims: Claims,
 }
 
 #[derive(Debug, Default)]
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod claim;
+mod claims;
 mod desk;
 mod event;
 mod executor;
@@ -30,6 +31,7 @@
 mod succession;
 
 pub use caraway_metrics::MetricInfo;
+pub use claims::Claims;
 pub use event::Event;
 pub use log::{LogLimits, LogQueue, json_logger};
 pub use metrics::METRICS;
