Hand a zone from a weak holder to a strong instance

Change: askers say how weak they are; a holder that is weaker by half of the scale lets its orders end and hands the zone over by the way that a stopping one uses, to the strongest of its zone. What is handed over is recorded at the next look instead of half a second later, as instances that start meanwhile ask the former holder in vain (seen in the new process test: 503 for a newcomer). Every second instance of the soak is weak.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -34,6 +34,7 @@
     if shared.is_leaving() || !shared.topics.borrow().is_read(Topic::Holders) {
         return;
     }
+    hand_over_to_stronger(shared);
     let zones = shared.site.zones.clone();
     for zone in zones {
         keep_session(shared, &zone);
@@ -133,28 +134,55 @@
 /// Gives up every zone, as the instance stops.
 pub(crate) async fn release_all(shared: &Rc<Shared>) {
     for desk in shared.own_desks() {
-        desk.with(shared, caraway_placement::Placer::on_leave);
-        let mut patience = RELEASE_CHECKS;
-        while desk.is_ordering() && patience > 0 {
-            patience -= 1;
-            sleep(RELEASE_PAUSE).await;
-        }
+        end_orders(shared, &desk).await;
         let successor = if append(shared, &desk.zone, true).await.is_ok() {
             None
         } else {
             desk.hand_over()
         };
-        desk.end();
-        shared.desks.borrow_mut().remove(&desk.zone);
-        emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token(),
-            "why" => "the instance stops",
-            "successor" => successor.as_ref().map_or("", |s| &*s.instance));
-        if let Some(successor) = successor {
-            on_successor(shared, &desk.zone, &successor);
+        leave(shared, &desk, successor, "the instance stops");
+    }
+}
+
+/// Hands zones over to instances that are better holders.
+fn hand_over_to_stronger(shared: &Rc<Shared>) {
+    for desk in shared.own_desks() {
+        if desk.is_recorded() && desk.begin_hand_over(shared.weakness()) {
+            tokio::task::spawn_local(hand_over(shared.clone(), desk));
         }
     }
 }
 
+async fn hand_over(shared: Rc<Shared>, desk: Rc<Desk>) {
+    end_orders(&shared, &desk).await;
+    // One that stops meanwhile gives its zones up itself.
+    if !shared.is_leaving() {
+        // Without a successor, as it left meanwhile, this instance claims the zone anew.
+        let successor = desk.hand_over();
+        leave(&shared, &desk, successor, "another instance is stronger");
+    }
+}
+
+/// Lets the placer order nothing more, and waits for the ends of its orders.
+async fn end_orders(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+    desk.with(shared, caraway_placement::Placer::on_leave);
+    let mut patience = RELEASE_CHECKS;
+    while desk.is_ordering() && patience > 0 {
+        patience -= 1;
+        sleep(RELEASE_PAUSE).await;
+    }
+}
+
+fn leave(shared: &Rc<Shared>, desk: &Rc<Desk>, successor: Option<Holder>, why: &str) {
+    desk.end();
+    shared.desks.borrow_mut().remove(&desk.zone);
+    emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token(),
+        "why" => why, "successor" => successor.as_ref().map_or("", |s| &*s.instance));
+    if let Some(successor) = successor {
+        on_successor(shared, &desk.zone, &successor);
+    }
+}
+
 /// Pause between looks whether the last orders have ended.
 const RELEASE_PAUSE: Duration = Duration::from_millis(20);
 /// Looks whether the last orders have ended, as long as an order's answer is awaited.
@@ -245,6 +273,11 @@
     let desk = Desk::new(shared, zone.clone(), holder.token, is_recorded, start);
     let desk = Rc::new(desk);
     shared.desks.borrow_mut().insert(zone.clone(), desk.clone());
+    if !is_recorded {
+        // Instances that start meanwhile know of the former holder only.
+        let now = Shared::now();
+        shared.topics.borrow_mut().claims.hasten(now, zone);
+    }
     apply::fill_desk(shared, &desk);
     desk.adopt_own_runs(shared);
     tokio::task::spawn_local(desk.run(shared.clone()));
@@ -287,5 +320,5 @@
         reason = "53 bits are enough to spread by"
     )]
     let draw = (xxh3_64(key.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
-    claim_place(shared.site.link_mbps, shared.site.cpu_share, draw)
+    claim_place(shared.weakness(), draw)
 }
--- a/crates/caraway-gateway/src/claims.rs
+++ b/crates/caraway-gateway/src/claims.rs
@@ -31,6 +31,15 @@
         self.waiting.remove(zone);
     }
 
+    /// Lets a zone be claimed at the next look.
+    pub fn hasten(&mut self, now: Instant, zone: &ZoneId) {
+        let claim = Claim {
+            due: now,
+            failed: None,
+        };
+        self.waiting.insert(zone.clone(), claim);
+    }
+
     /// Tells whether to claim a zone now, at the end of the topic `at`. `wait` counts from the first
     /// look that found the zone without a holder. The claim has to be [ended](Self::end).
     pub fn begin(
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -19,6 +19,7 @@
     place::Decision,
     session::Outgoing,
     shared::{Holder, Shared},
+    succession::is_better_holder,
 };
 
 /// The source of this instance's own requests.
@@ -44,14 +45,19 @@
     sources: RefCell<HashMap<SourceId, Source>>,
     last_source: Cell<SourceId>,
     wake: Notify,
+    handing_over: Cell<bool>,
     ended: Cell<bool>,
 }
 
+/// An instance that asks.
 #[derive(Debug)]
-struct Source {
+pub(crate) struct Source {
     zone: ZoneId,
     /// What its record would say if it held this zone.
     holder: Holder,
+    /// How weak it is as a holder, 0 to 1.
+    weakness: f64,
+    since: Instant,
     /// Whether it holds a zone itself.
     holds: bool,
     /// Whether it stops.
@@ -59,6 +65,21 @@
     frames: Outgoing,
 }
 
+impl Source {
+    /// Makes a source that asks from now on.
+    pub(crate) fn new(zone: ZoneId, holder: Holder, weakness: f64, frames: Outgoing) -> Self {
+        Self {
+            zone,
+            holder,
+            weakness,
+            since: Shared::now(),
+            holds: false,
+            leaving: false,
+            frames,
+        }
+    }
+}
+
 impl Desk {
     /// Makes the desk of a zone whose orders may begin at `start`.
     pub(crate) fn new(
@@ -77,6 +98,7 @@
             sources: RefCell::default(),
             last_source: Cell::new(OWN_SOURCE),
             wake: Notify::new(),
+            handing_over: Cell::new(false),
             ended: Cell::new(false),
         }
     }
@@ -97,12 +119,34 @@
         self.recorded.set(true);
     }
 
-    /// Hands the zone over to an asking instance, of the zone itself where there is one, and tells
-    /// all of them; returns what they take for its record.
+    /// Tells whether to hand the zone over to an asking instance that is a better holder than this
+    /// one, of this weakness; once.
+    pub(crate) fn begin_hand_over(&self, own_weakness: f64) -> bool {
+        let now = Shared::now();
+        let is_better = |s: &Source| {
+            let in_touch = now.saturating_duration_since(s.since);
+            let stays = s.zone == self.zone && !s.leaving;
+            stays && is_better_holder(own_weakness, s.weakness, in_touch)
+        };
+        let begins = !self.handing_over.get() && self.sources.borrow().values().any(is_better);
+        if begins {
+            self.handing_over.set(true);
+        }
+        begins
+    }
+
+    /// Hands the zone over to an asking instance, of the zone itself where there is one and the
+    /// strongest of them, and tells all of them; returns what they take for its record.
     pub(crate) fn hand_over(&self) -> Option<Holder> {
         let sources = self.sources.borrow();
         let staying = sources.values().filter(|s| !s.leaving);
-        let next = staying.min_by_key(|s| (s.zone != self.zone, s.holds, &s.holder.instance))?;
+        let next = staying.min_by(|a, b| {
+            let is_foreign = |s: &Source| s.zone != self.zone;
+            let weaker = a.weakness.total_cmp(&b.weakness);
+            let last = |s: &Source| (s.holds, s.holder.instance.clone());
+            let foreign = is_foreign(a).cmp(&is_foreign(b));
+            foreign.then(weaker).then(last(a).cmp(&last(b)))
+        })?;
         let token = self.token() + 1;
         let holder = Holder {
             token,
@@ -175,18 +219,11 @@
     }
 
     /// Adds an asking instance.
-    pub(crate) fn add_source(&self, zone: ZoneId, holder: Holder, frames: Outgoing) -> SourceId {
-        let source = self.last_source.get() + 1;
-        self.last_source.set(source);
-        let entry = Source {
-            zone,
-            holder,
-            holds: false,
-            leaving: false,
-            frames,
-        };
-        self.sources.borrow_mut().insert(source, entry);
-        source
+    pub(crate) fn add_source(&self, source: Source) -> SourceId {
+        let id = self.last_source.get() + 1;
+        self.last_source.set(id);
+        self.sources.borrow_mut().insert(id, source);
+        id
     }
 
     /// Notes whether an asking instance holds a zone itself, and whether it stops.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -28,6 +28,8 @@
         holder: Holder,
         /// Its availability zone.
         zone: ZoneId,
+        /// How weak it is as a holder, 0 to 1.
+        weakness: f64,
     },
     /// A request wants an endpoint.
     Ask {
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -39,4 +39,4 @@
 pub use retry::RetryPause;
 pub use run::{Options, run};
 pub use sse::EventCutter;
-pub use succession::{HolderState, claim_place};
+pub use succession::{HolderState, claim_place, is_better_holder, weakness};
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    desk::{self, Desk},
+    desk::{self, Desk, Source},
     follow,
     frame::{self, FrameReader, ToHolder},
     session::{Outgoing, SILENCE_LIMIT},
@@ -79,9 +79,15 @@
     }
 
     fn on_frame(&mut self, frame: ToHolder) {
-        if let ToHolder::Hello { holder, zone } = frame {
+        if let ToHolder::Hello {
+            holder,
+            zone,
+            weakness,
+        } = frame
+        {
             let frames = self.outgoing.clone();
-            let source = self.desk.add_source(zone.clone(), holder, frames);
+            let asker = Source::new(zone.clone(), holder, weakness, frames);
+            let source = self.desk.add_source(asker);
             self.source = Some((source, zone));
             return;
         }
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -249,6 +249,7 @@
         let hello = ToHolder::Hello {
             holder: shared.as_holder(),
             zone: shared.site.zone.clone(),
+            weakness: shared.weakness(),
         };
         // The queue is empty and its receiver is in the request, so these can't fail.
         outgoing.try_send(Ok(frame::encode(&hello))).ok();
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -25,6 +25,7 @@
     log::{LineRates, LogQueue},
     metrics::{Levels, Metrics},
     session::Session,
+    succession::weakness,
 };
 
 /// What the record of a zone's holder says.
@@ -178,6 +179,11 @@
         }
     }
 
+    /// Returns how weak this instance is as a zone's holder, 0 to 1.
+    pub(crate) fn weakness(&self) -> f64 {
+        weakness(self.site.link_mbps, self.site.cpu_share)
+    }
+
     /// Returns this instance's placer for a zone.
     pub(crate) fn desk(&self, zone: &str) -> Option<Rc<Desk>> {
         self.desks.borrow().get(zone).cloned()
--- a/crates/caraway-gateway/src/succession.rs
+++ b/crates/caraway-gateway/src/succession.rs
@@ -40,16 +40,36 @@
 /// by 90 ms, ten times the way to the store and back.
 const WEAKNESS_PART: f64 = 0.7;
 
-/// Returns an instance's place among the claimers of a zone, 0 to 1: strong instances come first, as
-/// a holder reads and speaks for its whole zone. `draw` tells equal ones apart, 0 to 1.
+/// Weakness by which a holder exceeds another instance before it hands its zone over, half of the
+/// scale: a hand-over interrupts the zone for some 100 ms, and slight differences are not worth it.
+const HAND_OVER_MARGIN: f64 = 0.5;
+/// Time for which the stronger instance has been in touch: three signs of life.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(1500);
+
+/// Returns how weak an instance is as a zone's holder, which reads and speaks for its whole zone: 0
+/// for one with all that this takes, to 1.
 #[must_use]
-pub fn claim_place(link_mbps: f64, cpu_share: f64, draw: f64) -> f64 {
+pub fn weakness(link_mbps: f64, cpu_share: f64) -> f64 {
     let link = (link_mbps / STRONG_LINK_MBPS).min(1.0);
     let cpu = (cpu_share / STRONG_CPU_SHARE).min(1.0);
-    let weakness = 1.0 - link.min(cpu);
+    1.0 - link.min(cpu)
+}
+
+/// Returns an instance's place among the claimers of a zone, 0 to 1: strong ones come first. `draw`
+/// tells equal ones apart, 0 to 1.
+#[must_use]
+pub fn claim_place(weakness: f64, draw: f64) -> f64 {
     WEAKNESS_PART * weakness + (1.0 - WEAKNESS_PART) * draw
 }
 
+/// Tells whether a holder should hand its zone over to another instance of the zone, which has been
+/// in touch for a time. A zone that was left to a weak instance, as after a kill of most, would stay
+/// with it.
+#[must_use]
+pub fn is_better_holder(own_weakness: f64, weakness: f64, in_touch: Duration) -> bool {
+    own_weakness - weakness >= HAND_OVER_MARGIN && in_touch >= HAND_OVER_AFTER
+}
+
 impl HolderState {
     /// Returns how long this instance waits before it claims the zone; `None` while it leaves the
     /// zone to its holder. `share` is this instance's place among the claimers, 0 to 1.
--- a/crates/caraway-gateway/tests/claims.rs
+++ b/crates/caraway-gateway/tests/claims.rs
@@ -62,3 +62,20 @@
     assert!(!claims.begin(later, &zone, PLACE, Some(5)));
     assert!(claims.begin(later + PLACE, &zone, PLACE, Some(5)));
 }
+
+/// A zone was handed over: instances that start before its record lies in the store ask the former
+/// holder.
+#[test]
+fn a_zone_that_was_handed_over_is_recorded_at_once() {
+    let start = Instant::now();
+    let zone: ZoneId = "z1".into();
+    let mut claims = Claims::default();
+    claims.hasten(start, &zone);
+    assert!(claims.begin(start, &zone, PLACE, Some(4)));
+    claims.end(&zone, None);
+    let later = start + TICK;
+    assert!(
+        !claims.begin(later, &zone, PLACE, Some(4)),
+        "not so while the store is away"
+    );
+}
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -159,6 +159,47 @@
     assert_eq!(platform.ledger.broken(), [""; 0]);
 }
 
+/// A zone whose strong instances were killed was claimed by a weak one, and a strong one is back:
+/// it takes the zone, by the next token, and requests go on.
+#[test]
+fn a_weak_holder_hands_its_zone_over_to_a_strong_instance() {
+    let platform = Platform::start();
+    let weak = Gateway::start_weak(platform.store, "gate-1");
+    weak.wait_for("the first holder", || {
+        weak.has_line(1200, "holder", "gate-1")
+    });
+    let before = DRAFT.replace("base/a7", "base/a8").replace("r1", "r0");
+    let answer = call(weak.front, "POST /draft/x?y=1", &before, "prompt");
+    assert!(answer.contains("x-server-seal: r0"), "{answer}");
+
+    let strong = Gateway::start_as(platform.store, "gate-2");
+    strong.wait_for("the zone", || strong.has_line(1200, "holder", "gate-2"));
+    weak.wait_for("the end of its holding", || {
+        weak.has_line(1202, "successor", "gate-2")
+    });
+    let third = Gateway::start_weak(platform.store, "gate-3");
+    third.wait_for("its session", || third.has_event(1210));
+    for (gateway, id) in [(&weak, "r1"), (&strong, "r2"), (&third, "r3")] {
+        let headers = DRAFT.replace("r1", id);
+        let answer = call(gateway.front, "POST /draft/x?y=1", &headers, "prompt");
+        assert!(answer.contains(&format!("x-server-seal: {id}")), "{answer}");
+    }
+    strong.wait_for("the record of the zone", || {
+        strong.has_line(1201, "outcome", "offset 1")
+    });
+    assert!(
+        !strong.has_event(1202),
+        "the zone stays with the strong one"
+    );
+    let loads = platform.act(|parts| parts.engine.loads());
+    let [("a8", 0), ("a7", 1 | 256)] =
+        loads.iter().map(|(a, t)| (&**a, *t)).collect::<Vec<_>>()[..]
+    else {
+        panic!("loads by the tokens of both: {loads:?}");
+    };
+    assert_eq!(platform.ledger.broken(), [""; 0]);
+}
+
 /// The store turns the holder of a zone away and drops its history, while another instance of the
 /// zone reads it: both must have the new configuration.
 #[test]
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -143,6 +143,16 @@
 
     /// Starts a gateway as this instance with a store, and waits until it is ready.
     pub(crate) fn start_as(store: SocketAddr, instance: &str) -> Self {
+        Self::start_with(store, instance, None)
+    }
+
+    /// Starts a gateway on a machine with a twelfth of a core and a link of 10 Mbit/s.
+    pub(crate) fn start_weak(store: SocketAddr, instance: &str) -> Self {
+        let limits = json!({"CpuShare": 0.12, "LinkMbps": 10.0});
+        Self::start_with(store, instance, Some(limits))
+    }
+
+    fn start_with(store: SocketAddr, instance: &str, limits: Option<Value>) -> Self {
         let [front, ready, peers] = free_addrs().expect("free ports");
         let addresses = Addresses {
             front,
@@ -156,8 +166,11 @@
             front.port()
         );
         let path = std::env::temp_dir().join(name);
-        let text = settings(instance, "z1", &["z1"], &addresses).to_string();
-        std::fs::write(&path, text).expect("a settings file");
+        let mut text = settings(instance, "z1", &["z1"], &addresses);
+        if let Some(limits) = limits {
+            text["Limits"] = limits;
+        }
+        std::fs::write(&path, text.to_string()).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_caraway-gateway"))
             .arg("--settings")
             .arg(&path)
--- a/crates/caraway-gateway/tests/succession.rs
+++ b/crates/caraway-gateway/tests/succession.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use caraway_gateway::{HolderState, claim_place};
+use caraway_gateway::{HolderState, claim_place, is_better_holder, weakness};
 
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -49,14 +49,36 @@
 /// with a link of 10 Mbit/s that speaks for the zone has no room left for its orders.
 #[test]
 fn strong_instances_claim_before_weak_ones() {
-    let strong = claim_place(200.0, 0.5, 1.0);
+    let strong = claim_place(weakness(200.0, 0.5), 1.0);
     for (link, cpu) in [(10.0, 0.5), (200.0, 0.06), (10.0, 0.06)] {
-        let weak = claim_place(link, cpu, 0.2);
+        let weak = claim_place(weakness(link, cpu), 0.2);
         assert!(strong < weak, "{link} Mbit/s, {cpu} cores");
     }
-    let places = [0.0, 0.5, 1.0].map(|draw| claim_place(1000.0, 0.25, draw));
+    let places = [0.0, 0.5, 1.0].map(|draw| claim_place(weakness(1000.0, 0.25), draw));
     assert!(
         places.is_sorted() && places[0] < places[2],
         "equal ones spread"
     );
 }
+
+/// Most instances are killed at once, the strong ones among them, and a weak one claims a zone of 20
+/// engines: the zone goes back to a strong one when it is there again.
+#[test]
+fn a_zone_that_was_left_to_a_weak_instance_goes_back_to_a_strong_one() {
+    let strong = weakness(200.0, 0.5);
+    for (link, cpu) in [(10.0, 0.5), (10.0, 0.12), (200.0, 0.12)] {
+        let weak = weakness(link, cpu);
+        assert!(
+            is_better_holder(weak, strong, millis(1500)),
+            "{link} Mbit/s, {cpu} cores"
+        );
+        assert!(!is_better_holder(weak, strong, millis(100)), "just started");
+        assert!(!is_better_holder(strong, weak, millis(9000)));
+    }
+    let equal = weakness(1000.0, 0.25);
+    assert!(!is_better_holder(equal, equal, millis(9000)));
+    assert!(
+        !is_better_holder(weakness(90.0, 0.5), equal, millis(9000)),
+        "slight differences are not worth a hand-over"
+    );
+}
--- a/crates/caraway-soak/src/gateway.rs
+++ b/crates/caraway-soak/src/gateway.rs
@@ -13,6 +13,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use serde_json::json;
 use tokio::process::{Child, Command};
 
 /// Where a gateway's files lie.
@@ -32,13 +33,15 @@
 }
 
 impl Gateway {
-    /// Writes the settings of an instance whose store is at `store`, and starts it.
+    /// Writes the settings of an instance whose store is at `store`, and starts it. A weak one hands
+    /// its zone over to one that is not.
     pub(crate) fn start(
         place: &Place,
         name: &str,
         zone: &str,
         zones: &[&str],
         store: SocketAddr,
+        is_weak: bool,
     ) -> Result<Self> {
         let [front, ready, peers] = free_addrs().context("no free ports")?;
         let addresses = Addresses {
@@ -47,14 +50,18 @@
             peers,
             store,
         };
-        let text = settings(name, zone, zones, &addresses).to_string();
+        let mut text = settings(name, zone, zones, &addresses);
+        if is_weak {
+            text["Limits"] = json!({"CpuShare": 0.12, "LinkMbps": 10.0});
+        }
         let mut gateway = Self {
             name: name.to_owned(),
             front,
             place: place.clone(),
             child: None,
         };
-        std::fs::write(gateway.file("json"), text).context("can't write the settings")?;
+        std::fs::write(gateway.file("json"), text.to_string())
+            .context("can't write the settings")?;
         gateway.run()?;
         Ok(gateway)
     }
--- a/crates/caraway-soak/src/world.rs
+++ b/crates/caraway-soak/src/world.rs
@@ -89,7 +89,8 @@
             for number in 0..plan.instances {
                 let way = Proxy::start(addr).await.context("a proxy")?;
                 let name = format!("gate-{zone}-{number}");
-                let gateway = Gateway::start(place, &name, zone, &zones, way.addr())?;
+                let is_weak = number % 2 == 1;
+                let gateway = Gateway::start(place, &name, zone, &zones, way.addr(), is_weak)?;
                 world.store_ways.push(way);
                 world.gateways.push(gateway);
                 world.kept.push(true);
