Let a follower measure the weight store's loads, not its engines' memory

Cause: a placer that follows another does not know which adapters its engines remember. Loads that were on their way already counted as quick, too.

Change: Timing tells whether a load's start was seen and whether a question found it on its way; one that the first question found complete counts for the time of loads only after 16 in a row.

--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -45,6 +45,8 @@
     load_time: Duration,
     /// Shortest time that one took.
     least_load: Option<Duration>,
+    /// Loads in a row that the first question found complete.
+    quick_loads: u32,
     /// Adapters that may be on their way from the weight store.
     transit_limit: f64,
     fetched: u64,
@@ -101,6 +103,7 @@
         Self {
             load_time: settings.load,
             least_load: None,
+            quick_loads: 0,
             transit_limit: 0.0,
             settings,
             start,
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -11,7 +11,7 @@
 use super::Placer;
 use crate::{
     Output, Report,
-    replica::{Held, Phase, Replica},
+    replica::{Held, Phase, Replica, Timing},
 };
 
 /// Pause before an endpoint whose report came too early is asked again.
@@ -156,7 +156,10 @@
             let poll = Some(now + step);
             let loading = Phase::Loading { since: now, poll };
             match self.held.get_mut(model) {
-                Some(held) if held.phase == Phase::Doubtful => held.phase = loading,
+                Some(held) if held.phase == Phase::Doubtful => {
+                    held.phase = loading;
+                    held.timing = Timing::Unknown;
+                }
                 Some(_) => {}
                 None => {
                     let held = Held {
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -8,7 +8,7 @@
 use super::Placer;
 use crate::{
     Action, Order, OrderEnd, OrderNumber, Output,
-    replica::{Held, Outstanding, Phase, Poll, Replica, Todo},
+    replica::{Held, Outstanding, Phase, Poll, Replica, Timing, Todo},
 };
 
 /// Weight of the newest load in the average time of a load.
@@ -29,6 +29,9 @@
 const POLL_PART: f64 = 0.1;
 /// Part of a load's expected time after which it is asked for the first time.
 const FIRST_POLL_PART: f64 = 0.96;
+/// Loads in a row that the first question found complete from which they tell how long a load takes.
+/// Of the adapters that a zone wants, a third and more lies in its engines' memory.
+const QUICK_LOADS: u32 = 16;
 
 impl Placer {
     /// Notes how an order ended.
@@ -176,6 +179,7 @@
                 let wait = if held.recent { reload } else { expected };
                 let poll = Some(now + wait);
                 held.phase = Phase::Loading { since: now, poll };
+                held.timing = Timing::Started;
                 self.fetched += u64::from(!held.recent);
                 replica.count_order(now);
             }
@@ -213,12 +217,12 @@
         held.missed = matches!(end, OrderEnd::Unanswered | OrderEnd::NotSent);
         match end {
             OrderEnd::Holds => {
-                let (since, recent) = (*since, held.recent);
+                let (since, recent, timing) = (*since, held.recent, held.timing);
                 held.phase = Phase::Ready;
                 replica.remember(model, recent_limit);
                 // While the endpoint was silent, nobody knows since when it was there.
                 if !recent && !was_missed {
-                    self.note_load(now.saturating_duration_since(since));
+                    self.note_load(now.saturating_duration_since(since), timing);
                 }
                 self.serve_model(now, model);
             }
@@ -238,6 +242,9 @@
                 replica.doubt(now, Duration::ZERO);
             }
             _ => {
+                if held.timing == Timing::Started && end == OrderEnd::Accepted {
+                    held.timing = Timing::Awaited;
+                }
                 let took = now.saturating_duration_since(*since);
                 *poll = Some(now + step.max(took.mul_f64(POLL_PART)));
                 if took > patience && replica.orders.is_some() {
@@ -288,18 +295,25 @@
     ///
     /// Other zones use the weight store, too, and nobody says how much of it is free; loads that
     /// take longer than the shortest one tell that too many are on their way.
-    fn note_load(&mut self, took: Duration) {
-        let (old, new) = (self.load_time.as_secs_f64(), took.as_secs_f64());
-        let average = old + NEWEST_WEIGHT * (new - old);
-        self.load_time = Duration::from_secs_f64(average.max(0.0));
-        let least = self.least_load.map_or(took, |l| l.min(took));
-        self.least_load = Some(least);
-        let (floor, ceiling) = self.transit_bounds();
-        let step = if took > least.mul_f64(SLOW_LOAD) {
-            -LIMIT_STEP
-        } else {
-            LIMIT_STEP
+    ///
+    /// One that the first question found complete says little of the time that loads take: where the
+    /// endpoint remembers the adapter from the time of an earlier holder, it was there for long.
+    fn note_load(&mut self, took: Duration, timing: Timing) {
+        self.quick_loads = match timing {
+            Timing::Unknown => return,
+            Timing::Started => self.quick_loads + 1,
+            Timing::Awaited => 0,
         };
+        if timing == Timing::Awaited || self.quick_loads >= QUICK_LOADS {
+            let (old, new) = (self.load_time.as_secs_f64(), took.as_secs_f64());
+            let average = old + NEWEST_WEIGHT * (new - old);
+            self.load_time = Duration::from_secs_f64(average.max(0.0));
+            let least = self.least_load.map_or(took, |l| l.min(took));
+            self.least_load = Some(least);
+        }
+        let is_slowed = self.least_load.is_some_and(|l| took > l.mul_f64(SLOW_LOAD));
+        let step = if is_slowed { -LIMIT_STEP } else { LIMIT_STEP };
+        let (floor, ceiling) = self.transit_bounds();
         self.transit_limit = (self.transit_limit + step).clamp(floor, ceiling);
     }
 
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -9,7 +9,7 @@
 use super::Placer;
 use crate::{
     Action,
-    replica::{Held, Phase, Replica, Todo},
+    replica::{Held, Phase, Replica, Timing, Todo},
     waiting::Demand,
 };
 
@@ -248,6 +248,7 @@
             recent: replica.remembers(model),
             former,
             missed: false,
+            timing: Timing::default(),
         };
         replica.held.insert(model.clone(), held);
         replica.todo.push_back(Todo {
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// What is known of the time that an adapter's load takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Timing {
+    /// Its start was not seen.
+    #[default]
+    Unknown,
+    /// Its start.
+    Started,
+    /// Its start, and that a question found it still on its way.
+    Awaited,
+}
+
 /// An adapter on an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Held {
@@ -58,6 +70,7 @@
     pub(crate) former: Option<u64>,
     /// Whether the last question about its load got no answer.
     pub(crate) missed: bool,
+    pub(crate) timing: Timing,
 }
 
 impl Held {
@@ -69,6 +82,7 @@
             recent: false,
             former: None,
             missed: false,
+            timing: Timing::Unknown,
         }
     }
 
--- a/crates/caraway-placement/tests/overload.rs
+++ b/crates/caraway-placement/tests/overload.rs
@@ -92,3 +92,44 @@
         assert!(granted >= 5 * 15 / 2, "seed {seed}: {granted} of some 75");
     }
 }
+
+/// Most instances are killed at once, and the one that follows a zone's holder knows nothing of what
+/// the zone's engines remember. Adapters that are back in a tenth of a load's time must not be taken
+/// for loads of a quick weight store, beside which every other one counts as slowed by too many.
+#[test]
+fn a_follower_uses_all_that_the_weight_store_gives() {
+    for seed in 0..2 {
+        let nature = Nature {
+            endpoints: 9,
+            places: 16,
+            at_once: 40,
+            recent: 51,
+            ..Nature::default()
+        };
+        let mut world = World::new(nature, PlacerSettings::default(), seed);
+        let load = Skewed {
+            per_second: 200.0,
+            adapters: 3000,
+            skew: 0.8,
+            patience: 2 * SECOND,
+            shift: 0,
+        };
+        load.fill(&mut world, SECOND, 10 * SECOND, 1);
+        world.run_until(6 * SECOND);
+        let before = world.placer.levels(world.now);
+        world.take_over();
+        world.run_until(10 * SECOND);
+        let after = world.placer.levels(world.now);
+        assert!(
+            after.limit * 10 >= before.limit * 8,
+            "seed {seed}: {} loads at once of {} before",
+            after.limit,
+            before.limit
+        );
+        let (took, usual) = (after.load_time, before.load_time);
+        assert!(
+            took * 10 >= usual * 8,
+            "seed {seed}: loads take {took:?}, not {usual:?}"
+        );
+    }
+}
--- a/crates/caraway-placement/tests/world/mod.rs
+++ b/crates/caraway-placement/tests/world/mod.rs
@@ -116,6 +116,7 @@
     pub(crate) start: Instant,
     pub(crate) now: Instant,
     pub(crate) nature: Nature,
+    settings: PlacerSettings,
     pub(crate) placer: Placer,
     pub(crate) engines: BTreeMap<EndpointId, Engine>,
     pub(crate) tally: Tally,
@@ -168,7 +169,7 @@
 impl World {
     pub(crate) fn new(nature: Nature, settings: PlacerSettings, seed: u64) -> Self {
         let start = Instant::now();
-        let mut placer = Placer::new(settings, start);
+        let mut placer = Placer::new(settings.clone(), start);
         placer.set_engine(&SERVICE.into(), &nature.engine());
         let mut world = Self {
             start,
@@ -187,6 +188,7 @@
             versions: HashMap::new(),
             models: HashMap::new(),
             nature,
+            settings,
         };
         for number in 0..world.nature.endpoints {
             let engine = Engine::new(world.nature.places, world.nature.recent, Some(start));
@@ -218,6 +220,26 @@
         self.act(|p, now| p.on_endpoint(now, &entry, Change::Reborn));
     }
 
+    /// Lets another placer follow, which knows nothing of what the former one did; the requests that
+    /// wait are asked again.
+    pub(crate) fn take_over(&mut self) {
+        self.placer = Placer::new(self.settings.clone(), self.now);
+        self.placer
+            .set_engine(&SERVICE.into(), &self.nature.engine());
+        for number in 0..self.nature.endpoints {
+            let entry = entry(number, self.nature.slots, 1, true);
+            self.act(|p, now| p.on_endpoint(now, &entry, Change::New));
+        }
+        for (id, (endpoint, model)) in self.running.clone() {
+            self.act(|p, _| p.on_running(id, &endpoint, &model));
+        }
+        let mut waiting: Vec<u64> = self.asked.keys().copied().collect();
+        waiting.sort_unstable();
+        for ticket in waiting {
+            self.ask(ticket);
+        }
+    }
+
     /// Sets the version that loads fetch from now on.
     pub(crate) fn set_version(&mut self, model: &ModelRef, version: u64) {
         self.versions.insert(model.clone(), version);
@@ -274,20 +296,11 @@
         match event {
             Event::Ask(ticket, model, patience) => {
                 let id = AskId { source: 1, ticket };
-                self.models.insert(ticket, model.clone());
-                let ask = Ask {
-                    service: SERVICE.into(),
-                    model,
-                    tokens: TokenCount::default(),
-                    priority: 0,
-                    goal: self.now + Duration::from_millis(500),
-                    deadline: self.now + patience,
-                    avoid: Vec::new(),
-                };
+                self.models.insert(ticket, model);
                 self.tally.asked += 1;
                 self.asked.insert(ticket, (self.now, self.now + patience));
                 self.at(self.now + patience, Event::Left(id));
-                self.act(|p, now| p.on_ask(now, id, ask));
+                self.ask(ticket);
             }
             Event::Ran(id) => {
                 if let Some((endpoint, model)) = self.running.remove(&id) {
@@ -328,6 +341,20 @@
         }
     }
 
+    fn ask(&mut self, ticket: u64) {
+        let (asked, deadline) = self.asked[&ticket];
+        let ask = Ask {
+            service: SERVICE.into(),
+            model: self.models[&ticket].clone(),
+            tokens: TokenCount::default(),
+            priority: 0,
+            goal: asked + Duration::from_millis(500),
+            deadline,
+            avoid: Vec::new(),
+        };
+        self.act(|p, now| p.on_ask(now, AskId { source: 1, ticket }, ask));
+    }
+
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Grant { ask, endpoint, .. } => self.grant(ask, &endpoint),
