Let requests follow a zone to its next holder

The zone itself was released by a record, and claimed after a spread.

Change: a placer that stops refuses nobody; who asked it asks the next holder, for which it waits 300 ms before it asks another zone, and 600 ms where no zone's holder is known and no endpoint is known to hold the adapter. A holder that stops hands its zone to an instance of the zone that asks it, and writes a release only without one.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -3,8 +3,9 @@
 //! A claim is an append that succeeds only where the topic ends as the claimer knows it, so of
 //! several claimers one wins, and the record's offset makes a fencing token that no other has. A
 //! holder stays until it stops or can't be reached; it renews nothing, so it goes on while the
-//! store is away. One that stops while the store is away hands its zone over to one instance, which
-//! takes the next token and records itself once the store is back.
+//! store is away. One that stops, or that is weaker than another of its zone, hands its zone over to
+//! one instance, which takes the next token and records itself, once the store is back where it is
+//! away.
 
 use std::{rc::Rc, time::Duration};
 
@@ -135,11 +136,10 @@
 pub(crate) async fn release_all(shared: &Rc<Shared>) {
     for desk in shared.own_desks() {
         end_orders(shared, &desk).await;
-        let successor = if append(shared, &desk.zone, true).await.is_ok() {
-            None
-        } else {
-            desk.hand_over()
-        };
+        let mut successor = desk.hand_over(true);
+        if successor.is_none() && append(shared, &desk.zone, true).await.is_err() {
+            successor = desk.hand_over(false);
+        }
         leave(shared, &desk, successor, "the instance stops");
     }
 }
@@ -158,7 +158,7 @@
     // One that stops meanwhile gives its zones up itself.
     if !shared.is_leaving() {
         // Without a successor, as it left meanwhile, this instance claims the zone anew.
-        let successor = desk.hand_over();
+        let successor = desk.hand_over(true);
         leave(&shared, &desk, successor, "another instance is stronger");
     }
 }
@@ -280,6 +280,7 @@
     }
     apply::fill_desk(shared, &desk);
     desk.adopt_own_runs(shared);
+    shared.holder_found.notify_waiters();
     tokio::task::spawn_local(desk.run(shared.clone()));
 }
 
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -136,10 +136,12 @@
     }
 
     /// Hands the zone over to an asking instance, of the zone itself where there is one and the
-    /// strongest of them, and tells all of them; returns what they take for its record.
-    pub(crate) fn hand_over(&self) -> Option<Holder> {
+    /// strongest of them, and tells all of them; returns what they take for its record. `at_home`
+    /// leaves out those of other zones.
+    pub(crate) fn hand_over(&self, at_home: bool) -> Option<Holder> {
         let sources = self.sources.borrow();
-        let staying = sources.values().filter(|s| !s.leaving);
+        let may_follow = |s: &&Source| !s.leaving && (s.zone == self.zone || !at_home);
+        let staying = sources.values().filter(may_follow);
         let next = staying.min_by(|a, b| {
             let is_foreign = |s: &Source| s.zone != self.zone;
             let weaker = a.weakness.total_cmp(&b.weakness);
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -209,7 +209,6 @@
     let why = match not.reason {
         RefuseReason::NoEndpoint => "no endpoint of the service takes work",
         RefuseReason::Deadline => "the adapter can't be there in time",
-        RefuseReason::Leaving => "the placer stops",
     };
     let detail = not.asked.map_or_else(
         || why.to_owned(),
@@ -220,7 +219,6 @@
     }
     let reason = match not.reason {
         RefuseReason::Deadline => Reason::Deadline,
-        RefuseReason::Leaving => Reason::Leaving,
         RefuseReason::NoEndpoint => Reason::NoEndpoint,
     };
     Refused::not_run(reason, &detail).after(not.after)
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -1,6 +1,8 @@
 //! Getting an endpoint for a request: from a placer, or from what the registry says.
 
-use std::{cell::Cell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration,
+};
 
 use caraway_placement::{Ask, End, RefuseReason};
 use caraway_routes::{ModelRef, TokenCount, Verdict};
@@ -17,6 +19,14 @@
 
 /// When a caller may come back that found no endpoint: an instance hears of new ones within this.
 const NO_ENDPOINT_RETURN: Duration = Duration::from_millis(500);
+/// Time in which a zone's next holder can be asked after a hand-over, which takes some 100 ms, most
+/// of them for the ends of the former one's orders.
+const NEXT_HOLDER_WAIT: Duration = Duration::from_millis(300);
+/// Time in which the first holder can be asked: a zone whose holder was killed is claimed within
+/// 400 ms, and the record is read within 200 ms.
+const FIRST_HOLDER_WAIT: Duration = Duration::from_millis(600);
+/// Changes of holders that one request follows.
+const FOLLOWED: u32 = 2;
 
 /// What a placer answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -203,12 +213,30 @@
     avoid: &[EndpointId],
 ) -> Result<Placed, NotPlaced> {
     let mut zones = shared.open_zones(&want.service);
+    if zones.is_empty() {
+        if let Some(placed) = resident(shared, want, avoid) {
+            return Ok(placed);
+        }
+        if shared.has_ready(&want.service)
+            && has_holder(shared, want, None, FIRST_HOLDER_WAIT).await
+        {
+            zones = shared.open_zones(&want.service);
+        }
+    }
     let mut refused = None;
+    let mut followed = 0;
     while let Some(zone) = choose_zone(shared, want, &zones) {
         match ask(shared, want, avoid, &zone).await {
             Ok(placed) => return Ok(placed),
             Err(Some(not)) if not.reason == RefuseReason::Deadline => return Err(not),
-            Err(not) => refused = not.or(refused),
+            Err(Some(not)) => refused = Some(not),
+            Err(None) if followed < FOLLOWED => {
+                followed += 1;
+                if has_holder(shared, want, Some(&zone), NEXT_HOLDER_WAIT).await {
+                    continue;
+                }
+            }
+            Err(None) => {}
         }
         zones.retain(|z| z.zone != zone);
     }
@@ -219,6 +247,23 @@
     }))
 }
 
+/// Waits until a zone's placer can be asked, or any zone's, for `limit` at most.
+async fn has_holder(shared: &Shared, want: &Want, zone: Option<&ZoneId>, limit: Duration) -> bool {
+    let end = want.deadline.min(Instant::now() + limit);
+    loop {
+        let mut found = pin!(shared.holder_found.notified());
+        // What is told from here on is heard.
+        found.as_mut().enable();
+        let can_ask = match zone {
+            Some(zone) => shared.can_ask(zone),
+            None => !shared.open_zones(&want.service).is_empty(),
+        };
+        if can_ask || timeout_at(end, found).await.is_err() {
+            return can_ask;
+        }
+    }
+}
+
 fn choose_zone(
     shared: &Shared,
     want: &Want,
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -276,6 +276,7 @@
         self.down.set(None);
         self.opened.set(Instant::now());
         self.ping(shared);
+        shared.holder_found.notify_waiters();
         emit!(shared, info, SessionUp; "held_zone" => &*self.zone,
             "holder" => &*self.holder.instance, "token" => self.holder.token);
         Ok((link, answer.into_body()))
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -17,7 +17,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     desk::Desk,
@@ -93,6 +93,8 @@
     pub(crate) holders: RefCell<HashMap<ZoneId, Holder>>,
     pub(crate) desks: RefCell<HashMap<ZoneId, Rc<Desk>>>,
     pub(crate) sessions: RefCell<HashMap<ZoneId, Rc<Session>>>,
+    /// Told whenever the placer of a zone can be asked that could not be before.
+    pub(crate) holder_found: Notify,
     pub(crate) runs: RefCell<HashMap<ZoneId, HashMap<Ticket, Run>>>,
     pub(crate) leaving: watch::Sender<bool>,
     pub(crate) in_flight: Cell<usize>,
@@ -133,6 +135,7 @@
             holders: RefCell::default(),
             desks: RefCell::default(),
             sessions: RefCell::default(),
+            holder_found: Notify::new(),
             runs: RefCell::default(),
             leaving: watch::Sender::new(false),
             in_flight: Cell::new(0),
@@ -200,6 +203,17 @@
         sessions.get(zone).filter(|s| s.is_up()).cloned()
     }
 
+    /// Tells whether a zone's placer can be asked.
+    pub(crate) fn can_ask(&self, zone: &str) -> bool {
+        self.desk(zone).is_some() || self.session(zone).is_some()
+    }
+
+    /// Tells whether an endpoint of `service` takes work.
+    pub(crate) fn has_ready(&self, service: &str) -> bool {
+        let directory = self.directory.borrow();
+        directory.of_service(service).any(|e| e.is_ready())
+    }
+
     /// Returns the zones whose placer can be asked for endpoints of `service`.
     pub(crate) fn open_zones(&self, service: &str) -> Vec<ZoneWeight> {
         let directory = self.directory.borrow();
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -2,7 +2,7 @@
 
 mod standin;
 
-use std::{io::Write, net::TcpStream, process::Command};
+use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
 
 use caraway_platform_standin::{Mode, Orders, StoreMode};
 use standin::{Gateway, PATIENCE, Platform, call};
@@ -159,6 +159,40 @@
     assert_eq!(platform.ledger.broken(), [""; 0]);
 }
 
+/// Requests wait for a load when the holder is told to stop: they are asked again at its follower.
+#[test]
+fn requests_that_wait_at_a_stopping_holder_are_served_by_the_next() {
+    let platform = Platform::start();
+    let first = Gateway::start_as(platform.store, "gate-1");
+    first.wait_for("the first holder", || {
+        first.has_line(1200, "holder", "gate-1")
+    });
+    let second = Gateway::start_as(platform.store, "gate-2");
+    second.wait_for("its session", || second.has_event(1210));
+    // The adapter's load gets no answer, so that the requests wait.
+    platform.act(|parts| {
+        parts
+            .engine
+            .set_orders(Orders::Late(Duration::from_millis(700)));
+    });
+    let callers: Vec<_> = [(first.front, "r1"), (second.front, "r2")]
+        .into_iter()
+        .map(|(front, id)| {
+            let headers = DRAFT.replace("r1", id);
+            thread::spawn(move || call(front, "POST /draft/x?y=1", &headers, "prompt"))
+        })
+        .collect();
+    first.wait_for("the order", || first.has_event(1300));
+    platform.act(|parts| parts.engine.set_orders(Orders::Answered));
+    first.stop();
+    for (caller, id) in callers.into_iter().zip(["r1", "r2"]) {
+        let answer = caller.join().expect("the caller ends");
+        assert!(answer.contains(&format!("x-server-seal: {id}")), "{answer}");
+    }
+    assert!(second.has_line(1200, "holder", "gate-2"));
+    assert_eq!(platform.ledger.broken(), [""; 0]);
+}
+
 /// A zone whose strong instances were killed was claimed by a weak one, and a strong one is back:
 /// it takes the zone, by the next token, and requests go on.
 #[test]
--- a/crates/caraway-placement/src/output.rs
+++ b/crates/caraway-placement/src/output.rs
@@ -14,8 +14,6 @@
     NoEndpoint,
     /// It can't be served before its deadline.
     Deadline,
-    /// The placer stops.
-    Leaving,
 }
 
 /// What a placer wants done.
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -29,10 +29,6 @@
 impl Placer {
     /// Takes a request.
     pub fn on_ask(&mut self, now: Instant, id: AskId, ask: Ask) {
-        if self.leaving {
-            self.refuse(id, RefuseReason::Leaving, Duration::ZERO);
-            return;
-        }
         self.count(now, &ask.model);
         if let Some(endpoint) = self.pick(now, &ask) {
             self.grant(now, &endpoint, id, &ask, false);
@@ -187,13 +183,11 @@
     /// Refuses the requests that wait and can't be served in time, and says when to come back: once
     /// the loads before them are done.
     pub(super) fn refuse_hopeless(&mut self, now: Instant) {
-        let (leaving, shortest) = (self.leaving, self.settings.shortest_run);
-        if leaving {
-            for id in self.waiting.drop_if(|_, _| true) {
-                self.refuse(id, RefuseReason::Leaving, Duration::ZERO);
-            }
+        if self.leaving {
+            // They ask whoever follows.
             return;
         }
+        let shortest = self.settings.shortest_run;
         let backlog = self.backlog(now);
         let ready: HashMap<&ModelRef, Instant> = backlog
             .iter()
