Wait for a silent holder's reading, not for its lease, where engines refuse old tokens

Where engines refuse lower tokens, a holder that still lives can't overtake its follower's orders, and one that reaches the store reads the record at once.

Change: the wait is 500 ms there; the lease stays where engines don't check tokens.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -92,7 +92,8 @@
     if former.as_ref().is_some_and(|f| f.token >= holder.token) {
         return;
     }
-    let wait = holder_state(shared, zone).order_after(shared.site.bounds.lease);
+    let bounds = &shared.site.bounds;
+    let wait = holder_state(shared, zone).order_after(bounds.lease, bounds.checks_fencing);
     let start = Shared::now() + wait;
     emit!(shared, info, HolderChanged; "held_zone" => &**zone, "holder" => &*holder.instance,
         "incarnation" => holder.incarnation, "token" => holder.token,
--- a/crates/caraway-gateway/src/succession.rs
+++ b/crates/caraway-gateway/src/succession.rs
@@ -9,6 +9,10 @@
 const GONE_AFTER: Duration = Duration::from_millis(100);
 /// Further time before an instance of another zone claims.
 const FOREIGN_AFTER: Duration = Duration::from_secs(2);
+/// Time in which a holder that reaches the store reads its follower's record, and the endpoints have
+/// carried out what it ordered before: the store tells of it within 100 ms, and an order's answer is
+/// awaited for 150 ms.
+const RECORD_READ: Duration = Duration::from_millis(500);
 /// Claimers spread over this time, so that most see the first one's claim before their own.
 const SPREAD: Duration = Duration::from_millis(300);
 
@@ -91,12 +95,14 @@
     }
 
     /// Returns how long the first order of whoever follows has to wait. One that can't be reached
-    /// may give orders until it sees its follower's record or an endpoint refuses its token; the
-    /// lease keeps their orders apart.
+    /// may give orders until it sees its follower's record. Where endpoints don't refuse its token,
+    /// the lease keeps their orders apart; where they do, as `is_fenced` tells, time to read the
+    /// record is enough.
     #[must_use]
-    pub fn order_after(self, lease: Duration) -> Duration {
+    pub fn order_after(self, lease: Duration, is_fenced: bool) -> Duration {
         match self {
             Self::None | Self::Released | Self::Own | Self::Gone(_) => Duration::ZERO,
+            Self::Reachable | Self::Silent(_) if is_fenced => lease.min(RECORD_READ),
             Self::Reachable | Self::Silent(_) => lease,
         }
     }
--- a/crates/caraway-gateway/tests/succession.rs
+++ b/crates/caraway-gateway/tests/succession.rs
@@ -16,7 +16,7 @@
     let state = HolderState::Gone(millis(200));
     let wait = state.claim_after(true, 1.0).expect("it is followed");
     assert!(wait <= millis(300), "claimers only spread");
-    assert_eq!(state.order_after(LEASE), Duration::ZERO);
+    assert_eq!(state.order_after(LEASE, false), Duration::ZERO);
 }
 
 #[test]
@@ -27,9 +27,23 @@
     );
     let state = HolderState::Silent(millis(1500));
     assert!(state.claim_after(true, 0.0).is_some());
-    assert_eq!(state.order_after(LEASE), LEASE);
+    assert_eq!(state.order_after(LEASE, false), LEASE);
     assert_eq!(HolderState::Reachable.claim_after(true, 0.0), None);
-    assert_eq!(HolderState::Reachable.order_after(LEASE), LEASE);
+    assert_eq!(HolderState::Reachable.order_after(LEASE, false), LEASE);
+}
+
+/// A zone's holder loses its power: nobody refuses connections there, and for as long as the next
+/// holder orders nothing, requests for what is not loaded fail.
+#[test]
+fn engines_that_refuse_old_tokens_wait_for_no_lease() {
+    let state = HolderState::Silent(millis(1500));
+    let wait = state.order_after(LEASE, true);
+    assert!(wait <= millis(500), "{wait:?}");
+    assert!(
+        wait >= millis(250),
+        "the former holder's last order has ended, and it has read the record"
+    );
+    assert_eq!(state.order_after(millis(100), true), millis(100));
 }
 
 #[test]
