Ask early whether an engine remembers what a follower has it load

Cause: a placer that follows another asks whether a load is complete when a load from the weight store would be. What the engine remembers from the time of the earlier holder is there in a tenth of that time and waits.

Change: engines that held a model when the placer first saw them may remember more than it knows, until as many loads as they keep went there; their loads are asked for once early, and that question measures nothing.

The test failed before: none of 60 requests within 100 ms.

--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -171,15 +171,20 @@
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
         };
+        let has_past = replica.has_past();
         let Some(held) = replica.held.get_mut(model) else {
             return;
         };
         match end {
             OrderEnd::Accepted => {
-                let wait = if held.recent { reload } else { expected };
+                let (wait, timing) = match (held.recent, has_past) {
+                    (true, _) => (reload, Timing::Started),
+                    (false, true) => (reload, Timing::Early),
+                    (false, false) => (expected, Timing::Started),
+                };
                 let poll = Some(now + wait);
                 held.phase = Phase::Loading { since: now, poll };
-                held.timing = Timing::Started;
+                held.timing = timing;
                 self.fetched += u64::from(!held.recent);
                 replica.count_order(now);
             }
@@ -203,6 +208,7 @@
         let model = &asked.model;
         let (step, lag) = (self.settings.poll, self.settings.report_lag);
         let (pause, patience) = (self.settings.pause, self.load_time * STUCK_LOADS);
+        let expected = self.load_time.mul_f64(FIRST_POLL_PART);
         let recent_limit = self.settings.recent;
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
@@ -241,6 +247,10 @@
                 *poll = Some(now + step);
                 replica.doubt(now, Duration::ZERO);
             }
+            OrderEnd::Accepted if held.timing == Timing::Early => {
+                held.timing = Timing::Started;
+                *poll = Some((*since + expected).max(now + step));
+            }
             _ => {
                 if held.timing == Timing::Started && end == OrderEnd::Accepted {
                     held.timing = Timing::Awaited;
@@ -300,7 +310,7 @@
     /// endpoint remembers the adapter from the time of an earlier holder, it was there for long.
     fn note_load(&mut self, took: Duration, timing: Timing) {
         self.quick_loads = match timing {
-            Timing::Unknown => return,
+            Timing::Unknown | Timing::Early => return,
             Timing::Started => self.quick_loads + 1,
             Timing::Awaited => 0,
         };
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -51,6 +51,8 @@
     /// Its start was not seen.
     #[default]
     Unknown,
+    /// Its start; it may be a load from the endpoint's memory, and is asked for early.
+    Early,
     /// Its start.
     Started,
     /// Its start, and that a question found it still on its way.
@@ -143,6 +145,15 @@
     pub(crate) phase: Phase,
 }
 
+/// Whose loads an endpoint remembers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Memory {
+    /// Only this placer's.
+    Known,
+    /// Those of an earlier holder, too.
+    Inherited,
+}
+
 /// What a placer believes about one endpoint.
 #[derive(Debug)]
 pub(crate) struct Replica {
@@ -183,12 +194,19 @@
     /// When it last completed a request.
     pub(crate) completed: Option<Instant>,
     recent: VecDeque<ModelRef>,
+    memory: Memory,
 }
 
 impl Replica {
     /// Takes what the registry says it holds; orders wait for its first report, which is due at
     /// `report`.
     pub(crate) fn new(report: Instant, endpoint: Arc<Endpoint>, places: usize) -> Self {
+        // One that has just started holds nothing yet.
+        let memory = if endpoint.models.is_empty() {
+            Memory::Known
+        } else {
+            Memory::Inherited
+        };
         let mut held = HashMap::new();
         for model in &endpoint.models {
             for resident in &model.adapters {
@@ -222,6 +240,7 @@
             stalls: 0,
             completed: None,
             recent: VecDeque::new(),
+            memory,
         }
     }
 
@@ -310,9 +329,15 @@
         self.recent.push_back(model.clone());
         if self.recent.len() > limit {
             self.recent.pop_front();
+            self.memory = Memory::Known;
         }
     }
 
+    /// Tells whether it may remember adapters that are not known here.
+    pub(crate) fn has_past(&self) -> bool {
+        self.memory == Memory::Inherited
+    }
+
     /// Forgets the copy of a version that is not the newest any more.
     pub(crate) fn forget(&mut self, model: &ModelRef) {
         self.recent.retain(|m| m != model);
--- a/crates/caraway-placement/tests/overload.rs
+++ b/crates/caraway-placement/tests/overload.rs
@@ -133,3 +133,47 @@
         );
     }
 }
+
+/// The same change of holders: what an engine remembers is served once it is back, not when a load
+/// from the weight store would be.
+#[test]
+fn a_follower_notices_what_engines_remember() {
+    let nature = Nature {
+        endpoints: 3,
+        places: 16,
+        at_once: 16,
+        recent: 96,
+        ..Nature::default()
+    };
+    let mut world = World::new(nature, PlacerSettings::default(), 1);
+    // More than the places, and less than what the engines remember.
+    let adapters = 120;
+    for number in 0..adapters {
+        let at = Duration::from_millis(50 * u64::try_from(number).expect("small"));
+        world.ask_at(
+            SECOND + at,
+            1 + number as u64,
+            world::adapter(number),
+            4 * SECOND,
+        );
+    }
+    world.run_until(10 * SECOND);
+    world.take_over();
+    world.run_until(11 * SECOND);
+    let before = world.tally.waits.len();
+    for number in 0..60 {
+        let at = 11 * SECOND + Duration::from_millis(100 * number);
+        let ticket = 1000 + number;
+        let number = usize::try_from(number).expect("small");
+        world.ask_at(at, ticket, world::adapter(number), 4 * SECOND);
+    }
+    world.run_until(20 * SECOND);
+    let waits = &world.tally.waits[before..];
+    let quick = waits.iter().filter(|w| **w < Duration::from_millis(100));
+    assert_eq!(waits.len(), 60);
+    assert!(
+        quick.clone().count() * 2 > 60,
+        "{} of 60 are served from memory",
+        quick.count()
+    );
+}
