Send no order that was decided before a pause of the process

Cause: members rely on an order reaching its engine within the guard after the lease.

Change: orders carry when they were decided and are not sent later than the guard; event 305 says so.

--- a/crates/caraway-entry/src/control.rs
+++ b/crates/caraway-entry/src/control.rs
@@ -7,12 +7,12 @@
 
 use caraway_node::{Done, Input, Node, Output};
 use caraway_ring::{Receiver, Sender};
-use caraway_types::Ticket;
+use caraway_types::{EndpointId, Fence, LoadName, Ticket};
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
     events::emit,
-    orders::Order,
+    orders::{Action, Order},
     peers::Beat,
     shared::{Control, Shared, Verdict},
 };
@@ -26,6 +26,8 @@
     beats: Sender<Beat>,
     waiting: HashMap<Ticket, oneshot::Sender<Verdict>>,
     outputs: Vec<Output>,
+    /// When the inputs were taken that the outputs follow from, at the earliest.
+    decided: std::time::Instant,
 }
 
 impl ControlThread {
@@ -45,6 +47,7 @@
             beats,
             waiting: HashMap::new(),
             outputs: Vec::new(),
+            decided: Instant::now().into_std(),
         }
     }
 
@@ -83,6 +86,7 @@
 
     fn take(&mut self, message: Control) {
         let now = Instant::now().into_std();
+        self.decided = now;
         match message {
             Control::Submit(submission, reply) => {
                 self.waiting.insert(submission.ticket, reply);
@@ -143,21 +147,12 @@
                 load,
                 adapter,
                 fence,
-            } => self.order(Order::Load {
-                endpoint,
-                load,
-                adapter,
-                fence,
-            }),
+            } => self.order(endpoint, load, fence, Action::Load(adapter)),
             Output::Unload {
                 endpoint,
                 load,
                 fence,
-            } => self.order(Order::Unload {
-                endpoint,
-                load,
-                fence,
-            }),
+            } => self.order(endpoint, load, fence, Action::Unload),
             Output::Gossip { peer, gossip } => {
                 if self.beats.push(Beat { peer, gossip }).is_err() {
                     emit!(self.shared.log, warn, RingFull; "ring" => "peers");
@@ -181,7 +176,14 @@
     }
 
     /// Passes an order on; one that finds no place did not reach the engine.
-    fn order(&mut self, order: Order) {
+    fn order(&mut self, endpoint: EndpointId, load: LoadName, fence: Fence, action: Action) {
+        let order = Order {
+            endpoint,
+            load,
+            fence,
+            decided: self.decided,
+            action,
+        };
         if let Err(caraway_ring::Full(order)) = self.orders.push(order) {
             emit!(self.shared.log, warn, RingFull; "ring" => "orders");
             let now = Instant::now().into_std();
--- a/crates/caraway-entry/src/entry.rs
+++ b/crates/caraway-entry/src/entry.rs
@@ -8,7 +8,6 @@
 };
 
 use anyhow::{Context, Result};
-use caraway_members::MemberSettings;
 use caraway_node::{Input, Node, NodeSettings};
 use caraway_records::State;
 use caraway_ring::ring;
@@ -183,13 +182,7 @@
             transit: shared.settings.store_transit,
             instances: shared.settings.instances,
         },
-        members: MemberSettings {
-            beat: times.beat_ms,
-            lease: times.lease_ms,
-            guard: times.guard_ms,
-            idle: times.idle_ms,
-            ..MemberSettings::default()
-        },
+        members: times.members(),
         gossip_interval: times.gossip_ms,
     };
     Node::new(settings, tokio::time::Instant::now().into_std())
--- a/crates/caraway-entry/src/events.rs
+++ b/crates/caraway-entry/src/events.rs
@@ -79,6 +79,8 @@
     UnloadEnded = 303, "unload ended";
     /// An engine gives no load report.
     ReportMissing = 304, "load report missing";
+    /// An order was not sent, as its right may have ended since it was decided.
+    OrderOverdue = 305, "order overdue";
     /// A request was refused.
     Refused = 400, "request refused";
     /// A chunk did not belong to its attempt and was dropped.
--- a/crates/caraway-entry/src/orders.rs
+++ b/crates/caraway-entry/src/orders.rs
@@ -1,6 +1,9 @@
 //! The orders thread: sends loads and unloads to engines and reads their load reports.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use caraway_node::{EngineReport, Input, LoadResult, ReportedLoad};
 use caraway_ring::Receiver;
@@ -17,37 +20,35 @@
     shared::{Control, Shared},
 };
 
-/// An order to an engine.
+/// What an order does.
 #[derive(Debug)]
-pub(crate) enum Order {
+pub(crate) enum Action {
     /// Loads an adapter version.
-    Load {
-        /// The engine.
-        endpoint: EndpointId,
-        /// The load's name.
-        load: LoadName,
-        /// The adapter version.
-        adapter: AdapterRef,
-        /// The holder's fencing token.
-        fence: Fence,
-    },
+    Load(AdapterRef),
     /// Unloads.
-    Unload {
-        /// The engine.
-        endpoint: EndpointId,
-        /// The load's name.
-        load: LoadName,
-        /// The holder's fencing token.
-        fence: Fence,
-    },
+    Unload,
+}
+
+/// An order to an engine.
+#[derive(Debug)]
+pub(crate) struct Order {
+    /// The engine.
+    pub(crate) endpoint: EndpointId,
+    /// The load's name.
+    pub(crate) load: LoadName,
+    /// The holder's fencing token.
+    pub(crate) fence: Fence,
+    /// When the holder decided it.
+    pub(crate) decided: Instant,
+    pub(crate) action: Action,
 }
 
 impl Order {
     /// Returns what the node must know of an order that was not sent.
     pub(crate) fn not_sent(self) -> Input {
-        match self {
-            Self::Load { endpoint, load, .. } => Input::Loaded(endpoint, load, LoadResult::Failed),
-            Self::Unload { endpoint, load, .. } => Input::Unloaded(endpoint, load, false),
+        match self.action {
+            Action::Load(_) => Input::Loaded(self.endpoint, self.load, LoadResult::Failed),
+            Action::Unload => Input::Unloaded(self.endpoint, self.load, false),
         }
     }
 }
@@ -92,13 +93,21 @@
 
 async fn carry_out(shared: Arc<Shared>, http: Http, order: Order) {
     let limit = shared.settings.times.order_ms.get();
-    let input = match order {
-        Order::Load {
-            endpoint,
-            load,
-            adapter,
-            fence,
-        } => {
+    let now = tokio::time::Instant::now().into_std();
+    if !shared.settings.times.members().may_send(order.decided, now) {
+        emit!(shared.log, warn, OrderOverdue;
+            "endpoint" => &*order.endpoint, "load" => &*order.load);
+        return deliver(&shared, order.not_sent()).await;
+    }
+    let Order {
+        endpoint,
+        load,
+        fence,
+        action,
+        ..
+    } = order;
+    let input = match action {
+        Action::Load(adapter) => {
             emit!(shared.log, debug, LoadOrdered; "endpoint" => &*endpoint, "load" => &*load);
             let result = match client(&shared, &http, &endpoint) {
                 Some(client) => load_result(&client.load(&load, &adapter, fence, limit).await),
@@ -109,11 +118,7 @@
                 "endpoint" => &*endpoint, "load" => &*load, "result" => ?result);
             Input::Loaded(endpoint, load, result)
         }
-        Order::Unload {
-            endpoint,
-            load,
-            fence,
-        } => {
+        Action::Unload => {
             emit!(shared.log, debug, UnloadOrdered; "endpoint" => &*endpoint, "load" => &*load);
             let confirmed = match client(&shared, &http, &endpoint) {
                 Some(client) => unloaded(&client.unload(&load, fence, limit).await),
--- a/crates/caraway-entry/src/settings.rs
+++ b/crates/caraway-entry/src/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use caraway_calls::{BudgetSettings, OnceSettings};
+use caraway_members::MemberSettings;
 use caraway_records::FollowerSettings;
 use caraway_types::{AdapterRef, EndpointId, Findings, InstanceId, Millis, ZoneId};
 
@@ -191,6 +192,19 @@
     }
 }
 
+impl TimeSettings {
+    /// Returns the periods of liveness and leases.
+    pub(crate) fn members(&self) -> MemberSettings {
+        MemberSettings {
+            beat: self.beat_ms,
+            lease: self.lease_ms,
+            guard: self.guard_ms,
+            idle: self.idle_ms,
+            ..MemberSettings::default()
+        }
+    }
+}
+
 impl Default for TimeSettings {
     fn default() -> Self {
         Self {
--- a/crates/caraway-members/src/settings.rs
+++ b/crates/caraway-members/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings and the outside facts that a [`Members`](crate::Members) starts from.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +49,16 @@
     pub mark_spread: Millis,
 }
 
+impl MemberSettings {
+    /// Tells whether an order may still be sent that was decided at `decided`. Peers give orders
+    /// after the lease and the guard; a process that stands still between its decision and the
+    /// sending wakes up beyond both.
+    #[must_use]
+    pub fn may_send(&self, decided: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(decided) < self.guard.get()
+    }
+}
+
 impl Default for MemberSettings {
     fn default() -> Self {
         Self {
--- /dev/null
+++ b/crates/caraway-members/tests/orders.rs
@@ -0,0 +1,21 @@
+//! Orders that a process still has when it wakes up after its lease.
+
+use std::time::{Duration, Instant};
+
+use caraway_members::MemberSettings;
+
+/// The process is frozen between the decision and the sending, a peer takes over, and the engine
+/// checks no fencing tokens.
+#[test]
+fn an_order_that_was_decided_before_a_freeze_is_not_sent_after_it() {
+    let settings = MemberSettings::default();
+    let decided = Instant::now();
+    assert!(settings.may_send(decided, decided + Duration::from_millis(5)));
+    let taken_over = decided + settings.lease.get() + settings.guard.get();
+    assert!(!settings.may_send(decided, taken_over));
+    let guard = decided + settings.guard.get();
+    assert!(
+        !settings.may_send(decided, guard),
+        "one decided at the end of the lease arrives before the peer's first"
+    );
+}
