End a planned hand-over whose zone has another holder meanwhile

Cause: read back; a holder that waits for the ends of its orders before it hands its zone over may be overtaken in that time. It then ended the holding a second time and could remove the desk that it had opened anew.

Change: the hand-over ends where the desk has ended, and only the desk itself is removed.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -126,6 +126,10 @@
 
 /// Gives up a zone whose endpoints have seen a later fencing token.
 pub(crate) fn on_deposed(shared: &Rc<Shared>, desk: &Rc<Desk>) {
+    close(shared, desk);
+}
+
+fn close(shared: &Shared, desk: &Rc<Desk>) {
     desk.end();
     let mut desks = shared.desks.borrow_mut();
     if desks.get(&desk.zone).is_some_and(|d| Rc::ptr_eq(d, desk)) {
@@ -137,6 +141,9 @@
 pub(crate) async fn release_all(shared: &Rc<Shared>) {
     for desk in shared.own_desks() {
         end_orders(shared, &desk).await;
+        if desk.is_ended() {
+            continue;
+        }
         let mut successor = desk.hand_over(true);
         if successor.is_none() && append(shared, &desk.zone, true).await.is_err() {
             successor = desk.hand_over(false);
@@ -156,12 +163,13 @@
 
 async fn hand_over(shared: Rc<Shared>, desk: Rc<Desk>) {
     end_orders(&shared, &desk).await;
-    // One that stops meanwhile gives its zones up itself.
-    if !shared.is_leaving() {
-        // Without a successor, as it left meanwhile, this instance claims the zone anew.
-        let successor = desk.hand_over(true);
-        leave(&shared, &desk, successor, "another instance is stronger");
+    // One that stops meanwhile gives its zones up itself, and the zone may have another holder.
+    if shared.is_leaving() || desk.is_ended() {
+        return;
     }
+    // Without a successor, as it left meanwhile, this instance claims the zone anew.
+    let successor = desk.hand_over(true);
+    leave(&shared, &desk, successor, "another instance is stronger");
 }
 
 /// Lets the placer order nothing more, and waits for the ends of its orders.
@@ -175,8 +183,7 @@
 }
 
 fn leave(shared: &Rc<Shared>, desk: &Rc<Desk>, successor: Option<Holder>, why: &str) {
-    desk.end();
-    shared.desks.borrow_mut().remove(&desk.zone);
+    close(shared, desk);
     emit!(shared, info, HolderEnded; "held_zone" => &*desk.zone, "token" => desk.token(),
         "why" => why, "successor" => successor.as_ref().map_or("", |s| &*s.instance));
     if let Some(successor) = successor {
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -142,12 +142,13 @@
         let sources = self.sources.borrow();
         let may_follow = |s: &&Source| !s.leaving && (s.zone == self.zone || !at_home);
         let staying = sources.values().filter(may_follow);
+        let is_foreign = |s: &Source| s.zone != self.zone;
         let next = staying.min_by(|a, b| {
-            let is_foreign = |s: &Source| s.zone != self.zone;
-            let weaker = a.weakness.total_cmp(&b.weakness);
-            let last = |s: &Source| (s.holds, s.holder.instance.clone());
-            let foreign = is_foreign(a).cmp(&is_foreign(b));
-            foreign.then(weaker).then(last(a).cmp(&last(b)))
+            let home_first = is_foreign(a).cmp(&is_foreign(b));
+            let strong_first = a.weakness.total_cmp(&b.weakness);
+            let free_first = a.holds.cmp(&b.holds);
+            let names = a.holder.instance.cmp(&b.holder.instance);
+            home_first.then(strong_first).then(free_first).then(names)
         })?;
         let token = self.token() + 1;
         let holder = Holder {
@@ -308,6 +309,11 @@
         self.placer.borrow().is_ordering()
     }
 
+    /// Tells whether it has stopped.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended.get()
+    }
+
     /// Stops: who asks is told to ask elsewhere.
     pub(crate) fn end(&self) {
         self.ended.set(true);
