--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -155,7 +155,7 @@
 /// Hands zones over to instances that are better holders.
 fn hand_over_to_stronger(shared: &Rc<Shared>) {
     for desk in shared.own_desks() {
-        if desk.is_recorded() && desk.begin_hand_over(shared.weakness()) {
+        if desk.is_recorded() && !desk.is_leaving() && desk.has_stronger(shared.weakness()) {
             tokio::task::spawn_local(hand_over(shared.clone(), desk));
         }
     }
@@ -174,7 +174,7 @@
 
 /// Lets the placer order nothing more, and waits for the ends of its orders.
 async fn end_orders(shared: &Rc<Shared>, desk: &Rc<Desk>) {
-    desk.with(shared, caraway_placement::Placer::on_leave);
+    desk.with(shared, |placer, _| placer.on_leave());
     let mut patience = RELEASE_CHECKS;
     while desk.is_ordering() && patience > 0 {
         patience -= 1;
--- a/crates/caraway-gateway/src/desk.rs
+++ b/crates/caraway-gateway/src/desk.rs
@@ -45,7 +45,6 @@
     sources: RefCell<HashMap<SourceId, Source>>,
     last_source: Cell<SourceId>,
     wake: Notify,
-    handing_over: Cell<bool>,
     ended: Cell<bool>,
 }
 
@@ -98,7 +97,6 @@
             sources: RefCell::default(),
             last_source: Cell::new(OWN_SOURCE),
             wake: Notify::new(),
-            handing_over: Cell::new(false),
             ended: Cell::new(false),
         }
     }
@@ -119,20 +117,20 @@
         self.recorded.set(true);
     }
 
-    /// Tells whether to hand the zone over to an asking instance that is a better holder than this
-    /// one, of this weakness; once.
-    pub(crate) fn begin_hand_over(&self, own_weakness: f64) -> bool {
+    /// Tells whether its orders end, as the zone is given up.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.placer.borrow().is_leaving()
+    }
+
+    /// Tells whether an asking instance is a better holder than this one, of this weakness.
+    pub(crate) fn has_stronger(&self, own_weakness: f64) -> bool {
         let now = Shared::now();
         let is_better = |s: &Source| {
             let in_touch = now.saturating_duration_since(s.since);
             let stays = s.zone == self.zone && !s.leaving;
             stays && is_better_holder(own_weakness, s.weakness, in_touch)
         };
-        let begins = !self.handing_over.get() && self.sources.borrow().values().any(is_better);
-        if begins {
-            self.handing_over.set(true);
-        }
-        begins
+        self.sources.borrow().values().any(is_better)
     }
 
     /// Hands the zone over to an asking instance, of the zone itself where there is one and the
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -130,14 +130,12 @@
 fn a_stopping_holder_hands_its_zone_over_without_the_store() {
     let platform = Platform::start();
     let first = Gateway::start_as(platform.way, "gate-1");
-    first.wait_for("the first holder", || {
-        first.has_line(1200, "holder", "gate-1")
-    });
+    first.wait_to_hold("gate-1");
     let second = Gateway::start_as(platform.way, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
     platform.act(|parts| parts.store.set_mode(StoreMode::Away));
     first.stop();
-    second.wait_for("the zone", || second.has_line(1200, "holder", "gate-2"));
+    second.wait_to_hold("gate-2");
 
     let answer = call(second.front, "POST /draft/x?y=1", DRAFT, "prompt");
     assert!(answer.contains("x-server-seal: r1"), "{answer}");
@@ -164,9 +162,7 @@
 fn requests_that_wait_at_a_stopping_holder_are_served_by_the_next() {
     let platform = Platform::start();
     let first = Gateway::start_as(platform.store, "gate-1");
-    first.wait_for("the first holder", || {
-        first.has_line(1200, "holder", "gate-1")
-    });
+    first.wait_to_hold("gate-1");
     let second = Gateway::start_as(platform.store, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
     // The adapter's load gets no answer, so that the requests wait.
@@ -199,15 +195,13 @@
 fn a_weak_holder_hands_its_zone_over_to_a_strong_instance() {
     let platform = Platform::start();
     let weak = Gateway::start_weak(platform.store, "gate-1");
-    weak.wait_for("the first holder", || {
-        weak.has_line(1200, "holder", "gate-1")
-    });
+    weak.wait_to_hold("gate-1");
     let before = DRAFT.replace("base/a7", "base/a8").replace("r1", "r0");
     let answer = call(weak.front, "POST /draft/x?y=1", &before, "prompt");
     assert!(answer.contains("x-server-seal: r0"), "{answer}");
 
     let strong = Gateway::start_as(platform.store, "gate-2");
-    strong.wait_for("the zone", || strong.has_line(1200, "holder", "gate-2"));
+    strong.wait_to_hold("gate-2");
     weak.wait_for("the end of its holding", || {
         weak.has_line(1202, "successor", "gate-2")
     });
@@ -240,9 +234,7 @@
 fn a_configuration_reaches_instances_that_the_store_turns_away() {
     let platform = Platform::start();
     let first = Gateway::start_as(platform.way, "gate-1");
-    first.wait_for("the first holder", || {
-        first.has_line(1200, "holder", "gate-1")
-    });
+    first.wait_to_hold("gate-1");
     let second = Gateway::start_as(platform.store, "gate-2");
     second.wait_for("its session", || second.has_event(1210));
     platform.act(|parts| {
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -11,6 +11,7 @@
 
 use caraway_platform_standin::{
     Addresses, Desk, Engine, EngineSpec, Habit, Ledger, Proxy, Store, entry, free_addrs, settings,
+    weaken,
 };
 use serde_json::{Value, json};
 use tokio::{sync::mpsc as requests, task::LocalSet};
@@ -143,16 +144,15 @@
 
     /// Starts a gateway as this instance with a store, and waits until it is ready.
     pub(crate) fn start_as(store: SocketAddr, instance: &str) -> Self {
-        Self::start_with(store, instance, None)
+        Self::start_with(store, instance, |_| {})
     }
 
     /// Starts a gateway on a machine with a twelfth of a core and a link of 10 Mbit/s.
     pub(crate) fn start_weak(store: SocketAddr, instance: &str) -> Self {
-        let limits = json!({"CpuShare": 0.12, "LinkMbps": 10.0});
-        Self::start_with(store, instance, Some(limits))
+        Self::start_with(store, instance, weaken)
     }
 
-    fn start_with(store: SocketAddr, instance: &str, limits: Option<Value>) -> Self {
+    fn start_with(store: SocketAddr, instance: &str, change: impl FnOnce(&mut Value)) -> Self {
         let [front, ready, peers] = free_addrs().expect("free ports");
         let addresses = Addresses {
             front,
@@ -167,9 +167,7 @@
         );
         let path = std::env::temp_dir().join(name);
         let mut text = settings(instance, "z1", &["z1"], &addresses);
-        if let Some(limits) = limits {
-            text["Limits"] = limits;
-        }
+        change(&mut text);
         std::fs::write(&path, text.to_string()).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_caraway-gateway"))
             .arg("--settings")
@@ -211,6 +209,12 @@
         }
     }
 
+    /// Waits until its log says that this instance holds the zone.
+    pub(crate) fn wait_to_hold(&self, instance: &str) {
+        let what = format!("{instance} as the holder");
+        self.wait_for(&what, || self.has_line(1200, "holder", instance));
+    }
+
     /// Asks the daemon to stop.
     pub(crate) fn stop(&self) {
         let stop = Command::new("kill")
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -143,10 +143,15 @@
         replicas.chain(waits).chain(self.weights_wake()).min()
     }
 
-    /// Stops giving orders and refuses the requests that wait.
-    pub fn on_leave(&mut self, now: Instant) {
+    /// Stops giving orders. Requests that wait go on waiting, until whoever follows is asked.
+    pub fn on_leave(&mut self) {
         self.leaving = true;
-        self.refuse_hopeless(now);
+    }
+
+    /// Tells whether it gives no orders any more.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
     }
 
     /// Tells whether an order's end is awaited.
--- a/crates/caraway-placement/src/placer/orders.rs
+++ b/crates/caraway-placement/src/placer/orders.rs
@@ -165,7 +165,7 @@
         model: &ModelRef,
         end: OrderEnd,
     ) {
-        let expected = self.load_time.mul_f64(FIRST_POLL_PART);
+        let expected = self.first_poll();
         let (reload, pause) = (self.settings.reload, self.settings.pause);
         let (recent_limit, lag) = (self.settings.recent, self.settings.report_lag);
         let Some(replica) = self.replicas.get_mut(endpoint) else {
@@ -208,7 +208,7 @@
         let model = &asked.model;
         let (step, lag) = (self.settings.poll, self.settings.report_lag);
         let (pause, patience) = (self.settings.pause, self.load_time * STUCK_LOADS);
-        let expected = self.load_time.mul_f64(FIRST_POLL_PART);
+        let expected = self.first_poll();
         let recent_limit = self.settings.recent;
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
@@ -301,6 +301,11 @@
         }
     }
 
+    /// Returns the time of a load from the weight store after which it is asked for first.
+    fn first_poll(&self) -> Duration {
+        self.load_time.mul_f64(FIRST_POLL_PART)
+    }
+
     /// Notes how long a load took, and fits the number of loads at once to it.
     ///
     /// Other zones use the weight store, too, and nobody says how much of it is free; loads that
--- a/crates/caraway-soak/src/gateway.rs
+++ b/crates/caraway-soak/src/gateway.rs
@@ -8,12 +8,11 @@
 };
 
 use anyhow::{Context, Result};
-use caraway_platform_standin::{Addresses, free_addrs, settings};
+use caraway_platform_standin::{Addresses, free_addrs, settings, weaken};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use serde_json::json;
 use tokio::process::{Child, Command};
 
 /// Where a gateway's files lie.
@@ -52,7 +51,7 @@
         };
         let mut text = settings(name, zone, zones, &addresses);
         if is_weak {
-            text["Limits"] = json!({"CpuShare": 0.12, "LinkMbps": 10.0});
+            weaken(&mut text);
         }
         let mut gateway = Self {
             name: name.to_owned(),
