Let an engine work on a stream until the caller's deadline

Cause: an attempt of a stream that may run again is awaited for about a second until its first event, and that time was also passed on as the engine's deadline.

Change: the engine gets what is left of the caller's time. An attempt that is given up before its first event ends with its connection, as before. Plain calls keep the patience as their deadline: their answers are whole by then or given up. The stand-in engine heeds deadlines and has a settable pause; a_long_stream_that_may_be_resumed_runs_once failed first.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -255,7 +255,8 @@
         placed.run.set_end(End::Unreachable);
         return Attempt::NotRun("can't connect");
     };
-    let request = onward(call, &placed.endpoint, resume_after, until);
+    // `until` is for the first event only; an attempt that is given up ends with its connection.
+    let request = onward(call, &placed.endpoint, resume_after, call.last);
     note_sent(shared, call, progress.sent);
     let stall = Instant::now() + STALL_BASE + STALL_PER_TOKEN * call.head.tokens.prompt;
     let send = watched(&placed, stall, pooled.link.send(request));
--- a/crates/caraway-gateway/tests/process.rs
+++ b/crates/caraway-gateway/tests/process.rs
@@ -58,6 +58,22 @@
     assert!(gateway.has_event(1202), "it gave its zone up");
 }
 
+/// A stream that may go on elsewhere lasts several times as long as its first event is awaited: the
+/// engine may work on it until the caller's deadline.
+#[test]
+fn a_long_stream_that_may_be_resumed_runs_once() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    let pause = Duration::from_millis(300);
+    platform.act(move |parts| parts.engine.set_pause(pause));
+    let headers = DRAFT.replace("Ms: 4000", "Ms: 9000");
+    let answer = call(gateway.front, "POST /summary/x", &headers, "prompt");
+    assert!(answer.contains("id: 4\ndata: r1 4\n\n"), "{answer}");
+    assert_eq!(platform.ledger.runs("r1"), 1);
+    assert!(!gateway.has_event(1406), "nothing was resumed");
+}
+
 #[test]
 fn a_new_configuration_comes_into_force() {
     let platform = Platform::start();
--- a/crates/caraway-gateway/tests/standin/mod.rs
+++ b/crates/caraway-gateway/tests/standin/mod.rs
@@ -271,8 +271,12 @@
     let flaky = json!({"Name": "flaky", "Host": "h.example", "PathPrefix": "/flaky/",
         "Kind": "idempotent", "TimeoutMs": 2000, "GoalMs": 100, "Service": "flaky",
         "MaxAttempts": 2});
+    let summary = json!({"Name": "summary", "Host": "h.example", "PathPrefix": "/summary/",
+        "Kind": "streaming", "Resumable": true, "TimeoutMs": 9000, "GoalMs": 100, "Service": "lm",
+        "MaxAttempts": 2});
     let routes = configuration["Routes"].as_array_mut().expect("a list");
     routes.push(flaky);
+    routes.push(summary);
     let services = configuration["Services"].as_array_mut().expect("a list");
     services.push(json!({"Name": "flaky", "MaxConns": 50}));
     configuration
