Heed endpoints that say that they leave or ask for a pause

Cause: new rules of the wire. An endpoint that leaves says so in all its answers, and one that turns a request away may ask for time in which it wants nothing from this instance. Neither was read.

Change: Directory keeps that a run of an endpoint leaves, whatever later entries say; Pauses keeps until when nothing goes to a run of an endpoint. The gateway reads both from every answer, also to orders and reports, checks before it chooses and again once it is connected, avoids paused endpoints in what it asks of placers, and tells the holder of the zone that an endpoint leaves. Where all endpoints of a plain service pause, a request waits if the first pause ends within its goal, and is refused at once otherwise, to come back spread over one goal after it. A placer refuses at once where a request avoids every endpoint. The process tests became one binary with modules.

Tests that failed first: four of process/asked. New rules without a former state: routes/asked with 1,000 cases of any order of entries, answers and time, platform/wire.

--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -67,6 +67,8 @@
     EndpointChanged = 1120, "endpoint changed", 50;
     /// An entry of the registry can't be used.
     EntryUnusable = 1121, "registry entry unusable", 10;
+    /// An endpoint wants no requests of this instance for a while.
+    EndpointPaused = 1122, "endpoint paused", 20;
     /// An instance holds the endpoints of an availability zone.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tries to become a zone's holder.
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -10,7 +10,13 @@
 use http::{Request, StatusCode};
 use tokio::time::{Instant, timeout};
 
-use crate::{desk::Desk, event::emit, plain, shared::Shared};
+use crate::{
+    desk::Desk,
+    event::emit,
+    heed::{Bar, Callee, heed},
+    plain,
+    shared::Shared,
+};
 
 /// Longest time for which an order's answer is awaited; endpoints answer within a few ms, and an
 /// instance whose quota of processor time is used up goes on within 100.
@@ -92,7 +98,7 @@
 }
 
 async fn fetch_report(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     endpoint: &EndpointId,
     request: Request<Payload>,
 ) -> Result<Report, String> {
@@ -106,7 +112,7 @@
 }
 
 async fn call(
-    shared: &Shared,
+    shared: &Rc<Shared>,
     endpoint: &EndpointId,
     request: Request<Payload>,
     limit: Duration,
@@ -115,11 +121,16 @@
     let Some(addr) = addr else {
         return Err(CallError::NotSent("the endpoint is gone".into()));
     };
+    if shared.bar(endpoint) == Some(Bar::Paused) {
+        return Err(CallError::NotSent(Bar::Paused.text().into()));
+    }
+    let callee = Callee::of(shared, endpoint);
     let exchange = async {
         let mut pooled = shared.pool.take(endpoint, addr).await?;
         let answer = pooled.link.send(request).await?;
         let status = answer.status();
         let head = caraway_platform::answer_head(status, answer.headers());
+        heed(shared, &callee, &head);
         let body = read_whole(answer.into_body(), ANSWER_LIMIT_BYTES)
             .await
             .map_err(|e| CallError::Unknown(e.to_string().into()))?;
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -71,6 +71,13 @@
         /// The request.
         ticket: Ticket,
     },
+    /// An endpoint of the zone said in an answer that it leaves.
+    Leaving {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// When its run started.
+        born: Option<u64>,
+    },
     /// Asks for a sign of life.
     Ping {
         /// Whether the asker reads the registry as usual.
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -17,6 +17,7 @@
 use crate::{
     event::emit,
     executor::millis,
+    heed::{Bar, Callee, heed, tell_holder},
     place::{NotPlaced, Placed, Want, place},
     plain::{answer_of, foreign, note_sent, onward, put_back, take_budget},
     relay::{self, Relay},
@@ -121,11 +122,16 @@
     let mut kept = None;
     loop {
         let want = want(call);
-        let placed = match place(shared, &want, &progress.avoid).await {
+        let avoid = shared.avoided(&progress.avoid);
+        let placed = match place(shared, &want, &avoid).await {
             Ok(placed) => placed,
             Err(_) if kept.is_some() => break,
             Err(not) => return Err(not_placed(progress, not)),
         };
+        if is_barred(shared, &placed) {
+            progress.avoid.push(placed.endpoint.clone());
+            continue;
+        }
         shared.metrics.place(call.arrived.elapsed());
         emit!(shared, info, Granted; "request" => &*call.head.id, "adapter" => %want.model,
             "endpoint" => &*placed.endpoint, "by" => placed.zone.as_deref().unwrap_or("registry"),
@@ -173,6 +179,21 @@
     }
 }
 
+/// Tells whether a granted endpoint gets nothing from this instance, which may know more about it
+/// than who granted it.
+fn is_barred(shared: &Shared, placed: &Placed) -> bool {
+    let Some(bar) = shared.bar(&placed.endpoint) else {
+        return false;
+    };
+    placed.run.set_end(End::NotSent);
+    if bar == Bar::Leaves
+        && let Some(endpoint) = shared.directory.borrow().get(&placed.endpoint)
+    {
+        tell_holder(shared, endpoint);
+    }
+    true
+}
+
 /// Returns the age of the registry's entry that names the endpoint, for a log line.
 fn entry_age(shared: &Shared, placed: &Placed) -> Option<u64> {
     let directory = shared.directory.borrow();
@@ -255,6 +276,12 @@
         placed.run.set_end(End::Unreachable);
         return Attempt::NotRun("can't connect");
     };
+    // It may have asked for something while the connection was made.
+    if let Some(bar) = shared.bar(&placed.endpoint) {
+        placed.run.set_end(End::NotSent);
+        return Attempt::NotRun(bar.text());
+    }
+    let callee = Callee::of(shared, &placed.endpoint);
     // `until` is for the first event only; an attempt that is given up ends with its connection.
     let request = onward(call, &placed.endpoint, resume_after, call.last);
     note_sent(shared, call, progress.sent);
@@ -282,6 +309,7 @@
         failed(&placed);
         return Attempt::InDoubt(fault);
     }
+    heed(shared, &callee, &head);
     let mut body = answer.into_body();
     if head.not_run || !status.is_success() {
         return whole(
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod frame;
 mod front;
 mod generate;
+mod heed;
 mod log;
 mod metrics;
 mod passed_on;
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -14,6 +14,7 @@
     desk::{self, Desk, Source},
     follow,
     frame::{self, FrameReader, ToHolder},
+    heed::{Callee, on_leaving},
     session::{Outgoing, SILENCE_LIMIT},
     shared::Shared,
 };
@@ -137,6 +138,9 @@
                 let id = AskId { source, ticket };
                 desk.with(shared, |placer, now| placer.on_stall(now, id));
             }
+            ToHolder::Leaving { endpoint, born } => {
+                on_leaving(shared, &Callee { endpoint, born });
+            }
             ToHolder::Ping {
                 served,
                 holds,
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -142,7 +142,7 @@
             Grantor::Zone(zone) => self.end_at(zone),
             Grantor::Own(endpoint) => {
                 let verdict = match self.end.get() {
-                    End::Done => Verdict::Dropped,
+                    End::Done | End::NotSent => Verdict::Dropped,
                     End::NotHeld | End::Refused => Verdict::Refused,
                     End::Failed => Verdict::Broken,
                     End::Unreachable => Verdict::Unreachable,
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -12,11 +12,12 @@
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
 use http::{Request, Response, StatusCode};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
     event::emit,
     executor::millis,
+    heed::{Callee, heed},
     request::{Call, Refused},
     shared::Shared,
 };
@@ -55,6 +56,15 @@
             break;
         }
         let Some(endpoint) = choose(shared, call, &tried) else {
+            if tried.is_empty()
+                && let Some(end) = pause_end(shared, call)
+            {
+                if end > call.arrived + call.route.goal {
+                    return Err(paused(call, end));
+                }
+                sleep_until(end).await;
+                continue;
+            }
             break;
         };
         tried.push(endpoint.id.clone());
@@ -97,11 +107,29 @@
 
 fn choose(shared: &Shared, call: &Call, tried: &[EndpointId]) -> Option<std::sync::Arc<Endpoint>> {
     let directory = shared.directory.borrow();
-    let candidates = directory.of_service(&call.service);
+    let all = directory.of_service(&call.service);
+    let candidates = all.filter(|e| !shared.is_paused(e));
     let mut chooser = shared.chooser.borrow_mut();
     chooser.choose(Shared::now(), &shared.site.zone, candidates, tried)
 }
 
+/// Returns when the first endpoint takes work again, where all that are ready asked this instance
+/// for a pause.
+fn pause_end(shared: &Shared, call: &Call) -> Option<Instant> {
+    let directory = shared.directory.borrow();
+    let pauses = shared.pauses.borrow();
+    let end = pauses.first_end(Shared::now(), directory.of_service(&call.service))?;
+    Some(Instant::from_std(end))
+}
+
+/// Refuses a request whose service's endpoints all asked for a pause; callers return one after the
+/// other once the first pause has ended.
+fn paused(call: &Call, end: Instant) -> Refused {
+    let left = end.saturating_duration_since(Instant::now());
+    let after = left + call.route.goal.mul_f64(Shared::draw());
+    Refused::not_run(Reason::NoEndpoint, "all endpoints asked for a pause").after(after)
+}
+
 /// Tells whether a request that may have run is sent again, and takes it from the budget.
 fn may_repeat(shared: &Shared, call: &Call, sent: u32) -> bool {
     call.route.repeat == Repeat::Idempotent
@@ -156,6 +184,14 @@
             );
         }
     };
+    // It may have asked for something while the connection was made.
+    if let Some(bar) = shared.bar(&endpoint.id) {
+        return (Attempt::NotRun(bar.text()), Verdict::Dropped);
+    }
+    let callee = Callee {
+        endpoint: endpoint.id.clone(),
+        born: endpoint.born,
+    };
     let request = onward(call, &endpoint.id, None, until);
     note_sent(shared, call, *sent);
     let answer = match timeout_at(until, pooled.link.send(request)).await {
@@ -191,6 +227,7 @@
     if let Some(fault) = foreign(call, &head, status) {
         return (Attempt::InDoubt(fault), Verdict::Broken);
     }
+    heed(shared, &callee, &head);
     put_back(shared, &endpoint.id, pooled, &head);
     if head.not_run {
         return (
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -12,7 +12,7 @@
 use caraway_http::{Pool, PoolLimits};
 use caraway_placement::{HomeSettings, Homes, PlacerSettings, ZoneWeight};
 use caraway_platform::{Bounds, Site, Store};
-use caraway_routes::{Chooser, Directory, ModelRef, RepeatBudget, RepeatLimits, Routing};
+use caraway_routes::{Chooser, Directory, ModelRef, Pauses, RepeatBudget, RepeatLimits, Routing};
 use caraway_types::{EndpointId, Fence, Incarnation, InstanceId, Ticket, ZoneId};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -85,6 +85,8 @@
     pub(crate) placer: PlacerSettings,
     pub(crate) routing: RefCell<Option<Arc<Routing>>>,
     pub(crate) directory: RefCell<Directory>,
+    /// Endpoints that asked this instance for a pause.
+    pub(crate) pauses: RefCell<Pauses>,
     pub(crate) newest: RefCell<HashMap<ModelRef, Announcement>>,
     pub(crate) chooser: RefCell<Chooser>,
     pub(crate) budget: RefCell<RepeatBudget>,
@@ -128,6 +130,7 @@
             pool: Pool::new(PoolLimits::default()),
             routing: RefCell::default(),
             directory: RefCell::default(),
+            pauses: RefCell::default(),
             newest: RefCell::default(),
             chooser: RefCell::default(),
             homes: RefCell::new(Homes::new(HomeSettings::default())),
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! The program itself in front of a stand-in of the platform.
 
+mod asked;
 mod standin;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
--- a/crates/caraway-gateway/tests/process/standin/mod.rs
+++ b/crates/caraway-gateway/tests/process/standin/mod.rs
@@ -27,6 +27,9 @@
     pub(crate) way: Proxy,
     pub(crate) engine: Engine,
     pub(crate) engine_addr: SocketAddr,
+    /// Two endpoints of the service `pair`, which answer.
+    pub(crate) pair: [Desk; 2],
+    pair_addrs: Vec<SocketAddr>,
 }
 
 type Act = Box<dyn FnOnce(&Parts) + Send>;
@@ -84,6 +87,12 @@
         told.recv().expect("the platform acts")
     }
 
+    /// Returns the registry's entry of an endpoint of the service `pair`, which says that it is
+    /// ready.
+    pub(crate) fn pair_entry(&self, number: usize) -> Value {
+        self.act(move |parts| entry("pair", "z1", parts.pair_addrs[number], 1, None))
+    }
+
     /// Writes a record as the operator or an endpoint does.
     pub(crate) fn publish(&self, topic: &'static str, key: &'static str, value: Value) {
         self.act(move |parts| parts.store.publish(topic, key, &value));
@@ -117,12 +126,22 @@
         let listed = entry(service, "z1", addr, 1, Some(json!([])));
         store.publish("keyed.servers", id, &listed);
     }
+    let pair = ["p-1", "p-2"].map(|id| Desk::new(id, ledger.clone()));
+    let mut pair_addrs = Vec::new();
+    for (id, desk) in ["p-1", "p-2"].into_iter().zip(&pair) {
+        let addr = desk.start().await.expect("an address");
+        let listed = entry("pair", "z1", addr, 1, None);
+        store.publish("keyed.servers", id, &listed);
+        pair_addrs.push(addr);
+    }
     let way = Proxy::start(addr).await.expect("an address");
     let parts = Parts {
         store,
         way,
         engine,
         engine_addr,
+        pair,
+        pair_addrs,
     };
     (parts, addr)
 }
@@ -246,6 +265,11 @@
     }
 }
 
+/// Tells whether a gateway has heard of all these endpoints.
+pub(crate) fn has_endpoints(gateway: &Gateway, ids: &[&str]) -> bool {
+    ids.iter().all(|id| gateway.has_line(1120, "endpoint", id))
+}
+
 /// Sends a request on a connection of its own and returns the answer's text; empty when there was
 /// none.
 pub(crate) fn call(addr: SocketAddr, line: &str, headers: &str, body: &str) -> String {
@@ -271,13 +295,23 @@
     let flaky = json!({"Name": "flaky", "Host": "h.example", "PathPrefix": "/flaky/",
         "Kind": "idempotent", "TimeoutMs": 2000, "GoalMs": 100, "Service": "flaky",
         "MaxAttempts": 2});
+    let mut pair = flaky.clone();
+    for (field, text) in [
+        ("Name", "pair"),
+        ("PathPrefix", "/pair/"),
+        ("Service", "pair"),
+    ] {
+        pair[field] = json!(text);
+    }
     let summary = json!({"Name": "summary", "Host": "h.example", "PathPrefix": "/summary/",
         "Kind": "streaming", "Resumable": true, "TimeoutMs": 9000, "GoalMs": 100, "Service": "lm",
         "MaxAttempts": 2});
     let routes = configuration["Routes"].as_array_mut().expect("a list");
     routes.push(flaky);
     routes.push(summary);
+    routes.push(pair);
     let services = configuration["Services"].as_array_mut().expect("a list");
     services.push(json!({"Name": "flaky", "MaxConns": 50}));
+    services.push(json!({"Name": "pair", "MaxConns": 50}));
     configuration
 }
--- a/crates/caraway-placement/src/ask.rs
+++ b/crates/caraway-placement/src/ask.rs
@@ -50,4 +50,6 @@
     Failed,
     /// No connection to the endpoint could be made.
     Unreachable,
+    /// It was not sent there, for a reason that says nothing about the endpoint's state.
+    NotSent,
 }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -81,6 +81,7 @@
                 replica.orders = None;
                 replica.report_at.get_or_insert(now);
             }
+            End::NotSent => {}
             End::Unreachable => replica.paused = Some(now + self.settings.pause),
             End::Refused | End::Failed => {
                 replica.failures += 1;
@@ -265,6 +266,7 @@
         self.replicas.values().any(|r| {
             r.endpoint.is_ready()
                 && r.endpoint.service == ask.service
+                && !ask.avoid.contains(&r.endpoint.id)
                 && (r.has_model(&ask.model.model)
                     || r.models.is_empty() && self.offers(&ask.service, &ask.model.model))
         })
--- a/crates/caraway-routes/src/directory.rs
+++ b/crates/caraway-routes/src/directory.rs
@@ -8,7 +8,7 @@
 
 use caraway_types::EndpointId;
 
-use crate::Endpoint;
+use crate::{Endpoint, EndpointState};
 
 /// What changed about an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,11 +34,23 @@
 }
 
 /// The endpoints that an instance knows of, from the entries of the registry.
+///
+/// A run of an endpoint that leaves does not come back: once an entry or an answer has said it,
+/// later entries of the same run can't make it ready again.
 #[derive(Debug, Default)]
 pub struct Directory {
     endpoints: HashMap<EndpointId, Known>,
+    /// Runs that leave, with when that was last said.
+    leaving: HashMap<Run, Instant>,
 }
 
+/// A run of an endpoint: its id, and when it started.
+type Run = (EndpointId, Option<u64>);
+
+/// Time for which it is remembered that a run leaves; endpoints end within a minute after they say
+/// so, and this many of them are never too many.
+const LEAVING_MEMORY: Duration = Duration::from_hours(1);
+
 #[derive(Debug)]
 struct Known {
     endpoint: Arc<Endpoint>,
@@ -48,7 +60,12 @@
 
 impl Directory {
     /// Takes an entry.
-    pub fn put(&mut self, now: Instant, endpoint: Endpoint) -> Change {
+    pub fn put(&mut self, now: Instant, mut endpoint: Endpoint) -> Change {
+        if endpoint.state == EndpointState::Draining {
+            self.note_leaving(now, &endpoint.id, endpoint.born);
+        } else if self.is_leaving(&endpoint.id, endpoint.born) {
+            endpoint.state = EndpointState::Draining;
+        }
         let change = match self.endpoints.get(&endpoint.id) {
             None => Change::New,
             Some(known) => compare(&known.endpoint, &endpoint),
@@ -62,6 +79,35 @@
         change
     }
 
+    /// Notes that the run of an endpoint that started at `born` says in an answer that it leaves.
+    /// Returns the endpoint where that is news about one that is known.
+    pub fn on_leaving(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        born: Option<u64>,
+    ) -> Option<Arc<Endpoint>> {
+        self.note_leaving(now, id, born);
+        let known = self.endpoints.get_mut(id)?;
+        if known.endpoint.born != born || !known.endpoint.is_ready() {
+            return None;
+        }
+        Arc::make_mut(&mut known.endpoint).state = EndpointState::Draining;
+        Some(known.endpoint.clone())
+    }
+
+    fn note_leaving(&mut self, now: Instant, id: &EndpointId, born: Option<u64>) {
+        self.leaving
+            .retain(|_, since| now.saturating_duration_since(*since) < LEAVING_MEMORY);
+        self.leaving.insert((id.clone(), born), now);
+    }
+
+    /// Tells whether the run of an endpoint that started at `born` leaves.
+    #[must_use]
+    pub fn is_leaving(&self, id: &EndpointId, born: Option<u64>) -> bool {
+        self.leaving.contains_key(&(id.clone(), born))
+    }
+
     /// Notes that the entry of `id` is missing; returns true when the endpoint is gone by that.
     pub fn remove(&mut self, id: &str, lapse: Lapse) -> bool {
         match lapse {
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -7,6 +7,7 @@
 mod directory;
 mod endpoint;
 mod outage;
+mod pauses;
 mod route;
 mod routing;
 
@@ -16,5 +17,6 @@
 pub use directory::{Change, Directory, Lapse};
 pub use endpoint::{Endpoint, EndpointState, HeldModel, Resident};
 pub use outage::{Outage, OutageLimits};
+pub use pauses::{PauseLimits, Pauses};
 pub use route::{Repeat, Route, Target};
 pub use routing::{Engine, Limits, Model, Routing, Service};
