Let a holder tell its instances what they missed of the store

Every starting instance read three topics itself, and polled them until it had a session; after each change of a holder its instances lagged behind the next one by a few records and read them from the store.

Change: an instance keeps the newest record of each key (Kept). A session begins with how far its instance has read, and the holder sends what it missed. A starting instance reads the record of the holders alone and is told the rest; where the whole deployment starts, instances begin spread over a second, those first that are to claim zones.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -322,7 +322,7 @@
 }
 
 /// Returns this instance's place in the spread of claimers, 0 to 1.
-fn share(shared: &Shared, zone: &ZoneId) -> f64 {
+pub(crate) fn share(shared: &Shared, zone: &ZoneId) -> f64 {
     let key = format!("{zone}/{}/{}", shared.site.instance, shared.incarnation);
     #[expect(
         clippy::cast_precision_loss,
--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -12,12 +12,15 @@
 
 use crate::{
     apply::{self, Source},
+    claim,
     claims::Claims,
     event::emit,
     executor::millis,
-    frame::{FromHolder, RecordsFrame, ToHolder},
+    frame::{self, FromHolder, RecordsFrame, ToHolder},
+    kept::Kept,
     passed_on::PassedOn,
     retry::RetryPause,
+    session::Outgoing,
     shared::Shared,
 };
 
@@ -41,10 +44,24 @@
 /// Pause between looks whether a holder still passes a topic on.
 const PASSED_ON_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time in which a starting instance has its zone's holder tell it what it knows; a session is
+/// open within a few ms of the record of the holder.
+const HOLDER_WAIT: Duration = Duration::from_millis(400);
+/// The same where the whole deployment starts, and callers come some 10 s later: all claims of
+/// zones, which take a second and more where many start at once.
+const FIRST_HOLDER_WAIT: Duration = Duration::from_millis(2500);
+/// Time over which the instances of a deployment that starts as a whole begin to read, those first
+/// that are to claim the zones.
+const FIRST_SPREAD: Duration = Duration::from_secs(1);
+/// Pause between looks whether the holder has told what it knows.
+const HOLDER_LOOK: Duration = Duration::from_millis(20);
+
 /// How far this instance has read the topics.
 #[derive(Debug, Default)]
 pub(crate) struct Topics {
     states: HashMap<Topic, TopicState>,
+    /// Time in which records have to be in force.
+    bound: Duration,
     /// Whether the registry of endpoints was away.
     outage: Outage,
     pub(crate) claims: Claims,
@@ -57,10 +74,19 @@
     read: Option<Instant>,
     failing: bool,
     passed_on: PassedOn,
+    kept: Kept,
     wake: Rc<Notify>,
 }
 
 impl Topics {
+    /// Has read nothing; records have to be in force within `bound` after they were written.
+    pub(crate) fn new(bound: Duration) -> Self {
+        Self {
+            bound,
+            ..Self::default()
+        }
+    }
+
     /// Tells whether a topic was read to its end once.
     pub(crate) fn is_read(&self, topic: Topic) -> bool {
         self.next(topic).is_some()
@@ -79,7 +105,11 @@
     }
 
     fn state(&mut self, topic: Topic) -> &mut TopicState {
-        self.states.entry(topic).or_default()
+        let bound = self.bound;
+        self.states.entry(topic).or_insert_with(|| TopicState {
+            passed_on: PassedOn::new(bound),
+            ..TopicState::default()
+        })
     }
 }
 
@@ -87,6 +117,13 @@
 pub(crate) async fn follow(shared: Rc<Shared>, topic: Topic) {
     let wake = shared.topics.borrow_mut().state(topic).wake.clone();
     let mut retry = RetryPause::default();
+    if topic == Topic::Holders {
+        if shared.site.is_first_start {
+            sleep(FIRST_SPREAD.mul_f64(claim::share(&shared, &shared.site.zone))).await;
+        }
+    } else {
+        await_holder(&shared, topic).await;
+    }
     loop {
         if is_passed_on(&shared, topic) {
             tokio::select! {
@@ -123,6 +160,36 @@
     }
 }
 
+/// Waits while the holder of this instance's zone may tell what it knows of a topic, so that a
+/// starting instance does not read the store.
+async fn await_holder(shared: &Shared, topic: Topic) {
+    let limit = if shared.site.is_first_start {
+        FIRST_HOLDER_WAIT
+    } else {
+        HOLDER_WAIT
+    };
+    let end = Instant::now() + limit;
+    while Instant::now() < end && may_be_told(shared, topic) {
+        sleep(HOLDER_LOOK).await;
+    }
+}
+
+/// Tells whether the holder of this instance's zone may still tell what it knows of a topic.
+fn may_be_told(shared: &Shared, topic: Topic) -> bool {
+    let topics = shared.topics.borrow();
+    if topics.is_read(topic) || !shared.desks.borrow().is_empty() {
+        return false;
+    }
+    if !topics.is_read(Topic::Holders) {
+        return true;
+    }
+    let sessions = shared.sessions.borrow();
+    match sessions.get(&shared.site.zone) {
+        Some(session) => !session.is_gone(),
+        None => shared.site.is_first_start,
+    }
+}
+
 /// Tells whether other instances take this one's records, or none could pass any on to it.
 fn is_relied_on(shared: &Shared) -> bool {
     !shared.desks.borrow().is_empty() || source_zone(shared).is_none()
@@ -139,7 +206,19 @@
         let lapse = shared.topics.borrow().outage.lapse(Shared::now());
         take_newest(shared, topic, frame.next, frame.records.clone(), lapse);
     } else if next.is_some_and(|n| frame.from <= n && n < frame.next) {
-        take(shared, topic, frame.from, frame.next, &frame.records);
+        let source = if frame.late {
+            Source::Snapshot
+        } else {
+            Source::Log
+        };
+        take(
+            shared,
+            topic,
+            frame.from,
+            frame.next,
+            &frame.records,
+            source,
+        );
     } else if next.is_none_or(|n| n < frame.from) {
         // Records that don't join what is known are read from the store.
         let mut topics = shared.topics.borrow_mut();
@@ -153,7 +232,8 @@
 pub(crate) fn on_own_append(shared: &Rc<Shared>, topic: Topic, at: Offset, record: &Record) {
     let next = shared.topics.borrow().next(topic);
     if next == Some(at) && record.offset == at {
-        take(shared, topic, at, at + 1, std::slice::from_ref(record));
+        let records = std::slice::from_ref(record);
+        take(shared, topic, at, at + 1, records, Source::Log);
     }
     shared.topics.borrow().wake(topic);
 }
@@ -189,7 +269,7 @@
     match read {
         Ok(log) => {
             on_read(shared, topic);
-            take(shared, topic, from, log.next, &log.records);
+            take(shared, topic, from, log.next, &log.records, Source::Log);
             Ok(Step::Read)
         }
         Err(StoreError::Trimmed) => {
@@ -242,28 +322,48 @@
     for record in &records {
         apply::apply(shared, topic, record, lapse, Source::Snapshot);
     }
-    shared.topics.borrow_mut().state(topic).next = Some(next);
+    {
+        let mut topics = shared.topics.borrow_mut();
+        let state = topics.state(topic);
+        state.next = Some(next);
+        state.kept.replace(&records, next);
+    }
     let frame = RecordsFrame {
         topic: topic.label().into(),
         complete: true,
         from: 0,
         next,
         records,
+        late: true,
     };
     pass_on(shared, topic, frame);
 }
 
 /// Applies the records from `from` on that are new here, and passes them on.
-fn take(shared: &Rc<Shared>, topic: Topic, from: Offset, next: Offset, records: &[Record]) {
+fn take(
+    shared: &Rc<Shared>,
+    topic: Topic,
+    from: Offset,
+    next: Offset,
+    records: &[Record],
+    source: Source,
+) {
     let known = shared.topics.borrow().next(topic).unwrap_or(from);
     if next <= known {
         return;
     }
-    shared.topics.borrow_mut().state(topic).next = Some(next);
+    {
+        let mut topics = shared.topics.borrow_mut();
+        let state = topics.state(topic);
+        state.next = Some(next);
+        for record in records {
+            state.kept.put(record);
+        }
+    }
     let lapse = shared.topics.borrow().outage.lapse(Shared::now());
     let mut news = Vec::new();
     for record in records.iter().filter(|r| r.offset >= known) {
-        if apply::apply(shared, topic, record, lapse, Source::Log) {
+        if apply::apply(shared, topic, record, lapse, source) {
             news.push(record.clone());
         }
     }
@@ -273,6 +373,7 @@
         from: known,
         next,
         records: news,
+        late: source == Source::Snapshot,
     };
     pass_on(shared, topic, frame);
 }
@@ -310,6 +411,36 @@
     !state.failing && state.next.is_some() && lapse == Lapse::Gone
 }
 
+/// Tells an instance that takes this one's records what it has missed of them.
+pub(crate) fn catch_up(shared: &Shared, frames: &Outgoing, known: &[(Arc<str>, Offset)]) {
+    for (label, next) in positions(shared) {
+        let from = known.iter().find(|(l, _)| *l == label).map(|(_, n)| *n);
+        let topic = Topic::ALL.into_iter().find(|t| t.label() == &*label);
+        let Some(topic) = topic.filter(|_| from.is_none_or(|f| f < next)) else {
+            continue;
+        };
+        let missed = shared.topics.borrow_mut().state(topic).kept.missed(from);
+        let frame = FromHolder::Records(RecordsFrame {
+            topic: label,
+            complete: missed.complete,
+            from: from.filter(|_| !missed.complete).unwrap_or_default(),
+            next,
+            records: missed.records,
+            late: true,
+        });
+        // Who misses it sees it by the next sign of life, and reads the store.
+        frames.try_send(Ok(frame::encode(&frame))).ok();
+    }
+}
+
+/// Returns where this instance reads the topics on.
+pub(crate) fn known(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
+    let topics = shared.topics.borrow();
+    let read = topics.states.iter();
+    read.filter_map(|(topic, state)| Some((topic.label().into(), state.next?)))
+        .collect()
+}
+
 /// Returns where this instance reads the topics on that it can read; who takes its records reads the
 /// others by itself.
 pub(crate) fn positions(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
@@ -321,18 +452,24 @@
 
 /// Notes what the source's holder says of its reading. While it reads as usual and this instance
 /// has what it has, this instance leaves the store alone.
+///
+/// A holder of another zone passes nothing on to instances that hold none. What it says while the
+/// own zone has no holder counts only where this instance has all.
 pub(crate) fn on_holder(
     shared: &Shared,
+    zone: &ZoneId,
     asked: Option<std::time::Instant>,
     served: bool,
     next: &[(Arc<str>, Offset)],
 ) {
+    let passes_on = *zone == shared.site.zone || !shared.desks.borrow().is_empty();
     let mut topics = shared.topics.borrow_mut();
     for topic in Topic::ALL {
         let holder = next.iter().find(|(label, _)| **label == *topic.label());
         let state = topics.state(topic);
         let has_all = holder.is_some_and(|(_, n)| state.next.is_some_and(|own| own >= *n));
-        if state.passed_on.on_sign(asked, served && has_all) {
+        let has_all = served && has_all;
+        if (has_all || passes_on) && state.passed_on.on_sign(asked, has_all) {
             state.wake.notify_one();
         }
     }
@@ -365,10 +502,15 @@
 /// Every holder reads the operators' topic itself and tells the others, so that a new configuration
 /// is in force in time although the store's answer to one of them is lost.
 fn is_passed_on(shared: &Shared, topic: Topic) -> bool {
-    let reads = topic == Topic::Operators && !shared.desks.borrow().is_empty();
+    let holds = !shared.desks.borrow().is_empty();
+    let reads = topic == Topic::Operators && holds;
     if reads || source_zone(shared).is_none() {
         return false;
     }
+    // Who follows the lost holder of the own zone is learnt from the store.
+    if topic == Topic::Holders && !holds && shared.session(&shared.site.zone).is_none() {
+        return false;
+    }
     let mut topics = shared.topics.borrow_mut();
     topics.state(topic).passed_on.holds(Shared::now())
 }
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -30,6 +30,9 @@
         zone: ZoneId,
         /// How weak it is as a holder, 0 to 1.
         weakness: f64,
+        /// Where it reads the topics on, by their labels; of the others it knows nothing.
+        #[serde(default)]
+        known: Vec<(Arc<str>, Offset)>,
     },
     /// A request wants an endpoint.
     Ask {
@@ -159,6 +162,9 @@
     pub(crate) next: Offset,
     /// The records.
     pub(crate) records: Vec<Record>,
+    /// Whether they make up for what was missed, so that they may be old.
+    #[serde(default)]
+    pub(crate) late: bool,
 }
 
 /// Encodes a frame.
--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -84,9 +84,13 @@
             holder,
             zone,
             weakness,
+            known,
         } = frame
         {
             let frames = self.outgoing.clone();
+            if zone == self.desk.zone {
+                follow::catch_up(&self.shared, &frames, &known);
+            }
             let asker = Source::new(zone.clone(), holder, weakness, frames);
             let source = self.desk.add_source(asker);
             self.source = Some((source, zone));
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -170,6 +170,10 @@
             let is_news = self.is_up() || !told;
             told = true;
             self.close();
+            if self.zone == shared.site.zone {
+                // Who follows the holder is learnt from the store.
+                shared.topics.borrow().wake(Topic::Holders);
+            }
             if is_news && !matches!(loss, Loss::Stopped) {
                 emit!(shared, warn, SessionLost; "held_zone" => &*self.zone,
                     "holder" => &*self.holder.instance, "token" => self.holder.token,
@@ -250,6 +254,7 @@
             holder: shared.as_holder(),
             zone: shared.site.zone.clone(),
             weakness: shared.weakness(),
+            known: follow::known(shared),
         };
         // The queue is empty and its receiver is in the request, so these can't fail.
         outgoing.try_send(Ok(frame::encode(&hello))).ok();
@@ -316,7 +321,7 @@
             } => {
                 if follow::source_zone(shared).as_ref() == Some(&self.zone) {
                     let asked = asked.map(|at| (self.opened.get() + at.get()).into_std());
-                    follow::on_holder(shared, asked, served, &next);
+                    follow::on_holder(shared, &self.zone, asked, served, &next);
                 }
                 if served {
                     follow::on_peer_served(shared);
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -113,6 +113,7 @@
         metrics: Metrics,
         incarnation: Incarnation,
     ) -> Self {
+        let in_force = site.bounds.apply.min(site.bounds.drain);
         Self {
             store: Store::new(site.store.clone()),
             budget: RefCell::new(RepeatBudget::new(repeat_limits(
@@ -134,7 +135,7 @@
             newest: RefCell::default(),
             chooser: RefCell::default(),
             homes: RefCell::new(Homes::new(HomeSettings::default())),
-            topics: RefCell::default(),
+            topics: RefCell::new(Topics::new(in_force)),
             holders: RefCell::default(),
             desks: RefCell::default(),
             sessions: RefCell::default(),
--- a/crates/caraway-gateway/tests/passed_on.rs
+++ b/crates/caraway-gateway/tests/passed_on.rs
@@ -32,6 +32,19 @@
     }
 }
 
+/// A holder is killed, and another instance of its zone follows it within two seconds: where the
+/// deployment allows it, the zone's instances wait for that.
+#[test]
+fn a_longer_bound_leaves_time_for_the_next_holder() {
+    let start = Instant::now();
+    for (bound, holds, lapsed) in [(2000, 1000, 1200), (3000, 2000, 2200), (4000, 3000, 3200)] {
+        let mut passed_on = PassedOn::new(millis(bound));
+        passed_on.on_sign(Some(start), true);
+        assert!(passed_on.holds(start + millis(holds)), "{bound}");
+        assert!(!passed_on.holds(start + millis(lapsed)), "{bound}");
+    }
+}
+
 #[test]
 fn a_holder_that_stops_reading_is_replaced_at_once() {
     let start = Instant::now();
