Bound the memory that answers and frames without end can take

Each body that is read whole was bounded, but not all of them together: 200 of them at 8 MiB are ten times the memory of the smallest instances. A session whose frame can't be read kept its connection, and every further byte was kept: a frame of 4 GB by its length never ends.

A caller whose body finds none is told at once that it did not run. What is no frame ends its session, with a line.

--- a/crates/caraway-gateway/src/peer.rs
+++ b/crates/caraway-gateway/src/peer.rs
@@ -12,8 +12,9 @@
 
 use crate::{
     desk::{self, Desk, Source},
+    event::emit,
     follow,
-    frame::{self, FrameReader, ToHolder},
+    frame::{self, BadFrame, FrameReader, ToHolder},
     heed::{Callee, on_leaving},
     session::{Outgoing, SILENCE_LIMIT},
     shared::Shared,
@@ -70,8 +71,10 @@
         // An instance speaks at least at each of its signs of life.
         while let Ok(Some(Ok(chunk))) = timeout(SILENCE_LIMIT * 2, body.frame()).await {
             reader.feed(&chunk.into_data().unwrap_or_default());
-            while let Ok(Some(frame)) = reader.next::<ToHolder>() {
-                self.on_frame(frame);
+            if self.take_frames(&mut reader).is_err() {
+                emit!(self.shared, warn, SessionLost; "held_zone" => &*self.desk.zone,
+                    "why" => "an instance sent what is no frame");
+                break;
             }
         }
         if let Some((source, _)) = self.source {
@@ -79,6 +82,13 @@
         }
     }
 
+    fn take_frames(&mut self, reader: &mut FrameReader) -> Result<(), BadFrame> {
+        while let Some(frame) = reader.next::<ToHolder>()? {
+            self.on_frame(frame);
+        }
+        Ok(())
+    }
+
     fn on_frame(&mut self, frame: ToHolder) {
         if let ToHolder::Hello {
             holder,
--- a/crates/caraway-gateway/src/place.rs
+++ b/crates/caraway-gateway/src/place.rs
@@ -217,7 +217,7 @@
         if let Some(placed) = resident(shared, want, avoid) {
             return Ok(placed);
         }
-        if shared.has_ready(&want.service)
+        if shared.has_ready(&want.service, |_| true)
             && has_holder(shared, want, None, FIRST_HOLDER_WAIT).await
         {
             zones = shared.open_zones(&want.service);
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use caraway_http::{Payload, Pooled, read_whole};
+use caraway_http::{BodyError, Payload, Pooled, read_within};
 use caraway_placement::Urgency;
 use caraway_platform::{
     AnswerHead, Onward, Reuse, SEAL_MISSING, answer_head, copy_answer, copy_request,
@@ -214,9 +214,18 @@
     *sent += 1;
     let (status, headers) = (answer.status(), answer.headers().clone());
     let head = answer_head(status, &headers);
-    let body = match timeout_at(until, read_whole(answer.into_body(), ANSWER_LIMIT_BYTES)).await {
+    let body = read_within(answer.into_body(), ANSWER_LIMIT_BYTES, &shared.allowance);
+    let body = match timeout_at(until, body).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return (Attempt::InDoubt("the answer broke off"), Verdict::Broken),
+        Ok(Err(BodyError::TooLarge)) => {
+            return (Attempt::InDoubt("the answer is too long"), Verdict::Broken);
+        }
+        Ok(Err(BodyError::NoRoom)) => {
+            return (Attempt::InDoubt("too many long answers"), Verdict::Broken);
+        }
+        Ok(Err(BodyError::Broken(_))) => {
+            return (Attempt::InDoubt("the answer broke off"), Verdict::Broken);
+        }
         Err(_) => {
             return (
                 Attempt::InDoubt("the answer took too long"),
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use caraway_http::{BodyError, Payload, read_whole};
+use caraway_http::{BodyError, Payload, read_within};
 use caraway_platform::{call_head, refusal};
 use caraway_routes::{CallHead, Limits, Route, Routing};
 use caraway_types::{EndpointId, Findings, Reason, Refusal};
@@ -18,6 +18,9 @@
 /// When a caller may come back to an instance that has no configuration yet.
 const NO_CONFIG_RETURN: Duration = Duration::from_millis(500);
 
+/// When a caller may come back whose body found no room: long ones take some 100 ms.
+const NO_ROOM_RETURN: Duration = Duration::from_millis(200);
+
 /// A request that is ready to go on.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -223,13 +226,18 @@
     let leaves = arrived + patience;
     let last = arrived + patience.min(route.timeout);
     check_head(&parts.headers, &parts.uri, &routing.limits)?;
-    let body = timeout_at(last, read_whole(body, routing.limits.body_bytes))
+    let body = read_within(body, routing.limits.body_bytes, &shared.allowance);
+    let body = timeout_at(last, body)
         .await
         .map_err(|_| Refused {
             status: StatusCode::REQUEST_TIMEOUT,
             refusal: Refusal::not_run(Reason::Deadline, "the body did not arrive in time"),
         })?
         .map_err(|e| match e {
+            BodyError::NoRoom => {
+                let why = "too many long bodies are read at once";
+                Refused::not_run(Reason::NoEndpoint, why).after(NO_ROOM_RETURN)
+            }
             BodyError::TooLarge => Refused::not_run(Reason::TooLarge, "the body is too large"),
             BodyError::Broken(why) => Refused::not_run(Reason::BadRequest, &why),
         })?;
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -9,7 +9,7 @@
     time::Instant,
 };
 
-use caraway_http::{Pool, PoolLimits};
+use caraway_http::{Allowance, Pool, PoolLimits};
 use caraway_placement::{HomeSettings, Homes, PlacerSettings, ZoneWeight};
 use caraway_platform::{Bounds, Site, Store};
 use caraway_routes::{Chooser, Directory, ModelRef, Pauses, RepeatBudget, RepeatLimits, Routing};
@@ -81,6 +81,8 @@
     pub(crate) queue: LogQueue,
     pub(crate) metrics: Metrics,
     pub(crate) pool: Pool,
+    /// Memory for long bodies that are read whole.
+    pub(crate) allowance: Allowance,
     pub(crate) store: Store,
     pub(crate) placer: PlacerSettings,
     pub(crate) routing: RefCell<Option<Arc<Routing>>>,
@@ -113,6 +115,7 @@
         metrics: Metrics,
         incarnation: Incarnation,
     ) -> Self {
+        let allowance = allowance(site.memory_mb);
         let in_force = site.bounds.apply.min(site.bounds.drain);
         Self {
             store: Store::new(site.store.clone()),
@@ -129,6 +132,7 @@
             queue,
             metrics,
             pool: Pool::new(PoolLimits::default()),
+            allowance,
             routing: RefCell::default(),
             directory: RefCell::default(),
             pauses: RefCell::default(),
@@ -212,10 +216,11 @@
         self.desk(zone).is_some() || self.session(zone).is_some()
     }
 
-    /// Tells whether an endpoint of `service` takes work.
-    pub(crate) fn has_ready(&self, service: &str) -> bool {
+    /// Tells whether an endpoint of `service` takes work, of those that `may` holds for.
+    pub(crate) fn has_ready(&self, service: &str, may: impl Fn(&EndpointId) -> bool) -> bool {
         let directory = self.directory.borrow();
-        directory.of_service(service).any(|e| e.is_ready())
+        let mut all = directory.of_service(service);
+        all.any(|e| e.is_ready() && may(&e.id))
     }
 
     /// Returns the zones whose placer can be asked for endpoints of `service`.
@@ -302,6 +307,20 @@
     }
 }
 
+/// Part of an instance's memory that long bodies may take: with what their connections and the
+/// pages of the allocator need, they take some two thirds at most.
+const BODIES_PART: f64 = 0.125;
+
+fn allowance(memory_mb: f64) -> Allowance {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a size that is not negative; the largest is as good as no limit"
+    )]
+    let bytes = (memory_mb.max(0.0) * BODIES_PART * f64::from(1 << 20)) as usize;
+    Allowance::new(bytes)
+}
+
 fn repeat_limits(bounds: &Bounds, instances: usize) -> RepeatLimits {
     RepeatLimits {
         window: bounds.repeat_window,
--- a/crates/caraway-http/src/whole.rs
+++ b/crates/caraway-http/src/whole.rs
@@ -6,11 +6,15 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::Allowance;
+
 /// Says why a body could not be read whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyError {
     /// It is longer than allowed.
     TooLarge,
+    /// Too many long bodies are read at once.
+    NoRoom,
     /// It ended early.
     Broken(String),
 }
@@ -19,6 +23,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::TooLarge => f.write_str("the body is too large"),
+            Self::NoRoom => f.write_str("too many long bodies are read at once"),
             Self::Broken(why) => write!(f, "the body broke off: {why}"),
         }
     }
@@ -31,7 +36,21 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] when the body is longer or ends early.
-pub async fn read_whole(mut body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_whole(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    read_within(body, limit, &Allowance::default()).await
+}
+
+/// Reads a body of at most `limit` bytes, while `allowance` has room for it.
+///
+/// # Errors
+///
+/// Returns a [`BodyError`] when the body is longer, finds no room or ends early.
+pub async fn read_within(
+    mut body: Incoming,
+    limit: usize,
+    allowance: &Allowance,
+) -> Result<Bytes, BodyError> {
+    let mut share = allowance.share();
     let mut parts: Option<BytesMut> = None;
     let mut first: Option<Bytes> = None;
     while let Some(frame) = body.frame().await {
@@ -43,6 +62,9 @@
         if have + data.len() > limit {
             return Err(BodyError::TooLarge);
         }
+        if !share.grow_to(have + data.len()) {
+            return Err(BodyError::NoRoom);
+        }
         match (&mut parts, first.take()) {
             (Some(all), _) => all.extend_from_slice(&data),
             (None, None) => first = Some(data),
