Call a store that is away about as often from a zone of many instances as from one of few

Change: the longest pause of an instance whose holder hears of the store's return grows with the instances of its zone, to 3 s; and while the registry's topic fails, it alone probes, the others wait for its answer. Instances whose holder handed its zone over wait for its follower before they read who that is.

Test: a_zone_of_many_calls_no_more_often_than_one_of_few, by the rule of before 38 calls a second instead of 13.

--- a/crates/caraway-gateway/src/follow.rs
+++ b/crates/caraway-gateway/src/follow.rs
@@ -148,7 +148,13 @@
             }
             Err(e) => {
                 on_failed(&shared, topic, &e);
-                retry.on_failure(is_relied_on(&shared))
+                let relied_on = is_relied_on(&shared);
+                let pause = retry.on_failure(relied_on, shared.zone_peers());
+                if relied_on || !is_probed(&shared, topic) {
+                    pause
+                } else {
+                    retry.probed()
+                }
             }
         };
         if !pause.is_zero() {
@@ -195,6 +201,12 @@
     !shared.desks.borrow().is_empty() || source_zone(shared).is_none()
 }
 
+/// Tells whether calls for the registry show when the store is back for this topic, too.
+fn is_probed(shared: &Shared, topic: Topic) -> bool {
+    let mut topics = shared.topics.borrow_mut();
+    topic != Topic::Endpoints && topics.state(Topic::Endpoints).failing
+}
+
 /// Takes records that another instance passed on.
 pub(crate) fn on_records(shared: &Rc<Shared>, frame: &RecordsFrame) {
     let topic = Topic::ALL.into_iter().find(|t| t.label() == &*frame.topic);
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -170,7 +170,7 @@
             let is_news = self.is_up() || !told;
             told = true;
             self.close();
-            if self.zone == shared.site.zone {
+            if self.zone == shared.site.zone && !matches!(loss, Loss::Stopped) {
                 // Who follows the holder is learnt from the store.
                 shared.topics.borrow().wake(Topic::Holders);
             }
--- a/crates/caraway-gateway/tests/retry.rs
+++ b/crates/caraway-gateway/tests/retry.rs
@@ -11,7 +11,7 @@
     let mut calls = 0;
     while at < span {
         calls += 1;
-        at += pause.on_failure(relied_on);
+        at += pause.on_failure(relied_on, 3);
     }
     calls
 }
@@ -31,8 +31,21 @@
 #[test]
 fn an_answer_starts_the_pauses_anew() {
     let mut pause = RetryPause::default();
-    let first = pause.on_failure(false);
-    assert!(pause.on_failure(false) > first);
+    let first = pause.on_failure(false, 3);
+    assert!(pause.on_failure(false, 3) > first);
     pause.on_answer();
-    assert_eq!(pause.on_failure(false), first);
+    assert_eq!(pause.on_failure(false, 3), first);
+}
+
+/// The store is away, and each of a zone's many instances asks whether it is back.
+#[test]
+fn a_zone_of_many_calls_no_more_often_than_one_of_few() {
+    let calls_a_second = |peers: usize| {
+        let mut pause = RetryPause::default();
+        let last = (0..10).map(|_| pause.on_failure(false, peers)).last();
+        let others = u32::try_from(peers - 1).expect("few");
+        f64::from(others) / last.expect("ten of them").as_secs_f64()
+    };
+    assert!(calls_a_second(10) <= 3.0 * calls_a_second(4));
+    assert!(calls_a_second(39) <= 13.0, "as by the longest pause");
 }
