Stop only when callers have read their answers

Cause: a daemon that stops counted requests until their answers were made, not until they were written, and ended 20 ms later. A caller that reads a long answer over a slow link was cut off: 7,430,144 of 7,864,320 bytes in the test.

Change: callers' connections are counted until their last byte is written; a stopping daemon waits for them for as long as sent bytes may stay unacknowledged (2 s), within its grace.

Tests: an_answer_that_its_caller_reads_slowly_is_written_whole failed first; requests_that_come_around_a_stop_are_answered_or_not_taken passed before and stays.

--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -7,6 +7,7 @@
 };
 
 use anyhow::{Context, Result};
+use caraway_http::ConnectLimits;
 use caraway_platform::{Site, Topic};
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
@@ -107,36 +108,28 @@
     let peers = listen(shared.peer_addr()).await?;
     let own = shared.clone();
     let idle = move || own.routing().map(|r| r.limits.idle_time);
-    tokio::task::spawn_local(serve(
-        shared.clone(),
-        front,
-        idle,
-        closing.subscribe(),
-        request::handle,
-    ));
-    tokio::task::spawn_local(serve(
-        shared.clone(),
-        ready,
-        || None,
-        closing.subscribe(),
-        |shared, request| async move { front::ready(&shared, &request) },
-    ));
-    tokio::task::spawn_local(serve(
-        shared.clone(),
-        peers,
-        || None,
-        closing.subscribe(),
-        |shared, request| async move { peer::handle(&shared, request) },
-    ));
+    let (own, closed) = (shared.clone(), closing.subscribe());
+    tokio::task::spawn_local(async move {
+        let callers = own.callers.clone();
+        serve(own, front, idle, closed, &callers, request::handle).await;
+    });
+    let (own, closed) = (shared.clone(), closing.subscribe());
+    tokio::task::spawn_local(async move {
+        let answer = |shared, request| async move { front::ready(&shared, &request) };
+        serve(own, ready, || None, closed, &Rc::default(), answer).await;
+    });
+    let (own, closed) = (shared.clone(), closing.subscribe());
+    tokio::task::spawn_local(async move {
+        let answer = |shared, request| async move { peer::handle(&shared, request) };
+        serve(own, peers, || None, closed, &Rc::default(), answer).await;
+    });
     if let Some(port) = options.metrics_port {
         let metrics = listen((site.ip, port).into()).await?;
-        tokio::task::spawn_local(serve(
-            shared.clone(),
-            metrics,
-            || None,
-            closing.subscribe(),
-            |shared, _| async move { front::metrics(&shared) },
-        ));
+        let (own, closed) = (shared.clone(), closing.subscribe());
+        tokio::task::spawn_local(async move {
+            let answer = |shared, _| async move { front::metrics(&shared) };
+            serve(own, metrics, || None, closed, &Rc::default(), answer).await;
+        });
     }
     Ok(())
 }
@@ -206,6 +199,11 @@
     while shared.in_flight.get() > 0 && start.elapsed() < limit {
         sleep(STOP_PAUSE).await;
     }
+    // Answers are made by now; their callers may still read them.
+    let limit = limit.min(start.elapsed() + ConnectLimits::default().unacknowledged);
+    while shared.callers.get() > 0 && start.elapsed() < limit {
+        sleep(STOP_PAUSE).await;
+    }
     if shared.in_flight.get() > 0 {
         emit!(shared, warn, Stopped; "cut_off" => shared.in_flight.get(),
             "ms" => millis(start.elapsed()));
--- a/crates/caraway-gateway/src/serve.rs
+++ b/crates/caraway-gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Listening and serving HTTP connections.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::{Context, Result};
 use caraway_http::{ConnectLimits, Payload, tune};
@@ -33,12 +33,13 @@
 
 /// Serves every connection of `listener` by `handle`; connections that are idle for `idle` are
 /// closed. When `closing` turns true, the listener is closed, and each connection after the answer
-/// that it waits for.
+/// that it waits for. `open` counts the connections until the last byte of their answers is written.
 pub(crate) async fn serve<F, R>(
     shared: Rc<Shared>,
     listener: TcpListener,
     idle: impl Fn() -> Option<Duration> + Clone + 'static,
     closing: watch::Receiver<bool>,
+    open: &Rc<Cell<usize>>,
     handle: F,
 ) where
     F: Fn(Rc<Shared>, Request<Incoming>) -> R + Clone + 'static,
@@ -60,7 +61,28 @@
             continue;
         }
         let (shared, handle) = (shared.clone(), handle.clone());
-        tokio::task::spawn_local(connection(shared, stream, idle(), closing.clone(), handle));
+        let connection = connection(shared, stream, idle(), closing.clone(), handle);
+        let counted = Counted::new(open);
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(counted);
+        });
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
     }
 }
 
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -102,6 +102,8 @@
     pub(crate) runs: RefCell<HashMap<ZoneId, HashMap<Ticket, Run>>>,
     pub(crate) leaving: watch::Sender<bool>,
     pub(crate) in_flight: Cell<usize>,
+    /// Callers' connections.
+    pub(crate) callers: Rc<Cell<usize>>,
     pub(crate) is_ready: Cell<bool>,
     last_ticket: Cell<Ticket>,
 }
@@ -147,6 +149,7 @@
             runs: RefCell::default(),
             leaving: watch::Sender::new(false),
             in_flight: Cell::new(0),
+            callers: Rc::default(),
             is_ready: Cell::new(false),
             last_ticket: Cell::new(0),
         }
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod asked;
 mod faulty;
 mod standin;
+mod stop;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
 
