Log the request limit that an endpoint states, and count the requests sent to it

An endpoint got 39 requests in 4 s where the limit that it had named allowed 27. Neither logs nor metrics could tell whether instances had not read the limit or had kept it each by itself: both look the same from outside, as no instance alone exceeded it.

Decodes Server-Limit in platform/, keeps what is known of it by incarnation (EndpointLimits), logs each change with the request whose answer showed it (event 1123) and counts the requests that each instance sends to an endpoint with a limit (caraway_gateway_limited_sends_total, caraway_gateway_endpoint_limits). Nothing is limited yet.

--- a/crates/caraway-gateway/src/endpoint_signals.rs
+++ b/crates/caraway-gateway/src/endpoint_signals.rs
@@ -1,10 +1,13 @@
-//! Handling of what endpoints signal in the heads of their answers: that they drain, or that they
-//! want no requests for a while.
+//! Handling of what endpoints signal in the heads of their answers: that they drain, that they want
+//! no requests for a while, or that they limit the rate of requests.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use caraway_platform::{DrainState, ResponseHead, RetryAfter};
-use caraway_routes::{Change, Endpoint};
+use caraway_routes::{Change, Endpoint, LimitStatement, RequestRate};
 use caraway_types::EndpointId;
 
 use crate::{event::emit, executor::millis, frame::ToHolder, shared::Shared};
@@ -29,11 +32,13 @@
     }
 }
 
-/// Applies what the head of an answer says about the endpoint.
+/// Applies what the head of an answer says about the endpoint; `sent_at` is when the request was
+/// sent.
 pub(crate) fn handle_answer_head(
     shared: &Rc<Shared>,
     incarnation: &EndpointIncarnation,
     head: &ResponseHead,
+    sent_at: Instant,
 ) {
     if head.drain_state == DrainState::Draining {
         on_draining(shared, incarnation);
@@ -44,6 +49,42 @@
         RetryAfter::Invalid(text) => emit!(shared, warn, EndpointPaused;
             "endpoint" => &*incarnation.endpoint, "unreadable" => &**text),
     }
+    on_request_limit(shared, incarnation, head, sent_at);
+}
+
+/// Records the request limit that an answer states. Only an answer to a request that ran states
+/// that there is none: other answers, such as those to orders, may leave the header out.
+fn on_request_limit(
+    shared: &Shared,
+    incarnation: &EndpointIncarnation,
+    head: &ResponseHead,
+    sent_at: Instant,
+) {
+    let limit = &head.request_limit;
+    if let Some(text) = &limit.invalid {
+        emit!(shared, warn, EndpointLimited; "endpoint" => &*incarnation.endpoint,
+            "request" => head.id.as_deref(), "unreadable" => &**text);
+    }
+    if limit.rate.is_none() && (limit.invalid.is_some() || !head.signed) {
+        return;
+    }
+    let now = Shared::now();
+    let statement = LimitStatement {
+        rate: limit.rate,
+        sent_at,
+        received_at: now,
+    };
+    let change = {
+        let mut limits = shared.limits.borrow_mut();
+        limits.on_statement(&incarnation.endpoint, incarnation.started_ms, statement)
+    };
+    if let Some(change) = change {
+        emit!(shared, info, EndpointLimited; "endpoint" => &*incarnation.endpoint,
+            "per_second" => change.rate.map(RequestRate::per_second),
+            "former" => change.former.map(RequestRate::per_second),
+            "request" => head.id.as_deref(),
+            "sent_ms" => millis(now.saturating_duration_since(sent_at)));
+    }
 }
 
 /// Marks an endpoint that says that it is draining, and reports it to the holder of its zone.
@@ -125,6 +166,19 @@
         pauses.paused_until(Self::now(), endpoint).is_some()
     }
 
+    /// Counts a request that is about to be sent to this incarnation if the endpoint has a limit.
+    pub(crate) fn record_limited_send(
+        &self,
+        incarnation: &EndpointIncarnation,
+        kind: &'static str,
+    ) {
+        let limits = self.limits.borrow();
+        let limit = limits.get(&incarnation.endpoint, incarnation.started_ms);
+        if limit.is_some() {
+            self.metrics.record_limited_send(kind);
+        }
+    }
+
     /// Returns the endpoints that a request must not go to: those in `exclude`, and those that have
     /// asked this instance for a pause.
     pub(crate) fn excluded_endpoints(&self, exclude: &[EndpointId]) -> Vec<EndpointId> {
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -69,6 +69,8 @@
     EntryInvalid = 1121, "registry entry unusable", 10;
     /// An endpoint asked this instance to send no requests for a while.
     EndpointPaused = 1122, "endpoint paused", 20;
+    /// The request rate that an endpoint accepts from all instances changed.
+    EndpointLimited = 1123, "endpoint limit", 20;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -132,10 +132,11 @@
     let incarnation = EndpointIncarnation::registered(shared, endpoint);
     let exchange = async {
         let mut pooled = shared.pool.take(endpoint, addr).await?;
+        let sent_at = Shared::now();
         let answer = pooled.connection.send(request).await?;
         let status = answer.status();
         let head = caraway_platform::decode_response_head(status, answer.headers());
-        handle_answer_head(shared, &incarnation, &head);
+        handle_answer_head(shared, &incarnation, &head, sent_at);
         let body = read_body_within(answer.into_body(), MAX_ANSWER_BYTES, &shared.body_budget)
             .await
             .map_err(|e| CallError::Unknown(e.to_string().into()))?;
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -321,6 +321,8 @@
     // `deadline` covers the first event only; closing the connection cancels an abandoned attempt.
     let request = request_to_endpoint(call, &placed.endpoint, resume_after, call.deadline);
     record_first_send(shared, call, history.sent);
+    shared.record_limited_send(&incarnation, "stream");
+    let sent_at = Instant::now();
     let stall_at =
         Instant::now() + STALL_TIMEOUT_BASE + STALL_TIMEOUT_PER_TOKEN * call.head.tokens.prompt;
     let send = report_if_stalled(&placed, stall_at, pooled.connection.send(request));
@@ -346,7 +348,7 @@
         set_failed(&placed);
         return Outcome::InDoubt(mismatch);
     }
-    handle_answer_head(shared, &incarnation, &head);
+    handle_answer_head(shared, &incarnation, &head, sent_at.into_std());
     let mut body = answer.into_body();
     if head.not_run || !status.is_success() {
         return read_final_answer(
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -43,6 +43,8 @@
     MetricInfo::new("caraway_gateway_waiting", "requests", &[]),
     MetricInfo::new("caraway_gateway_holding", "zones", &[]),
     MetricInfo::new("caraway_gateway_log_lines_dropped", "lines", &[]),
+    MetricInfo::new("caraway_gateway_endpoint_limits", "endpoints", &[]),
+    MetricInfo::new("caraway_gateway_limited_sends_total", "requests", &["kind"]),
 ];
 
 /// The instruments of the daemon.
@@ -62,6 +64,8 @@
     waiting: Gauge<u64>,
     held_zones: Gauge<u64>,
     lines_dropped: Gauge<u64>,
+    endpoint_limits: Gauge<u64>,
+    limited_sends: Counter<u64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
@@ -77,6 +81,8 @@
     pub(crate) held_zones: u64,
     /// Log lines that were dropped because the queue was full.
     pub(crate) lines_dropped: u64,
+    /// Endpoints with a limit on the rate of their requests.
+    pub(crate) endpoint_limits: u64,
 }
 
 impl Metrics {
@@ -106,6 +112,8 @@
             waiting: gauge("caraway_gateway_waiting"),
             held_zones: gauge("caraway_gateway_holding"),
             lines_dropped: gauge("caraway_gateway_log_lines_dropped"),
+            endpoint_limits: gauge("caraway_gateway_endpoint_limits"),
+            limited_sends: counter("caraway_gateway_limited_sends"),
             exporter,
         })
     }
@@ -121,6 +129,7 @@
         self.waiting.record(gauges.waiting, &[]);
         self.held_zones.record(gauges.held_zones, &[]);
         self.lines_dropped.record(gauges.lines_dropped, &[]);
+        self.endpoint_limits.record(gauges.endpoint_limits, &[]);
         self.exporter.text()
     }
 
@@ -154,6 +163,11 @@
         self.retries.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that is sent to an endpoint with a limit.
+    pub(crate) fn record_limited_send(&self, kind: &'static str) {
+        self.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -216,6 +216,8 @@
     };
     let request = request_to_endpoint(call, &endpoint.id, None, deadline);
     record_first_send(shared, call, *sent);
+    shared.record_limited_send(&incarnation, "plain");
+    let sent_at = Instant::now();
     let answer = match timeout_at(deadline, pooled.connection.send(request)).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(CallError::NotSent(_))) => {
@@ -270,7 +272,7 @@
     if let Some(mismatch) = find_mismatch(call, &head, status) {
         return (Outcome::InDoubt(mismatch), CallOutcome::Broken);
     }
-    handle_answer_head(shared, &incarnation, &head);
+    handle_answer_head(shared, &incarnation, &head, sent_at.into_std());
     return_connection(shared, &endpoint.id, pooled, &head);
     if head.not_run {
         return (
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -13,7 +13,8 @@
 use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
-    Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
+    Directory, EndpointLimits, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits,
+    RoutingConfig,
 };
 use caraway_types::{EndpointId, FencingToken, Incarnation, InstanceId, Ticket, ZoneId};
 use rand::Rng;
@@ -96,6 +97,8 @@
     pub(crate) directory: RefCell<Directory>,
     /// Endpoints that requested a pause from this instance.
     pub(crate) pauses: RefCell<Pauses>,
+    /// The request rates that endpoints accept.
+    pub(crate) limits: RefCell<EndpointLimits>,
     /// The newest announced version of each adapter.
     pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
     /// Chooses endpoints for requests that no placer places.
@@ -157,6 +160,7 @@
             routing: RefCell::default(),
             directory: RefCell::default(),
             pauses: RefCell::default(),
+            limits: RefCell::default(),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
@@ -315,6 +319,7 @@
             waiting: count(held_zones.values().map(|d| d.waiting()).sum()),
             held_zones: count(held_zones.len()),
             lines_dropped: self.log_queue.dropped(),
+            endpoint_limits: count(self.limits.borrow().iter().count()),
         }
     }
 }
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -4,19 +4,23 @@
 mod config;
 mod directory;
 mod endpoint;
+mod endpoint_limits;
 mod load_balancer;
 mod outage;
 mod pauses;
 mod request;
+mod request_rate;
 mod retry_budget;
 mod route;
 
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
 pub use endpoint::{Endpoint, EndpointState, LoadedModel, Resident};
+pub use endpoint_limits::{EndpointLimits, KnownLimit, LimitChange, LimitStatement};
 pub use load_balancer::{CallOutcome, LoadBalancer};
 pub use outage::{OutageDetector, OutageLimits};
 pub use pauses::{PauseLimits, Pauses};
 pub use request::{ModelRef, PromptSegment, RequestHead, TokenCount};
+pub use request_rate::RequestRate;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Idempotency, Route, Target};
