--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod endpoint_signals;
 mod faulty;
 mod harness;
+mod limits;
 mod stop;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
