Let the holder of a zone give the permits for endpoints that limit their requests

Cause: nothing read the limit. The class: a bound on the sum over all instances that no instance can keep by itself; each of six sent about 2 a second.

Now one place gives all permits for an endpoint: the holder of its zone, who grants engines already. The placer treats an engine without a due permit as full, loads adapters elsewhere, hands due permits to the most important waiting requests and refuses at once what the limits leave no room for. For plain services instances ask the holder before each request to a limited endpoint. What one instance learns goes to the holder and from there to all. An instance that reaches no holder uses expiring turns of a quarter of the limit divided by the number of instances. A holder that has lost instances gives away the connected share only, so that two sides of a cut add up to the limit. A permit is void after 500 ms.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -11,7 +11,7 @@
 use caraway_types::{EndpointId, Offset};
 
 use crate::{
-    claim,
+    claim, endpoint_limits,
     event::emit,
     held_zone::HeldZone,
     shared::{Announcement, Shared},
@@ -59,6 +59,7 @@
         }
     });
     update_engines(shared, held);
+    endpoint_limits::init_placer(shared, held);
 }
 
 /// Removes the endpoints whose entries, missing after an outage of the registry, did not come back
@@ -209,6 +210,9 @@
             placer.on_endpoint(now, &endpoint, change);
         });
     }
+    if matches!(change, Change::New | Change::Reborn) {
+        endpoint_limits::update_placer(shared, &endpoint);
+    }
     let is_sampled = record.offset.is_multiple_of(RESIDENT_FORWARD_INTERVAL);
     change != Change::Updated || was_ready != Some(endpoint.is_ready()) || is_sampled
 }
--- a/crates/caraway-gateway/src/endpoint_signals.rs
+++ b/crates/caraway-gateway/src/endpoint_signals.rs
@@ -7,10 +7,10 @@
 };
 
 use caraway_platform::{DrainState, ResponseHead, RetryAfter};
-use caraway_routes::{Change, Endpoint, LimitStatement, RequestRate};
+use caraway_routes::{Change, Endpoint};
 use caraway_types::EndpointId;
 
-use crate::{event::emit, executor::millis, frame::ToHolder, shared::Shared};
+use crate::{endpoint_limits, event::emit, executor::millis, frame::ToHolder, shared::Shared};
 
 /// The incarnation of an endpoint that a request is sent to.
 #[derive(Clone, Debug)]
@@ -49,42 +49,7 @@
         RetryAfter::Invalid(text) => emit!(shared, warn, EndpointPaused;
             "endpoint" => &*incarnation.endpoint, "unreadable" => &**text),
     }
-    on_request_limit(shared, incarnation, head, sent_at);
-}
-
-/// Records the request limit that an answer states. Only an answer to a request that ran states
-/// that there is none: other answers, such as those to orders, may leave the header out.
-fn on_request_limit(
-    shared: &Shared,
-    incarnation: &EndpointIncarnation,
-    head: &ResponseHead,
-    sent_at: Instant,
-) {
-    let limit = &head.request_limit;
-    if let Some(text) = &limit.invalid {
-        emit!(shared, warn, EndpointLimited; "endpoint" => &*incarnation.endpoint,
-            "request" => head.id.as_deref(), "unreadable" => &**text);
-    }
-    if limit.rate.is_none() && (limit.invalid.is_some() || !head.signed) {
-        return;
-    }
-    let now = Shared::now();
-    let statement = LimitStatement {
-        rate: limit.rate,
-        sent_at,
-        received_at: now,
-    };
-    let change = {
-        let mut limits = shared.limits.borrow_mut();
-        limits.on_statement(&incarnation.endpoint, incarnation.started_ms, statement)
-    };
-    if let Some(change) = change {
-        emit!(shared, info, EndpointLimited; "endpoint" => &*incarnation.endpoint,
-            "per_second" => change.rate.map(RequestRate::per_second),
-            "former" => change.former.map(RequestRate::per_second),
-            "request" => head.id.as_deref(),
-            "sent_ms" => millis(now.saturating_duration_since(sent_at)));
-    }
+    endpoint_limits::on_answer(shared, incarnation, head, sent_at);
 }
 
 /// Marks an endpoint that says that it is draining, and reports it to the holder of its zone.
@@ -172,9 +137,7 @@
         incarnation: &EndpointIncarnation,
         kind: &'static str,
     ) {
-        let limits = self.limits.borrow();
-        let limit = limits.get(&incarnation.endpoint, incarnation.started_ms);
-        if limit.is_some() {
+        if self.limits.is_limited(incarnation) {
             self.metrics.record_limited_send(kind);
         }
     }
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -71,6 +71,8 @@
     EndpointPaused = 1122, "endpoint paused", 20;
     /// The request rate that an endpoint accepts from all instances changed.
     EndpointLimited = 1123, "endpoint limit", 20;
+    /// A request got no permit for an endpoint that limits the rate of its requests.
+    PermitDenied = 1124, "permit denied", 20;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -3,12 +3,12 @@
 //! They are sent in both directions over one HTTP call whose request and response bodies stay open.
 //! Each frame is preceded by its length.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::Record;
-use caraway_routes::{ModelRef, TokenCount};
+use caraway_routes::{ModelRef, RequestRate, TokenCount};
 use caraway_types::{EndpointId, FencingToken, Millis, Offset, Ticket, ZoneId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -82,6 +82,19 @@
         /// it.
         born: Option<u64>,
     },
+    /// An endpoint of the zone stated another request limit in an answer than the one that the
+    /// sender knew.
+    Limit(LimitFrame),
+    /// Requests a permit to send a request to an endpoint without an engine that limits the rate of
+    /// its requests.
+    Permit {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Longest time that the request can wait for the permit.
+        max_wait: Millis,
+    },
     /// Requests a pong.
     Ping {
         /// Whether the sender's copy of the registry is current.
@@ -113,6 +126,23 @@
         served: bool,
         /// The next offset of each topic that the holder reads, by the topic's label.
         next: Vec<(Arc<str>, Offset)>,
+        /// The request limits of the zone's endpoints.
+        #[serde(default)]
+        limits: Vec<LimitFrame>,
+    },
+    /// Grants a permit.
+    Permit {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// Time after which the request may be sent.
+        wait: Millis,
+    },
+    /// Denies a permit.
+    NoPermit {
+        /// Identifies the request.
+        ticket: Ticket,
+        /// Time after which to ask again.
+        after: Millis,
     },
     /// Grants an endpoint to a request.
     Grant {
@@ -151,6 +181,38 @@
     Records(RecordsFrame),
 }
 
+impl FromHolder {
+    /// Creates the reply to a request for a permit: the time until the request may be sent or, if
+    /// it is denied, until asking again.
+    pub(crate) fn permit_reply(ticket: Ticket, permit: Result<Duration, Duration>) -> Self {
+        match permit {
+            Ok(wait) => Self::Permit {
+                ticket,
+                wait: wait.into(),
+            },
+            Err(after) => Self::NoPermit {
+                ticket,
+                after: after.into(),
+            },
+        }
+    }
+}
+
+/// The request limit of an endpoint, as an answer stated it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct LimitFrame {
+    /// The endpoint.
+    pub(crate) endpoint: EndpointId,
+    /// Start of the endpoint's process, in milliseconds; `None` if the registry does not state it.
+    pub(crate) born: Option<u64>,
+    /// The limit; `None` if the endpoint has none.
+    pub(crate) rate: Option<RequestRate>,
+    /// Time since the request was sent that the answer belongs to.
+    pub(crate) sent: Millis,
+    /// Time since the answer arrived.
+    pub(crate) received: Millis,
+}
+
 /// Records of a topic of the platform's store, forwarded from one instance to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RecordsFrame {
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    endpoint_limits::PERMIT_EXPIRED,
     endpoint_signals::{
         BlockReason, EndpointIncarnation, handle_answer_head, report_draining_to_holder,
     },
@@ -152,7 +153,14 @@
             match place(shared, &placement, &exclude).await {
                 Ok(placed) => placed,
                 Err(_) if error_response.is_some() => break,
-                Err(not_placed) => return Err(placement_refusal(history, not_placed)),
+                Err(not_placed) => {
+                    return Err(placement_refusal(
+                        shared,
+                        &call.service,
+                        history,
+                        not_placed,
+                    ));
+                }
             }
         };
         if skip_blocked(shared, &placed) {
@@ -260,21 +268,31 @@
 }
 
 /// Returns the refusal of a request that got no endpoint.
-fn placement_refusal(history: &AttemptHistory, not_placed: PlacementFailure) -> RefusalResponse {
+fn placement_refusal(
+    shared: &Shared,
+    service: &str,
+    history: &AttemptHistory,
+    not_placed: PlacementFailure,
+) -> RefusalResponse {
     let why = match not_placed.reason {
         RefuseReason::NoEndpoint => "no endpoint of the service takes work",
         RefuseReason::Deadline => "the adapter can't be there in time",
+        RefuseReason::Limited => "the endpoints' request limits leave no room",
     };
-    let detail = not_placed.last_zone.map_or_else(
+    let mut detail = not_placed.last_zone.map_or_else(
         || why.to_owned(),
         |(zone, waiting)| format!("{why}; zone {zone} was asked, where {waiting} wait"),
     );
+    if not_placed.reason == RefuseReason::Limited {
+        shared.metrics.record_permit_denied("stream");
+        detail.push_str(&shared.describe_limits(service));
+    }
     if history.possible_runs > 0 {
         return RefusalResponse::in_doubt(Reason::EndpointFailed, &detail);
     }
     let reason = match not_placed.reason {
         RefuseReason::Deadline => Reason::Deadline,
-        RefuseReason::NoEndpoint => Reason::NoEndpoint,
+        RefuseReason::NoEndpoint | RefuseReason::Limited => Reason::NoEndpoint,
     };
     RefusalResponse::not_run(reason, &detail).with_retry_after(not_placed.retry_after)
 }
@@ -318,6 +336,10 @@
         return Outcome::NotRun(reason.as_str());
     }
     let incarnation = EndpointIncarnation::registered(shared, &placed.endpoint);
+    if shared.is_permit_expired(&incarnation, placed.given_at.into_std()) {
+        placed.grant.set_outcome(RequestOutcome::NotSent);
+        return Outcome::NotRun(PERMIT_EXPIRED);
+    }
     // `deadline` covers the first event only; closing the connection cancels an abandoned attempt.
     let request = request_to_endpoint(call, &placed.endpoint, resume_after, call.deadline);
     record_first_send(shared, call, history.sent);
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -5,17 +5,18 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use caraway_placement::{
-    Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome, SourceId,
+    ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
+    SourceId,
 };
-use caraway_types::{FencingToken, Millis, Ticket, ZoneId};
+use caraway_types::{EndpointId, FencingToken, Millis, Ticket, ZoneId};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    claim,
+    claim, endpoint_limits,
     event::emit,
     executor,
     frame::{self, FromHolder},
@@ -29,6 +30,9 @@
 /// Source of this instance's own requests, which use no session.
 const LOCAL_SOURCE: SourceId = 0;
 
+/// Time after which to ask the next holder for a permit when the zone was given up.
+const NEXT_HOLDER_DELAY: Duration = Duration::from_millis(100);
+
 /// Returns the identifier of a request of this instance at its own placer.
 fn local_id(ticket: Ticket) -> PlacementId {
     PlacementId {
@@ -51,6 +55,10 @@
     /// The instances that are connected, by the source of their requests.
     peers: RefCell<HashMap<SourceId, Peer>>,
     last_source: Cell<SourceId>,
+    /// The part of all instances that is connected.
+    connected: RefCell<ConnectedShare>,
+    /// The share that the placer was told last.
+    limit_share: Cell<f64>,
     /// Notified when the next timer of the placer may have changed.
     wake: Notify,
     /// Whether the zone was given up.
@@ -108,6 +116,8 @@
             local_requests: RefCell::default(),
             peers: RefCell::default(),
             last_source: Cell::new(LOCAL_SOURCE),
+            connected: RefCell::default(),
+            limit_share: Cell::new(1.0),
             wake: Notify::new(),
             closed: Cell::new(false),
         }
@@ -247,10 +257,14 @@
     }
 
     /// Adds a connected instance and returns the source of its requests.
-    pub(crate) fn add_peer(&self, peer: Peer) -> SourceId {
+    pub(crate) fn add_peer(self: &Rc<Self>, shared: &Rc<Shared>, peer: Peer) -> SourceId {
         let id = self.last_source.get() + 1;
         self.last_source.set(id);
+        self.connected
+            .borrow_mut()
+            .on_connected(&peer.holder.instance);
         self.peers.borrow_mut().insert(id, peer);
+        self.update_limit_share(shared);
         id
     }
 
@@ -264,8 +278,44 @@
 
     /// Removes an instance whose session has ended.
     pub(crate) fn remove_peer(self: &Rc<Self>, shared: &Rc<Shared>, source: SourceId) {
-        self.peers.borrow_mut().remove(&source);
+        let lost = self.peers.borrow_mut().remove(&source);
+        if let Some(lost) = lost {
+            let name = &lost.holder.instance;
+            let is_back = |p: &Peer| p.holder.instance == *name;
+            let mut connected = self.connected.borrow_mut();
+            if lost.leaving {
+                connected.on_stopped(name);
+            } else if !self.peers.borrow().values().any(is_back) {
+                connected.on_lost(Shared::now(), name);
+            }
+        }
         self.with_placer(shared, |placer, now| placer.on_source_lost(now, source));
+        self.update_limit_share(shared);
+    }
+
+    /// Passes the part of all instances that is connected to the placer, which gives away as much
+    /// of each endpoint's request limit.
+    pub(crate) fn update_limit_share(self: &Rc<Self>, shared: &Rc<Shared>) {
+        let share = self.connected.borrow().share(Shared::now());
+        if self.limit_share.replace(share).to_bits() != share.to_bits() {
+            self.with_placer(shared, |placer, now| placer.set_limit_share(now, share));
+        }
+    }
+
+    /// Takes a permit for a request to an endpoint of the zone without an engine; see
+    /// [`Placer::acquire_permit`].
+    pub(crate) fn acquire_permit(
+        self: &Rc<Self>,
+        shared: &Rc<Shared>,
+        endpoint: &EndpointId,
+        max_wait: Duration,
+    ) -> Result<Duration, Duration> {
+        // The placer decides nothing once the zone is given up.
+        let mut permit = Err(NEXT_HOLDER_DELAY);
+        self.with_placer(shared, |placer, now| {
+            permit = placer.acquire_permit(now, endpoint, max_wait);
+        });
+        permit
     }
 
     /// Returns the number of connected instances of `zone`, plus one if `zone` is this held zone.
@@ -297,6 +347,7 @@
             pressure: self.pressure(),
             served: topics::is_registry_current(shared),
             next: topics::readable_offsets(shared),
+            limits: endpoint_limits::frames(shared, &self.zone),
         }
     }
 
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod apply;
 mod claim;
 mod claim_schedule;
+mod endpoint_limits;
 mod endpoint_signals;
 mod event;
 mod executor;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -45,6 +45,12 @@
     MetricInfo::new("caraway_gateway_log_lines_dropped", "lines", &[]),
     MetricInfo::new("caraway_gateway_endpoint_limits", "endpoints", &[]),
     MetricInfo::new("caraway_gateway_limited_sends_total", "requests", &["kind"]),
+    MetricInfo::new(
+        "caraway_gateway_permits_denied_total",
+        "requests",
+        &["kind"],
+    ),
+    MetricInfo::new("caraway_gateway_held_back", "requests", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -66,6 +72,8 @@
     lines_dropped: Gauge<u64>,
     endpoint_limits: Gauge<u64>,
     limited_sends: Counter<u64>,
+    permits_denied: Counter<u64>,
+    held_back: Gauge<u64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
@@ -83,6 +91,8 @@
     pub(crate) lines_dropped: u64,
     /// Endpoints with a limit on the rate of their requests.
     pub(crate) endpoint_limits: u64,
+    /// Requests that the placers of the held zones have held back so far for lack of a permit.
+    pub(crate) held_back: u64,
 }
 
 impl Metrics {
@@ -114,6 +124,8 @@
             lines_dropped: gauge("caraway_gateway_log_lines_dropped"),
             endpoint_limits: gauge("caraway_gateway_endpoint_limits"),
             limited_sends: counter("caraway_gateway_limited_sends"),
+            permits_denied: counter("caraway_gateway_permits_denied"),
+            held_back: gauge("caraway_gateway_held_back"),
             exporter,
         })
     }
@@ -130,6 +142,7 @@
         self.held_zones.record(gauges.held_zones, &[]);
         self.lines_dropped.record(gauges.lines_dropped, &[]);
         self.endpoint_limits.record(gauges.endpoint_limits, &[]);
+        self.held_back.record(gauges.held_back, &[]);
         self.exporter.text()
     }
 
@@ -168,6 +181,11 @@
         self.limited_sends.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that got no permit for an endpoint with a limit.
+    pub(crate) fn record_permit_denied(&self, kind: &'static str) {
+        self.permits_denied.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -79,6 +79,8 @@
     /// The zone whose placer granted the endpoint; `None` if this instance chose it without a
     /// placer.
     pub(crate) zone: Option<ZoneId>,
+    /// When the endpoint was granted or chosen.
+    pub(crate) given_at: Instant,
     pub(crate) grant: GrantGuard,
 }
 
@@ -355,6 +357,7 @@
                 addr,
                 waited,
                 zone: Some(zone.clone()),
+                given_at: Instant::now(),
                 grant,
             })
         }
@@ -404,18 +407,20 @@
     };
     let candidates = directory
         .of_service(&request.service)
-        .filter(|e| is_resident(e));
+        .filter(|e| is_resident(e) && shared.has_solo_permit(e));
     let endpoint = shared.load_balancer.borrow_mut().choose(
         Shared::now(),
         &shared.site.zone,
         candidates,
         exclude,
     )?;
+    shared.use_solo_permit(&endpoint);
     Some(Placement {
         endpoint: endpoint.id.clone(),
         addr: endpoint.addr,
         waited: false,
         zone: None,
+        given_at: Instant::now(),
         grant: GrantGuard {
             shared: shared.clone(),
             ticket: shared.next_ticket(),
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -14,9 +14,11 @@
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
 use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
+    endpoint_limits::{PERMIT_EXPIRED, PermitDenied, acquire_permit},
     endpoint_signals::{EndpointIncarnation, handle_answer_head},
     event::emit,
     executor::millis,
@@ -33,6 +35,12 @@
 const MAX_ENDPOINTS: usize = 4;
 /// `Retry-After` of a request that no endpoint ran.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest wait for the permit of an endpoint with a limit. Permits that are given ahead stay in use
+/// when the zone's holder changes, and the next holder does not know of them.
+const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
+/// Part of the time that requests of lower priorities wait, so that permits are left to the most
+/// important ones.
+const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
 /// Least time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
@@ -61,20 +69,30 @@
         if !call.has_time_for(MIN_ATTEMPT_TIME) {
             break;
         }
-        let Some(endpoint) = choose_endpoint(shared, call, &tried) else {
+        let permit_wait = max_permit_wait(shared, call, &tried);
+        let Some(endpoint) = choose_endpoint(shared, call, &tried, permit_wait) else {
             if tried.is_empty()
-                && let Some(end) = earliest_pause_end(shared, call)
+                && let Some(end) = earliest_block_end(shared, call, permit_wait)
             {
                 if end > call.arrived_at + call.route.latency_goal {
-                    return Err(refuse_paused(call, end));
+                    return Err(refuse_blocked(shared, call, end));
                 }
                 sleep_until(end).await;
                 continue;
             }
             break;
         };
+        let guard = LoadBalancerGuard {
+            shared: shared.clone(),
+            endpoint: endpoint.id.clone(),
+            call_outcome: CallOutcome::Unrelated,
+        };
+        let permit = acquire_permit(shared, &endpoint, &call.head.id, permit_wait).await;
+        if permit == Err(PermitDenied) {
+            continue;
+        }
         tried.push(endpoint.id.clone());
-        let result = attempt(shared, call, &endpoint, &mut sent).await;
+        let result = attempt(shared, call, &endpoint, guard, &mut sent).await;
         match result {
             Outcome::Answer(response) => {
                 let failed = response.status().is_server_error();
@@ -111,35 +129,71 @@
     Err(RefusalResponse::not_run(Reason::NoEndpoint, why).with_retry_after(BUSY_RETRY_AFTER))
 }
 
-/// Returns the endpoint for the next attempt, one that is neither paused nor in `tried`.
+/// Returns how long the request can wait for a permit of an endpoint that limits its requests: not
+/// at all while another endpoint has no limit, and longer for the most important requests.
+fn max_permit_wait(shared: &Shared, call: &Call, tried: &[EndpointId]) -> Duration {
+    let directory = shared.directory.borrow();
+    let mut others = directory
+        .of_service(&call.service)
+        .filter(|e| e.is_ready() && !tried.contains(&e.id) && !shared.is_paused(e));
+    if others.any(|e| shared.limits.rate(e).is_none()) {
+        return Duration::ZERO;
+    }
+    let remaining = call.deadline.saturating_duration_since(Instant::now());
+    let share = if call.route.priority == 0 {
+        1.0
+    } else {
+        LOW_PRIORITY_WAIT_SHARE
+    };
+    let wait = remaining.saturating_sub(MIN_ATTEMPT_TIME).mul_f64(share);
+    wait.min(MAX_PERMIT_WAIT)
+}
+
+/// Returns the endpoint for the next attempt, one that is not in `tried`, not paused, and for which
+/// a permit may be due within `permit_wait`.
 fn choose_endpoint(
     shared: &Shared,
     call: &Call,
     tried: &[EndpointId],
+    permit_wait: Duration,
 ) -> Option<std::sync::Arc<Endpoint>> {
     let directory = shared.directory.borrow();
     let all = directory.of_service(&call.service);
-    let candidates = all.filter(|e| !shared.is_paused(e));
+    let is_denied = |e: &Endpoint| shared.limits.denied_until(e, permit_wait).is_some();
+    let candidates = all.filter(|e| !shared.is_paused(e) && !is_denied(e));
     let mut balancer = shared.load_balancer.borrow_mut();
     balancer.choose(Shared::now(), &shared.site.zone, candidates, tried)
 }
 
-/// Returns the end of the shortest pause if every ready endpoint of the service has asked this
-/// instance for one.
-fn earliest_pause_end(shared: &Shared, call: &Call) -> Option<Instant> {
+/// Returns when the first endpoint may get a request again if every ready endpoint of the service
+/// has asked this instance for a pause, or has no permit that is due within `permit_wait`.
+fn earliest_block_end(shared: &Shared, call: &Call, permit_wait: Duration) -> Option<Instant> {
+    let now = Shared::now();
     let directory = shared.directory.borrow();
     let pauses = shared.pauses.borrow();
-    let end = pauses.earliest_end(Shared::now(), directory.of_service(&call.service))?;
-    Some(Instant::from_std(end))
+    let denied_until = |e: &Endpoint| {
+        let until = shared.limits.denied_until(e, permit_wait)?;
+        Some(until.max(pauses.paused_until(now, e).unwrap_or(until)))
+    };
+    let ready = directory.of_service(&call.service).filter(|e| e.is_ready());
+    let (denied, others): (Vec<_>, Vec<_>) = ready.partition(|e| denied_until(e).is_some());
+    let denial_end = denied.into_iter().filter_map(|e| denied_until(e)).min();
+    let pause_end = pauses.earliest_end(now, others.iter().copied());
+    if pause_end.is_none() && !others.is_empty() {
+        return None;
+    }
+    let ends = pause_end.into_iter().chain(denial_end);
+    ends.min().map(Instant::from_std)
 }
 
-/// Returns the refusal of a request whose endpoints all asked for a pause. `Retry-After` is
-/// randomized so that the callers' retries spread out after the end of the first pause.
-fn refuse_paused(call: &Call, end: Instant) -> RefusalResponse {
+/// Returns the refusal of a request whose endpoints all asked for a pause or have no permit.
+/// `Retry-After` is randomized so that the callers' retries spread out after that.
+fn refuse_blocked(shared: &Shared, call: &Call, end: Instant) -> RefusalResponse {
     let remaining = end.saturating_duration_since(Instant::now());
     let after = remaining + call.route.latency_goal.mul_f64(Shared::random_fraction());
-    RefusalResponse::not_run(Reason::NoEndpoint, "all endpoints asked for a pause")
-        .with_retry_after(after)
+    let limits = shared.describe_limits(&call.service);
+    let detail = format!("all endpoints asked for a pause or limit their requests{limits}");
+    RefusalResponse::not_run(Reason::NoEndpoint, &detail).with_retry_after(after)
 }
 
 /// Returns whether a request that may have run is sent again; if so, takes a retry from the
@@ -159,13 +213,14 @@
 
 /// Sends the request to an endpoint once; reports the outcome to the load balancer and logs a
 /// failure.
-async fn attempt(shared: &Rc<Shared>, call: &Call, endpoint: &Endpoint, sent: &mut u32) -> Outcome {
+async fn attempt(
+    shared: &Rc<Shared>,
+    call: &Call,
+    endpoint: &Endpoint,
+    guard: LoadBalancerGuard,
+    sent: &mut u32,
+) -> Outcome {
     let start = Instant::now();
-    let guard = LoadBalancerGuard {
-        shared: shared.clone(),
-        endpoint: endpoint.id.clone(),
-        call_outcome: CallOutcome::Unrelated,
-    };
     let timeout = call.route.latency_goal * ATTEMPT_TIMEOUT_GOALS;
     let is_last_attempt =
         call.route.idempotency == Idempotency::AtMostOnce || *sent + 1 >= call.route.max_attempts;
@@ -214,6 +269,9 @@
         endpoint: endpoint.id.clone(),
         started_ms: endpoint.started_ms,
     };
+    if shared.is_permit_expired(&incarnation, start.into_std()) {
+        return (Outcome::NotRun(PERMIT_EXPIRED), CallOutcome::Unrelated);
+    }
     let request = request_to_endpoint(call, &endpoint.id, None, deadline);
     record_first_send(shared, call, *sent);
     shared.record_limited_send(&incarnation, "plain");
@@ -241,33 +299,9 @@
     *sent += 1;
     let (status, headers) = (answer.status(), answer.headers().clone());
     let head = decode_response_head(status, &headers);
-    let body = read_body_within(answer.into_body(), MAX_ANSWER_BYTES, &shared.body_budget);
-    let body = match timeout_at(deadline, body).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => {
-            return (
-                Outcome::InDoubt("the answer is too long"),
-                CallOutcome::Broken,
-            );
-        }
-        Ok(Err(BodyError::BudgetExceeded)) => {
-            return (
-                Outcome::InDoubt("too many long answers"),
-                CallOutcome::Broken,
-            );
-        }
-        Ok(Err(BodyError::Incomplete(_))) => {
-            return (
-                Outcome::InDoubt("the answer broke off"),
-                CallOutcome::Broken,
-            );
-        }
-        Err(_) => {
-            return (
-                Outcome::InDoubt("the answer took too long"),
-                CallOutcome::Broken,
-            );
-        }
+    let body = match read_answer_body(shared, answer.into_body(), deadline).await {
+        Ok(body) => body,
+        Err(why) => return (Outcome::InDoubt(why), CallOutcome::Broken),
     };
     if let Some(mismatch) = find_mismatch(call, &head, status) {
         return (Outcome::InDoubt(mismatch), CallOutcome::Broken);
@@ -291,6 +325,22 @@
     )
 }
 
+/// Reads the body of an answer; the error says why it can't be used.
+async fn read_answer_body(
+    shared: &Shared,
+    body: Incoming,
+    deadline: Instant,
+) -> Result<Bytes, &'static str> {
+    let body = read_body_within(body, MAX_ANSWER_BYTES, &shared.body_budget);
+    match timeout_at(deadline, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err("the answer is too long"),
+        Ok(Err(BodyError::BudgetExceeded)) => Err("too many long answers"),
+        Ok(Err(BodyError::Incomplete(_))) => Err("the answer broke off"),
+        Err(_) => Err("the answer took too long"),
+    }
+}
+
 /// Returns a connection to the pool after a whole answer, unless the endpoint closes it.
 pub(crate) fn return_connection(
     shared: &Shared,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -166,13 +166,15 @@
 /// Logs the statistics of this instance's placers.
 fn log_placer_stats(shared: &Rc<Shared>) {
     for held in shared.held_zones() {
+        held.update_limit_share(shared);
         let stats = held.stats();
         emit!(shared, info, PlacerStats; "held_zone" => &*held.zone, "token" => held.token(),
             "waiting" => stats.waiting, "running" => stats.running,
             "endpoints" => stats.endpoints, "usable" => stats.usable,
             "ordering" => stats.orderable, "empty" => stats.without_weights, "transit" => stats.loading,
             "limit" => stats.load_limit, "fetched" => stats.fetched,
-            "load_ms" => millis(stats.load_time));
+            "load_ms" => millis(stats.load_time), "limited" => stats.limited,
+            "held_back" => stats.held_back);
     }
 }
 
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload};
 use caraway_platform::Topic;
-use caraway_types::{Ticket, ZoneId};
+use caraway_types::{EndpointId, Ticket, ZoneId};
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::BodyExt;
@@ -23,6 +23,7 @@
 
 use crate::{
     claim,
+    endpoint_limits::{self, LimitSource},
     event::emit,
     frame::{self, FrameReader, FromHolder, ToHolder},
     held_zone,
@@ -44,6 +45,10 @@
 /// Delay before a lost session is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(100);
 
+/// Receives the reply to a request for a permit: the time until the request may be sent or, if it is
+/// denied, until asking again.
+type PermitSender = oneshot::Sender<Result<Duration, Duration>>;
+
 /// An instance's connection to a zone's holder, which is opened again whenever it is lost.
 #[derive(Debug)]
 pub(crate) struct Session {
@@ -52,6 +57,8 @@
     outgoing: RefCell<Option<Outgoing>>,
     /// Requests that the holder has not decided on.
     pending: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
+    /// Requests for permits that the holder has not replied to.
+    permits: RefCell<HashMap<Ticket, PermitSender>>,
     instance_count: Cell<usize>,
     /// Running and waiting requests per usable endpoint of the zone.
     pressure: Cell<f64>,
@@ -92,6 +99,7 @@
             holder,
             outgoing: RefCell::default(),
             pending: RefCell::default(),
+            permits: RefCell::default(),
             instance_count: Cell::new(0),
             pressure: Cell::new(0.0),
             holder_unread_topics: RefCell::default(),
@@ -161,6 +169,28 @@
         decision_rx
     }
 
+    /// Requests a permit for a request to an endpoint without an engine. The receiver fails if the
+    /// session ends before the holder replies.
+    pub(crate) fn request_permit(
+        &self,
+        ticket: Ticket,
+        endpoint: &EndpointId,
+        max_wait: Duration,
+    ) -> oneshot::Receiver<Result<Duration, Duration>> {
+        let (permit_tx, permit_rx) = oneshot::channel();
+        let frame = ToHolder::Permit {
+            ticket,
+            endpoint: endpoint.clone(),
+            max_wait: max_wait.into(),
+        };
+        let mut permits = self.permits.borrow_mut();
+        permits.retain(|_, p| !p.is_closed());
+        if self.send(&frame) {
+            permits.insert(ticket, permit_tx);
+        }
+        permit_rx
+    }
+
     /// Removes a request that has ended from the pending ones.
     pub(crate) fn cancel(&self, ticket: Ticket) {
         self.pending.borrow_mut().remove(&ticket);
@@ -284,6 +314,10 @@
             };
             outgoing.try_send(Ok(frame::encode(&running))).ok();
         }
+        for limit in endpoint_limits::frames(shared, &self.zone) {
+            let limit = ToHolder::Limit(limit);
+            outgoing.try_send(Ok(frame::encode(&limit))).ok();
+        }
         let answer = timeout(OPEN_TIMEOUT, connection.send(request))
             .await
             .map_err(|_| SessionEnd::Timeout)?
@@ -322,6 +356,8 @@
         if self.down_since.get().is_none() {
             self.down_since.set(Some(Instant::now()));
         }
+        // The receivers fail with this.
+        self.permits.borrow_mut().clear();
         for (_, decision_tx) in self.pending.borrow_mut().drain() {
             // The requester may have left.
             decision_tx.send(Decision::Lost).ok();
@@ -336,7 +372,11 @@
                 pressure,
                 served: is_current,
                 next,
+                limits,
             } => {
+                for limit in &limits {
+                    endpoint_limits::on_frame(shared, limit, LimitSource::Holder);
+                }
                 if topics::forwarding_zone(shared).as_ref() == Some(&self.zone) {
                     let ping_sent = asked.map(|at| (self.opened_at.get() + at.get()).into_std());
                     topics::on_holder_heartbeat(shared, &self.zone, ping_sent, is_current, &next);
@@ -378,6 +418,10 @@
                 };
                 self.deliver(ticket, refused);
             }
+            FromHolder::Permit { ticket, wait } => self.deliver_permit(ticket, Ok(wait.get())),
+            FromHolder::NoPermit { ticket, after } => {
+                self.deliver_permit(ticket, Err(after.get()));
+            }
             FromHolder::Successor { holder, token } => {
                 claim::on_successor(shared, &self.zone, &Holder { token, ..holder });
                 return Some(SessionEnd::Stopped);
@@ -388,6 +432,13 @@
         None
     }
 
+    fn deliver_permit(&self, ticket: Ticket, permit: Result<Duration, Duration>) {
+        if let Some(permit_tx) = self.permits.borrow_mut().remove(&ticket) {
+            // The requester may have left; its permit stays unused.
+            permit_tx.send(permit).ok();
+        }
+    }
+
     fn deliver(&self, ticket: Ticket, decision: Decision) {
         if let Some(decision_tx) = self.pending.borrow_mut().remove(&ticket) {
             // The requester may have left, and then reports the end of the request.
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -12,9 +12,10 @@
 use tokio::time::timeout;
 
 use crate::{
+    endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
-    frame::{self, FrameReader, InvalidFrame, ToHolder},
+    frame::{self, FrameReader, FromHolder, InvalidFrame, ToHolder},
     held_zone::{self, HeldZone, Peer},
     session::{HEARTBEAT_TIMEOUT, Outgoing},
     shared::Shared,
@@ -106,7 +107,7 @@
                 topics::send_missed(&self.shared, &frames, &known);
             }
             let peer = Peer::new(zone.clone(), holder, weakness, frames);
-            let source = self.held.add_peer(peer);
+            let source = self.held.add_peer(&self.shared, peer);
             self.source = Some((source, zone));
             return;
         }
@@ -167,6 +168,19 @@
                     },
                 );
             }
+            ToHolder::Limit(limit) => {
+                endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
+            }
+            ToHolder::Permit {
+                ticket,
+                endpoint,
+                max_wait,
+            } => {
+                let permit = held.acquire_permit(shared, &endpoint, max_wait.get());
+                let reply = FromHolder::permit_reply(ticket, permit);
+                // If the queue is full, the request uses the instance's own share.
+                self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
+            }
             ToHolder::Ping {
                 served,
                 holds,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -13,8 +13,7 @@
 use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
-    Directory, EndpointLimits, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits,
-    RoutingConfig,
+    Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
 };
 use caraway_types::{EndpointId, FencingToken, Incarnation, InstanceId, Ticket, ZoneId};
 use rand::Rng;
@@ -23,6 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    endpoint_limits::LimitState,
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
@@ -98,7 +98,7 @@
     /// Endpoints that requested a pause from this instance.
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
-    pub(crate) limits: RefCell<EndpointLimits>,
+    pub(crate) limits: LimitState,
     /// The newest announced version of each adapter.
     pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
     /// Chooses endpoints for requests that no placer places.
@@ -160,7 +160,7 @@
             routing: RefCell::default(),
             directory: RefCell::default(),
             pauses: RefCell::default(),
-            limits: RefCell::default(),
+            limits: LimitState::default(),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
@@ -299,7 +299,7 @@
 
     /// Returns an upper estimate of the number of instances in all zones, from those of the own
     /// zone.
-    fn estimated_instances(&self) -> usize {
+    pub(crate) fn estimated_instances(&self) -> usize {
         let zone = self.zone_instances().max(MIN_INSTANCES_PER_ZONE);
         zone * self.site.zones.len().max(1)
     }
@@ -317,9 +317,10 @@
             config_version: self.routing().map_or(0, |r| r.version),
             in_flight: count(self.in_flight.get()),
             waiting: count(held_zones.values().map(|d| d.waiting()).sum()),
+            held_back: held_zones.values().map(|d| d.stats().held_back).sum(),
             held_zones: count(held_zones.len()),
             lines_dropped: self.log_queue.dropped(),
-            endpoint_limits: count(self.limits.borrow().iter().count()),
+            endpoint_limits: count(self.limits.count()),
         }
     }
 }
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -4,7 +4,9 @@
 //! outcomes of their runs, and returns grants, refusals and orders. [`ZoneSelector`] tells an
 //! instance which zone's placer to send a request to.
 
+mod connected_share;
 mod decay;
+mod limiters;
 mod order;
 mod output;
 mod placer;
@@ -15,6 +17,7 @@
 mod wait_queue;
 mod zone_selector;
 
+pub use connected_share::ConnectedShare;
 pub use decay::DecayingCount;
 pub use order::{Action, Order, OrderNumber, OrderOutcome, Report};
 pub use output::{Output, RefuseReason};
--- a/crates/caraway-placement/src/output.rs
+++ b/crates/caraway-placement/src/output.rs
@@ -14,6 +14,8 @@
     NoEndpoint,
     /// It can't be served before its deadline.
     Deadline,
+    /// The rate limits of all endpoints of the service leave no room for it before its deadline.
+    Limited,
 }
 
 /// An action that the placer's caller has to carry out.
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -1,6 +1,7 @@
 //! [`Placer`]: manages the engine endpoints of one availability zone.
 
 mod endpoints;
+mod limits;
 mod orders;
 mod plan;
 mod requests;
@@ -16,8 +17,8 @@
 use caraway_types::EndpointId;
 
 use crate::{
-    DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings, replica::Replica,
-    wait_queue::WaitQueue,
+    DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings, limiters::Limiters,
+    replica::Replica, wait_queue::WaitQueue,
 };
 
 /// Interval between checks for waiting requests that can no longer meet their deadline.
@@ -35,6 +36,8 @@
     /// order of the previous holder may still take effect.
     first_order_at: Instant,
     replicas: BTreeMap<EndpointId, Replica>,
+    /// Permits for requests to endpoints that limit their rate.
+    limiters: Limiters,
     /// Engine capacity of each service's endpoints.
     engines: HashMap<Arc<str>, EngineConfig>,
     /// When loads of model weights were ordered, within the load window.
@@ -59,6 +62,7 @@
     /// Adapters that may be loading from the weight store at once.
     load_limit: f64,
     fetched: u64,
+    held_back: u64,
     stopping: bool,
 }
 
@@ -85,6 +89,11 @@
     pub fetched: u64,
     /// Average time of an adapter load from the weight store.
     pub load_time: Duration,
+    /// Number of endpoints that limit the rate of their requests.
+    pub limited: usize,
+    /// Number of requests so far that found an endpoint with their adapter and a free slot, but
+    /// without a permit.
+    pub held_back: u64,
 }
 
 /// Divisor for the pressure of a zone without usable endpoints.
@@ -118,6 +127,7 @@
             settings,
             first_order_at,
             replicas: BTreeMap::new(),
+            limiters: Limiters::default(),
             engines: HashMap::new(),
             recent_weight_loads: VecDeque::new(),
             newest: HashMap::new(),
@@ -128,6 +138,7 @@
             outputs: Vec::new(),
             last_number: 0,
             fetched: 0,
+            held_back: 0,
             stopping: false,
         }
     }
@@ -139,6 +150,7 @@
 
     /// Handles what is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
+        self.grant_permits(now);
         self.refuse_late(now);
         self.fetch_reports(now);
         self.plan_weights(now);
@@ -151,7 +163,8 @@
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
         let waits = (self.waiting.len() > 0).then(|| now + DEADLINE_CHECK_INTERVAL);
         let replicas = self.replicas.values().filter_map(Replica::next_wake);
-        replicas.chain(waits).chain(self.next_weights_load()).min()
+        let others = waits.into_iter().chain(self.next_weights_load());
+        replicas.chain(others).chain(self.next_permit(now)).min()
     }
 
     /// Stops sending orders. Waiting requests stay queued until they are sent to the next holder.
@@ -190,6 +203,8 @@
             load_limit: self.load_limit(),
             fetched: self.fetched,
             load_time: self.load_time,
+            limited: self.limiters.next_permits(now).count(),
+            held_back: self.held_back,
         }
     }
 
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -63,6 +63,7 @@
     /// Removes an endpoint that has left the registry.
     pub fn on_endpoint_gone(&mut self, now: Instant, endpoint: &EndpointId) {
         self.granted.retain(|_, g| g.endpoint != *endpoint);
+        self.limiters.set(now, endpoint, None);
         if self.replicas.remove(endpoint).is_some() {
             self.clamp_load_limit();
             self.plan_loads(now);
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -183,8 +183,15 @@
             };
             #[expect(clippy::cast_precision_loss, reason = "counts are small")]
             let rank_cost = rank as f64 * RANK_COST_MS;
-            let cost =
-                load_time.as_secs_f64() * 1000.0 + rank_cost + evict_cost + replica.delay_ms(now);
+            let limit_cost = self
+                .limiters
+                .rate(id)
+                .map_or(0.0, |r| 1000.0 / r.per_second());
+            let cost = load_time.as_secs_f64() * 1000.0
+                + rank_cost
+                + evict_cost
+                + limit_cost
+                + replica.delay_ms(now);
             if best.is_none_or(|(c, _)| cost < c) {
                 best = Some((cost, id));
             }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -15,6 +15,15 @@
     replica::AdapterState,
 };
 
+/// Why no endpoint can run a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unavailable {
+    /// None holds the adapter and has a free slot.
+    Busy,
+    /// Those that could run it have a rate limit, and no permit is due.
+    Limited,
+}
+
 /// Number of tracked adapters from which those with negligible popularity are dropped.
 const PRUNE_SIZE: usize = 4096;
 /// Popularity below which an adapter is no longer tracked.
@@ -34,10 +43,14 @@
     /// Handles a placement request: grants, queues or refuses it.
     pub fn on_request(&mut self, now: Instant, id: PlacementId, request: PlacementRequest) {
         self.record_popularity(now, &request.model);
-        if let Some(endpoint) = self.choose_endpoint(now, &request) {
-            self.grant(now, &endpoint, id, &request, false);
-            self.plan_copy(now, &request.model);
-            return;
+        match self.choose_endpoint(now, &request) {
+            Ok(endpoint) => {
+                self.grant(now, &endpoint, id, &request, false);
+                self.plan_copy(now, &request.model);
+                return;
+            }
+            Err(Unavailable::Limited) => self.held_back += 1,
+            Err(Unavailable::Busy) => {}
         }
         if !self.can_ever_run(&request) {
             self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETRY_DELAY);
@@ -54,6 +67,8 @@
             .saturating_sub(self.loading_count(now) + 1);
         if self.load_done_at(now, ahead) + self.settings.min_run_time > deadline {
             self.refuse_late(now);
+        } else {
+            self.refuse_beyond_limits(now);
         }
     }
 
@@ -161,25 +176,7 @@
 
     /// Grants the waiting requests that the endpoint can run.
     pub(super) fn grant_for_endpoint(&mut self, now: Instant, endpoint: &EndpointId) {
-        let Some(replica) = self.replicas.get(endpoint) else {
-            return;
-        };
-        let mut models: Vec<ModelRef> = replica
-            .adapters
-            .iter()
-            .filter(|(m, a)| a.is_ready() && self.waiting.contains(m))
-            .map(|(m, _)| m.clone())
-            .collect();
-        for model in &replica.models {
-            let base = ModelRef {
-                model: model.clone(),
-                adapter: None,
-            };
-            if self.waiting.contains(&base) {
-                models.push(base);
-            }
-        }
-        for model in models {
+        for model in self.waiting_models(endpoint) {
             self.grant_for_model(now, &model);
         }
     }
@@ -187,7 +184,7 @@
     /// Grants requests that wait for `model`, as far as endpoints have free slots.
     pub(super) fn grant_for_model(&mut self, now: Instant, model: &ModelRef) {
         while let Some((_, request)) = self.waiting.first(model) {
-            let Some(endpoint) = self.choose_endpoint(now, request) else {
+            let Ok(endpoint) = self.choose_endpoint(now, request) else {
                 return;
             };
             if let Some((id, request)) = self.waiting.pop(model) {
@@ -225,6 +222,18 @@
         for id in late {
             self.refuse(id, RefuseReason::Deadline, retry_after);
         }
+        self.refuse_beyond_limits(now);
+    }
+
+    /// Refuses the waiting requests that the endpoints' rate limits leave no room for.
+    fn refuse_beyond_limits(&mut self, now: Instant) {
+        if self.stopping || self.limiters.is_empty() {
+            return;
+        }
+        for (id, retry_after) in self.requests_beyond_limits(now) {
+            self.waiting.remove_if(|i, _| *i == id);
+            self.refuse(id, RefuseReason::Limited, retry_after);
+        }
     }
 
     pub(super) fn refuse(
@@ -257,8 +266,13 @@
     }
 
     /// Chooses an endpoint that can run the request now.
-    fn choose_endpoint(&self, now: Instant, request: &PlacementRequest) -> Option<EndpointId> {
+    fn choose_endpoint(
+        &self,
+        now: Instant,
+        request: &PlacementRequest,
+    ) -> Result<EndpointId, Unavailable> {
         let mut best: Option<((bool, bool), f64, &EndpointId)> = None;
+        let mut unavailable = Unavailable::Busy;
         for (id, replica) in &self.replicas {
             if !replica.endpoint.is_ready()
                 || !replica.has_free_slot()
@@ -279,6 +293,10 @@
             let Some(current) = current else {
                 continue;
             };
+            if !self.limiters.has_permit(now, id) {
+                unavailable = Unavailable::Limited;
+                continue;
+            }
             // If every copy is on a paused endpoint, trying one is better than waiting.
             let rank = (replica.is_paused(now), !current);
             let delay = replica.delay_ms(now);
@@ -286,7 +304,7 @@
                 best = Some((rank, delay, id));
             }
         }
-        best.map(|(.., id)| id.clone())
+        best.map(|(.., id)| id.clone()).ok_or(unavailable)
     }
 
     /// Returns whether some endpoint could run the request later.
@@ -309,6 +327,8 @@
         has_waited: bool,
     ) {
         self.add_run(endpoint, id, &request.model);
+        let permit = self.limiters.acquire(now, endpoint, Duration::ZERO);
+        debug_assert!(permit.is_ok(), "only endpoints with a permit are chosen");
         let speed = self.settings.prompt_speed;
         if let Some(replica) = self.replicas.get_mut(endpoint) {
             replica.add_prompt(now, request.tokens.prompt, speed);
--- a/crates/caraway-placement/src/wait_queue.rs
+++ b/crates/caraway-placement/src/wait_queue.rs
@@ -2,7 +2,8 @@
 
 use std::{
     cmp::Ordering,
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
+    sync::Arc,
     time::Instant,
 };
 
@@ -100,6 +101,16 @@
             .map(move |(model, queue)| (model, Demand::of(queue, ready)))
     }
 
+    /// Returns all waiting requests.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &(PlacementId, PlacementRequest)> {
+        self.queues.values().flatten()
+    }
+
+    /// Returns the services that requests wait for.
+    pub(crate) fn services(&self) -> BTreeSet<Arc<str>> {
+        self.iter().map(|(_, r)| r.service.clone()).collect()
+    }
+
     /// Returns whether a request waits for `model`.
     pub(crate) fn contains(&self, model: &ModelRef) -> bool {
         self.queues.contains_key(model)
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -8,10 +8,12 @@
 mod load_balancer;
 mod outage;
 mod pauses;
+mod rate_limiter;
 mod request;
 mod request_rate;
 mod retry_budget;
 mod route;
+mod solo_limiter;
 
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
@@ -20,7 +22,9 @@
 pub use load_balancer::{CallOutcome, LoadBalancer};
 pub use outage::{OutageDetector, OutageLimits};
 pub use pauses::{PauseLimits, Pauses};
+pub use rate_limiter::RateLimiter;
 pub use request::{ModelRef, PromptSegment, RequestHead, TokenCount};
 pub use request_rate::RequestRate;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Idempotency, Route, Target};
+pub use solo_limiter::SoloLimiter;
