Share limits between the sides of a cut, and simulate fleets that keep them

Engines (limited_engines): with limits on all engines, requests of lower priorities waited for permits that more important ones took; they wait for half of their time at most. An adapter that an engine with a limit holds is not loaded on another one with a limit.

--- a/crates/caraway-gateway/src/endpoint_limits.rs
+++ b/crates/caraway-gateway/src/endpoint_limits.rs
@@ -123,7 +123,7 @@
         let mut solo = self.solo.borrow_mut();
         solo.retain(|id, _| self.is_current(shared, id));
         if solo.get(endpoint).is_none_or(|s| s.limit != limit) {
-            let instances = shared.estimated_instances();
+            let instances = shared.fleet_size();
             let limiter = SoloLimiter::new(now, limit, instances, Shared::random_fraction());
             solo.insert(endpoint.clone(), SoloShare { limit, limiter });
         }
@@ -247,7 +247,7 @@
     };
     if let Some(held) = shared.held_zone(&endpoint.zone) {
         update_placer(shared, &endpoint);
-        if change.former.is_none() {
+        if change.is_urgent() {
             held.broadcast_pong(shared);
         }
     } else if let (LimitSource::Answer(_), Some(session)) = (source, shared.session(&endpoint.zone))
@@ -292,8 +292,9 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the next permit is due later. No request that can wait as long gets one until
-/// the time that [`LimitState::denied_until`] returns.
+/// Returns an error if the next permit is due later, or the limit was lowered during the wait. No
+/// request that can wait as long gets a permit until the time that [`LimitState::denied_until`]
+/// returns.
 pub(crate) async fn acquire_permit(
     shared: &Rc<Shared>,
     endpoint: &Endpoint,
@@ -319,7 +320,13 @@
             if !wait.is_zero() {
                 sleep(wait).await;
             }
-            Ok(())
+            // A permit that was given ahead does not hold for a limit that was lowered meanwhile.
+            let is_lowered = shared.limits.rate(endpoint).is_some_and(|r| r < rate);
+            if is_lowered {
+                Err(PermitDenied)
+            } else {
+                Ok(())
+            }
         }
         Err(after) => {
             shared.limits.deny(&endpoint.id, after, max_wait);
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -129,6 +129,10 @@
         /// The request limits of the zone's endpoints.
         #[serde(default)]
         limits: Vec<LimitFrame>,
+        /// Number of instances of all zones that the holder knows to run, itself included; 0 if it
+        /// does not state it.
+        #[serde(default)]
+        instances: usize,
     },
     /// Grants a permit.
     Permit {
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -108,16 +108,20 @@
         is_recorded: bool,
         start: Instant,
     ) -> Self {
+        let connected = ConnectedShare::new(shared.fleet_size.get());
+        let limit_share = connected.share(Shared::now());
+        let mut placer = Placer::new(shared.placer_settings.clone(), start);
+        placer.set_limit_share(Shared::now(), limit_share);
         Self {
             zone,
             token: Cell::new(token),
             is_recorded: Cell::new(is_recorded),
-            placer: RefCell::new(Placer::new(shared.placer_settings.clone(), start)),
+            placer: RefCell::new(placer),
             local_requests: RefCell::default(),
             peers: RefCell::default(),
             last_source: Cell::new(LOCAL_SOURCE),
-            connected: RefCell::default(),
-            limit_share: Cell::new(1.0),
+            connected: RefCell::new(connected),
+            limit_share: Cell::new(limit_share),
             wake: Notify::new(),
             closed: Cell::new(false),
         }
@@ -348,6 +352,7 @@
             served: topics::is_registry_current(shared),
             next: topics::readable_offsets(shared),
             limits: endpoint_limits::frames(shared, &self.zone),
+            instances: self.connected.borrow().known_instances(Shared::now()),
         }
     }
 
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -373,7 +373,9 @@
                 served: is_current,
                 next,
                 limits,
+                instances,
             } => {
+                shared.on_fleet_size(instances);
                 for limit in &limits {
                     endpoint_limits::on_frame(shared, limit, LimitSource::Holder);
                 }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -99,6 +99,8 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
     pub(crate) limits: LimitState,
+    /// Number of instances of all zones that a holder knew last, and when it stated it.
+    pub(crate) fleet_size: Cell<Option<(usize, Instant)>>,
     /// The newest announced version of each adapter.
     pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
     /// Chooses endpoints for requests that no placer places.
@@ -161,6 +163,7 @@
             directory: RefCell::default(),
             pauses: RefCell::default(),
             limits: LimitState::default(),
+            fleet_size: Cell::new(None),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
@@ -299,11 +302,26 @@
 
     /// Returns an upper estimate of the number of instances in all zones, from those of the own
     /// zone.
-    pub(crate) fn estimated_instances(&self) -> usize {
+    fn estimated_instances(&self) -> usize {
         let zone = self.zone_instances().max(MIN_INSTANCES_PER_ZONE);
         zone * self.site.zones.len().max(1)
     }
 
+    /// Records the number of instances that a holder states; 0 for none.
+    pub(crate) fn on_fleet_size(&self, instances: usize) {
+        if instances > 0 {
+            self.fleet_size.set(Some((instances, Self::now())));
+        }
+    }
+
+    /// Returns the number of instances of all zones as a holder stated it last, or an upper estimate
+    /// before any has.
+    pub(crate) fn fleet_size(&self) -> usize {
+        let stated = self.fleet_size.get().map(|(instances, _)| instances);
+        let initial = INITIAL_INSTANCES_PER_ZONE * self.site.zones.len().max(1);
+        stated.unwrap_or(initial)
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction() -> f64 {
         rand::rng().random::<f64>()
--- a/crates/caraway-placement/src/connected_share.rs
+++ b/crates/caraway-placement/src/connected_share.rs
@@ -19,9 +19,21 @@
 pub struct ConnectedShare {
     /// The other instances, with the time at which each was lost; `None` while it is connected.
     instances: HashMap<InstanceId, Option<Instant>>,
+    /// Number of instances that the former holder knew, and when this one learned of it.
+    expected: Option<(usize, Instant)>,
 }
 
 impl ConnectedShare {
+    /// Creates the share of a new holder. `expected` is the number of instances, itself included,
+    /// that a former holder knew, and when this instance learned of it.
+    #[must_use]
+    pub fn new(expected: Option<(usize, Instant)>) -> Self {
+        Self {
+            instances: HashMap::new(),
+            expected,
+        }
+    }
+
     /// Records that an instance is connected.
     pub fn on_connected(&mut self, instance: &InstanceId) {
         self.instances.insert(instance.clone(), None);
@@ -39,16 +51,22 @@
         self.instances.remove(instance);
     }
 
+    /// Returns the number of instances that run, as far as known, the holder included.
+    #[must_use]
+    pub fn known_instances(&self, now: Instant) -> usize {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LOST_RETENTION;
+        let lost_at = self.instances.values();
+        let seen = lost_at.filter(|at| at.is_none_or(is_recent)).count() + 1;
+        let expected = self.expected.filter(|(_, at)| is_recent(*at));
+        expected.map_or(seen, |(count, _)| count.max(seen))
+    }
+
     /// Returns the connected part of the instances, 0 to 1.
     #[must_use]
     pub fn share(&self, now: Instant) -> f64 {
-        let is_recent = |lost_at: &&Option<Instant>| {
-            lost_at.is_none_or(|at| now.saturating_duration_since(at) < LOST_RETENTION)
-        };
-        let known = self.instances.values().filter(is_recent);
-        let connected = known.clone().filter(|lost_at| lost_at.is_none()).count();
+        let connected = self.instances.values().filter(|at| at.is_none()).count() + 1;
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let share = (connected + 1) as f64 / (known.count() + 1) as f64;
+        let share = connected as f64 / self.known_instances(now) as f64;
         share
     }
 }
--- a/crates/caraway-placement/src/placer/limits.rs
+++ b/crates/caraway-placement/src/placer/limits.rs
@@ -8,6 +8,20 @@
 use super::Placer;
 use crate::{PlacementId, PlacementRequest};
 
+/// Part of the time until its deadline that a request of a lower priority may wait for permits. More
+/// important requests that arrive meanwhile go before it.
+const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
+
+/// Returns until when a request can be expected to get a permit.
+fn latest_start(now: Instant, request: &PlacementRequest) -> Instant {
+    let remaining = request.deadline.saturating_duration_since(now);
+    if request.priority == 0 {
+        request.deadline
+    } else {
+        now + remaining.mul_f64(LOW_PRIORITY_WAIT_SHARE)
+    }
+}
+
 impl Placer {
     /// Sets the limit that an endpoint of the zone, with or without an engine, states for the
     /// requests of all instances together; `None` if it has none.
@@ -115,7 +129,7 @@
             let mut turn = now;
             for (id, request) in queue {
                 let next_start = start_at + interval;
-                if next_start + self.settings.min_run_time <= request.deadline {
+                if next_start + self.settings.min_run_time <= latest_start(now, request) {
                     start_at = next_start;
                 } else {
                     turn = turn.max(next_start) + interval;
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -158,12 +158,17 @@
         model: &ModelRef,
         max_popularity: Option<f64>,
     ) -> Option<EndpointId> {
+        // A copy at another endpoint with a limit would not serve requests that wait for a permit.
+        let is_held = self.replicas.values().any(|r| {
+            let adapter = r.adapters.get(model).filter(|a| a.is_ready());
+            adapter.is_some_and(|a| self.is_current(model, a.version)) && r.is_usable(now)
+        });
         let key = model.to_string();
         let mut order: Vec<(&EndpointId, &Replica)> = self.replicas.iter().collect();
         order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
         let mut best: Option<(f64, &EndpointId)> = None;
         for (rank, (id, replica)) in order.into_iter().enumerate() {
-            if !self.can_load(now, model, replica) {
+            if !self.can_load(now, model, replica) || is_held && self.limiters.rate(id).is_some() {
                 continue;
             }
             let evict_cost = if replica.free_slots() > 0 {
--- a/crates/caraway-placement/tests/simulation/mod.rs
+++ b/crates/caraway-placement/tests/simulation/mod.rs
@@ -104,6 +104,10 @@
     pub(crate) unloads_during_run: usize,
     /// When loads of weights started.
     pub(crate) weight_loads: Vec<Instant>,
+    /// Runs that started: when, where and with which ticket.
+    pub(crate) starts: Vec<(Instant, EndpointId, u64)>,
+    /// Retry delays of refused requests, with the time of each refusal.
+    pub(crate) retry_delays: Vec<(Instant, Duration)>,
 }
 
 #[derive(Clone, Debug)]
@@ -137,6 +141,8 @@
     next_tick: Option<Instant>,
     versions: HashMap<ModelRef, u64>,
     models: HashMap<u64, ModelRef>,
+    /// Priorities of requests; 0 unless set.
+    pub(crate) priorities: HashMap<u64, u8>,
 }
 
 /// Returns the adapter with this number.
@@ -193,6 +199,7 @@
             next_tick: None,
             versions: HashMap::new(),
             models: HashMap::new(),
+            priorities: HashMap::new(),
             settings,
             placer_settings,
         };
@@ -388,7 +395,7 @@
             service: SERVICE.into(),
             model: self.models[&ticket].clone(),
             tokens: TokenCount::default(),
-            priority: 0,
+            priority: self.priorities.get(&ticket).copied().unwrap_or(0),
             goal: requested_at + Duration::from_millis(500),
             deadline,
             exclude: Vec::new(),
@@ -401,7 +408,12 @@
             Output::Grant {
                 request, endpoint, ..
             } => self.grant(request, &endpoint),
-            Output::Refuse { request, .. } => {
+            Output::Refuse {
+                request,
+                retry_after,
+                ..
+            } => {
+                self.counters.retry_delays.push((self.now, retry_after));
                 if let Some((requested_at, _)) = self.waiting.remove(&request.ticket) {
                     self.counters.refused += 1;
                     self.counters.refuse_waits.push(self.now - requested_at);
@@ -443,6 +455,8 @@
         let engine = self.engines.get_mut(endpoint).expect("a known endpoint");
         if engine.start_run(self.now, &model) {
             self.counters.granted += 1;
+            let start = (self.now, endpoint.clone(), request.ticket);
+            self.counters.starts.push(start);
             self.running.insert(request, (endpoint.clone(), model));
             self.at(self.now + self.settings.run_time, Event::RunEnded(request));
         } else {
--- a/crates/caraway-routes/src/endpoint_limits.rs
+++ b/crates/caraway-routes/src/endpoint_limits.rs
@@ -44,6 +44,22 @@
     pub rate: Option<RequestRate>,
 }
 
+/// Part of the former limit below which the other instances have to learn of a lower one at once.
+const URGENT_DECREASE: f64 = 0.8;
+
+impl LimitChange {
+    /// Returns whether the other instances have to learn of it at once: they would send too many
+    /// requests otherwise.
+    #[must_use]
+    pub fn is_urgent(&self) -> bool {
+        match (self.former, self.rate) {
+            (None, Some(_)) => true,
+            (Some(former), Some(rate)) => rate < former.scaled(URGENT_DECREASE),
+            (_, None) => false,
+        }
+    }
+}
+
 /// The limits that endpoints stated in their answers, as far as this instance knows.
 ///
 /// A limit belongs to one incarnation of an endpoint. Answers may arrive out of order, so a lower
--- a/crates/caraway-routes/src/rate_limiter.rs
+++ b/crates/caraway-routes/src/rate_limiter.rs
@@ -4,9 +4,12 @@
 
 use crate::RequestRate;
 
-/// Time whose requests may be sent at once after a pause, so that a limit is used although requests
+/// Time whose permits may be used at once after a pause, so that a limit is used although requests
 /// arrive unevenly.
 const BURST_TIME: Duration = Duration::from_millis(250);
+/// Number of permits that may be used at once after a pause if it is more than those of
+/// [`BURST_TIME`].
+const MIN_BURST: u32 = 2;
 /// Longest time to the turn that a refused request is told. Callers come back earlier than after a
 /// longer one, as their own deadlines are near.
 const MAX_TURN: Duration = Duration::from_secs(2);
@@ -14,14 +17,14 @@
 /// Gives permits at a fixed rate, with a small burst after a pause.
 ///
 /// A permit may be reserved for later. Within any span of time it gives at most the rate times that
-/// span, and a burst of a quarter of a second's permits, at least one.
+/// span, and a burst of a quarter of a second's permits, at least two.
 #[derive(Clone, Copy, Debug)]
 pub struct RateLimiter {
     rate: RequestRate,
     /// When all permits given so far are used up at the rate.
     used_until: Instant,
-    /// The latest turn that a refused request was told.
-    last_turn: Instant,
+    /// The latest turn that a refused request was told; `None` if there was none.
+    last_turn: Option<Instant>,
 }
 
 impl RateLimiter {
@@ -32,7 +35,7 @@
         let mut limiter = Self {
             rate,
             used_until: now,
-            last_turn: now,
+            last_turn: None,
         };
         limiter.used_until = now + limiter.interval() + limiter.burst();
         limiter
@@ -82,14 +85,18 @@
     }
 
     /// Returns the time to the next turn that no refused request was told yet.
-    pub fn next_turn(&mut self, now: Instant) -> Duration {
-        let turn = self.last_turn.max(self.next_at(now)) + self.interval();
-        self.last_turn = turn.min(now + MAX_TURN);
-        self.last_turn.saturating_duration_since(now)
+    fn next_turn(&mut self, now: Instant) -> Duration {
+        let after_last = self.last_turn.map(|at| at + self.interval());
+        let turn = self.next_at(now).max(after_last.unwrap_or(now));
+        let turn = turn.min(now + MAX_TURN);
+        self.last_turn = Some(turn);
+        turn - now
     }
 
     /// Returns the time of the permits, beyond one, that may be used at once.
     fn burst(&self) -> Duration {
-        BURST_TIME.saturating_sub(self.interval())
+        let interval = self.interval();
+        let least = interval * (MIN_BURST - 1);
+        BURST_TIME.saturating_sub(interval).max(least)
     }
 }
