Tell a holder of each limit again, and judge limits in the soak

Cause, from the logs: an instance read the limit 25 ms before its session to the holder was open, after the first frames had been composed. The holder never learned of it, and granted every permit.

A request for a permit now states the limit, and so do pings. So that an instance that did not see the end of a limit does not restore it this way, the end is remembered for a minute and passed on as well; a statement counts only if its request was sent later.

The soak draws one or two limits in each run, from a separate stream of random numbers so that the other faults of a seed stay as they were, and the stand-in's counts judge them.

--- a/crates/caraway-gateway/src/endpoint_limits.rs
+++ b/crates/caraway-gateway/src/endpoint_limits.rs
@@ -13,7 +13,7 @@
 
 use caraway_platform::ResponseHead;
 use caraway_routes::{
-    Endpoint, EndpointLimits, LimitChange, LimitStatement, RequestRate, SoloLimiter,
+    Endpoint, EndpointLimits, KnownLimit, LimitChange, LimitStatement, RequestRate, SoloLimiter,
 };
 use caraway_types::EndpointId;
 use tokio::time::{sleep, timeout};
@@ -76,9 +76,12 @@
 impl LimitState {
     /// Returns the limit of the registered incarnation of an endpoint.
     pub(crate) fn rate(&self, endpoint: &Endpoint) -> Option<RequestRate> {
+        self.get(endpoint).map(|l| l.rate)
+    }
+
+    fn get(&self, endpoint: &Endpoint) -> Option<KnownLimit> {
         let known = self.known.borrow();
-        let limit = known.get(&endpoint.id, endpoint.started_ms)?;
-        Some(limit.rate)
+        known.get(&endpoint.id, endpoint.started_ms)
     }
 
     /// Returns whether an incarnation of an endpoint has a limit.
@@ -90,7 +93,7 @@
 
     /// Returns the number of limits in force.
     pub(crate) fn count(&self) -> usize {
-        self.known.borrow().iter().count()
+        self.known.borrow().count()
     }
 
     /// Returns until when requests that can wait for `max_wait` get no permit for an endpoint;
@@ -181,23 +184,34 @@
     apply(shared, &incarnation, statement, source);
 }
 
-/// Returns the limits in force of the endpoints in a zone, as they are sent to other instances.
+/// Returns the limits of the endpoints in a zone, and their ends, as they are sent to other
+/// instances.
 pub(crate) fn frames(shared: &Shared, zone: &str) -> Vec<LimitFrame> {
     let now = Shared::now();
     let known = shared.limits.known.borrow();
     let directory = shared.directory.borrow();
-    let in_zone = known.iter().filter(|(id, started_ms, _)| {
+    let in_zone = known.statements(now).filter(|(id, started_ms, _)| {
         let endpoint = directory.get(id);
         endpoint.is_some_and(|e| *e.zone == *zone && e.started_ms == *started_ms)
     });
-    let frames = in_zone.map(|(endpoint, born, limit)| LimitFrame {
+    in_zone
+        .map(|(endpoint, born, statement)| to_frame(now, endpoint, born, statement))
+        .collect()
+}
+
+fn to_frame(
+    now: Instant,
+    endpoint: &EndpointId,
+    born: Option<u64>,
+    statement: LimitStatement,
+) -> LimitFrame {
+    LimitFrame {
         endpoint: endpoint.clone(),
         born,
-        rate: Some(limit.rate),
-        sent: now.saturating_duration_since(limit.sent_at).into(),
-        received: now.saturating_duration_since(limit.received_at).into(),
-    });
-    frames.collect()
+        rate: statement.rate,
+        sent: now.saturating_duration_since(statement.sent_at).into(),
+        received: now.saturating_duration_since(statement.received_at).into(),
+    }
 }
 
 /// Passes the limit of an endpoint's registered incarnation to the placer of its zone, if this
@@ -252,15 +266,8 @@
         }
     } else if let (LimitSource::Answer(_), Some(session)) = (source, shared.session(&endpoint.zone))
     {
-        let now = Shared::now();
-        let age = |at| now.saturating_duration_since(at).into();
-        session.send(&ToHolder::Limit(LimitFrame {
-            endpoint: id.clone(),
-            born: *started_ms,
-            rate: statement.rate,
-            sent: age(statement.sent_at),
-            received: age(statement.received_at),
-        }));
+        let limit = to_frame(Shared::now(), id, *started_ms, statement);
+        session.send(&ToHolder::Limit(limit));
     }
 }
 
@@ -301,10 +308,11 @@
     request: &str,
     max_wait: Duration,
 ) -> Result<(), PermitDenied> {
-    let Some(rate) = shared.limits.rate(endpoint) else {
+    let Some(limit) = shared.limits.get(endpoint) else {
         return Ok(());
     };
-    let from_holder = request_permit(shared, endpoint, max_wait).await;
+    let rate = limit.rate;
+    let from_holder = request_permit(shared, endpoint, limit, max_wait).await;
     let by = if from_holder.is_some() {
         "holder"
     } else {
@@ -343,13 +351,20 @@
 async fn request_permit(
     shared: &Rc<Shared>,
     endpoint: &Endpoint,
+    limit: KnownLimit,
     max_wait: Duration,
 ) -> Option<Result<Duration, Duration>> {
     if let Some(held) = shared.held_zone(&endpoint.zone) {
         return Some(held.acquire_permit(shared, &endpoint.id, max_wait));
     }
     let session = shared.session(&endpoint.zone)?;
-    let reply = session.request_permit(shared.next_ticket(), &endpoint.id, max_wait);
+    let statement = LimitStatement {
+        rate: Some(limit.rate),
+        sent_at: limit.sent_at,
+        received_at: limit.received_at,
+    };
+    let limit = to_frame(Shared::now(), &endpoint.id, endpoint.started_ms, statement);
+    let reply = session.request_permit(shared.next_ticket(), limit, max_wait);
     match timeout(PERMIT_TIMEOUT, reply).await {
         Ok(Ok(permit)) => Some(permit),
         Ok(Err(_)) | Err(_) => None,
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -90,8 +90,8 @@
     Permit {
         /// Identifies the request.
         ticket: Ticket,
-        /// The endpoint.
-        endpoint: EndpointId,
+        /// The endpoint's limit as the sender knows it.
+        limit: LimitFrame,
         /// Longest time that the request can wait for the permit.
         max_wait: Millis,
     },
@@ -105,6 +105,9 @@
         leaving: bool,
         /// When the ping is sent, counted from the start of the session.
         sent: Millis,
+        /// The request limits of the zone's endpoints that the sender knows.
+        #[serde(default)]
+        limits: Vec<LimitFrame>,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload};
 use caraway_platform::Topic;
-use caraway_types::{EndpointId, Ticket, ZoneId};
+use caraway_types::{Ticket, ZoneId};
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::BodyExt;
@@ -25,7 +25,7 @@
     claim,
     endpoint_limits::{self, LimitSource},
     event::emit,
-    frame::{self, FrameReader, FromHolder, ToHolder},
+    frame::{self, FrameReader, FromHolder, LimitFrame, ToHolder},
     held_zone,
     placement::Decision,
     session_server::{self, SESSION_PATH},
@@ -174,13 +174,13 @@
     pub(crate) fn request_permit(
         &self,
         ticket: Ticket,
-        endpoint: &EndpointId,
+        limit: LimitFrame,
         max_wait: Duration,
     ) -> oneshot::Receiver<Result<Duration, Duration>> {
         let (permit_tx, permit_rx) = oneshot::channel();
         let frame = ToHolder::Permit {
             ticket,
-            endpoint: endpoint.clone(),
+            limit,
             max_wait: max_wait.into(),
         };
         let mut permits = self.permits.borrow_mut();
@@ -314,10 +314,6 @@
             };
             outgoing.try_send(Ok(frame::encode(&running))).ok();
         }
-        for limit in endpoint_limits::frames(shared, &self.zone) {
-            let limit = ToHolder::Limit(limit);
-            outgoing.try_send(Ok(frame::encode(&limit))).ok();
-        }
         let answer = timeout(OPEN_TIMEOUT, connection.send(request))
             .await
             .map_err(|_| SessionEnd::Timeout)?
@@ -338,7 +334,8 @@
         Ok((connection, answer.into_body()))
     }
 
-    /// Sends a ping with the time since the session was opened, which the pong returns as `asked`.
+    /// Sends a ping with the time since the session was opened, which the pong returns as `asked`, and
+    /// with the limits of the zone's endpoints, some of which the holder may have missed.
     fn ping(&self, shared: &Shared) -> bool {
         let is_current = topics::is_registry_current(shared);
         let holds = !shared.held_zones.borrow().is_empty();
@@ -348,6 +345,7 @@
             holds,
             leaving: shared.is_draining(),
             sent,
+            limits: endpoint_limits::frames(shared, &self.zone),
         })
     }
 
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -5,7 +5,7 @@
 
 use caraway_http::Payload;
 use caraway_placement::{PlacementId, PlacementRequest, SourceId};
-use caraway_types::{Incarnation, ZoneId};
+use caraway_types::{Incarnation, Millis, ZoneId};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -15,7 +15,7 @@
     endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
-    frame::{self, FrameReader, FromHolder, InvalidFrame, ToHolder},
+    frame::{self, FrameReader, FromHolder, InvalidFrame, LimitFrame, ToHolder},
     held_zone::{self, HeldZone, Peer},
     session::{HEARTBEAT_TIMEOUT, Outgoing},
     shared::Shared,
@@ -173,10 +173,11 @@
             }
             ToHolder::Permit {
                 ticket,
-                endpoint,
+                limit,
                 max_wait,
             } => {
-                let permit = held.acquire_permit(shared, &endpoint, max_wait.get());
+                endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
+                let permit = held.acquire_permit(shared, &limit.endpoint, max_wait.get());
                 let reply = FromHolder::permit_reply(ticket, permit);
                 // If the queue is full, the request uses the instance's own share.
                 self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
@@ -186,16 +187,31 @@
                 holds,
                 leaving,
                 sent,
+                limits,
             } => {
                 held.set_peer_state(source, holds, leaving);
-                if served {
-                    topics::on_peer_registry_read(shared);
-                }
-                let pong = frame::encode(&held.pong(shared, zone, Some(sent)));
-                // If the queue is full, the other end times out and ends the session.
-                self.outgoing.try_send(Ok(pong)).ok();
+                self.on_ping(zone, sent, served, &limits);
             }
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
     }
+    /// Answers a ping of an instance of `zone`.
+    fn on_ping(
+        &self,
+        zone: &ZoneId,
+        sent: Millis,
+        is_registry_current: bool,
+        limits: &[LimitFrame],
+    ) {
+        let shared = &self.shared;
+        for limit in limits {
+            endpoint_limits::on_frame(shared, limit, LimitSource::Instance);
+        }
+        if is_registry_current {
+            topics::on_peer_registry_read(shared);
+        }
+        let pong = frame::encode(&self.held.pong(shared, zone, Some(sent)));
+        // If the queue is full, the other end times out and ends the session.
+        self.outgoing.try_send(Ok(pong)).ok();
+    }
 }
--- a/crates/caraway-gateway/tests/soak.rs
+++ b/crates/caraway-gateway/tests/soak.rs
@@ -22,6 +22,21 @@
     assert!(report.faults >= 8 && report.served > 0, "{report}");
 }
 
+// Guards against: a limit that the holder never learns of, since it was read while the session to it
+// was being opened.
+#[test]
+fn request_limit_is_kept_while_sessions_are_opened() {
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_caraway-gateway").into(),
+        seed: 9,
+        fault_period: Duration::from_secs(6),
+        recovery: RECOVERY_LIMIT,
+        ..Plan::default()
+    };
+    let report = run(&plan).expect("gateway processes and free ports");
+    assert!(report.violations.is_empty(), "{report}");
+}
+
 #[test]
 fn seed_determines_the_schedule_of_faults() {
     let plan = Plan::default();
--- a/crates/caraway-placement/tests/limited_endpoints.rs
+++ b/crates/caraway-placement/tests/limited_endpoints.rs
@@ -12,6 +12,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 /// Limits, in requests per second, from which each endpoint's is drawn.
 const LIMITS: [f64; 6] = [0.2, 1.0, 3.7, 6.8, 20.0, 60.0];
+/// Share of the reports of a limit that a holder misses on days with faults.
+const REPORT_LOSS: f64 = 0.3;
 /// Part of a limit that must be used while demand exceeds it and nothing fails.
 const MIN_USED: f64 = 0.9;
 
@@ -58,6 +60,7 @@
             } else {
                 Vec::new()
             },
+            report_loss: if with_faults { REPORT_LOSS } else { 0.0 },
         };
         let usage = Fleet::new(settings.clone(), seed).run();
         for usage in &usage {
--- a/crates/caraway-placement/tests/limited_fleet/mod.rs
+++ b/crates/caraway-placement/tests/limited_fleet/mod.rs
@@ -39,6 +39,9 @@
     pub(crate) demand: f64,
     pub(crate) end: Duration,
     pub(crate) faults: Vec<(Duration, Fault)>,
+    /// Share of the reports of a limit to the holder that are lost, as when its session opens just
+    /// then.
+    pub(crate) report_loss: f64,
 }
 
 /// A fault, a change of a limit, or the end of either.
@@ -372,9 +375,9 @@
     fn on_asked(&mut self, instance: usize, endpoint: usize) {
         let now = self.now;
         let side = self.instances[instance].side;
-        let Some(holder) = &mut self.holders[side] else {
+        if self.holders[side].is_none() {
             // No reply comes in time.
-            let known = self.instances[instance].known.clone();
+            let known = &self.instances[instance].known;
             let known = known.get(&endpoint_id(endpoint), None);
             if let Some(limit) = known.map(|l| l.rate) {
                 self.now += PERMIT_TIMEOUT;
@@ -382,6 +385,21 @@
                 self.now = now;
             }
             return;
+        }
+        // A request for a permit states the limit, which the holder may have missed.
+        if let Some(limit) = self.instances[instance]
+            .known
+            .get(&endpoint_id(endpoint), None)
+        {
+            let statement = LimitStatement {
+                rate: Some(limit.rate),
+                sent_at: limit.sent_at,
+                received_at: limit.received_at,
+            };
+            self.report(side, endpoint, statement);
+        }
+        let Some(holder) = &mut self.holders[side] else {
+            return;
         };
         // Requests of the most important class wait up to a second.
         let max_wait = if self.rng.random::<bool>() {
@@ -433,7 +451,8 @@
         let change = state
             .known
             .on_statement(&endpoint_id(endpoint), None, statement);
-        if change.is_some() && state.is_connected {
+        let is_lost = self.rng.random::<f64>() < self.settings.report_loss;
+        if change.is_some() && state.is_connected && !is_lost {
             let side = state.side;
             self.report(side, endpoint, statement);
         }
@@ -470,18 +489,9 @@
             return;
         }
         state.is_connected = true;
-        let reported: Vec<(EndpointId, LimitStatement)> = state
-            .known
-            .iter()
-            .map(|(id, _, l)| {
-                let statement = LimitStatement {
-                    rate: Some(l.rate),
-                    sent_at: l.sent_at,
-                    received_at: l.received_at,
-                };
-                (id.clone(), statement)
-            })
-            .collect();
+        let statements = state.known.statements(self.now);
+        let reported: Vec<(EndpointId, LimitStatement)> =
+            statements.map(|(id, _, s)| (id.clone(), s)).collect();
         if let Some(holder) = &mut self.holders[side] {
             holder.connected.on_connected(&instance_id(instance));
             let share = holder.connected.share(self.now);
--- a/crates/caraway-routes/src/endpoint_limits.rs
+++ b/crates/caraway-routes/src/endpoint_limits.rs
@@ -12,6 +12,9 @@
 /// Time for which a limit is remembered after the last answer that stated it. An endpoint with a
 /// limit gets requests, and so answers, much more often.
 const LIMIT_RETENTION: Duration = Duration::from_hours(1);
+/// Time for which the end of a limit is stated to other instances; longer than any message between
+/// instances is under way.
+const LIFTED_RETENTION: Duration = Duration::from_mins(1);
 
 /// What one answer states about the limit of its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,11 +67,13 @@
 ///
 /// A limit belongs to one incarnation of an endpoint. Answers may arrive out of order, so a lower
 /// limit applies at once, while a higher one, or none, applies only if its request was sent after
-/// the limit in force had arrived.
+/// the limit in force had arrived. After the end of a limit, another one applies only if its request
+/// was sent later than the one that showed the end.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointLimits {
-    /// The limit in force, by the endpoint's id and the start time of its incarnation.
-    known: HashMap<(EndpointId, Option<u64>), KnownLimit>,
+    /// The last statement, by the endpoint's id and the start time of its incarnation. Endpoints
+    /// that have had no limit for a while are left out.
+    last: HashMap<(EndpointId, Option<u64>), LimitStatement>,
 }
 
 impl EndpointLimits {
@@ -80,64 +85,75 @@
         started_ms: Option<u64>,
         statement: LimitStatement,
     ) -> Option<LimitChange> {
-        let LimitStatement {
-            rate,
-            sent_at,
-            received_at,
-        } = statement;
         let key = (endpoint.clone(), started_ms);
-        let Some(known) = self.known.get_mut(&key) else {
-            let rate = rate?;
-            self.prune(received_at);
-            let limit = KnownLimit {
-                rate,
-                sent_at,
-                received_at,
-            };
-            self.known.insert(key, limit);
+        let Some(last) = self.last.get_mut(&key) else {
+            statement.rate?;
+            self.prune(statement.received_at);
+            self.last.insert(key, statement);
             return Some(LimitChange {
                 former: None,
-                rate: Some(rate),
+                rate: statement.rate,
             });
         };
-        let former = known.rate;
-        let is_newer = sent_at >= known.received_at;
-        match rate {
-            Some(rate) if rate <= former || is_newer => {
-                known.rate = rate;
-                known.sent_at = known.sent_at.max(sent_at);
-                known.received_at = known.received_at.max(received_at);
-            }
-            None if is_newer => {
-                self.known.remove(&key);
-            }
-            _ => return None,
+        let former = last.rate;
+        let applies = match (former, statement.rate) {
+            (Some(former), Some(rate)) if rate <= former => true,
+            (Some(_), _) => statement.sent_at >= last.received_at,
+            (None, _) => statement.sent_at > last.sent_at,
+        };
+        if !applies {
+            return None;
         }
-        (rate != Some(former)).then_some(LimitChange {
-            former: Some(former),
-            rate,
+        *last = LimitStatement {
+            rate: statement.rate,
+            sent_at: last.sent_at.max(statement.sent_at),
+            received_at: last.received_at.max(statement.received_at),
+        };
+        (statement.rate != former).then_some(LimitChange {
+            former,
+            rate: statement.rate,
         })
     }
 
     /// Returns the limit of an endpoint's incarnation, or `None` if none is in force.
     #[must_use]
-    pub fn get(&self, endpoint: &EndpointId, started_ms: Option<u64>) -> Option<&KnownLimit> {
+    pub fn get(&self, endpoint: &EndpointId, started_ms: Option<u64>) -> Option<KnownLimit> {
         // The key owns its id; there are few limits, and often none.
-        if self.known.is_empty() {
+        if self.last.is_empty() {
             return None;
         }
-        self.known.get(&(endpoint.clone(), started_ms))
+        let last = self.last.get(&(endpoint.clone(), started_ms))?;
+        Some(KnownLimit {
+            rate: last.rate?,
+            sent_at: last.sent_at,
+            received_at: last.received_at,
+        })
+    }
+
+    /// Returns the number of limits in force.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.last.values().filter(|l| l.rate.is_some()).count()
     }
 
-    /// Returns the limits in force, by the endpoint's id and the start time of its incarnation, in
-    /// Unix milliseconds.
-    pub fn iter(&self) -> impl Iterator<Item = (&EndpointId, Option<u64>, &KnownLimit)> {
-        let all = self.known.iter();
-        all.map(|((endpoint, started_ms), limit)| (endpoint, *started_ms, limit))
+    /// Returns the statements that other instances have to know: the limits in force and those that
+    /// ended lately, by the endpoint's id and the start time of its incarnation in Unix
+    /// milliseconds.
+    pub fn statements(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&EndpointId, Option<u64>, LimitStatement)> {
+        let recent = self.last.iter().filter(move |(_, l)| {
+            let age = now.saturating_duration_since(l.received_at);
+            l.rate.is_some() || age < LIFTED_RETENTION
+        });
+        recent.map(|((endpoint, started_ms), last)| (endpoint, *started_ms, *last))
     }
 
     fn prune(&mut self, now: Instant) {
-        self.known
-            .retain(|_, l| now.saturating_duration_since(l.received_at) < LIMIT_RETENTION);
+        self.last.retain(|_, l| {
+            let retention = l.rate.map_or(LIFTED_RETENTION, |_| LIMIT_RETENTION);
+            now.saturating_duration_since(l.received_at) < retention
+        });
     }
 }
--- a/crates/caraway-routes/tests/endpoint_limits.rs
+++ b/crates/caraway-routes/tests/endpoint_limits.rs
@@ -84,5 +84,33 @@
     };
     limits.limits.on_statement(&"f".into(), Some(1), statement);
     assert_eq!(limits.current(), Some(5.0));
-    assert_eq!(limits.limits.iter().count(), 2);
+    assert_eq!(limits.limits.count(), 2);
+}
+
+// Guards against: a limit that comes back into force because an instance that did not see its end
+// states it again.
+#[test]
+fn statement_from_before_a_limit_was_lifted_does_not_restore_it() {
+    let mut limits = Fixture::new();
+    limits.state(Some(5.0), 0, 10);
+    limits.state(None, 20, 30).expect("the limit ends");
+    assert_eq!(limits.state(Some(5.0), 0, 10), None);
+    assert_eq!(limits.current(), None);
+    limits.state(Some(5.0), 40, 50).expect("a new limit");
+    assert_eq!(limits.current(), Some(5.0));
+}
+
+#[test]
+fn statements_include_the_end_of_a_limit_for_other_instances() {
+    let mut limits = Fixture::new();
+    limits.state(Some(5.0), 0, 10);
+    limits.state(None, 20, 30);
+    let mut other = Fixture::new();
+    other.state(Some(5.0), 0, 10);
+    for (endpoint, started_ms, statement) in limits.limits.statements(limits.at(40)) {
+        other.limits.on_statement(endpoint, started_ms, statement);
+    }
+    assert_eq!(other.current(), None);
+    let minutes = limits.start + Duration::from_mins(5);
+    assert_eq!(limits.limits.statements(minutes).count(), 0);
 }
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use caraway_platform_standin::{ProxyMode, StoreMode};
-use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand::{
+    Rng, SeedableRng,
+    seq::{IndexedRandom, SliceRandom},
+};
 use rand_chacha::ChaCha8Rng;
 
 use crate::Plan;
@@ -36,6 +39,8 @@
     LostAnswers(usize),
     /// Publishes a configuration with one more route.
     Configuration,
+    /// Makes an endpoint limit the requests of all gateways together to this number per second.
+    Limit(usize, u32),
 }
 
 /// A fault with its start and duration.
@@ -53,10 +58,47 @@
 /// sessions count as lost.
 const DURATION_MS: std::ops::Range<u64> = 200..2000;
 
+/// Request limits of endpoints, per second: below, about and above one for each gateway.
+const LIMITS: [u32; 3] = [1, 4, 10];
+/// Range of the time for which an endpoint limits its requests, in milliseconds: long enough for
+/// several spans in which requests are counted.
+const LIMIT_DURATION_MS: std::ops::Range<u64> = 8000..10_000;
+/// Number of endpoints that limit their requests in a run.
+const LIMITED_ENDPOINTS: std::ops::RangeInclusive<usize> = 1..=2;
+/// Added to the seed of the draws of limits, so that the other faults of a seed stay as they are.
+const LIMIT_SEED: u64 = 1 << 32;
+
 /// Returns the faults that the seed of a plan gives, ordered by start; the same plan gives the same
 /// faults.
 #[must_use]
 pub fn schedule(plan: &Plan) -> Vec<Timed> {
+    let mut faults = schedule_disruptions(plan);
+    faults.extend(schedule_limits(plan));
+    faults.sort_by_key(|f| f.at);
+    faults
+}
+
+/// Draws the limits of endpoints, which begin in the first half of the period.
+fn schedule_limits(plan: &Plan) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + LIMIT_SEED);
+    let mut endpoints: Vec<usize> = (0..plan.zones * (plan.engines + 1)).collect();
+    endpoints.shuffle(&mut rng);
+    let count = rng.random_range(LIMITED_ENDPOINTS);
+    let limited = endpoints.into_iter().take(count);
+    limited
+        .map(|endpoint| {
+            let limit = *LIMITS.choose(&mut rng).unwrap_or(&LIMITS[0]);
+            Timed {
+                at: plan.fault_period.mul_f64(rng.random_range(0.0..0.5)),
+                lasts: Duration::from_millis(rng.random_range(LIMIT_DURATION_MS)),
+                fault: Fault::Limit(endpoint, limit),
+            }
+        })
+        .collect()
+}
+
+/// Draws all faults but the limits of endpoints.
+fn schedule_disruptions(plan: &Plan) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut at = Duration::ZERO;
     let mut faults = Vec::new();
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -157,6 +157,7 @@
     restart_task.abort();
     let results = result_log.take();
     violations.extend(ledger.violations());
+    violations.extend(testbed.borrow().limit_violations());
     violations.extend(
         results
             .iter()
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -175,6 +175,7 @@
                 self.set_order_handling(number, OrderHandling::LateUnanswered(delay));
             }
             Fault::LostAnswers(number) => self.set_behavior(number, Behavior::DropResponse),
+            Fault::Limit(number, limit) => self.set_limit(number, Some(&limit.to_string())),
             Fault::Configuration => {
                 let name = format!("more{}", self.version);
                 self.publish_configuration(Some(&name));
@@ -197,6 +198,7 @@
                 self.set_order_handling(number, OrderHandling::Immediate);
             }
             Fault::LostAnswers(number) => self.set_behavior(number, Behavior::Respond),
+            Fault::Limit(number, _) => self.set_limit(number, None),
             Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
         }
         Ok(())
@@ -208,6 +210,9 @@
         for proxy in &self.store_proxies {
             proxy.set_mode(ProxyMode::Pass);
         }
+        for number in 0..self.endpoints.len() {
+            self.set_limit(number, None);
+        }
         for endpoint in &self.endpoints {
             endpoint.proxy.set_mode(ProxyMode::Pass);
             match &endpoint.backend {
@@ -233,6 +238,27 @@
         Ok(())
     }
 
+    /// Sets the request limit that an endpoint states.
+    fn set_limit(&self, number: usize, text: Option<&str>) {
+        match &self.endpoints[number].backend {
+            Backend::Engine(engine) => engine.set_limit(text),
+            Backend::Plain(plain_endpoint) => plain_endpoint.set_limit(text),
+        }
+    }
+
+    /// Returns a violation for each limit beyond which an endpoint got requests.
+    pub(crate) fn limit_violations(&self) -> Vec<String> {
+        let violations = self.endpoints.iter().flat_map(|e| {
+            let arrivals = match &e.backend {
+                Backend::Engine(engine) => engine.arrivals(),
+                Backend::Plain(plain_endpoint) => plain_endpoint.arrivals(),
+            };
+            let excesses = arrivals.excesses().into_iter();
+            excesses.map(|excess| format!("LIMIT: {}: {excess}", e.id))
+        });
+        violations.collect()
+    }
+
     /// Sets how an engine handles orders; has no effect on an endpoint without engine.
     fn set_order_handling(&self, number: usize, handling: OrderHandling) {
         if let Backend::Engine(engine) = &self.endpoints[number].backend {
