Divide shared budgets by the fleet that a holder stated, also without a holder

The retry budget is divided by an estimate of the fleet. An instance that had lost the holder of its zone counted itself alone, so the estimate fell to three instances for each zone: 15 in a fleet of 195. All instances of a zone lose their holder at once, and 195 parts of a fifteenth are 13 times the budget.

FleetSize keeps that number when the holder is lost, and the shares of limits and the retry budget are divided by it. Fleets of the smallest deployments keep their estimate (9 for 6 instances).

--- a/crates/caraway-gateway/src/endpoint_limits.rs
+++ b/crates/caraway-gateway/src/endpoint_limits.rs
@@ -126,7 +126,7 @@
         let mut solo = self.solo.borrow_mut();
         solo.retain(|id, _| self.is_current(shared, id));
         if solo.get(endpoint).is_none_or(|s| s.limit != limit) {
-            let instances = shared.fleet_size();
+            let instances = shared.estimated_instances();
             let limiter = SoloLimiter::new(now, limit, instances, Shared::random_fraction());
             solo.insert(endpoint.clone(), SoloShare { limit, limiter });
         }
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -108,7 +108,7 @@
         is_recorded: bool,
         start: Instant,
     ) -> Self {
-        let connected = ConnectedShare::new(shared.fleet_size.get());
+        let connected = ConnectedShare::new(shared.fleet_size.get().stated());
         let limit_share = connected.share(Shared::now());
         let mut placer = Placer::new(shared.placer_settings.clone(), start);
         placer.set_limit_share(Shared::now(), limit_share);
@@ -297,6 +297,11 @@
         self.update_limit_share(shared);
     }
 
+    /// Returns the number of instances of all zones that run, as far as known.
+    pub(crate) fn known_instances(&self) -> usize {
+        self.connected.borrow().known_instances(Shared::now())
+    }
+
     /// Passes the part of all instances that is connected to the placer, which gives away as much
     /// of each endpoint's request limit.
     pub(crate) fn update_limit_share(self: &Rc<Self>, shared: &Rc<Shared>) {
@@ -352,7 +357,7 @@
             served: topics::is_registry_current(shared),
             next: topics::readable_offsets(shared),
             limits: endpoint_limits::frames(shared, &self.zone),
-            instances: self.connected.borrow().known_instances(Shared::now()),
+            instances: self.known_instances(),
         }
     }
 
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -167,6 +167,7 @@
 fn log_placer_stats(shared: &Rc<Shared>) {
     for held in shared.held_zones() {
         held.update_limit_share(shared);
+        shared.on_fleet_size(held.known_instances());
         let stats = held.stats();
         emit!(shared, info, PlacerStats; "held_zone" => &*held.zone, "token" => held.token(),
             "waiting" => stats.waiting, "running" => stats.running,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     endpoint_limits::LimitState,
+    fleet_size::FleetSize,
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
@@ -99,8 +100,8 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
     pub(crate) limits: LimitState,
-    /// Number of instances of all zones that a holder knew last, and when it stated it.
-    pub(crate) fleet_size: Cell<Option<(usize, Instant)>>,
+    /// The number of instances of all zones, as far as it is known.
+    pub(crate) fleet_size: Cell<FleetSize>,
     /// The newest announced version of each adapter.
     pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
     /// Chooses endpoints for requests that no placer places.
@@ -142,12 +143,13 @@
         incarnation: Incarnation,
     ) -> Self {
         let body_budget = body_budget(site.memory_mb);
+        let fleet_size = FleetSize::new(site.zones.len());
         let max_delay = site.bounds.config_apply.min(site.bounds.drain);
         Self {
             store: StoreClient::new(site.store.clone()),
             retry_budget: RefCell::new(RetryBudget::new(retry_limits(
                 &site.bounds,
-                INITIAL_INSTANCES_PER_ZONE * site.zones.len().max(1),
+                fleet_size.estimate(None),
             ))),
             bounds: RefCell::new(site.bounds.clone()),
             placer_settings: placer_settings(&site),
@@ -163,7 +165,7 @@
             directory: RefCell::default(),
             pauses: RefCell::default(),
             limits: LimitState::default(),
-            fleet_size: Cell::new(None),
+            fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
@@ -300,26 +302,21 @@
         self.retry_budget.borrow_mut().set_limits(limits);
     }
 
-    /// Returns an upper estimate of the number of instances in all zones, from those of the own
-    /// zone.
-    fn estimated_instances(&self) -> usize {
-        let zone = self.zone_instances().max(MIN_INSTANCES_PER_ZONE);
-        zone * self.site.zones.len().max(1)
+    /// Returns an upper estimate of the number of instances in all zones.
+    pub(crate) fn estimated_instances(&self) -> usize {
+        let own = &self.site.zone;
+        let held = self.held_zone(own).map(|h| h.instance_count(own));
+        let own_zone = held.or_else(|| self.session(own).map(|s| s.instance_count()));
+        // A session states none until its first pong.
+        let own_zone = own_zone.filter(|count| *count > 0);
+        self.fleet_size.get().estimate(own_zone)
     }
 
     /// Records the number of instances that a holder states; 0 for none.
     pub(crate) fn on_fleet_size(&self, instances: usize) {
-        if instances > 0 {
-            self.fleet_size.set(Some((instances, Self::now())));
-        }
-    }
-
-    /// Returns the number of instances of all zones as a holder stated it last, or an upper estimate
-    /// before any has.
-    pub(crate) fn fleet_size(&self) -> usize {
-        let stated = self.fleet_size.get().map(|(instances, _)| instances);
-        let initial = INITIAL_INSTANCES_PER_ZONE * self.site.zones.len().max(1);
-        stated.unwrap_or(initial)
+        let mut fleet_size = self.fleet_size.get();
+        fleet_size.on_stated(Self::now(), instances);
+        self.fleet_size.set(fleet_size);
     }
 
     /// Returns a random number from 0 to 1.
@@ -343,13 +340,6 @@
     }
 }
 
-/// Least number of instances per zone that the retry budget is divided by; one more than the
-/// smallest deployments have, as zones differ in size.
-const MIN_INSTANCES_PER_ZONE: usize = 3;
-/// Number of instances per zone that is assumed before any is known; the largest deployments have
-/// 24.
-const INITIAL_INSTANCES_PER_ZONE: usize = 24;
-
 fn placer_settings(site: &InstanceSettings) -> PlacerSettings {
     PlacerSettings {
         load_window: site.bounds.load_window,
