Explain a request without a permit by the limit, its age and the zone that kept it

From a refused request's id, caraway-explain now shows the line that denied the permit (1124, also for streams), the limit of its endpoint as the instance knew it (1123), and the holder and placer of the zone. Test: caraway-explain, a_request_that_got_no_permit_is_explained_by_the_limit_and_the_zone_that_kept_it; it failed before, as only changes of the registry were listed for an endpoint.

--- a/crates/caraway-explain/src/explanation.rs
+++ b/crates/caraway-explain/src/explanation.rs
@@ -102,6 +102,10 @@
             };
             let before = last_before(lines, first, is_change);
             self.add(&format!("endpoint {endpoint} before"), before);
+            let limit = last_before(lines, last, |l| {
+                l.event == Event::EndpointLimited.code() && l.has_value("endpoint", &endpoint)
+            });
+            self.add(&format!("limit of endpoint {endpoint}"), limit);
             let later = lines.iter().copied().filter(|l| is_change(l));
             for line in later.filter(|l| l.timestamp > first && l.timestamp <= last + AFTER_REQUEST)
             {
@@ -110,8 +114,8 @@
         }
     }
 
-    /// Adds, for each zone whose holder granted the request an endpoint: the holder, the load of
-    /// its placer and its orders for the request's adapters.
+    /// Adds, for each zone whose holder granted the request an endpoint or denied it a permit: the
+    /// holder, the load of its placer and its orders for the request's adapters.
     fn add_zone_context(
         &mut self,
         logs: &'a Logs,
@@ -120,7 +124,9 @@
         last: OffsetDateTime,
     ) {
         let adapters = self.field_values("adapter");
-        for zone in self.field_values("by") {
+        let mut zones = self.field_values("by");
+        zones.extend(self.field_values("held_zone"));
+        for zone in zones {
             let is_of_zone = |l: &Line| l.has_value("held_zone", &zone);
             let holder = last_before(lines, last, |l| {
                 l.event == Event::HolderChanged.code() && is_of_zone(l)
--- a/crates/caraway-explain/tests/explanation.rs
+++ b/crates/caraway-explain/tests/explanation.rs
@@ -68,3 +68,36 @@
         "the cut line and the one without JSON"
     );
 }
+
+/// Log of an instance that refused a request as the limits of all endpoints left no room.
+const LIMITED_LOG: &str = r#"
+{"msg":"endpoint limit","ts":"2026-12-04T15:38:40.100000000Z","instance":"gate-1","endpoint":"d-1","per_second":9,"from":"answer","request":"r0","event":1123}
+{"msg":"endpoint limit","ts":"2026-12-04T15:38:44.100000000Z","instance":"gate-1","endpoint":"d-1","per_second":5,"former":9,"from":"holder","request":"","event":1123}
+{"msg":"endpoint limit","ts":"2026-12-04T15:38:44.200000000Z","instance":"gate-1","endpoint":"d-2","per_second":7,"from":"holder","request":"","event":1123}
+{"msg":"permit denied","ts":"2026-12-04T15:38:45.100000000Z","instance":"gate-1","held_zone":"z1","endpoint":"d-1","per_second":5,"source":"holder","after_ms":900,"request":"r3","event":1124}
+{"msg":"request failed","ts":"2026-12-04T15:38:45.101000000Z","instance":"gate-1","detail":"all endpoints asked for a pause or limit their requests","request":"r3","event":1402}
+{"msg":"holder changed","ts":"2026-12-04T15:38:30.000000000Z","instance":"gate-1","holder":"gate-2","held_zone":"z1","event":1200}
+{"msg":"placer levels","ts":"2026-12-04T15:38:44.500000000Z","instance":"gate-2","held_zone":"z1","limited":2,"held_back":31,"event":1303}
+"#;
+
+#[test]
+fn a_request_that_got_no_permit_is_explained_by_the_limit_and_the_zone_that_kept_it() {
+    let mut logs = Logs::default();
+    logs.read(LIMITED_LOG.as_bytes())
+        .expect("memory can be read");
+    let explanation = Explanation::of_request(&logs, "r3").expect("the request is named");
+    let text = explanation.to_string();
+    let expected = [
+        "permit denied (1124)",
+        "limit of endpoint d-1: endpoint limit (1123)",
+        "per_second=5",
+        "the holder of z1: holder changed (1200)",
+        "the placer of z1: placer levels (1303)",
+    ];
+    for part in expected {
+        assert!(text.contains(part), "{part} is missing in\n{text}");
+    }
+    for part in ["per_second=9", "per_second=7", "r0"] {
+        assert!(!text.contains(part), "{part} does not belong into\n{text}");
+    }
+}
--- a/crates/caraway-gateway/src/endpoint_limits.rs
+++ b/crates/caraway-gateway/src/endpoint_limits.rs
@@ -313,7 +313,7 @@
     };
     let rate = limit.rate;
     let from_holder = request_permit(shared, endpoint, limit, max_wait).await;
-    let by = if from_holder.is_some() {
+    let source = if from_holder.is_some() {
         "holder"
     } else {
         "own share"
@@ -340,7 +340,8 @@
             shared.limits.deny(&endpoint.id, after, max_wait);
             shared.metrics.record_permit_denied("plain");
             emit!(shared, info, PermitDenied; "request" => request, "endpoint" => &*endpoint.id,
-                "per_second" => rate.per_second(), "by" => by, "max_wait_ms" => millis(max_wait),
+                "held_zone" => &*endpoint.zone, "source" => source,
+                "per_second" => rate.per_second(), "max_wait_ms" => millis(max_wait),
                 "after_ms" => millis(after));
             Err(PermitDenied)
         }
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -154,12 +154,7 @@
                 Ok(placed) => placed,
                 Err(_) if error_response.is_some() => break,
                 Err(not_placed) => {
-                    return Err(placement_refusal(
-                        shared,
-                        &call.service,
-                        history,
-                        not_placed,
-                    ));
+                    return Err(placement_refusal(shared, call, history, not_placed));
                 }
             }
         };
@@ -270,7 +265,7 @@
 /// Returns the refusal of a request that got no endpoint.
 fn placement_refusal(
     shared: &Shared,
-    service: &str,
+    call: &Call,
     history: &AttemptHistory,
     not_placed: PlacementFailure,
 ) -> RefusalResponse {
@@ -279,13 +274,17 @@
         RefuseReason::Deadline => "the adapter can't be there in time",
         RefuseReason::Limited => "the endpoints' request limits leave no room",
     };
-    let mut detail = not_placed.last_zone.map_or_else(
+    let mut detail = not_placed.last_zone.as_ref().map_or_else(
         || why.to_owned(),
         |(zone, waiting)| format!("{why}; zone {zone} was asked, where {waiting} wait"),
     );
     if not_placed.reason == RefuseReason::Limited {
         shared.metrics.record_permit_denied("stream");
-        detail.push_str(&shared.describe_limits(service));
+        detail.push_str(&shared.describe_limits(&call.service));
+        let (zone, waiting) = not_placed.last_zone.unzip();
+        emit!(shared, info, PermitDenied; "request" => &*call.head.id,
+            "held_zone" => zone.as_deref(), "source" => "holder", "waiting" => waiting,
+            "after_ms" => millis(not_placed.retry_after));
     }
     if history.possible_runs > 0 {
         return RefusalResponse::in_doubt(Reason::EndpointFailed, &detail);
