Let a request that a zone's limits make late try the other zones first

With limits on all engines of a zone, its placer queued requests until their deadline, several seconds, while other zones may have had room: pressure passes a zone over only from 10 waiting requests per endpoint. A request now waits for permits until its goal at most. Refused for that, it asks the other zones, and then waits in the last one for as long as its caller.

The order of zones in the gateway has no test of its own.

--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -219,7 +219,8 @@
 ///
 /// Requests it from the placer of the zone that is selected for the adapter, then from the other
 /// zones' placers. If none grants one, chooses an endpoint on which the adapter is resident
-/// according to the registry.
+/// according to the registry. If the endpoints' rate limits leave no room in any zone before the
+/// request's goal, waits in the last zone, for at most as long as the caller.
 pub(crate) async fn place(
     shared: &Rc<Shared>,
     request: &EndpointRequest,
@@ -253,11 +254,25 @@
         }
         zones.retain(|z| z.zone != zone);
     }
-    choose_resident(shared, request, exclude).ok_or(refusal.unwrap_or(PlacementFailure {
+    if let Some(placement) = choose_resident(shared, request, exclude) {
+        return Ok(placement);
+    }
+    let failure = refusal.unwrap_or(PlacementFailure {
         reason: RefuseReason::NoEndpoint,
         retry_after: NO_ENDPOINT_RETRY_AFTER,
         last_zone: None,
-    }))
+    });
+    match &failure.last_zone {
+        Some((zone, _)) if failure.reason == RefuseReason::Limited => {
+            let late = EndpointRequest {
+                goal: request.deadline,
+                ..request.clone()
+            };
+            let placed = request_from(shared, &late, exclude, zone).await;
+            placed.map_err(|later| later.unwrap_or(failure))
+        }
+        _ => Err(failure),
+    }
 }
 
 /// Waits until the placer of `zone` is reachable, or that of any zone if `None`, for at most
--- a/crates/caraway-placement/src/output.rs
+++ b/crates/caraway-placement/src/output.rs
@@ -14,7 +14,7 @@
     NoEndpoint,
     /// It can't be served before its deadline.
     Deadline,
-    /// The rate limits of all endpoints of the service leave no room for it before its deadline.
+    /// The rate limits of all endpoints of the service leave no room for it before its goal.
     Limited,
 }
 
--- a/crates/caraway-placement/src/placer/limits.rs
+++ b/crates/caraway-placement/src/placer/limits.rs
@@ -8,16 +8,18 @@
 use super::Placer;
 use crate::{PlacementId, PlacementRequest};
 
-/// Part of the time until its deadline that a request of a lower priority may wait for permits. More
+/// Part of the time until its goal that a request of a lower priority may wait for permits. More
 /// important requests that arrive meanwhile go before it.
 const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
 
-/// Returns until when a request can be expected to get a permit.
+/// Returns until when a request waits for a permit: no longer than its goal, as another zone may be
+/// able to serve it on time.
 fn latest_start(now: Instant, request: &PlacementRequest) -> Instant {
-    let remaining = request.deadline.saturating_duration_since(now);
+    let latest = request.goal.min(request.deadline);
     if request.priority == 0 {
-        request.deadline
+        latest
     } else {
+        let remaining = latest.saturating_duration_since(now);
         now + remaining.mul_f64(LOW_PRIORITY_WAIT_SHARE)
     }
 }
@@ -113,8 +115,8 @@
     }
 
     /// Returns the waiting requests for which the limits of all endpoints of their service leave no
-    /// room before their deadline, and the time after which each may be sent again. Permits go to
-    /// the most important requests first.
+    /// room before their goal, and the time after which each may be sent again. Permits go to the
+    /// most important requests first.
     pub(super) fn requests_beyond_limits(&self, now: Instant) -> Vec<(PlacementId, Duration)> {
         let mut beyond = Vec::new();
         for service in self.waiting.services() {
--- a/crates/caraway-placement/tests/limited_engines.rs
+++ b/crates/caraway-placement/tests/limited_engines.rs
@@ -158,6 +158,42 @@
     );
 }
 
+/// Sends requests that have four seconds until their deadline and this time until their goal, while
+/// all engines have a limit of one request per second. Returns how many were refused within a
+/// second, and how many started.
+fn refused_and_started(goal: Duration) -> (usize, usize) {
+    let mut sim = new_simulation(3);
+    sim.goal = goal;
+    for endpoint in 0..3 {
+        set_limit(&mut sim, endpoint, Some(1.0));
+    }
+    for ticket in 0..8 {
+        let at = START + Duration::from_millis(20 * ticket);
+        sim.request_at(at, ticket, simulation::adapter(1), 4 * SECOND);
+    }
+    sim.run_until(START + SECOND);
+    let refused = sim.counters.refused;
+    sim.run_until(START + 5 * SECOND);
+    (refused, sim.counters.starts.len())
+}
+
+// Guards against: requests that wait for a zone's limits while another zone has room.
+#[test]
+fn request_that_can_not_be_on_time_is_refused_at_once_so_that_other_zones_can_take_it() {
+    let (refused, _) = refused_and_started(GOAL);
+    assert!(refused >= 5, "{refused} of 8 refused at once");
+}
+
+// Guards against: requests that are refused although they could be served late.
+#[test]
+fn request_that_may_be_late_waits_for_a_permit() {
+    let (refused, started) = refused_and_started(4 * SECOND);
+    assert!(
+        refused <= 4 && started >= 4,
+        "{refused} refused, {started} started"
+    );
+}
+
 // Guards against: a limit that stays in force at the placer after the endpoint has lifted it.
 #[test]
 fn engine_is_used_fully_once_its_limit_is_lifted() {
--- a/crates/caraway-placement/tests/simulation/mod.rs
+++ b/crates/caraway-placement/tests/simulation/mod.rs
@@ -141,6 +141,8 @@
     next_tick: Option<Instant>,
     versions: HashMap<ModelRef, u64>,
     models: HashMap<u64, ModelRef>,
+    /// Time from a request to its goal.
+    pub(crate) goal: Duration,
     /// Priorities of requests; 0 unless set.
     pub(crate) priorities: HashMap<u64, u8>,
 }
@@ -199,6 +201,7 @@
             next_tick: None,
             versions: HashMap::new(),
             models: HashMap::new(),
+            goal: Duration::from_millis(500),
             priorities: HashMap::new(),
             settings,
             placer_settings,
@@ -396,7 +399,7 @@
             model: self.models[&ticket].clone(),
             tokens: TokenCount::default(),
             priority: self.priorities.get(&ticket).copied().unwrap_or(0),
-            goal: requested_at + Duration::from_millis(500),
+            goal: requested_at + self.goal,
             deadline,
             exclude: Vec::new(),
         };
