Play draining endpoints and pauses in the soak, judged for each instance

Each run now draws an endpoint that says in its answers that it drains, while its entry says that it is ready, and one that asks for pauses. The stand-in logs what it told in answer to which request, and what reached it; the caller's name in a request's id tells the instance. An instance that was killed, paused, stopped or cut from endpoints meanwhile is excused.

The gateway is unchanged by this commit. Endless answers are not played yet.

--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -1,6 +1,11 @@
 //! [`Caller`]: sends requests to an instance and records their results.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use caraway_http::{ConnectTimeouts, Connection, read_body};
 use caraway_platform_standin::{
@@ -42,6 +47,8 @@
     pub(crate) request: String,
     pub(crate) kind: RequestKind,
     pub(crate) outcome: Outcome,
+    /// When it was sent.
+    pub(crate) sent_at: Instant,
 }
 
 /// The results of all callers; clones share their contents.
@@ -121,6 +128,7 @@
         }
         self.sent_count += 1;
         let request = format!("{}-{}", self.name, self.sent_count);
+        let sent_at = Instant::now();
         let exchange = self.exchange(kind, adapter, &request);
         let outcome = timeout(RESPONSE_TIMEOUT, exchange)
             .await
@@ -132,6 +140,7 @@
             request,
             kind,
             outcome,
+            sent_at,
         })
     }
 
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -41,6 +41,12 @@
     Configuration,
     /// Makes an endpoint limit the requests of all gateways together to this number per second.
     Limit(usize, u32),
+    /// Makes an endpoint say in its answers that it drains, though its registry entry says that it
+    /// is ready; at the end it starts again.
+    Draining(usize),
+    /// Makes an endpoint without engine refuse requests and ask for a pause of this length; the
+    /// number is its zone's.
+    AskForPause(usize, Duration),
 }
 
 /// A fault with its start and duration.
@@ -74,6 +80,7 @@
 pub fn schedule(plan: &Plan) -> Vec<Timed> {
     let mut faults = schedule_disruptions(plan);
     faults.extend(schedule_limits(plan));
+    faults.extend(schedule_signals(plan));
     faults.sort_by_key(|f| f.at);
     faults
 }
@@ -97,7 +104,36 @@
         .collect()
 }
 
-/// Draws all faults but the limits of endpoints.
+/// Added to the seed of the draws of what endpoints say.
+const SIGNAL_SEED: u64 = 1 << 33;
+/// Range of the time for which an endpoint drains or asks for pauses, in milliseconds: longer than
+/// instances may go on sending to one that drains.
+const SIGNAL_DURATION_MS: std::ops::Range<u64> = 4000..6000;
+/// Range of the pauses that an endpoint asks for, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 1000..2500;
+
+/// Draws an endpoint that drains and one that asks for pauses, which begin in the first half of the
+/// period.
+fn schedule_signals(plan: &Plan) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + SIGNAL_SEED);
+    let endpoint = rng.random_range(0..plan.zones * (plan.engines + 1));
+    let plain_endpoint = rng.random_range(0..plan.zones);
+    let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
+    let faults = [
+        Fault::Draining(endpoint),
+        Fault::AskForPause(plain_endpoint, pause),
+    ];
+    faults
+        .into_iter()
+        .map(|fault| Timed {
+            at: plan.fault_period.mul_f64(rng.random_range(0.0..0.5)),
+            lasts: Duration::from_millis(rng.random_range(SIGNAL_DURATION_MS)),
+            fault,
+        })
+        .collect()
+}
+
+/// Draws all faults but what endpoints say in their answers.
 fn schedule_disruptions(plan: &Plan) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
     let mut at = Duration::ZERO;
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -1,9 +1,9 @@
 //! [`run`]: runs a plan and checks the guarantees of the gateway.
 
-use std::{cell::RefCell, fmt, path::PathBuf, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, fmt, path::PathBuf, rc::Rc, time::Duration};
 
 use anyhow::{Context, Result};
-use caraway_platform_standin::RequestKind;
+use caraway_platform_standin::{RequestKind, Senders};
 use tokio::{
     sync::watch,
     task::LocalSet,
@@ -158,6 +158,11 @@
     let results = result_log.take();
     violations.extend(ledger.violations());
     violations.extend(testbed.borrow().limit_violations());
+    let senders = ResultSenders {
+        testbed: &testbed.borrow(),
+        sent_at: results.iter().map(|r| (&*r.request, r.sent_at)).collect(),
+    };
+    violations.extend(testbed.borrow().signal_violations(&senders));
     violations.extend(
         results
             .iter()
@@ -175,6 +180,28 @@
     })
 }
 
+/// The senders of requests, from the callers' results.
+struct ResultSenders<'a> {
+    testbed: &'a Testbed,
+    sent_at: HashMap<&'a str, std::time::Instant>,
+}
+
+impl Senders for ResultSenders<'_> {
+    /// Callers name their requests `c`, the number of their gateway, `-` and so on.
+    fn sender(&self, request: &str) -> Option<usize> {
+        let (number, _) = request.strip_prefix('c')?.split_once('-')?;
+        number.parse().ok()
+    }
+
+    fn sent_at(&self, request: &str) -> Option<std::time::Instant> {
+        self.sent_at.get(request).copied()
+    }
+
+    fn is_excused(&self, sender: usize, from: std::time::Instant, to: std::time::Instant) -> bool {
+        self.testbed.is_disturbed(sender, from, to)
+    }
+}
+
 /// Returns the violation, if any, in the result of a request that endpoints ran `runs` times.
 fn find_violation(result: &RequestResult, runs: usize) -> Option<String> {
     let (request, outcome) = (&result.request, result.outcome);
@@ -206,7 +233,7 @@
         sleep_until(start + at).await;
         let mut testbed = testbed.borrow_mut();
         if is_start {
-            testbed.start_fault(timed.fault);
+            testbed.start_fault(timed.fault, timed.lasts);
         } else {
             testbed.end_fault(timed.fault)?;
         }
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -1,11 +1,14 @@
 //! [`Testbed`]: the store, the endpoints and the gateways of a run; applies faults to them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use anyhow::{Context, Result};
 use caraway_platform_standin::{
-    Behavior, Engine, EngineSpec, Ledger, OrderHandling, PlainEndpoint, Proxy, ProxyMode, Store,
-    StoreMode, configuration, held_models, registry_entry,
+    Behavior, Engine, EngineSpec, Ledger, OrderHandling, PlainEndpoint, Proxy, ProxyMode, Senders,
+    Store, StoreMode, configuration, held_models, registry_entry,
 };
 use nix::sys::signal::Signal;
 
@@ -45,6 +48,8 @@
     store_proxies: Vec<Proxy>,
     /// All engines, by zone, and then the endpoint without engine of each zone.
     endpoints: Vec<Endpoint>,
+    /// The gateways that faults disturbed, with the start and end of each disturbance.
+    disturbances: Vec<(usize, Instant, Instant)>,
     /// Version of the newest configuration.
     version: u64,
     /// Names of the routes that faults and the end of the run have added.
@@ -67,6 +72,7 @@
             store,
             store_proxies: Vec::new(),
             endpoints: Vec::new(),
+            disturbances: Vec::new(),
             version: 0,
             extra_routes: Vec::new(),
             keep_running: Vec::new(),
@@ -152,7 +158,19 @@
     }
 
     /// Starts a fault.
-    pub(crate) fn start_fault(&mut self, fault: Fault) {
+    pub(crate) fn start_fault(&mut self, fault: Fault, lasts: Duration) {
+        match fault {
+            Fault::Kill(number) | Fault::Pause(number) => {
+                self.disturb(number, lasts + SETTLE_TIME);
+            }
+            Fault::Stop(number) => self.disturb(number, STOP_TIME + SETTLE_TIME),
+            Fault::EndpointWay(..) => {
+                for number in 0..self.gateways.len() {
+                    self.disturb(number, lasts + SETTLE_TIME);
+                }
+            }
+            _ => {}
+        }
         match fault {
             Fault::Kill(number) => {
                 self.keep_running[number] = false;
@@ -164,18 +182,19 @@
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::StoreWay(number, mode) => self.store_proxies[number].set_mode(mode),
             Fault::EndpointWay(number, mode) => self.endpoints[number].proxy.set_mode(mode),
-            Fault::Restart(number) => {
-                self.endpoints[number].incarnation += 1;
-                if let Backend::Engine(engine) = &self.endpoints[number].backend {
-                    engine.restart();
-                }
-                self.register(&self.endpoints[number]);
-            }
+            Fault::Restart(number) => self.restart_endpoint(number),
             Fault::LateOrders(number, delay) => {
                 self.set_order_handling(number, OrderHandling::LateUnanswered(delay));
             }
             Fault::LostAnswers(number) => self.set_behavior(number, Behavior::DropResponse),
             Fault::Limit(number, limit) => self.set_limit(number, Some(&limit.to_string())),
+            Fault::Draining(number) => match &self.endpoints[number].backend {
+                Backend::Engine(engine) => engine.set_draining(),
+                Backend::Plain(endpoint) => endpoint.set_behavior(Behavior::RespondDraining),
+            },
+            Fault::AskForPause(number, pause) => {
+                self.set_behavior(number, Behavior::RefuseFor(pause));
+            }
             Fault::Configuration => {
                 let name = format!("more{}", self.version);
                 self.publish_configuration(Some(&name));
@@ -197,8 +216,11 @@
             Fault::LateOrders(number, _) => {
                 self.set_order_handling(number, OrderHandling::Immediate);
             }
-            Fault::LostAnswers(number) => self.set_behavior(number, Behavior::Respond),
+            Fault::LostAnswers(number) | Fault::AskForPause(number, _) => {
+                self.set_behavior(number, Behavior::Respond);
+            }
             Fault::Limit(number, _) => self.set_limit(number, None),
+            Fault::Draining(number) => self.restart_endpoint(number),
             Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
         }
         Ok(())
@@ -238,6 +260,46 @@
         Ok(())
     }
 
+    /// Starts a new incarnation of an endpoint.
+    fn restart_endpoint(&mut self, number: usize) {
+        let endpoint = &mut self.endpoints[number];
+        endpoint.incarnation += 1;
+        match &endpoint.backend {
+            Backend::Engine(engine) => engine.restart(),
+            Backend::Plain(plain_endpoint) => {
+                plain_endpoint.signals().restart();
+                plain_endpoint.set_behavior(Behavior::Respond);
+            }
+        }
+        self.register(&self.endpoints[number]);
+    }
+
+    /// Records that a fault disturbs a gateway for this time from now on.
+    fn disturb(&mut self, gateway: usize, time: Duration) {
+        let now = Instant::now();
+        self.disturbances.push((gateway, now, now + time));
+    }
+
+    /// Returns whether a gateway was disturbed in this time.
+    pub(crate) fn is_disturbed(&self, gateway: usize, from: Instant, to: Instant) -> bool {
+        let mut all = self.disturbances.iter();
+        all.any(|(number, start, end)| *number == gateway && *start < to && from < *end)
+    }
+
+    /// Returns a violation for each request that an endpoint got although it drained or had asked
+    /// for a pause.
+    pub(crate) fn signal_violations(&self, senders: &impl Senders) -> Vec<String> {
+        let violations = self.endpoints.iter().flat_map(|e| {
+            let signals = match &e.backend {
+                Backend::Engine(engine) => engine.signals(),
+                Backend::Plain(plain_endpoint) => plain_endpoint.signals(),
+            };
+            let violations = signals.violations(senders).into_iter();
+            violations.map(|violation| format!("{violation} ({})", e.id))
+        });
+        violations.collect()
+    }
+
     /// Sets the request limit that an endpoint states.
     fn set_limit(&self, number: usize, text: Option<&str>) {
         match &self.endpoints[number].backend {
@@ -278,5 +340,9 @@
     }
 }
 
+/// Time after a disturbance within which a gateway may still act on what it knew before.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Longest time that a gateway takes to stop.
+const STOP_TIME: Duration = Duration::from_secs(8);
 /// Interval at which exited gateways are restarted; platforms take about as long.
 pub(crate) const RESTART_INTERVAL: Duration = Duration::from_millis(200);
