Let the soak and the stand-ins share one way to an endpoint's recorders

Read as a newcomer: the limit of a stand-in was set in three places, and two soak tests repeated their plan. No check or bound changed; soak and process tests pass.

--- a/crates/caraway-gateway/tests/process/endpoint_signals.rs
+++ b/crates/caraway-gateway/tests/process/endpoint_signals.rs
@@ -118,7 +118,7 @@
 fn limit_that_an_endpoint_states_is_logged_with_the_request_that_showed_it() {
     let platform = Platform::start();
     let gateway = start_pair_gateway(&platform);
-    platform.with_parts(|parts| parts.pair[0].set_limit(Some("50")));
+    platform.with_parts(|parts| parts.pair[0].arrivals().set_limit(Some("50")));
     for number in 0..REQUESTS {
         let answer = get_pair(&gateway, &format!("r{number}"));
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -131,7 +131,7 @@
     assert_eq!(line["per_second"], 50.0, "{line}");
     let request = line["request"].as_str().expect("a request");
     assert!(request.starts_with('r'), "{line}");
-    platform.with_parts(|parts| parts.pair[0].set_limit(Some("soon")));
+    platform.with_parts(|parts| parts.pair[0].arrivals().set_limit(Some("soon")));
     gateway.wait_for("the invalid limit's line", || {
         get_pair(&gateway, "s");
         gateway.has_line(1123, "unreadable", "soon")
--- a/crates/caraway-gateway/tests/process/limits.rs
+++ b/crates/caraway-gateway/tests/process/limits.rs
@@ -76,7 +76,7 @@
 fn plain_endpoint_gets_no_more_than_its_limit_from_all_instances_together() {
     let platform = Platform::start();
     let gateways = start_gateways(&platform);
-    platform.with_parts(|parts| parts.pair[0].set_limit(Some(LIMIT_TEXT)));
+    platform.with_parts(|parts| parts.pair[0].arrivals().set_limit(Some(LIMIT_TEXT)));
     let (since, answers) = load(&gateways, "p-1", |gateway, id| {
         let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 2000\r\n");
         call(gateway.front, "GET /pair/x", &headers, "")
@@ -98,7 +98,7 @@
 fn engine_gets_no_more_than_its_limit_from_all_instances_together() {
     let platform = Platform::start();
     let gateways = start_gateways(&platform);
-    platform.with_parts(|parts| parts.engine.set_limit(Some(LIMIT_TEXT)));
+    platform.with_parts(|parts| parts.engine.arrivals().set_limit(Some(LIMIT_TEXT)));
     let (since, answers) = load(&gateways, "e-1", |gateway, id| {
         let headers = format!(
             "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
--- a/crates/caraway-gateway/tests/soak.rs
+++ b/crates/caraway-gateway/tests/soak.rs
@@ -2,22 +2,27 @@
 
 use std::time::Duration;
 
-use caraway_soak::{Plan, run, schedule};
+use caraway_soak::{Plan, Report, run, schedule};
 
 /// Time after which the test stops waiting for recovery. It only ends a hanging test: a busy machine
 /// may be slow.
 const RECOVERY_LIMIT: Duration = Duration::from_mins(1);
 
-#[test]
-fn invariants_hold_under_a_series_of_faults() {
+/// Runs a seed with faults that start in this time.
+fn run_seed(seed: u64, fault_period: Duration) -> Report {
     let plan = Plan {
         program: env!("CARGO_BIN_EXE_caraway-gateway").into(),
-        seed: 3,
-        fault_period: Duration::from_secs(4),
+        seed,
+        fault_period,
         recovery: RECOVERY_LIMIT,
         ..Plan::default()
     };
-    let report = run(&plan).expect("gateway processes and free ports");
+    run(&plan).expect("gateway processes and free ports")
+}
+
+#[test]
+fn invariants_hold_under_a_series_of_faults() {
+    let report = run_seed(3, Duration::from_secs(4));
     assert!(report.violations.is_empty(), "{report}");
     assert!(report.faults >= 8 && report.served > 0, "{report}");
 }
@@ -26,14 +31,7 @@
 // was being opened.
 #[test]
 fn request_limit_is_kept_while_sessions_are_opened() {
-    let plan = Plan {
-        program: env!("CARGO_BIN_EXE_caraway-gateway").into(),
-        seed: 9,
-        fault_period: Duration::from_secs(6),
-        recovery: RECOVERY_LIMIT,
-        ..Plan::default()
-    };
-    let report = run(&plan).expect("gateway processes and free ports");
+    let report = run_seed(9, Duration::from_secs(6));
     assert!(report.violations.is_empty(), "{report}");
 }
 
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -7,8 +7,8 @@
 
 use anyhow::{Context, Result};
 use caraway_platform_standin::{
-    Behavior, Engine, EngineSpec, Ledger, OrderHandling, PlainEndpoint, Proxy, ProxyMode, Senders,
-    Store, StoreMode, configuration, held_models, registry_entry,
+    Behavior, Engine, EngineSpec, Ledger, OrderHandling, PlainEndpoint, Proxy, ProxyMode,
+    RateRecorder, Senders, SignalLog, Store, StoreMode, configuration, held_models, registry_entry,
 };
 use nix::sys::signal::Signal;
 
@@ -38,6 +38,22 @@
     Plain(PlainEndpoint),
 }
 
+impl Endpoint {
+    fn arrivals(&self) -> &RateRecorder {
+        match &self.backend {
+            Backend::Engine(engine) => engine.arrivals(),
+            Backend::Plain(plain_endpoint) => plain_endpoint.arrivals(),
+        }
+    }
+
+    fn signals(&self) -> &SignalLog {
+        match &self.backend {
+            Backend::Engine(engine) => engine.signals(),
+            Backend::Plain(plain_endpoint) => plain_endpoint.signals(),
+        }
+    }
+}
+
 /// The store, the endpoints and the gateways of a run.
 #[derive(Debug)]
 pub(crate) struct Testbed {
@@ -187,7 +203,10 @@
                 self.set_order_handling(number, OrderHandling::LateUnanswered(delay));
             }
             Fault::LostAnswers(number) => self.set_behavior(number, Behavior::DropResponse),
-            Fault::Limit(number, limit) => self.set_limit(number, Some(&limit.to_string())),
+            Fault::Limit(number, limit) => {
+                let limit = limit.to_string();
+                self.endpoints[number].arrivals().set_limit(Some(&limit));
+            }
             Fault::Draining(number) => match &self.endpoints[number].backend {
                 Backend::Engine(engine) => engine.set_draining(),
                 Backend::Plain(endpoint) => endpoint.set_behavior(Behavior::RespondDraining),
@@ -219,7 +238,7 @@
             Fault::LostAnswers(number) | Fault::AskForPause(number, _) => {
                 self.set_behavior(number, Behavior::Respond);
             }
-            Fault::Limit(number, _) => self.set_limit(number, None),
+            Fault::Limit(number, _) => self.endpoints[number].arrivals().set_limit(None),
             Fault::Draining(number) => self.restart_endpoint(number),
             Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
         }
@@ -232,11 +251,9 @@
         for proxy in &self.store_proxies {
             proxy.set_mode(ProxyMode::Pass);
         }
-        for number in 0..self.endpoints.len() {
-            self.set_limit(number, None);
-        }
         for endpoint in &self.endpoints {
             endpoint.proxy.set_mode(ProxyMode::Pass);
+            endpoint.arrivals().set_limit(None);
             match &endpoint.backend {
                 Backend::Engine(engine) => engine.set_order_handling(OrderHandling::Immediate),
                 Backend::Plain(plain_endpoint) => plain_endpoint.set_behavior(Behavior::Respond),
@@ -290,32 +307,16 @@
     /// for a pause.
     pub(crate) fn signal_violations(&self, senders: &impl Senders) -> Vec<String> {
         let violations = self.endpoints.iter().flat_map(|e| {
-            let signals = match &e.backend {
-                Backend::Engine(engine) => engine.signals(),
-                Backend::Plain(plain_endpoint) => plain_endpoint.signals(),
-            };
-            let violations = signals.violations(senders).into_iter();
+            let violations = e.signals().violations(senders).into_iter();
             violations.map(|violation| format!("{violation} ({})", e.id))
         });
         violations.collect()
     }
 
-    /// Sets the request limit that an endpoint states.
-    fn set_limit(&self, number: usize, text: Option<&str>) {
-        match &self.endpoints[number].backend {
-            Backend::Engine(engine) => engine.set_limit(text),
-            Backend::Plain(plain_endpoint) => plain_endpoint.set_limit(text),
-        }
-    }
-
     /// Returns a violation for each limit beyond which an endpoint got requests.
     pub(crate) fn limit_violations(&self) -> Vec<String> {
         let violations = self.endpoints.iter().flat_map(|e| {
-            let arrivals = match &e.backend {
-                Backend::Engine(engine) => engine.arrivals(),
-                Backend::Plain(plain_endpoint) => plain_endpoint.arrivals(),
-            };
-            let excesses = arrivals.excesses().into_iter();
+            let excesses = e.arrivals().excesses().into_iter();
             excesses.map(|excess| format!("LIMIT: {}: {excess}", e.id))
         });
         violations.collect()
