Name the prompt's segments and the events of each failed attempt in the log

Event 1403 now has the ids of the segments that a prompt may share, and the number of events for requests without one as well.

--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -113,7 +113,7 @@
             };
             emit!(self.shared, info, AttemptFailed; "request" => &*self.call.head.id,
                 "endpoint" => &*endpoint, "why" => why, "events" => self.splitter.event_count(),
-                "in_doubt" => true, "ms" => millis(self.call.arrived_at.elapsed()));
+                "segments" => self.call.segment_ids(), "in_doubt" => true, "ms" => millis(self.call.arrived_at.elapsed()));
             self.shared.metrics.record_failed_attempt(why);
             self.history.exclude.push(endpoint);
             let Some(resumed) = self.resume(takeover).await else {
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -62,6 +62,13 @@
         RefusalResponse::in_doubt(reason, why)
     }
 
+    /// Returns the ids of the prompt's shared segments, for a log line.
+    pub(crate) fn segment_ids(&self) -> String {
+        let segments = self.head.shared_segments().iter();
+        let ids: Vec<String> = segments.map(|s| format!("{:x}", s.id)).collect();
+        ids.join(",")
+    }
+
     /// Logs and counts an attempt that ended without an answer.
     pub(crate) fn log_failed_attempt(
         &self,
@@ -73,7 +80,8 @@
     ) {
         shared.metrics.record_failed_attempt(why);
         emit!(shared, info, AttemptFailed; "request" => &*self.head.id,
-            "endpoint" => &**endpoint, "why" => why, "in_doubt" => in_doubt,
+            "endpoint" => &**endpoint, "why" => why, "in_doubt" => in_doubt, "events" => 0,
+            "segments" => self.segment_ids(),
             "ms" => millis(start.elapsed()));
     }
 }
--- a/crates/caraway-routes/src/request.rs
+++ b/crates/caraway-routes/src/request.rs
@@ -57,3 +57,12 @@
     /// Id of the last event that the caller received, if it resumes an interrupted stream.
     pub resume_after: Option<Arc<str>>,
 }
+
+impl RequestHead {
+    /// Returns the segments of the prompt that other requests may share: all but the last one,
+    /// which belongs to the request or its session.
+    #[must_use]
+    pub fn shared_segments(&self) -> &[PromptSegment] {
+        self.prompt.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
