Add a test that fails: a segment crashes one engine after the other

The stand-in's engines can crash at the first token of a prompt with a given segment, and are registered again as a new incarnation.

--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -11,10 +11,13 @@
 
 use caraway_platform_standin::{
     Addresses, Behavior, Engine, EngineSpec, Ledger, PlainEndpoint, Proxy, Store, free_addrs,
-    limit_resources, registry_entry, settings,
+    held_models, limit_resources, registry_entry, settings,
 };
 use serde_json::{Value, json};
-use tokio::{sync::mpsc as requests, task::LocalSet};
+use tokio::{
+    sync::{mpsc as requests, watch},
+    task::LocalSet,
+};
 
 /// Timeout of every wait in these tests. It only ends a hanging test and asserts no latency.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -28,6 +31,8 @@
     pub(crate) store_proxy: Proxy,
     pub(crate) engine: Engine,
     pub(crate) engine_addr: SocketAddr,
+    /// The two engines of the service `lab`; a crashed one registers again.
+    pub(crate) lab: [Engine; 2],
     /// The two endpoints of the service `pair`; both answer requests.
     pub(crate) pair: [PlainEndpoint; 2],
     pair_addrs: Vec<SocketAddr>,
@@ -36,7 +41,7 @@
 type PartsAction = Box<dyn FnOnce(&Parts) + Send>;
 
 /// A stand-in of the platform on its own thread: a store, an engine, and plain endpoints. `desk` and
-/// `pair` answer; of `flaky`, one endpoint runs requests and closes the connection, the other
+/// `pair` answer, and `lab` has two engines; of `flaky`, one endpoint runs requests and closes the connection, the other
 /// refuses them as not run.
 #[derive(Clone, Debug)]
 pub(crate) struct Platform {
@@ -141,18 +146,57 @@
         store.publish("keyed.servers", id, &entry);
         pair_addrs.push(addr);
     }
+    let lab = ["l-1", "l-2"].map(|id| {
+        let spec = EngineSpec {
+            id: id.into(),
+            model: "base".into(),
+            adapter_slots: 2,
+        };
+        Engine::new(spec, ledger.clone())
+    });
+    for (id, engine) in ["l-1", "l-2"].into_iter().zip(&lab) {
+        let addr = engine.start().await.expect("an address");
+        register_engine(&store, id, addr, 1, true);
+        tokio::task::spawn_local(register_after_crashes(
+            store.clone(),
+            id,
+            addr,
+            engine.crashes(),
+        ));
+    }
     let store_proxy = Proxy::start(addr).await.expect("an address");
     let parts = Parts {
         store,
         store_proxy,
         engine,
         engine_addr,
+        lab,
         pair,
         pair_addrs,
     };
     (parts, addr)
 }
 
+/// Publishes the registry entry of an engine of the service `lab`.
+fn register_engine(store: &Store, id: &str, addr: SocketAddr, started_ms: u64, has_weights: bool) {
+    let models = held_models(has_weights);
+    let entry = registry_entry("lab", "z1", addr, started_ms, Some(models));
+    store.publish("keyed.servers", id, &entry);
+}
+
+/// Registers an engine as a new incarnation after each of its crashes.
+async fn register_after_crashes(
+    store: Store,
+    id: &'static str,
+    addr: SocketAddr,
+    mut crashes: watch::Receiver<u64>,
+) {
+    while crashes.changed().await.is_ok() {
+        let started_ms = 1 + *crashes.borrow_and_update();
+        register_engine(&store, id, addr, started_ms, false);
+    }
+}
+
 /// A gateway process, killed when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Gateway {
@@ -319,13 +363,21 @@
     let report = json!({"Name": "report", "Host": "h.example", "PathPrefix": "/report/",
         "Kind": "streaming", "TimeoutMs": 60000, "GoalMs": 100, "Service": "lm",
         "MaxAttempts": 1});
+    let mut lab = report.clone();
+    for (field, text) in [("Name", "lab"), ("PathPrefix", "/lab/"), ("Service", "lab")] {
+        lab[field] = json!(text);
+    }
+    let mut lab_service = configuration["Services"][0].clone();
+    lab_service["Name"] = json!("lab");
     let routes = configuration["Routes"].as_array_mut().expect("a list");
     routes.push(flaky);
     routes.push(summary);
     routes.push(pair);
     routes.push(report);
+    routes.push(lab);
     let services = configuration["Services"].as_array_mut().expect("a list");
     services.push(json!({"Name": "flaky", "MaxConns": 50}));
+    services.push(lab_service);
     services.push(json!({"Name": "pair", "MaxConns": 50}));
     configuration
 }
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway process with a stand-in of the platform.
 
+mod deadly_prompts;
 mod endpoint_signals;
 mod faulty;
 mod harness;
