Keep prompts that crash engines away from them: quarantine by evidence of all instances

The nine engines crashed one after the other for 22 s; sound requests got 502 and 503 meanwhile.

Cause: a failure that travels with the request was taken for one of the endpoint. Nothing remembered which requests were without progress at a crash, and each of five crashes may have been seen by another instance.

Fix: an instance whose request breaks off without progress checks whether the endpoint still accepts connections. If not, it reports the crash with the segments of those requests in a topic of the store (while that fails, through the sessions). Progress with a suspect segment is reported against it. What several crashes have in common, and no progress speaks against, is refused at once by every instance, as not run, with the time until it is tried again as Retry-After. The decisions are in caraway-quarantine, without I/O.

--- a/crates/caraway-entry/src/http/response.rs
+++ b/crates/caraway-entry/src/http/response.rs
@@ -78,6 +78,7 @@
         | Reason::LoadFailed
         | Reason::NoEndpoint
         | Reason::Leaving
-        | Reason::LogUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::LogUnavailable
+        | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -11,7 +11,7 @@
 use caraway_types::{EndpointId, Offset};
 
 use crate::{
-    claim, endpoint_limits,
+    claim, crash_records, endpoint_limits,
     event::emit,
     held_zone::HeldZone,
     shared::{Announcement, Shared},
@@ -43,6 +43,9 @@
         Topic::Operators => apply_operators(shared, record, source),
         Topic::Endpoints => return apply_endpoint(shared, record, missing_policy),
         Topic::Holders => claim::on_holder_record(shared, record),
+        Topic::Prompts => {
+            crash_records::on_record(shared, record, source);
+        }
     }
     true
 }
--- /dev/null
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -0,0 +1,461 @@
+//! Shares evidence of crashes with all instances: through a topic of the platform's store and, while
+//! the store can't be written to, through the sessions with the zones' holders.
+
+use std::{
+    collections::BTreeSet,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use caraway_platform::{Record, Topic, crash_key, progress_key, quarantine_key};
+use caraway_quarantine::{CrashReport, Quarantine, SegmentId, Verdict};
+use caraway_types::{EndpointId, InstanceId, Millis};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    apply::RecordSource,
+    event::emit,
+    executor::millis,
+    frame::{FromHolder, RecordsFrame, ToHolder},
+    shared::Shared,
+    store_backoff::StoreBackoff,
+    topics,
+};
+
+/// Label of frames with evidence that the store does not have.
+pub(crate) const PEER_EVIDENCE_LABEL: &str = "peer-evidence";
+/// Number of keys under which crashes and progress are reported. A later record may replace an
+/// earlier one, which all running instances have read by then.
+const EVIDENCE_KEYS: u64 = 64;
+/// Delay of shared progress for each instance of the deployment, so that few of those that see
+/// progress with the same segment share it.
+const PROGRESS_DELAY: Duration = Duration::from_millis(2);
+/// Largest delay of shared progress, a part of the time in which crashes settle.
+const MAX_PROGRESS_DELAY: Duration = Duration::from_millis(40);
+/// Delay of a shared quarantine for each instance. All instances decide on it at about the same
+/// time; only those that start later depend on the record.
+const QUARANTINE_DELAY: Duration = Duration::from_millis(20);
+/// Age from which on a crash is not reported any more: what has happened since is not known.
+const MAX_CRASH_AGE: Duration = Duration::from_secs(1);
+/// Number of records that are shared at a time.
+const MAX_SHARING: usize = 64;
+/// Number of attempts to append a record.
+const MAX_APPENDS: u32 = 6;
+
+/// A record of [`Topic::Prompts`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum EvidenceRecord {
+    /// An instance has seen a crash.
+    Crash {
+        /// The instance.
+        instance: InstanceId,
+        /// What it has seen.
+        report: CrashReport,
+    },
+    /// A request with a suspect segment has made progress.
+    Progress {
+        /// The service.
+        service: Arc<str>,
+        /// The segment.
+        segment: SegmentId,
+        /// Time since the progress.
+        age: Millis,
+    },
+    /// Segments are in quarantine.
+    Quarantine {
+        /// The service.
+        service: Arc<str>,
+        /// The segments.
+        segments: BTreeSet<SegmentId>,
+        /// The endpoints that crashed.
+        crashed: Vec<EndpointId>,
+        /// When the quarantine ends, in Unix milliseconds.
+        until_ms: u64,
+        /// Time for which it lasts.
+        lifetime: Millis,
+    },
+}
+
+impl EvidenceRecord {
+    fn of_quarantine(quarantine: &Quarantine) -> Self {
+        let remaining = quarantine.until.saturating_duration_since(Shared::now());
+        Self::Quarantine {
+            service: quarantine.service.clone(),
+            segments: quarantine.segments.clone(),
+            crashed: quarantine.crashed.clone(),
+            until_ms: unix_ms().saturating_add(millis(remaining)),
+            lifetime: quarantine.lifetime.into(),
+        }
+    }
+
+    /// Returns the key under which the record is stored.
+    fn key(&self) -> Arc<str> {
+        match self {
+            Self::Crash { instance, .. } => crash_key(xxh3_64(instance.as_bytes()) % EVIDENCE_KEYS),
+            Self::Progress {
+                service, segment, ..
+            } => progress_key(segments_hash(service, [segment]) % EVIDENCE_KEYS),
+            Self::Quarantine {
+                service, segments, ..
+            } => quarantine_key(segments_hash(service, segments)),
+        }
+    }
+
+    /// Sets the time since a crash or progress was seen.
+    fn set_age(&mut self, time: Duration) {
+        match self {
+            Self::Crash { report, .. } => report.age = time.into(),
+            Self::Progress { age, .. } => *age = time.into(),
+            Self::Quarantine { .. } => {}
+        }
+    }
+
+    fn encode(&self) -> Bytes {
+        let value = serde_json::to_vec(self);
+        value.expect("evidence has only strings and numbers").into()
+    }
+}
+
+/// Handles a crash that this instance has seen at `broke_at`, unless others have reported the same.
+pub(crate) fn on_own_crash(shared: &Rc<Shared>, report: CrashReport, broke_at: Instant) {
+    if shared.crash_watch.is_known(&report) {
+        return;
+    }
+    apply_crash(shared, &shared.site.instance, &report);
+    let instance = shared.site.instance.clone();
+    let evidence = EvidenceRecord::Crash { instance, report };
+    spawn_append(shared, evidence.key(), Some(evidence), broke_at);
+}
+
+/// Handles progress with a suspect segment that this instance has seen at `at`.
+pub(crate) fn on_own_progress(
+    shared: &Rc<Shared>,
+    service: &Arc<str>,
+    segment: SegmentId,
+    at: Instant,
+) {
+    apply_progress(shared, service, segment, at);
+    share_progress(shared, service, segment, at);
+}
+
+/// Applies a record of [`Topic::Prompts`]; returns whether it was new. Crashes and progress that may
+/// be old are not applied: what they led to is in the records of quarantines.
+pub(crate) fn on_record(shared: &Rc<Shared>, record: &Record, source: RecordSource) -> bool {
+    let Some(value) = &record.value else {
+        return lift(shared, &record.key);
+    };
+    let evidence = match serde_json::from_slice::<EvidenceRecord>(value) {
+        Ok(evidence) => evidence,
+        Err(e) => {
+            emit!(shared, warn, ConfigFinding; "key" => &*record.key, "offset" => record.offset,
+                "finding" => %e);
+            return false;
+        }
+    };
+    let may_be_old = source == RecordSource::Snapshot || topics::may_miss_prompts(shared);
+    match evidence {
+        EvidenceRecord::Quarantine {
+            service,
+            segments,
+            crashed,
+            until_ms,
+            lifetime,
+        } => {
+            let remaining = Duration::from_millis(until_ms.saturating_sub(unix_ms()));
+            let now = Shared::now();
+            let quarantine = Quarantine {
+                service,
+                segments,
+                crashed,
+                decided_at: now,
+                // The clock of the instance that wrote the record may be wrong.
+                until: now + remaining.min(lifetime.get() * 2),
+                lifetime: lifetime.get(),
+            };
+            adopt(shared, &record.key, &quarantine)
+        }
+        EvidenceRecord::Crash { .. } | EvidenceRecord::Progress { .. } if may_be_old => false,
+        EvidenceRecord::Crash { instance, report } => {
+            let is_own = instance == shared.site.instance;
+            if is_own || shared.crash_watch.is_known(&report) {
+                return false;
+            }
+            apply_crash(shared, &instance, &report);
+            true
+        }
+        EvidenceRecord::Progress {
+            service,
+            segment,
+            age,
+        } => {
+            let watch = &shared.crash_watch;
+            let key = (service, segment);
+            watch.unshared_progress.borrow_mut().remove(&key);
+            let (service, segment) = key;
+            let is_suspect = watch.evidence.borrow().is_suspect(&service, segment);
+            if is_suspect {
+                let now = Instant::now();
+                let at = now.checked_sub(age.get()).unwrap_or(now);
+                apply_progress(shared, &service, segment, at);
+            }
+            is_suspect
+        }
+    }
+}
+
+/// Handles evidence that another instance could not write to the store.
+pub(crate) fn on_peer_evidence(shared: &Rc<Shared>, frame: &RecordsFrame) {
+    for record in &frame.records {
+        if on_record(shared, record, RecordSource::Log) {
+            send_to_peers(shared, record.clone());
+        }
+    }
+}
+
+/// Logs how a quarantine changed, and shares that unless another instance does.
+pub(crate) fn on_verdict(shared: &Rc<Shared>, verdict: Verdict) {
+    let Verdict { before, after } = verdict;
+    if let Some(before) = before
+        && after.as_ref().is_none_or(|a| a.segments != before.segments)
+    {
+        emit!(shared, info, QuarantineEnded; "service" => &*before.service,
+            "segments" => segment_list(&before.segments),
+            "why" => "not all of its segments are necessary for a crash");
+        share_quarantine(shared, key_of(&before), None);
+    }
+    if let Some(after) = after {
+        log_quarantine(shared, &after, "own evidence");
+        share_quarantine(shared, key_of(&after), Some(after));
+    }
+}
+
+fn apply_crash(shared: &Rc<Shared>, instance: &InstanceId, report: &CrashReport) {
+    emit!(shared, info, EndpointCrashed; "endpoint" => &*report.endpoint,
+        "service" => &*report.service, "seen_by" => &**instance,
+        "segments" => segment_list(&report.suspects), "proven" => segment_list(&report.proven),
+        "requests" => report.requests.join(","), "age_ms" => millis(report.age.get()));
+    let proven = {
+        let mut evidence = shared.crash_watch.evidence.borrow_mut();
+        evidence.on_report(Shared::now(), report)
+    };
+    for (segment, at) in proven {
+        share_progress(shared, &report.service, segment, Instant::from_std(at));
+    }
+}
+
+fn apply_progress(shared: &Rc<Shared>, service: &Arc<str>, segment: SegmentId, at: Instant) {
+    let verdicts = {
+        let mut evidence = shared.crash_watch.evidence.borrow_mut();
+        evidence.on_progress(at.into_std(), service, segment)
+    };
+    for verdict in verdicts {
+        on_verdict(shared, verdict);
+    }
+}
+
+fn log_quarantine(shared: &Shared, quarantine: &Quarantine, source: &str) {
+    emit!(shared, warn, QuarantineStarted; "service" => &*quarantine.service,
+        "segments" => segment_list(&quarantine.segments),
+        "crashed" => quarantine.crashed.join(","), "source" => source,
+        "ms" => millis(quarantine.until.saturating_duration_since(Shared::now())));
+}
+
+fn adopt(shared: &Rc<Shared>, key: &Arc<str>, quarantine: &Quarantine) -> bool {
+    let watch = &shared.crash_watch;
+    watch.unshared_quarantines.borrow_mut().remove(key);
+    if quarantine.until <= Shared::now() {
+        return false;
+    }
+    let is_new = watch.evidence.borrow_mut().adopt(quarantine.clone());
+    if is_new {
+        log_quarantine(shared, quarantine, "another instance");
+    }
+    is_new
+}
+
+/// Ends the quarantine with this key; returns whether it was known.
+fn lift(shared: &Rc<Shared>, key: &Arc<str>) -> bool {
+    let watch = &shared.crash_watch;
+    watch.unshared_quarantines.borrow_mut().remove(key);
+    let known: Vec<Quarantine> = {
+        let evidence = watch.evidence.borrow();
+        let all = evidence.quarantines(Shared::now());
+        all.filter(|q| key_of(q) == *key).cloned().collect()
+    };
+    for quarantine in &known {
+        emit!(shared, info, QuarantineEnded; "service" => &*quarantine.service,
+            "segments" => segment_list(&quarantine.segments), "why" => "its record was deleted");
+        let mut evidence = watch.evidence.borrow_mut();
+        evidence.lift(&quarantine.service, &quarantine.segments);
+    }
+    !known.is_empty()
+}
+
+/// Shares progress with a segment after a random delay, unless another instance does.
+fn share_progress(shared: &Rc<Shared>, service: &Arc<str>, segment: SegmentId, at: Instant) {
+    let key = (service.clone(), segment);
+    let is_scheduled = {
+        let mut unshared = shared.crash_watch.unshared_progress.borrow_mut();
+        !unshared.insert(key.clone())
+    };
+    if is_scheduled {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        sleep(random_delay(&shared, PROGRESS_DELAY).min(MAX_PROGRESS_DELAY)).await;
+        let is_unshared = {
+            let mut unshared = shared.crash_watch.unshared_progress.borrow_mut();
+            unshared.remove(&key)
+        };
+        if is_unshared {
+            let (service, segment) = key;
+            let evidence = EvidenceRecord::Progress {
+                service,
+                segment,
+                age: Millis::default(),
+            };
+            spawn_append(&shared, evidence.key(), Some(evidence), at);
+        }
+    });
+}
+
+/// Shares that a quarantine has started, or ended if `quarantine` is `None`, after a random delay
+/// and unless another instance has done so.
+fn share_quarantine(shared: &Rc<Shared>, key: Arc<str>, quarantine: Option<Quarantine>) {
+    let is_scheduled = {
+        let mut unshared = shared.crash_watch.unshared_quarantines.borrow_mut();
+        unshared.insert(key.clone(), quarantine).is_some()
+    };
+    if is_scheduled {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        sleep(random_delay(&shared, QUARANTINE_DELAY)).await;
+        let unshared = {
+            let mut unshared = shared.crash_watch.unshared_quarantines.borrow_mut();
+            unshared.remove(&key)
+        };
+        if let Some(quarantine) = unshared {
+            let evidence = quarantine.as_ref().map(EvidenceRecord::of_quarantine);
+            spawn_append(&shared, key, evidence, Instant::now());
+        }
+    });
+}
+
+/// Appends a record to the store; `None` deletes the key. `seen_at` is when this instance saw what
+/// the record says.
+fn spawn_append(
+    shared: &Rc<Shared>,
+    key: Arc<str>,
+    evidence: Option<EvidenceRecord>,
+    seen_at: Instant,
+) {
+    let sharing = &shared.crash_watch.sharing;
+    if sharing.get() >= MAX_SHARING {
+        emit!(shared, warn, EvidenceLost; "key" => &*key, "error" => "too many are being shared");
+        return;
+    }
+    sharing.set(sharing.get() + 1);
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        append(&shared, &key, evidence, seen_at).await;
+        let sharing = &shared.crash_watch.sharing;
+        sharing.set(sharing.get() - 1);
+    });
+}
+
+/// Appends a record to the store, and sends it to other instances directly while that fails.
+async fn append(
+    shared: &Rc<Shared>,
+    key: &Arc<str>,
+    mut evidence: Option<EvidenceRecord>,
+    seen_at: Instant,
+) {
+    let mut retry = StoreBackoff::default();
+    for attempt in 1..=MAX_APPENDS {
+        if let Some(evidence) = &mut evidence {
+            evidence.set_age(seen_at.elapsed());
+        }
+        let value = evidence.as_ref().map(EvidenceRecord::encode);
+        let text = value.as_deref().unwrap_or_default();
+        let result = shared.store.append(Topic::Prompts, key, text).await;
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        shared.metrics.record_store_call("evidence", label);
+        let Err(error) = result else {
+            return;
+        };
+        if attempt == 1 {
+            let record = Record {
+                offset: 0,
+                key: key.clone(),
+                value,
+            };
+            send_to_peers(shared, record);
+        }
+        let is_crash = matches!(evidence, Some(EvidenceRecord::Crash { .. }));
+        let is_old = is_crash && seen_at.elapsed() > MAX_CRASH_AGE;
+        if attempt == MAX_APPENDS || is_old {
+            emit!(shared, warn, EvidenceLost; "key" => &**key, "error" => %error);
+            return;
+        }
+        sleep(retry.record_failure(true, shared.zone_instances())).await;
+    }
+}
+
+/// Sends evidence to the holders of all zones and to the instances that are connected to this one.
+fn send_to_peers(shared: &Rc<Shared>, record: Record) {
+    let frame = RecordsFrame {
+        topic: PEER_EVIDENCE_LABEL.into(),
+        complete: false,
+        from: 0,
+        next: 0,
+        records: vec![record],
+        late: false,
+    };
+    let from_holder = FromHolder::Records(frame.clone());
+    for held in shared.held_zones() {
+        held.forward_records(&from_holder);
+    }
+    let to_holder = ToHolder::Records(frame);
+    for session in shared.sessions.borrow().values() {
+        session.send(&to_holder);
+    }
+}
+
+/// Returns a random delay that grows with the number of instances.
+fn random_delay(shared: &Shared, for_each: Duration) -> Duration {
+    let instances = u32::try_from(shared.estimated_instances()).unwrap_or(u32::MAX);
+    let longest = for_each.saturating_mul(instances);
+    longest.mul_f64(Shared::random_fraction())
+}
+
+/// Returns the key of a quarantine's record.
+fn key_of(quarantine: &Quarantine) -> Arc<str> {
+    quarantine_key(segments_hash(&quarantine.service, &quarantine.segments))
+}
+
+fn segments_hash<'a>(service: &str, segments: impl IntoIterator<Item = &'a SegmentId>) -> u64 {
+    let mut bytes = service.as_bytes().to_vec();
+    for segment in segments {
+        bytes.extend_from_slice(&segment.to_be_bytes());
+    }
+    xxh3_64(&bytes)
+}
+
+/// Returns segments as in log lines: hexadecimal, as callers write them.
+pub(crate) fn segment_list<'a>(segments: impl IntoIterator<Item = &'a SegmentId>) -> String {
+    let ids: Vec<String> = segments.into_iter().map(|s| format!("{s:x}")).collect();
+    ids.join(",")
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, millis)
+}
--- /dev/null
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -0,0 +1,193 @@
+//! Finds out which engines crashed, and which requests were without progress there.
+//!
+//! When a request breaks off without progress, this instance checks whether the endpoint still
+//! accepts connections. If not, it reports the crash with the segments of the requests that could be
+//! its cause; see [`crash_records`].
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use caraway_http::{Acceptance, ConnectTimeouts, check_acceptance};
+use caraway_quarantine::{CrashEvidence, CrashReport, EvidenceSettings, Quarantine, SegmentId};
+use caraway_routes::PromptSegment;
+use caraway_types::{EndpointId, RequestId};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    crash_records, endpoint_signals::EndpointIncarnation, request::Call, shared::Shared, topics,
+};
+
+/// Time in which the requests that break off at a crash are collected.
+const COLLECT_TIME: Duration = Duration::from_millis(5);
+/// Largest delay of a report, in which another instance may report the same.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(10);
+/// Number of requests of which a report has the ids and segments.
+const MAX_REPORTED: usize = 64;
+/// Events of an attempt from which on it has made progress: a crash at the first event may still be
+/// due to the request.
+pub(crate) const PROGRESS_EVENTS: u64 = 2;
+
+/// What this instance knows of prompts that crash engines.
+#[derive(Debug)]
+pub(crate) struct CrashWatch {
+    pub(crate) evidence: RefCell<CrashEvidence>,
+    /// Requests that broke off without progress at endpoints that are being checked.
+    broken: RefCell<HashMap<EndpointId, Vec<BrokenRequest>>>,
+    /// Segments whose progress is to be shared unless another instance shares it first.
+    pub(crate) unshared_progress: RefCell<HashSet<(Arc<str>, SegmentId)>>,
+    /// Quarantines that are to be shared unless another instance shares them first, by their keys;
+    /// `None` for those that have ended.
+    pub(crate) unshared_quarantines: RefCell<HashMap<Arc<str>, Option<Quarantine>>>,
+    /// Number of records that are being shared.
+    pub(crate) sharing: Cell<usize>,
+}
+
+/// A request that broke off without progress.
+#[derive(Debug)]
+struct BrokenRequest {
+    id: RequestId,
+    segments: Vec<PromptSegment>,
+    sent_at: Instant,
+}
+
+impl CrashWatch {
+    /// Creates the state of a starting instance; `jitter` is a random number of the instance.
+    pub(crate) fn new(jitter: f64) -> Self {
+        let settings = EvidenceSettings {
+            jitter,
+            ..EvidenceSettings::default()
+        };
+        Self {
+            evidence: RefCell::new(CrashEvidence::new(settings)),
+            broken: RefCell::default(),
+            unshared_progress: RefCell::default(),
+            unshared_quarantines: RefCell::default(),
+            sharing: Cell::new(0),
+        }
+    }
+
+    /// Returns whether a report would add nothing to what is known.
+    pub(crate) fn is_known(&self, report: &CrashReport) -> bool {
+        self.evidence.borrow().is_known(Shared::now(), report)
+    }
+
+    /// Returns the quarantine that keeps a request from the endpoints of its service.
+    pub(crate) fn quarantine(&self, call: &Call) -> Option<Quarantine> {
+        let evidence = self.evidence.borrow();
+        let segments = call.head.shared_segments();
+        let has_segment = |id| segments.iter().any(|s| s.id == id);
+        evidence
+            .quarantine(Shared::now(), &call.service, has_segment)
+            .cloned()
+    }
+}
+
+/// Draws the conclusions from the crashes that are known by now.
+pub(crate) fn draw_conclusions(shared: &Rc<Shared>) {
+    let is_current = topics::is_registry_current(shared);
+    let verdicts = {
+        let mut evidence = shared.crash_watch.evidence.borrow_mut();
+        evidence.on_tick(Shared::now(), is_current)
+    };
+    for verdict in verdicts {
+        crash_records::on_verdict(shared, verdict);
+    }
+}
+
+/// Records that a request has made progress at an engine.
+pub(crate) fn on_progress(shared: &Rc<Shared>, call: &Call) {
+    let segments = call.head.shared_segments().iter().map(|s| s.id);
+    let suspects = {
+        let mut evidence = shared.crash_watch.evidence.borrow_mut();
+        evidence.record_progress(Shared::now(), &call.service, segments)
+    };
+    for segment in suspects {
+        crash_records::on_own_progress(shared, &call.service, segment, Instant::now());
+    }
+}
+
+/// Handles a request that broke off at an endpoint without progress.
+pub(crate) fn on_break(
+    shared: &Rc<Shared>,
+    call: &Call,
+    incarnation: &EndpointIncarnation,
+    sent_at: Instant,
+) {
+    let segments = call.head.shared_segments();
+    if segments.is_empty() {
+        return;
+    }
+    let request = BrokenRequest {
+        id: call.head.id.clone(),
+        segments: segments.to_vec(),
+        sent_at,
+    };
+    let mut broken = shared.crash_watch.broken.borrow_mut();
+    if let Some(requests) = broken.get_mut(&incarnation.endpoint) {
+        requests.push(request);
+        return;
+    }
+    broken.insert(incarnation.endpoint.clone(), vec![request]);
+    let check = check_endpoint(shared.clone(), call.service.clone(), incarnation.clone());
+    tokio::task::spawn_local(check);
+}
+
+/// Checks whether an endpoint has crashed, and reports that.
+async fn check_endpoint(shared: Rc<Shared>, service: Arc<str>, incarnation: EndpointIncarnation) {
+    let broke_at = Instant::now();
+    sleep(COLLECT_TIME).await;
+    let addr = {
+        let directory = shared.directory.borrow();
+        directory.get(&incarnation.endpoint).map(|e| e.addr)
+    };
+    // The registry has already removed an endpoint without an address.
+    let has_crashed = match addr {
+        Some(addr) => {
+            check_acceptance(addr, &ConnectTimeouts::default()).await == Acceptance::Refusing
+        }
+        None => true,
+    };
+    let requests = {
+        let mut broken = shared.crash_watch.broken.borrow_mut();
+        broken.remove(&incarnation.endpoint).unwrap_or_default()
+    };
+    if !has_crashed {
+        return;
+    }
+    sleep(MAX_REPORT_DELAY.mul_f64(Shared::random_fraction())).await;
+    let report = crash_report(&shared, service, &incarnation, &requests, broke_at);
+    if !report.suspects.is_empty() || !report.proven.is_empty() {
+        crash_records::on_own_crash(&shared, report, broke_at);
+    }
+}
+
+/// Returns the report of a crash.
+fn crash_report(
+    shared: &Shared,
+    service: Arc<str>,
+    incarnation: &EndpointIncarnation,
+    requests: &[BrokenRequest],
+    broke_at: Instant,
+) -> CrashReport {
+    let segments = requests.iter().take(MAX_REPORTED).flat_map(|request| {
+        let sent_at = request.sent_at.into_std();
+        request.segments.iter().map(move |s| (s.id, sent_at))
+    });
+    let evidence = shared.crash_watch.evidence.borrow();
+    let (suspects, proven) = evidence.classify(&service, segments);
+    let ids = requests.iter().take(MAX_REPORTED).map(|r| r.id.clone());
+    CrashReport {
+        service,
+        endpoint: incarnation.endpoint.clone(),
+        started_ms: incarnation.started_ms,
+        age: broke_at.elapsed().into(),
+        suspects,
+        proven,
+        requests: ids.collect(),
+    }
+}
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -73,6 +73,14 @@
     EndpointLimited = 1123, "endpoint limit", 20;
     /// A request got no permit for an endpoint that limits the rate of its requests.
     PermitDenied = 1124, "permit denied", 20;
+    /// An endpoint crashed while requests were without progress there.
+    EndpointCrashed = 1125, "endpoint crashed", 20;
+    /// Prompts with certain segments are kept from the endpoints that they crash.
+    QuarantineStarted = 1126, "quarantine started", 20;
+    /// A quarantine ended before its time.
+    QuarantineEnded = 1127, "quarantine ended", 20;
+    /// Evidence of a crash could not be shared with other instances.
+    EvidenceLost = 1128, "evidence not shared", 20;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -7,6 +7,7 @@
 use caraway_http::{Payload, PooledConnection, read_body_within};
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::{ResponseHead, copy_response_headers, decode_response_head};
+use caraway_quarantine::Quarantine;
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
 use http::{HeaderMap, Response, StatusCode};
@@ -16,6 +17,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    crash_records::segment_list,
+    crash_watch,
     endpoint_limits::PERMIT_EXPIRED,
     endpoint_signals::{
         BlockReason, EndpointIncarnation, handle_answer_head, report_draining_to_holder,
@@ -53,6 +56,9 @@
     /// The first bytes; `None` when the stream is empty.
     pub(crate) first: Option<Bytes>,
     pub(crate) body: Incoming,
+    /// The incarnation that the request was sent to.
+    pub(crate) incarnation: EndpointIncarnation,
+    pub(crate) sent_at: Instant,
 }
 
 /// How an attempt ended.
@@ -66,6 +72,8 @@
     NotRun(&'static str),
     /// The endpoint may have run the request; this is what failed.
     InDoubt(&'static str),
+    /// The request was not sent, as it is in this quarantine by now.
+    Quarantined(Quarantine),
 }
 
 /// Time without an answer or a first event after which an endpoint is reported as stalled; first
@@ -146,6 +154,9 @@
     let placement = placement_request(call, since);
     let mut error_response = None;
     loop {
+        if let Some(quarantine) = shared.crash_watch.quarantine(call) {
+            return Err(quarantine_refusal(shared, call, history, &quarantine));
+        }
         let placed = if let Some(placed) = granted.take() {
             placed
         } else {
@@ -191,6 +202,9 @@
                 }
                 why
             }
+            Outcome::Quarantined(quarantine) => {
+                return Err(quarantine_refusal(shared, call, history, &quarantine));
+            }
             Outcome::InDoubt(why) => {
                 if !try_acquire_rerun(shared, call, history) {
                     return Err(call.in_doubt(why, MIN_ATTEMPT_TIME));
@@ -296,6 +310,26 @@
     RefusalResponse::not_run(reason, &detail).with_retry_after(not_placed.retry_after)
 }
 
+/// Returns the refusal of a request whose prompt is in quarantine.
+fn quarantine_refusal(
+    shared: &Shared,
+    call: &Call,
+    history: &AttemptHistory,
+    quarantine: &Quarantine,
+) -> RefusalResponse {
+    shared.metrics.record_quarantined();
+    let detail = format!(
+        "the endpoints {} crashed on prompts with the segments {}",
+        quarantine.crashed.join(", "),
+        segment_list(&quarantine.segments)
+    );
+    if history.possible_runs > 0 {
+        return call.in_doubt(&detail, MIN_ATTEMPT_TIME);
+    }
+    let remaining = quarantine.until.saturating_duration_since(Shared::now());
+    RefusalResponse::not_run(Reason::Quarantined, &detail).with_retry_after(remaining)
+}
+
 /// Sends the request to an endpoint once and logs a failure.
 async fn attempt(
     shared: &Rc<Shared>,
@@ -339,6 +373,10 @@
         placed.grant.set_outcome(RequestOutcome::NotSent);
         return Outcome::NotRun(PERMIT_EXPIRED);
     }
+    if let Some(quarantine) = shared.crash_watch.quarantine(call) {
+        placed.grant.set_outcome(RequestOutcome::NotSent);
+        return Outcome::Quarantined(quarantine);
+    }
     // `deadline` covers the first event only; closing the connection cancels an abandoned attempt.
     let request = request_to_endpoint(call, &placed.endpoint, resume_after, call.deadline);
     record_first_send(shared, call, history.sent);
@@ -353,6 +391,7 @@
         Ok(Err(_)) => {
             (history.sent, history.possible_runs) = (history.sent + 1, history.possible_runs + 1);
             set_failed(&placed);
+            crash_watch::on_break(shared, call, &incarnation, sent_at);
             return Outcome::InDoubt("the connection broke");
         }
         Err(_) => {
@@ -390,6 +429,7 @@
         Ok(None) => None,
         Ok(Some(Err(_))) => {
             set_failed(&placed);
+            crash_watch::on_break(shared, call, &incarnation, sent_at);
             return Outcome::InDoubt("the stream broke off before its first event");
         }
         Err(_) => {
@@ -405,6 +445,8 @@
         headers,
         first,
         body,
+        incarnation,
+        sent_at,
     }))
 }
 
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -7,6 +7,8 @@
 mod apply;
 mod claim;
 mod claim_schedule;
+mod crash_records;
+mod crash_watch;
 mod endpoint_limits;
 mod endpoint_signals;
 mod event;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -51,6 +51,8 @@
         &["kind"],
     ),
     MetricInfo::new("caraway_gateway_held_back", "requests", &[]),
+    MetricInfo::new("caraway_gateway_quarantines", "quarantines", &[]),
+    MetricInfo::new("caraway_gateway_quarantined_total", "requests", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -74,6 +76,8 @@
     limited_sends: Counter<u64>,
     permits_denied: Counter<u64>,
     held_back: Gauge<u64>,
+    quarantines: Gauge<u64>,
+    quarantined: Counter<u64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
@@ -93,6 +97,8 @@
     pub(crate) endpoint_limits: u64,
     /// Requests that the placers of the held zones have held back so far for lack of a permit.
     pub(crate) held_back: u64,
+    /// Quarantines of prompts in force.
+    pub(crate) quarantines: u64,
 }
 
 impl Metrics {
@@ -126,6 +132,8 @@
             limited_sends: counter("caraway_gateway_limited_sends"),
             permits_denied: counter("caraway_gateway_permits_denied"),
             held_back: gauge("caraway_gateway_held_back"),
+            quarantines: gauge("caraway_gateway_quarantines"),
+            quarantined: counter("caraway_gateway_quarantined"),
             exporter,
         })
     }
@@ -143,6 +151,7 @@
         self.lines_dropped.record(gauges.lines_dropped, &[]);
         self.endpoint_limits.record(gauges.endpoint_limits, &[]);
         self.held_back.record(gauges.held_back, &[]);
+        self.quarantines.record(gauges.quarantines, &[]);
         self.exporter.text()
     }
 
@@ -186,6 +195,11 @@
         self.permits_denied.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request that was refused because of a quarantine.
+    pub(crate) fn record_quarantined(&self) {
+        self.quarantined.add(1, &[]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/monitoring.rs
+++ b/crates/caraway-gateway/src/monitoring.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use caraway_http::Payload;
-use caraway_platform::is_ready_check;
+use caraway_platform::{Topic, is_ready_check};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 
@@ -49,10 +49,13 @@
     let has_config = shared.routing.borrow().is_some();
     let has_endpoints = !shared.directory.borrow().is_empty();
     let is_draining = shared.is_draining();
-    let ready = has_config && has_endpoints && !is_draining;
+    // Otherwise a starting instance would send requests that are in quarantine.
+    let has_quarantines = shared.topics.borrow().is_read_or_failing(Topic::Prompts);
+    let ready = has_config && has_endpoints && has_quarantines && !is_draining;
     if shared.is_ready.replace(ready) != ready {
         emit!(shared, info, ReadinessChanged; "ready" => ready, "has_config" => has_config,
-            "has_endpoints" => has_endpoints, "leaving" => is_draining);
+            "has_endpoints" => has_endpoints, "has_quarantines" => has_quarantines,
+            "leaving" => is_draining);
     }
     ready
 }
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -16,6 +16,7 @@
 };
 
 use crate::{
+    crash_watch::{self, PROGRESS_EVENTS},
     event::emit,
     executor::millis,
     generate::{
@@ -73,6 +74,36 @@
     NoEndpoint,
 }
 
+/// Whether an attempt has made progress.
+struct AttemptProgress {
+    /// Number of the stream's events when the attempt began.
+    first_event: u64,
+    /// Number of pieces of the attempt that completed events.
+    pieces: u64,
+    is_made: bool,
+}
+
+impl AttemptProgress {
+    fn new(splitter: &EventSplitter) -> Self {
+        Self {
+            first_event: splitter.event_count(),
+            pieces: 0,
+            is_made: false,
+        }
+    }
+
+    /// Handles events of the attempt; returns true the first time that it has made progress.
+    fn on_events(&mut self, splitter: &EventSplitter) -> bool {
+        self.pieces += 1;
+        // Events need not have ids, by which the splitter counts them.
+        let events = self.pieces.max(splitter.event_count() - self.first_event);
+        !self.is_made && {
+            self.is_made = events >= PROGRESS_EVENTS;
+            self.is_made
+        }
+    }
+}
+
 impl Relay {
     pub(crate) fn new(
         shared: Rc<Shared>,
@@ -170,6 +201,8 @@
             head,
             first,
             mut body,
+            incarnation,
+            sent_at,
             ..
         } = stream;
         let deadline = self.call.caller_deadline + DEADLINE_GRACE;
@@ -178,9 +211,13 @@
         // Only whole events count as progress: a stalled stream may still send bytes.
         let mut last_event_at = Instant::now();
         let mut may_take_over = self.call.route.may_rerun();
+        let mut progress = AttemptProgress::new(&self.splitter);
         let mut chunk = first;
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
+                if progress.on_events(&self.splitter) {
+                    crash_watch::on_progress(&self.shared, &self.call);
+                }
                 if out.send(Ok(events)).await.is_err() {
                     return ForwardEnd::CallerDisconnected;
                 }
@@ -220,15 +257,24 @@
                 None => None,
                 Some(Err(_)) => {
                     placed.grant.set_outcome(RequestOutcome::Failed);
+                    if !progress.is_made {
+                        crash_watch::on_break(&self.shared, &self.call, &incarnation, sent_at);
+                    }
                     return ForwardEnd::Broken("the stream broke off");
                 }
             };
         }
         if self.splitter.has_partial_event() {
             placed.grant.set_outcome(RequestOutcome::Failed);
+            if !progress.is_made {
+                crash_watch::on_break(&self.shared, &self.call, &incarnation, sent_at);
+            }
             return ForwardEnd::Broken("the stream ended in the middle of an event");
         }
         return_connection(&self.shared, &placed.endpoint, pooled, &head);
+        if !progress.is_made {
+            crash_watch::on_progress(&self.shared, &self.call);
+        }
         ForwardEnd::Complete
     }
 }
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    apply, claim,
+    apply, claim, crash_watch,
     event::emit,
     executor::millis,
     log::{LogLimits, LogQueue, json_logger, start_writer},
@@ -151,6 +151,7 @@
         sleep(CHECK_INTERVAL).await;
         apply::expire_endpoints(&shared);
         claim::check_zones(&shared);
+        crash_watch::draw_conclusions(&shared);
         rounds += 1;
         if rounds % CHECKS_PER_SWEEP == 0 {
             shared.pool.sweep();
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    crash_watch::CrashWatch,
     endpoint_limits::LimitState,
     fleet_size::FleetSize,
     held_zone::HeldZone,
@@ -100,6 +101,8 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
     pub(crate) limits: LimitState,
+    /// What is known of prompts that crash engines.
+    pub(crate) crash_watch: CrashWatch,
     /// The number of instances of all zones, as far as it is known.
     pub(crate) fleet_size: Cell<FleetSize>,
     /// The newest announced version of each adapter.
@@ -165,6 +168,7 @@
             directory: RefCell::default(),
             pauses: RefCell::default(),
             limits: LimitState::default(),
+            crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
             fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
@@ -336,10 +340,17 @@
             held_zones: count(held_zones.len()),
             lines_dropped: self.log_queue.dropped(),
             endpoint_limits: count(self.limits.count()),
+            quarantines: {
+                let evidence = self.crash_watch.evidence.borrow();
+                count(evidence.quarantines(Self::now()).count())
+            },
         }
     }
 }
 
+/// Largest part by which an instance extends quarantines.
+const QUARANTINE_JITTER: f64 = 0.25;
+
 fn placer_settings(site: &InstanceSettings) -> PlacerSettings {
     PlacerSettings {
         load_window: site.bounds.load_window,
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -15,6 +15,7 @@
     apply::{self, RecordSource},
     claim,
     claim_schedule::ClaimSchedule,
+    crash_records::{self, PEER_EVIDENCE_LABEL},
     event::emit,
     executor::millis,
     forwarding::ForwardingStatus,
@@ -31,6 +32,8 @@
 const OPERATORS_LONG_POLL: Duration = Duration::from_millis(700);
 /// Time for which a read of the holders' topic waits at the store; changes of a holder are rare.
 const HOLDERS_LONG_POLL: Duration = Duration::from_secs(15);
+/// Time for which a read of the topic of deadly prompts waits at the store; it has few records.
+const PROMPTS_LONG_POLL: Duration = Duration::from_secs(15);
 /// Time for which a read of the registry waits at the store. It also bounds how late an outage of
 /// the store is detected, on which the other topics and the instances that receive forwarded
 /// records rely: with the timeout of the answer it is well within the shortest time (2 s) in which
@@ -106,6 +109,12 @@
         self.states.get(&topic)?.next_offset
     }
 
+    /// Returns whether a topic was read to its end once, or can't be read now.
+    pub(crate) fn is_read_or_failing(&self, topic: Topic) -> bool {
+        let state = self.states.get(&topic);
+        state.is_some_and(|s| s.next_offset.is_some() || s.failing)
+    }
+
     /// Makes the reader of a topic read at once.
     pub(crate) fn wake(&self, topic: Topic) {
         if let Some(state) = self.states.get(&topic) {
@@ -154,7 +163,7 @@
                 match topic {
                     Topic::Endpoints => REGISTRY_PAUSE,
                     Topic::Holders if !needs_prompt_reads(&shared) => HOLDERS_PAUSE,
-                    Topic::Operators | Topic::Holders => Duration::ZERO,
+                    Topic::Operators | Topic::Holders | Topic::Prompts => Duration::ZERO,
                 }
             }
             Err(e) => {
@@ -222,6 +231,10 @@
 
 /// Handles records that another instance forwarded.
 pub(crate) fn on_records(shared: &Rc<Shared>, frame: &RecordsFrame) {
+    if *frame.topic == *PEER_EVIDENCE_LABEL {
+        crash_records::on_peer_evidence(shared, frame);
+        return;
+    }
     let topic = Topic::ALL.into_iter().find(|t| t.label() == &*frame.topic);
     let Some(topic) = topic else {
         return;
@@ -296,6 +309,7 @@
         Topic::Endpoints => REGISTRY_LONG_POLL,
         Topic::Operators => OPERATORS_LONG_POLL,
         Topic::Holders => HOLDERS_LONG_POLL,
+        Topic::Prompts => PROMPTS_LONG_POLL,
     };
     let read = tokio::select! {
         read = shared.store.read(topic, from, wait) => read,
@@ -329,7 +343,7 @@
     let now = Shared::now();
     match topic {
         Topic::Endpoints => topics.outage.on_read(now),
-        Topic::Operators | Topic::Holders => topics.outage.missing_policy(now),
+        Topic::Operators | Topic::Holders | Topic::Prompts => topics.outage.missing_policy(now),
     }
 }
 
@@ -437,6 +451,13 @@
     topics.state(Topic::Operators).failing
 }
 
+/// Returns whether this instance may have missed records of the topic of deadly prompts, so that the
+/// next ones may be old.
+pub(crate) fn may_miss_prompts(shared: &Shared) -> bool {
+    let mut topics = shared.topics.borrow_mut();
+    topics.state(Topic::Prompts).failing
+}
+
 /// Forwards records to the instances that are connected to this one, and those of the operators'
 /// topic also to holders that can't read it.
 fn forward(shared: &Rc<Shared>, topic: Topic, frame: RecordsFrame) {
--- a/crates/caraway-gateway/tests/process/deadly_prompts.rs
+++ b/crates/caraway-gateway/tests/process/deadly_prompts.rs
@@ -1,6 +1,7 @@
 //! Prompts with a segment that crashes every engine that generates for it.
 
 use std::{
+    fmt::Write,
     sync::atomic::{AtomicBool, Ordering},
     thread,
     time::Duration,
@@ -40,11 +41,14 @@
 
 /// Sends a request whose prompt has these segments and one of its own; returns the answer.
 fn send(gateway: &Gateway, id: &str, segments: &[u64]) -> String {
-    let segments: String = segments.iter().map(|s| format!("{s:x}:20,")).collect();
     let own = id.bytes().fold(1, |hash: u64, b| hash * 31 + u64::from(b));
+    let mut prompt = String::new();
+    for segment in segments {
+        write!(prompt, "{segment:x}:20,").expect("a string takes any text");
+    }
     let headers = format!(
         "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: 50,5\r\n\
-         X-Prompt-Prefix: {segments}{own:x}:10\r\nX-Deadline-Ms: 1500\r\n"
+         X-Prompt-Prefix: {prompt}{own:x}:10\r\nX-Deadline-Ms: 1500\r\n"
     );
     call(gateway.front, "POST /lab/x", &headers, "prompt")
 }
--- a/crates/caraway-http/src/lib.rs
+++ b/crates/caraway-http/src/lib.rs
@@ -4,12 +4,14 @@
 //! A connection is never shared between concurrent calls, so unexpected bytes on it fail only the
 //! call that uses it.
 
+mod acceptance;
 mod body;
 mod connection;
 mod memory_budget;
 mod payload;
 mod pool;
 
+pub use acceptance::{Acceptance, check_acceptance};
 pub use body::{BodyError, read_body, read_body_within};
 pub use connection::{ConnectTimeouts, Connection, IncomingResponse, set_socket_options};
 pub use memory_budget::MemoryBudget;
--- /dev/null
+++ b/crates/caraway-quarantine/src/lib.rs
@@ -0,0 +1,14 @@
+//! Which segments of prompts crash engines, from the crashes that all instances have seen.
+//!
+//! - [`CrashEvidence`] adds up reports of crashes and progress, and decides on quarantines.
+//! - [`CrashReport`] is a crash as one instance has seen it.
+//! - [`Quarantine`] is a set of segments; requests with all of them are not sent to engines.
+
+mod evidence;
+mod progress;
+mod quarantine;
+mod report;
+
+pub use evidence::{CrashEvidence, EvidenceSettings, Verdict};
+pub use quarantine::Quarantine;
+pub use report::{CrashReport, SegmentId};
--- /dev/null
+++ b/crates/caraway-quarantine/src/report.rs
@@ -0,0 +1,30 @@
+//! [`CrashReport`]: a crash of an endpoint as one instance has seen it.
+
+use std::sync::Arc;
+
+use caraway_types::{EndpointId, Millis, RequestId};
+use serde::{Deserialize, Serialize};
+
+/// Identifies the content of a segment of a prompt.
+pub type SegmentId = u64;
+
+/// A crash of an endpoint as one instance has seen it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The service that the endpoint belongs to.
+    pub service: Arc<str>,
+    /// The endpoint that crashed.
+    pub endpoint: EndpointId,
+    /// Start time of the incarnation that crashed, in Unix milliseconds; `None` if unknown.
+    #[serde(rename = "born")]
+    pub started_ms: Option<u64>,
+    /// Time since the crash was seen.
+    pub age: Millis,
+    /// Shared segments of the requests that had made no progress at the endpoint, without those with
+    /// which requests have made progress before.
+    pub suspects: Vec<SegmentId>,
+    /// Those with which requests have made progress before, but not since the crashed ones were sent.
+    pub proven: Vec<SegmentId>,
+    /// Ids of these requests.
+    pub requests: Vec<RequestId>,
+}
--- a/crates/caraway-types/src/refusal.rs
+++ b/crates/caraway-types/src/refusal.rs
@@ -44,6 +44,8 @@
     Leaving,
     /// The platform's log is unreachable.
     LogUnavailable,
+    /// The request has what crashed several endpoints.
+    Quarantined,
     /// The endpoint failed while it ran the request.
     EndpointFailed,
     /// The endpoint made no progress within the timeout.
