Test answers that end with their connection, without length or chunks

Whole plain answers and streams are forwarded as complete, a reset or an end inside an event is a broken answer, and the connection is not used again: four tests, which pass on the code as it was. The stand-in's engines can send such streams.

--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -7,7 +7,8 @@
     time::Duration,
 };
 
-use caraway_platform_standin::registry_entry;
+use caraway_platform_standin::{Framing, registry_entry};
+use socket2::SockRef;
 
 use crate::harness::{Gateway, Platform, WAIT_LIMIT, call, has_endpoints};
 
@@ -25,6 +26,10 @@
     EndlessBody,
     /// It answers, and sends the same answer again 40 ms later.
     LateCopy,
+    /// Its answer has no length and ends with its connection.
+    UntilClose,
+    /// Its answer has no length, and its connection is reset in the middle.
+    UntilReset,
 }
 
 /// Starts an endpoint with a fault; returns its address.
@@ -78,10 +83,29 @@
                 thread::sleep(Duration::from_millis(40));
                 stream.write_all(answer.as_bytes()).ok()?;
             }
+            Fault::UntilClose => {
+                let answer = format!("{head}\r\n{}", long_body(&id));
+                stream.write_all(answer.as_bytes()).ok()?;
+                return None;
+            }
+            Fault::UntilReset => {
+                let body = long_body(&id);
+                let answer = format!("{head}\r\n{}", &body[..body.len() / 2]);
+                stream.write_all(answer.as_bytes()).ok()?;
+                thread::sleep(Duration::from_millis(20));
+                let socket = SockRef::from(&stream);
+                socket.set_linger(Some(Duration::ZERO)).ok()?;
+                return None;
+            }
         }
     }
 }
 
+/// Returns a body of some length for the answer to a request.
+fn long_body(id: &str) -> String {
+    id.repeat(200)
+}
+
 /// Starts a gateway whose service `pair` has one working and one faulty endpoint.
 fn start_gateway(platform: &Platform, fault: Fault) -> Gateway {
     let faulty_entry = registry_entry("pair", "z1", start_faulty_endpoint(fault), 2, None);
@@ -161,6 +185,91 @@
     }
 }
 
+// Guards against: answers that end with their connection are taken for broken ones.
+#[test]
+fn answer_that_ends_with_its_connection_is_forwarded_whole() {
+    let platform = Platform::start();
+    let gateway = start_gateway(&platform, Fault::UntilClose);
+    let mut from_faulty = 0;
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = get_pair(gateway.front, &id);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let is_long = answer.ends_with(&format!("\r\n\r\n{}", long_body(&id)));
+        assert!(
+            is_long || answer.ends_with(&format!("\r\n\r\n{id}")),
+            "{answer}"
+        );
+        from_faulty += usize::from(is_long);
+    }
+    assert!(
+        from_faulty > 0,
+        "some come from the endpoint without lengths"
+    );
+}
+
+// Guards against: an answer without a length whose connection is reset looks complete to the caller.
+#[test]
+fn answer_without_length_that_is_reset_is_not_forwarded() {
+    let platform = Platform::start();
+    let gateway = start_gateway(&platform, Fault::UntilReset);
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = get_pair(gateway.front, &id);
+        let is_whole = answer.ends_with(&format!("\r\n\r\n{id}"));
+        assert!(is_whole || !answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert!(gateway.has_line(1403, "why", "the answer broke off"));
+}
+
+// Guards against: a stream that ends with its connection is taken for a broken one, or its connection
+// is used again.
+#[test]
+fn streams_that_end_with_their_connection_are_forwarded_whole() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    platform.with_parts(|parts| parts.engine.set_framing(Framing::UntilClose));
+    for id in ["r1", "r2", "r3"] {
+        let answer = call(
+            gateway.front,
+            "POST /report/x",
+            &report_headers(id),
+            "prompt",
+        );
+        let last = format!("id: 4\ndata: {id} 4\n\n");
+        assert!(answer.contains(&last), "{answer}");
+        assert!(answer.ends_with("0\r\n\r\n"), "complete: {answer}");
+        assert_eq!(platform.ledger.runs(id), 1);
+    }
+    assert!(!gateway.has_event(1403), "no attempt failed");
+}
+
+// Guards against: a stream that ends with its connection in the middle of an event looks complete.
+#[test]
+fn stream_that_ends_inside_an_event_is_broken_off() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    platform.with_parts(|parts| parts.engine.set_framing(Framing::UntilCloseInsideEvent));
+    let answer = call(
+        gateway.front,
+        "POST /report/x",
+        &report_headers("r1"),
+        "prompt",
+    );
+    assert!(answer.contains("id: 3\ndata: r1 3\n\n"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "not complete: {answer}");
+    assert!(!answer.contains("id: 4"), "only whole events: {answer}");
+}
+
+fn report_headers(id: &str) -> String {
+    format!(
+        "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
+         X-Deadline-Ms: 9000\r\n"
+    )
+}
+
 /// A stalled stream still sends bytes but completes no event; it must end before the caller's
 /// deadline.
 #[test]
