Take a stream that ends without an event for a broken one

What callers saw: an engine that ended before its first event, on an answer with neither a length nor chunks, gave them an empty answer with status 200 that looked complete. Cause: the end of such an answer is the end of its connection, and an answer without any event was taken for whole. The test failed before (200 instead of 502).

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -53,8 +53,8 @@
     pub(crate) head: ResponseHead,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    /// The first bytes; `None` when the stream is empty.
-    pub(crate) first: Option<Bytes>,
+    /// The first bytes.
+    pub(crate) first: Bytes,
     pub(crate) body: Incoming,
     /// The incarnation that the request was sent to.
     pub(crate) incarnation: EndpointIncarnation,
@@ -425,8 +425,13 @@
     history.possible_runs += 1;
     let first = match timeout_at(deadline, report_if_stalled(&placed, stall_at, body.frame())).await
     {
-        Ok(Some(Ok(frame))) => Some(frame.into_data().unwrap_or_default()),
-        Ok(None) => None,
+        Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+        // An answer without a length also ends like this where its endpoint has crashed.
+        Ok(None) => {
+            set_failed(&placed);
+            crash_watch::on_break(shared, call, &incarnation, sent_at);
+            return Outcome::InDoubt("the stream ended without an event");
+        }
         Ok(Some(Err(_))) => {
             set_failed(&placed);
             crash_watch::on_break(shared, call, &incarnation, sent_at);
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -212,7 +212,7 @@
         let mut last_event_at = Instant::now();
         let mut may_take_over = self.call.route.may_rerun();
         let mut progress = AttemptProgress::new(&self.splitter);
-        let mut chunk = first;
+        let mut chunk = Some(first);
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
                 if progress.on_events(&self.splitter) {
--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -263,6 +263,23 @@
     assert!(!answer.contains("id: 4"), "only whole events: {answer}");
 }
 
+// Guards against: an engine that ends before its first event, without a length or chunks, gives the
+// caller an empty answer that looks complete.
+#[test]
+fn stream_that_ends_without_an_event_is_broken_off() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    platform.with_parts(|parts| parts.engine.set_framing(Framing::UntilCloseWithoutEvent));
+    let answer = call(
+        gateway.front,
+        "POST /report/x",
+        &report_headers("r1"),
+        "prompt",
+    );
+    assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+}
+
 fn report_headers(id: &str) -> String {
     format!(
         "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: 10,5\r\n\
