Play prompts that crash engines in the soak, and judge them

Every draft has a prompt with segments; in each run a fifth of them has a segment that crashes engines, for 5 to 7 s among the other faults and for 7 s after them. Judged from what the engines ran: no more than three such requests of instances in touch, 3 s after the fifth crash; no sound request is refused for its prompt.

--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -1,7 +1,7 @@
 //! [`Caller`]: sends requests to an instance and records their results.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -9,7 +9,7 @@
 
 use caraway_http::{ConnectTimeouts, Connection, read_body};
 use caraway_platform_standin::{
-    Ledger, RequestKind, build_request, build_route_request, check_response,
+    Ledger, RequestKind, build_request, build_route_request, check_response, set_prompt,
 };
 use http::StatusCode;
 use rand::{Rng, SeedableRng};
@@ -19,6 +19,8 @@
     time::{sleep, timeout},
 };
 
+use crate::testbed::DEADLY_SEGMENT;
+
 /// Time that a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a response body, in bytes.
@@ -40,6 +42,13 @@
     Incomplete,
 }
 
+/// The segment that all prompts share.
+const SHARED_SEGMENT: u64 = 0x5a;
+/// Number of segments of which each prompt has one.
+const COMMON_SEGMENTS: u64 = 20;
+/// Part of the drafts that have the deadly segment while such prompts come.
+const DEADLY_SHARE: f64 = 0.2;
+
 /// A request that was sent, with its result.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestResult {
@@ -49,6 +58,10 @@
     pub(crate) outcome: Outcome,
     /// When it was sent.
     pub(crate) sent_at: Instant,
+    /// Whether its prompt has the deadly segment.
+    pub(crate) is_deadly: bool,
+    /// Whether it was refused because of what its prompt has.
+    pub(crate) is_quarantined: bool,
 }
 
 /// The results of all callers; clones share their contents.
@@ -73,6 +86,10 @@
     pub(crate) ledger: Ledger,
     connection: Option<Connection>,
     sent_count: u64,
+    /// Shared segments of the prompt of its next draft.
+    prompt: Vec<u64>,
+    /// Whether its last request was refused because of what its prompt has.
+    is_quarantined: bool,
 }
 
 impl Caller {
@@ -83,6 +100,8 @@
             ledger,
             connection: None,
             sent_count: 0,
+            prompt: vec![SHARED_SEGMENT],
+            is_quarantined: false,
         }
     }
 
@@ -91,6 +110,7 @@
         mut self,
         seed: u64,
         results: ResultLog,
+        deadly_prompts: Rc<Cell<bool>>,
         mut stop: watch::Receiver<bool>,
     ) {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -99,6 +119,10 @@
             let adapter = rng
                 .random_range(0..ADAPTER_COUNT)
                 .min(rng.random_range(0..ADAPTER_COUNT));
+            self.prompt = vec![SHARED_SEGMENT, 0x100 + rng.random_range(0..COMMON_SEGMENTS)];
+            if deadly_prompts.get() && rng.random_bool(DEADLY_SHARE) {
+                self.prompt.push(DEADLY_SEGMENT);
+            }
             if let Some(result) = self.send_request(kind, adapter).await {
                 results.0.borrow_mut().push(result);
             }
@@ -141,15 +165,21 @@
             kind,
             outcome,
             sent_at,
+            is_deadly: kind == RequestKind::Draft && self.prompt.contains(&DEADLY_SEGMENT),
+            is_quarantined: self.is_quarantined,
         })
     }
 
     /// Sends a request over the open connection, and checks the response.
     async fn exchange(&mut self, kind: RequestKind, adapter: u32, request: &str) -> Outcome {
+        self.is_quarantined = false;
         let Some(connection) = self.connection.as_mut() else {
             return Outcome::Incomplete;
         };
-        let message = build_request(kind, adapter, request, RESPONSE_TIMEOUT);
+        let mut message = build_request(kind, adapter, request, RESPONSE_TIMEOUT);
+        if kind == RequestKind::Draft {
+            set_prompt(&mut message, &self.prompt, request);
+        }
         let Ok(response) = connection.send(message).await else {
             return Outcome::Incomplete;
         };
@@ -158,6 +188,8 @@
             return Outcome::Incomplete;
         };
         if head.status != StatusCode::OK {
+            let reason = br#""quarantined""#;
+            self.is_quarantined = body.windows(reason.len()).any(|w| w == reason);
             return Outcome::Status(head.status.as_u16());
         }
         if let Some(violation) = check_response(kind, request, &head.headers, &body) {
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -47,6 +47,8 @@
     /// Makes an endpoint without engine refuse requests and ask for a pause of this length; the
     /// number is its zone's.
     AskForPause(usize, Duration),
+    /// Makes callers send prompts with a segment that crashes engines.
+    DeadlyPrompts,
 }
 
 /// A fault with its start and duration.
@@ -81,6 +83,7 @@
     let mut faults = schedule_disruptions(plan);
     faults.extend(schedule_limits(plan));
     faults.extend(schedule_signals(plan));
+    faults.push(schedule_deadly_prompts(plan));
     faults.sort_by_key(|f| f.at);
     faults
 }
@@ -133,6 +136,22 @@
         .collect()
 }
 
+/// Added to the seed of the draw of deadly prompts.
+const DEADLY_SEED: u64 = 1 << 34;
+/// Range of the time for which deadly prompts come, in milliseconds: longer than five crashes and the
+/// time after which few of them may reach engines.
+const DEADLY_DURATION_MS: std::ops::Range<u64> = 5000..7000;
+
+/// Draws when deadly prompts come; they begin in the first half of the period.
+fn schedule_deadly_prompts(plan: &Plan) -> Timed {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + DEADLY_SEED);
+    Timed {
+        at: plan.fault_period.mul_f64(rng.random_range(0.0..0.5)),
+        lasts: Duration::from_millis(rng.random_range(DEADLY_DURATION_MS)),
+        fault: Fault::DeadlyPrompts,
+    }
+}
+
 /// Draws all faults but what endpoints say in their answers.
 fn schedule_disruptions(plan: &Plan) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -22,6 +22,9 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of consecutive requests of each kind that an instance must serve to count as recovered.
 const REQUIRED_SUCCESSES: u32 = 5;
+/// Time for which deadly prompts come after the other faults: several crashes, the time after which
+/// few such prompts may run, and as much again.
+const CALM_TIME: Duration = Duration::from_secs(7);
 /// Pause between checks of an instance that has not recovered.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which requests that callers have abandoned may still reach endpoints.
@@ -119,10 +122,14 @@
             let name = format!("c{number}-{caller_number}");
             let seed = plan.seed * 1000 + (number * plan.callers + caller_number) as u64;
             let caller = Caller::new(name, *front_addr, ledger.clone());
-            let run = caller.run(seed, result_log.clone(), stop.subscribe());
+            let deadly_prompts = testbed.borrow().deadly_prompts.clone();
+            let run = caller.run(seed, result_log.clone(), deadly_prompts, stop.subscribe());
             callers.push(tokio::task::spawn_local(run));
         }
     }
+    for (number, crashes) in testbed.borrow().engine_crashes() {
+        tokio::task::spawn_local(register_crashed(testbed.clone(), number, crashes));
+    }
     let faults = schedule(plan);
     inject(&testbed, &faults).await?;
     testbed.borrow_mut().end_all_faults()?;
@@ -149,6 +156,9 @@
             ));
         }
     }
+    // Deadly prompts also come while nothing else disturbs the gateways.
+    testbed.borrow().deadly_prompts.set(true);
+    sleep(CALM_TIME).await;
     stop.send_replace(true);
     for caller in callers {
         caller.await.context("the task of a caller failed")?;
@@ -163,6 +173,12 @@
         sent_at: results.iter().map(|r| (&*r.request, r.sent_at)).collect(),
     };
     violations.extend(testbed.borrow().signal_violations(&senders));
+    let deadly = results.iter().filter(|r| r.is_deadly);
+    let deadly_runs = deadly.filter(|r| ledger.runs(&r.request) > 0);
+    let deadly_runs: Vec<_> = deadly_runs
+        .filter_map(|r| Some((senders.sender(&r.request)?, r.sent_at)))
+        .collect();
+    violations.extend(testbed.borrow().deadly_violation(&deadly_runs));
     violations.extend(
         results
             .iter()
@@ -205,6 +221,11 @@
 /// Returns the violation, if any, in the result of a request that endpoints ran `runs` times.
 fn find_violation(result: &RequestResult, runs: usize) -> Option<String> {
     let (request, outcome) = (&result.request, result.outcome);
+    if result.is_quarantined && !result.is_deadly {
+        return Some(format!(
+            "LOST: {request} is sound, and was refused for its prompt"
+        ));
+    }
     if runs > 1 && !result.kind.is_idempotent() {
         return Some(format!("TWICE: {request} ran {runs} times"));
     }
@@ -241,6 +262,17 @@
     Ok(())
 }
 
+/// Registers an engine anew after each crash by a prompt.
+async fn register_crashed(
+    testbed: Rc<RefCell<Testbed>>,
+    number: usize,
+    mut crashes: watch::Receiver<u64>,
+) {
+    while crashes.changed().await.is_ok() {
+        testbed.borrow_mut().on_crash(number);
+    }
+}
+
 /// Restarts gateways that have exited, until the task is aborted.
 async fn restart_exited(testbed: Rc<RefCell<Testbed>>) {
     loop {
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -1,7 +1,9 @@
 //! [`Testbed`]: the store, the endpoints and the gateways of a run; applies faults to them.
 
 use std::{
+    cell::Cell,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -11,6 +13,7 @@
     RateRecorder, Senders, SignalLog, Store, StoreMode, configuration, held_models, registry_entry,
 };
 use nix::sys::signal::Signal;
+use tokio::sync::watch;
 
 use crate::{
     Fault, Plan,
@@ -20,6 +23,9 @@
 /// Number of adapter slots of an engine.
 const ADAPTER_SLOTS: usize = 4;
 
+/// The segment of prompts that crashes engines.
+pub(crate) const DEADLY_SEGMENT: u64 = 0xdead;
+
 /// An endpoint that gateways reach through a proxy.
 #[derive(Debug)]
 struct Endpoint {
@@ -66,6 +72,12 @@
     endpoints: Vec<Endpoint>,
     /// The gateways that faults disturbed, with the start and end of each disturbance.
     disturbances: Vec<(usize, Instant, Instant)>,
+    /// When the store, or the way of a gateway to it, was disturbed.
+    store_disturbances: Vec<(Option<usize>, Instant, Instant)>,
+    /// When engines crashed because of prompts.
+    crashes: Vec<Instant>,
+    /// Whether callers send deadly prompts.
+    pub(crate) deadly_prompts: Rc<Cell<bool>>,
     /// Version of the newest configuration.
     version: u64,
     /// Names of the routes that faults and the end of the run have added.
@@ -89,6 +101,9 @@
             store_proxies: Vec::new(),
             endpoints: Vec::new(),
             disturbances: Vec::new(),
+            store_disturbances: Vec::new(),
+            crashes: Vec::new(),
+            deadly_prompts: Rc::default(),
             version: 0,
             extra_routes: Vec::new(),
             keep_running: Vec::new(),
@@ -102,6 +117,7 @@
                 };
                 let id = spec.id.to_string();
                 let engine = Engine::new(spec, testbed.ledger.clone());
+                engine.set_deadly_segments(&[DEADLY_SEGMENT]);
                 let addr = engine.start().await.context("can't start an engine")?;
                 testbed
                     .add(&id, zone, addr, Backend::Engine(engine))
@@ -165,6 +181,23 @@
         self.store.publish_endpoint(&endpoint.id, &entry);
     }
 
+    /// Returns the numbers of crashes of the engines, with the numbers of the endpoints.
+    pub(crate) fn engine_crashes(&self) -> Vec<(usize, watch::Receiver<u64>)> {
+        let endpoints = self.endpoints.iter().enumerate();
+        let crashes = endpoints.filter_map(|(number, endpoint)| match &endpoint.backend {
+            Backend::Engine(engine) => Some((number, engine.crashes())),
+            Backend::Plain(_) => None,
+        });
+        crashes.collect()
+    }
+
+    /// Registers an engine that a prompt has crashed as a new incarnation.
+    pub(crate) fn on_crash(&mut self, number: usize) {
+        self.crashes.push(Instant::now());
+        self.endpoints[number].incarnation += 1;
+        self.register(&self.endpoints[number]);
+    }
+
     /// Publishes a configuration with all routes so far and, if given, the route `route`.
     pub(crate) fn publish_configuration(&mut self, route: Option<&str>) {
         self.version += 1;
@@ -180,6 +213,15 @@
                 self.disturb(number, lasts + SETTLE_TIME);
             }
             Fault::Stop(number) => self.disturb(number, STOP_TIME + SETTLE_TIME),
+            Fault::Store(_) | Fault::StoreWay(..) => {
+                let gateway = match fault {
+                    Fault::StoreWay(number, _) => Some(number),
+                    _ => None,
+                };
+                let now = Instant::now();
+                let end = now + lasts + SETTLE_TIME;
+                self.store_disturbances.push((gateway, now, end));
+            }
             Fault::EndpointWay(..) => {
                 for number in 0..self.gateways.len() {
                     self.disturb(number, lasts + SETTLE_TIME);
@@ -214,6 +256,7 @@
             Fault::AskForPause(number, pause) => {
                 self.set_behavior(number, Behavior::RefuseFor(pause));
             }
+            Fault::DeadlyPrompts => self.deadly_prompts.set(true),
             Fault::Configuration => {
                 let name = format!("more{}", self.version);
                 self.publish_configuration(Some(&name));
@@ -240,6 +283,7 @@
             }
             Fault::Limit(number, _) => self.endpoints[number].arrivals().set_limit(None),
             Fault::Draining(number) => self.restart_endpoint(number),
+            Fault::DeadlyPrompts => self.deadly_prompts.set(false),
             Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
         }
         Ok(())
@@ -248,6 +292,7 @@
     /// Ends every fault.
     pub(crate) fn end_all_faults(&mut self) -> Result<()> {
         self.store.set_mode(StoreMode::Up);
+        self.deadly_prompts.set(false);
         for proxy in &self.store_proxies {
             proxy.set_mode(ProxyMode::Pass);
         }
@@ -282,7 +327,10 @@
         let endpoint = &mut self.endpoints[number];
         endpoint.incarnation += 1;
         match &endpoint.backend {
-            Backend::Engine(engine) => engine.restart(),
+            Backend::Engine(engine) => {
+                engine.restart();
+                engine.set_deadly_segments(&[DEADLY_SEGMENT]);
+            }
             Backend::Plain(plain_endpoint) => {
                 plain_endpoint.signals().restart();
                 plain_endpoint.set_behavior(Behavior::Respond);
@@ -303,6 +351,33 @@
         all.any(|(number, start, end)| *number == gateway && *start < to && from < *end)
     }
 
+    /// Returns when the bound on deadly prompts applies to a gateway's requests sent at `at`: when the
+    /// gateway and the store were not disturbed for [`CONTACT_TIME`] before.
+    fn is_in_touch(&self, gateway: usize, at: Instant) -> bool {
+        let from = at.checked_sub(CONTACT_TIME).unwrap_or(at);
+        let mut store = self.store_disturbances.iter();
+        let is_store_disturbed = store.any(|(number, start, end)| {
+            number.is_none_or(|n| n == gateway) && *start < at && from < *end
+        });
+        !is_store_disturbed && !self.is_disturbed(gateway, from, at)
+    }
+
+    /// Returns a violation if too many of these deadly prompts, each with the number of its gateway
+    /// and the time when it was sent, ran after the fifth crash.
+    pub(crate) fn deadly_violation(&self, runs: &[(usize, Instant)]) -> Option<String> {
+        let bound_from = *self.crashes.get(BOUND_CRASHES - 1)? + CONTACT_TIME;
+        let late = runs.iter().filter(|(gateway, sent_at)| {
+            *sent_at > bound_from && self.is_in_touch(*gateway, *sent_at)
+        });
+        let late = late.count();
+        (late > MAX_LATE_RUNS).then(|| {
+            format!(
+                "BUDGET: {late} deadly prompts ran after the fifth of {} crashes",
+                self.crashes.len()
+            )
+        })
+    }
+
     /// Returns a violation for each request that an endpoint got although it drained or had asked
     /// for a pause.
     pub(crate) fn signal_violations(&self, senders: &impl Senders) -> Vec<String> {
@@ -341,6 +416,12 @@
     }
 }
 
+/// Time for which nothing must have been disturbed for a bound to apply.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of crashes by one segment after which few requests with it may reach engines.
+const BOUND_CRASHES: usize = 5;
+/// Number of requests that may do so.
+const MAX_LATE_RUNS: usize = 3;
 /// Time after a disturbance within which a gateway may still act on what it knew before.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Longest time that a gateway takes to stop.
