Explain quarantined requests by the crashes that led to them

caraway-explain lists, for a request refused as quarantined, the quarantine and the crashes that have its segments in common, and for one that broke off, the crash that it may have caused.

--- a/crates/caraway-explain/src/explanation.rs
+++ b/crates/caraway-explain/src/explanation.rs
@@ -16,6 +16,9 @@
 /// Maximum number of orders listed for a zone; one load takes three orders.
 const MAX_ORDERS: usize = 12;
 
+/// Maximum number of crashes listed for a quarantine; several instances report each.
+const MAX_CRASHES: usize = 12;
+
 /// A line that shows the state of an instance while the request was served.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ContextLine<'a> {
@@ -66,6 +69,12 @@
             explanation.add_instance_state(&lines, first);
             explanation.add_endpoint_changes(&lines, first, last);
             explanation.add_zone_context(logs, &lines, first, last);
+            explanation.add_quarantine(logs, &lines, last);
+        }
+        let crashes = logs.lines().iter();
+        let crashes = crashes.filter(|l| l.event == Event::EndpointCrashed.code());
+        for line in crashes.filter(|l| l.lists_value("requests", request)) {
+            explanation.add("a crash that it may have caused", Some(line));
         }
         Some(explanation)
     }
@@ -146,6 +155,29 @@
         }
     }
 
+    /// Adds the quarantine for which an instance refused the request, and the crashes that led to it.
+    fn add_quarantine(&mut self, logs: &'a Logs, lines: &[&'a Line], last: OffsetDateTime) {
+        let details = self.field_values("detail");
+        let quarantine = last_before(lines, last, |l| {
+            let segments = l.field("segments").unwrap_or_default();
+            l.event == Event::QuarantineStarted.code()
+                && details.iter().any(|d| d.ends_with(&format!(" {segments}")))
+        });
+        let Some(quarantine) = quarantine else {
+            return;
+        };
+        self.add("the quarantine of its prompt", Some(quarantine));
+        let segments = quarantine.field("segments").unwrap_or_default();
+        let is_cause = |l: &&Line| {
+            l.event == Event::EndpointCrashed.code()
+                && l.timestamp <= last
+                && segments.split(',').all(|s| l.lists_value("segments", s))
+        };
+        for line in logs.lines().iter().filter(is_cause).take(MAX_CRASHES) {
+            self.add("a crash that led to it", Some(line));
+        }
+    }
+
     /// Adds a line unless it is `None` or has already been added.
     fn add(&mut self, label: &str, line: Option<&'a Line>) {
         let Some(line) = line else {
--- a/crates/caraway-explain/src/line.rs
+++ b/crates/caraway-explain/src/line.rs
@@ -51,6 +51,13 @@
         self.fields.get(name).and_then(Value::as_str)
     }
 
+    /// Returns whether a field is a list, separated by commas, that contains `text`.
+    #[must_use]
+    pub fn lists_value(&self, name: &str, text: &str) -> bool {
+        let mut values = self.field(name).unwrap_or_default().split(',');
+        values.any(|v| v == text)
+    }
+
     /// Returns whether a field is a string equal to `text`.
     #[must_use]
     pub fn has_value(&self, name: &str, text: &str) -> bool {
