--- a/crates/caraway-quarantine/src/evidence.rs
+++ b/crates/caraway-quarantine/src/evidence.rs
@@ -52,14 +52,14 @@
             lifetime: Duration::from_mins(10),
             max_lifetime: Duration::from_hours(2),
             jitter: 0.0,
-            max_incidents: 128,
-            max_quarantines: 64,
+            max_incidents: 64,
+            max_quarantines: 32,
         }
     }
 }
 
 /// Number of segments of a report that are remembered.
-const MAX_SUSPECTS: usize = 128;
+const MAX_SUSPECTS: usize = 64;
 /// Number of crashes without another cause that a segment must have.
 const MIN_UNEXPLAINED: usize = 2;
 /// Number of other crashes between those with a segment for which one more with it is necessary.
