--- a/crates/caraway-quarantine/src/evidence.rs
+++ b/crates/caraway-quarantine/src/evidence.rs
@@ -52,7 +52,7 @@
             lifetime: Duration::from_mins(10),
             max_lifetime: Duration::from_hours(2),
             jitter: 0.0,
-            max_incidents: 64,
+            max_incidents: 128,
             max_quarantines: 32,
         }
     }
