Add tests that fail: streams go on at engines of another software version

The stand-in has a service with two engines of each of two versions, and its engines go on after Last-Event-Id.

--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -33,6 +33,8 @@
     pub(crate) engine_addr: SocketAddr,
     /// The two engines of the service `lab`; a crashed one registers again.
     pub(crate) lab: [Engine; 2],
+    /// The engines of the service `mixed`: two of version v1, then two of v2.
+    pub(crate) mixed: [Engine; 4],
     /// The two endpoints of the service `pair`; both answer requests.
     pub(crate) pair: [PlainEndpoint; 2],
     pair_addrs: Vec<SocketAddr>,
@@ -103,6 +105,11 @@
         })
     }
 
+    /// Removes the registry entry of an engine of the service `mixed`, as when it has left.
+    pub(crate) fn remove_mixed(&self, number: usize) {
+        self.with_parts(move |parts| parts.store.remove("keyed.servers", MIXED_IDS[number]));
+    }
+
     /// Publishes a record to the store, as an operator or an endpoint does.
     pub(crate) fn publish(&self, topic: &'static str, key: &'static str, value: Value) {
         self.with_parts(move |parts| parts.store.publish(topic, key, &value));
@@ -164,6 +171,22 @@
             engine.crashes(),
         ));
     }
+    let mixed = MIXED_IDS.map(|id| {
+        let spec = EngineSpec {
+            id: id.into(),
+            model: "base".into(),
+            adapter_slots: 2,
+        };
+        Engine::new(spec, ledger.clone())
+    });
+    for (number, engine) in mixed.iter().enumerate() {
+        let addr = engine.start().await.expect("an address");
+        store.publish(
+            "keyed.servers",
+            MIXED_IDS[number],
+            &mixed_entry(addr, number),
+        );
+    }
     let store_proxy = Proxy::start(addr).await.expect("an address");
     let parts = Parts {
         store,
@@ -171,12 +194,23 @@
         engine,
         engine_addr,
         lab,
+        mixed,
         pair,
         pair_addrs,
     };
     (parts, addr)
 }
 
+/// Ids of the engines of the service `mixed`.
+pub(crate) const MIXED_IDS: [&str; 4] = ["m-1", "m-2", "m-3", "m-4"];
+
+/// Returns the registry entry of an engine of the service `mixed`.
+fn mixed_entry(addr: SocketAddr, number: usize) -> Value {
+    let mut entry = registry_entry("mixed", "z1", addr, 1, Some(held_models(true)));
+    entry["Version"] = json!(if number < 2 { "v1" } else { "v2" });
+    entry
+}
+
 /// Publishes the registry entry of an engine of the service `lab`.
 fn register_engine(store: &Store, id: &str, addr: SocketAddr, started_ms: u64, has_weights: bool) {
     let models = held_models(has_weights);
@@ -367,6 +401,14 @@
     for (field, text) in [("Name", "lab"), ("PathPrefix", "/lab/"), ("Service", "lab")] {
         lab[field] = json!(text);
     }
+    let mut mixed = summary.clone();
+    for (field, text) in [
+        ("Name", "mixed"),
+        ("PathPrefix", "/mixed/"),
+        ("Service", "mixed"),
+    ] {
+        mixed[field] = json!(text);
+    }
     let mut lab_service = configuration["Services"][0].clone();
     lab_service["Name"] = json!("lab");
     let routes = configuration["Routes"].as_array_mut().expect("a list");
@@ -375,9 +417,13 @@
     routes.push(pair);
     routes.push(report);
     routes.push(lab);
+    routes.push(mixed);
     let services = configuration["Services"].as_array_mut().expect("a list");
     services.push(json!({"Name": "flaky", "MaxConns": 50}));
+    let mut mixed_service = lab_service.clone();
+    mixed_service["Name"] = json!("mixed");
     services.push(lab_service);
+    services.push(mixed_service);
     services.push(json!({"Name": "pair", "MaxConns": 50}));
     configuration
 }
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod faulty;
 mod harness;
 mod limits;
+mod software_versions;
 mod stop;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
--- /dev/null
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -0,0 +1,201 @@
+//! Streams of engines whose software has several versions.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use crate::harness::{Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, has_endpoints};
+
+/// Time between events, long enough to break a stream off between two of them.
+const EVENT_INTERVAL: Duration = Duration::from_millis(250);
+/// Streams that are broken off and taken up again.
+const STREAMS: usize = 8;
+/// Least number of them that go on.
+const MIN_CONTINUED: usize = 7;
+
+fn start_gateway(platform: &Platform, name: &str) -> Gateway {
+    let gateway = Gateway::start_as(platform.store_addr, name);
+    gateway.wait_for("the endpoints", || has_endpoints(&gateway, &MIXED_IDS));
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    gateway
+}
+
+fn start_platform() -> Platform {
+    let platform = Platform::start();
+    platform.with_parts(|parts| {
+        for engine in &parts.mixed {
+            engine.set_event_interval(EVENT_INTERVAL);
+        }
+    });
+    platform
+}
+
+fn headers(id: &str, adapter: usize) -> String {
+    format!(
+        "X-Attempt-Id: {id}\r\nX-Model: base/a{adapter}\r\nX-Token-Count: 10,5\r\n\
+         X-Deadline-Ms: 8000\r\n"
+    )
+}
+
+/// Sends a request and reads its answer until it has this event; returns the open connection.
+fn read_until_event(front: SocketAddr, id: &str, adapter: usize, event: u64) -> TcpStream {
+    let mut stream = TcpStream::connect(front).expect("a connection");
+    stream.set_read_timeout(Some(WAIT_LIMIT)).expect("a time");
+    let request = format!(
+        "POST /mixed/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 6\r\n{}\r\nprompt",
+        headers(id, adapter)
+    );
+    stream.write_all(request.as_bytes()).expect("it is sent");
+    let expected = format!("data: {id} {event}\n\n");
+    let mut answer = Vec::new();
+    while !String::from_utf8_lossy(&answer).contains(&expected) {
+        let mut bytes = [0; 1024];
+        let len = stream.read(&mut bytes).expect("an event comes in time");
+        let text = String::from_utf8_lossy(&answer);
+        assert!(len > 0, "{id} ended early: {text}");
+        answer.extend_from_slice(&bytes[..len]);
+    }
+    stream
+}
+
+/// Takes a stream up after its first two events; returns the answer.
+fn take_up(gateway: &Gateway, id: &str, broken: &str, adapter: usize) -> String {
+    let headers = format!(
+        "{}Resumes: {broken}\r\nLast-Event-Id: 2\r\n",
+        headers(id, adapter)
+    );
+    call(gateway.front, "POST /mixed/x", &headers, "prompt")
+}
+
+/// Returns the number of the engine that ran a request last, `None` if none did.
+fn engine_of(platform: &Platform, id: &str) -> Option<usize> {
+    let headers = platform.ledger.headers(id)?;
+    let engine = headers.get("x-expect-replica")?.to_str().ok()?;
+    MIXED_IDS.iter().position(|i| *i == engine)
+}
+
+/// Returns the software version of an engine.
+fn version_of(engine: usize) -> usize {
+    engine / 2
+}
+
+/// Begins streams at one instance, loses instances or engines as `lose` does, takes the streams up at
+/// the instance that it returns, and checks that they go on at the version that began them.
+fn check_take_ups(
+    platform: &Platform,
+    first: Gateway,
+    lose: impl FnOnce(&Platform, Gateway) -> Gateway,
+) {
+    let ids: Vec<String> = (0..STREAMS).map(|n| format!("s{n}")).collect();
+    let open: Vec<TcpStream> = ids
+        .iter()
+        .enumerate()
+        .map(|(number, id)| read_until_event(first.front, id, number % 4, 2))
+        .collect();
+    let began: Vec<usize> = ids
+        .iter()
+        .map(|id| engine_of(platform, id).expect("it ran"))
+        .collect();
+    let gateway = lose(platform, first);
+    drop(open);
+    let mut continued = 0;
+    for (number, broken) in ids.iter().enumerate() {
+        let id = format!("t{number}");
+        let answer = take_up(&gateway, &id, broken, number % 4);
+        if let Some(engine) = engine_of(platform, &id) {
+            let (is, was) = (version_of(engine), version_of(began[number]));
+            assert_eq!(is, was, "{id} went on at another version");
+        }
+        if answer.contains(&format!("data: {id} 4\n\n")) {
+            continued += 1;
+        } else {
+            assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+            assert!(answer.contains("\"not_run\""), "{answer}");
+        }
+    }
+    assert!(
+        continued >= MIN_CONTINUED,
+        "{continued} of {STREAMS} went on"
+    );
+}
+
+// Guards against: a stream whose engine fails is resumed by the gateway at an engine of another
+// software version.
+#[test]
+fn broken_stream_is_resumed_only_at_its_software_version() {
+    let platform = start_platform();
+    let gateway = start_gateway(&platform, "gate-1");
+    for id in ["r1", "r2", "r3"] {
+        let caller = thread::spawn({
+            let (front, headers) = (gateway.front, headers(id, 1));
+            move || call(front, "POST /mixed/x", &headers, "prompt")
+        });
+        gateway.wait_for("a run", || engine_of(&platform, id).is_some());
+        thread::sleep(EVENT_INTERVAL * 2 + EVENT_INTERVAL / 2);
+        let began = engine_of(&platform, id).expect("it ran");
+        platform.remove_mixed(began);
+        platform.with_parts(move |parts| parts.mixed[began].crash());
+        caller.join().expect("an answer");
+        let ended = engine_of(&platform, id).expect("it ran");
+        assert_eq!(version_of(ended), version_of(began), "{id}");
+    }
+}
+
+// Guards against: a caller takes a stream up at another instance, as its own was killed, and the rest
+// comes from another software version.
+#[test]
+fn stream_of_a_killed_instance_goes_on_at_its_software_version() {
+    let platform = start_platform();
+    let other = start_gateway(&platform, "gate-2");
+    let first = start_gateway(&platform, "gate-1");
+    check_take_ups(&platform, first, |_, killed| {
+        drop(killed);
+        other
+    });
+}
+
+// Guards against: all instances are killed at once, and those that come back take the versions that
+// they see for all that there were.
+#[test]
+fn streams_go_on_at_their_software_version_after_all_instances_were_killed() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    check_take_ups(&platform, first, |platform, killed| {
+        drop(killed);
+        start_gateway(platform, "gate-2")
+    });
+}
+
+// Guards against: the engines of the old version have just left, and an instance that starts takes the
+// only version that it sees for the one that began a stream.
+#[test]
+fn stream_of_a_version_that_has_left_does_not_go_on() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    let open: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| read_until_event(first.front, &format!("s{n}"), n % 4, 2))
+        .collect();
+    let began = |n: usize| engine_of(&platform, &format!("s{n}")).expect("it ran");
+    let old: Vec<usize> = (0..STREAMS)
+        .filter(|n| version_of(began(*n)) == 0)
+        .collect();
+    assert!(!old.is_empty(), "some began at the old version");
+    platform.remove_mixed(0);
+    platform.remove_mixed(1);
+    first.wait_for("the end of the old version", || {
+        first.has_line(1120, "change", "Gone")
+    });
+    drop(first);
+    drop(open);
+    let gateway = Gateway::start_as(platform.store_addr, "gate-2");
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    for number in old {
+        let id = format!("t{number}");
+        let answer = take_up(&gateway, &id, &format!("s{number}"), number % 4);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert_eq!(engine_of(&platform, &id), None, "{id} ran");
+    }
+}
