Decode the software version of endpoints and Resumes, and log them

Events 1120, 1400 and 1406 name the version, 1400 the resumed request. An entry of the registry without a version names no endpoint to use, as for its other fields.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -202,6 +202,7 @@
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
             "change" => format!("{change:?}"), "service" => &*endpoint.service,
             "endpoint_zone" => &*endpoint.zone, "addr" => %endpoint.addr,
+            "software" => &*endpoint.software,
             "state" => format!("{:?}", endpoint.state), "offset" => record.offset);
     } else if !endpoint.is_ready() {
         emit!(shared, info, EndpointChanged; "endpoint" => &*id, "change" => "Draining",
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -177,6 +177,8 @@
         emit!(shared, info, EndpointGranted; "request" => &*call.head.id, "adapter" => %placement.model,
             "endpoint" => &*placed.endpoint, "by" => placed.zone.as_deref().unwrap_or("registry"),
             "entry_age_ms" => registry_entry_age(shared, &placed), "version" => call.config_version,
+            "software" => shared.software_of(&placed.endpoint).as_deref(),
+            "resumes" => call.head.resumes.as_deref(),
             "waited" => placed.waited, "sent" => history.sent,
             "ms" => millis(call.arrived_at.elapsed()));
         let endpoint = placed.endpoint.clone();
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -185,6 +185,7 @@
         };
         emit!(self.shared, info, StreamResumed; "request" => &*self.call.head.id,
             "after" => last_id.unwrap_or_default(), "endpoint" => &*stream.placed.endpoint,
+            "software" => self.shared.software_of(&stream.placed.endpoint).as_deref(),
             "ms" => millis(self.call.arrived_at.elapsed()));
         Some(*stream)
     }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -15,7 +15,9 @@
 use caraway_routes::{
     Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
 };
-use caraway_types::{EndpointId, FencingToken, Incarnation, InstanceId, Ticket, ZoneId};
+use caraway_types::{
+    EndpointId, FencingToken, Incarnation, InstanceId, SoftwareVersion, Ticket, ZoneId,
+};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
@@ -262,6 +264,12 @@
         all.any(|e| e.is_ready() && is_allowed(&e.id))
     }
 
+    /// Returns the software version of an endpoint, `None` if the registry does not list it.
+    pub(crate) fn software_of(&self, endpoint: &EndpointId) -> Option<SoftwareVersion> {
+        let directory = self.directory.borrow();
+        directory.get(endpoint).map(|e| e.software.clone())
+    }
+
     /// Returns the zones with ready endpoints of `service` whose placer is reachable.
     pub(crate) fn candidate_zones(&self, service: &str) -> Vec<ZoneCandidate> {
         let directory = self.directory.borrow();
--- a/crates/caraway-placement/tests/simulation/mod.rs
+++ b/crates/caraway-placement/tests/simulation/mod.rs
@@ -175,6 +175,7 @@
         state: EndpointState::Ready,
         remaining: None,
         started_ms: Some(born),
+        software: "v1".into(),
         is_engine: true,
         models: holds.then_some(model).into_iter().collect(),
     })
--- a/crates/caraway-routes/src/endpoint.rs
+++ b/crates/caraway-routes/src/endpoint.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use caraway_types::{AdapterId, EndpointId, ZoneId};
+use caraway_types::{AdapterId, EndpointId, SoftwareVersion, ZoneId};
 use serde::{Deserialize, Serialize};
 
 /// Whether an endpoint accepts new requests.
@@ -53,6 +53,8 @@
     /// follow each other under one id.
     #[serde(rename = "born")]
     pub started_ms: Option<u64>,
+    /// Version of its software. What endpoints of different versions write does not fit together.
+    pub software: SoftwareVersion,
     /// Whether it is a model engine. A newly started engine may have no model loaded yet.
     pub is_engine: bool,
     /// The models that are loaded on it.
--- a/crates/caraway-routes/src/request.rs
+++ b/crates/caraway-routes/src/request.rs
@@ -56,6 +56,8 @@
     pub prompt: Vec<PromptSegment>,
     /// Id of the last event that the caller received, if it resumes an interrupted stream.
     pub resume_after: Option<Arc<str>>,
+    /// Id of the request that brought the first event of the stream that this one takes up.
+    pub resumes: Option<RequestId>,
 }
 
 impl RequestHead {
--- a/crates/caraway-routes/tests/draining_and_pauses.rs
+++ b/crates/caraway-routes/tests/draining_and_pauses.rs
@@ -22,6 +22,7 @@
         state,
         remaining: None,
         started_ms: Some(started_ms),
+        software: "v1".into(),
         is_engine: false,
         models: Vec::new(),
     }
--- a/crates/caraway-routes/tests/load_balancing.rs
+++ b/crates/caraway-routes/tests/load_balancing.rs
@@ -20,6 +20,7 @@
         state: EndpointState::Ready,
         remaining: None,
         started_ms: None,
+        software: "v1".into(),
         is_engine: false,
         models: Vec::new(),
     })
--- a/crates/caraway-types/src/ids.rs
+++ b/crates/caraway-types/src/ids.rs
@@ -14,6 +14,8 @@
 pub type InstanceId = Arc<str>;
 /// Name of an endpoint, which is a replica of an engine or of a plain service.
 pub type EndpointId = Arc<str>;
+/// Version of the software of an endpoint, not of weights or adapters.
+pub type SoftwareVersion = Arc<str>;
 /// Name of a caller's request, unique across all instances.
 pub type RequestId = Arc<str>;
 /// Name of one load of an adapter version on an engine, chosen by the holder that orders the load.
--- a/crates/caraway-types/src/lib.rs
+++ b/crates/caraway-types/src/lib.rs
@@ -15,7 +15,7 @@
 pub use finding::{Finding, Findings};
 pub use ids::{
     AccountId, AdapterId, AttemptId, EndpointId, FencingToken, Incarnation, InstanceId, LoadName,
-    Offset, RequestId, Ticket, VersionId, ZoneId,
+    Offset, RequestId, SoftwareVersion, Ticket, VersionId, ZoneId,
 };
 pub use millis::Millis;
 pub use refusal::{Certainty, Reason, Refusal};
