Let streams go on only at the software version that began them

Cause: a part of a stream was carried to another engine without what makes it valid there. The version in the registry and Resumes were not read: streams that broke were resumed, and taken up, wherever the adapter was.

Fix: the version that writes the first event binds the stream; every way on asks for it. Which version began a stream that its caller takes up follows from the shared history of versions while only one can be the origin. Otherwise streams are recorded in the platform's store, a batch at a time, and found by the id in Resumes, also after all instances were killed. What is not known is refused at once as not run. Decisions are in caraway-streams, without I/O.

--- a/crates/caraway-entry/src/http/response.rs
+++ b/crates/caraway-entry/src/http/response.rs
@@ -79,6 +79,7 @@
         | Reason::NoEndpoint
         | Reason::Leaving
         | Reason::LogUnavailable
-        | Reason::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::Quarantined
+        | Reason::NotResumable => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -5,7 +5,7 @@
 
 use caraway_platform::{
     OperatorKey, Record, Topic, decode_configuration, decode_registry_entry,
-    decode_version_announcement, operator_key,
+    decode_version_announcement, is_versions_key, operator_key,
 };
 use caraway_routes::{Change, Endpoint, MissingPolicy, ModelRef, RoutingConfig};
 use caraway_types::{EndpointId, Offset};
@@ -15,7 +15,7 @@
     event::emit,
     held_zone::HeldZone,
     shared::{Announcement, Shared},
-    topics,
+    stream_origins, topics,
 };
 
 /// Of the registry's records that only change the adapters of an endpoint, one in this many is
@@ -43,9 +43,14 @@
         Topic::Operators => apply_operators(shared, record, source),
         Topic::Endpoints => return apply_endpoint(shared, record, missing_policy),
         Topic::Holders => claim::on_holder_record(shared, record),
-        Topic::Prompts => {
+        Topic::Shared if is_versions_key(&record.key) => {
+            stream_origins::on_history(shared, record, source);
+        }
+        Topic::Shared => {
             crash_records::on_record(shared, record, source);
         }
+        // Read only by instances at which streams are taken up.
+        Topic::Streams => {}
     }
     true
 }
@@ -197,6 +202,7 @@
         return false;
     };
     if matches!(change, Change::New | Change::Reborn) {
+        shared.streams.is_outdated.set(true);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
@@ -224,6 +230,7 @@
 /// Handles the removal of an endpoint from the directory; `why` is logged.
 pub(crate) fn on_endpoint_removed(shared: &Rc<Shared>, id: &EndpointId, why: &str) {
     emit!(shared, info, EndpointChanged; "endpoint" => &**id, "change" => "Gone", "why" => why);
+    shared.streams.is_outdated.set(true);
     shared.pool.forget(id);
     shared.load_balancer.borrow_mut().forget(id);
     for held in shared.held_zones() {
--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -46,7 +46,7 @@
 /// Number of attempts to append a record.
 const MAX_APPENDS: u32 = 6;
 
-/// A record of [`Topic::Prompts`].
+/// A record of [`Topic::Shared`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum EvidenceRecord {
@@ -143,7 +143,7 @@
     share_progress(shared, service, segment, at);
 }
 
-/// Applies a record of [`Topic::Prompts`]; returns whether it was new. Crashes and progress that may
+/// Applies a record of [`Topic::Shared`]; returns whether it was new. Crashes and progress that may
 /// be old are not applied: what they led to is in the records of quarantines.
 pub(crate) fn on_record(shared: &Rc<Shared>, record: &Record, source: RecordSource) -> bool {
     let Some(value) = &record.value else {
@@ -157,7 +157,7 @@
             return false;
         }
     };
-    let may_be_old = source == RecordSource::Snapshot || topics::may_miss_prompts(shared);
+    let may_be_old = source == RecordSource::Snapshot || topics::may_miss_shared(shared);
     match evidence {
         EvidenceRecord::Quarantine {
             service,
@@ -385,7 +385,7 @@
         }
         let value = evidence.as_ref().map(EvidenceRecord::encode);
         let text = value.as_deref().unwrap_or_default();
-        let result = shared.store.append(Topic::Prompts, key, text).await;
+        let result = shared.store.append(Topic::Shared, key, text).await;
         let label = if result.is_ok() { "ok" } else { "failed" };
         shared.metrics.record_store_call("evidence", label);
         let Err(error) = result else {
@@ -455,7 +455,8 @@
     ids.join(",")
 }
 
-fn unix_ms() -> u64 {
+/// Returns the time of day in Unix milliseconds; 0 before 1970.
+pub(crate) fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     now.map_or(0, millis)
 }
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -81,6 +81,10 @@
     QuarantineEnded = 1127, "quarantine ended", 20;
     /// Evidence of a crash could not be shared with other instances.
     EvidenceLost = 1128, "evidence not shared", 20;
+    /// The versions of a service's software that serve, or have served lately, changed.
+    VersionsChanged = 1130, "software versions changed", 20;
+    /// The software versions at which streams began could not be written to the store.
+    OriginsLost = 1131, "origins of streams not stored", 20;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
@@ -113,6 +117,8 @@
     CallerLeft = 1405, "caller left", 50;
     /// A stream was resumed at another endpoint.
     StreamResumed = 1406, "stream resumed", 50;
+    /// A request takes up a stream that broke off at its caller.
+    StreamTakenUp = 1407, "stream taken up", 50;
 }
 
 /// Logs an [`Event`] with its number and the key-value pairs after the semicolon, unless the event
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -8,7 +8,7 @@
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::{ResponseHead, copy_response_headers, decode_response_head};
 use caraway_quarantine::Quarantine;
-use caraway_types::{EndpointId, Reason};
+use caraway_types::{EndpointId, Reason, SoftwareVersion};
 use caraway_wire::CallError;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -34,8 +34,11 @@
     request::{Call, InFlightGuard, RefusalResponse},
     shared::Shared,
     sse::EventSplitter,
+    stream_origins::find_origin,
 };
 
+/// Why a request was not sent to an endpoint, for log lines and metric labels.
+const OTHER_SOFTWARE: &str = "its software has another version";
 /// Maximum number of times that a request is sent while no endpoint has run it.
 const MAX_SENDS: u32 = 4;
 /// Largest body of an answer other than a stream, in bytes.
@@ -58,6 +61,8 @@
     pub(crate) body: Incoming,
     /// The incarnation that the request was sent to.
     pub(crate) incarnation: EndpointIncarnation,
+    /// Software version of that incarnation; `None` if the registry does not list it.
+    pub(crate) software: Option<SoftwareVersion>,
     pub(crate) sent_at: Instant,
 }
 
@@ -92,6 +97,26 @@
     pub(crate) possible_runs: u32,
     /// Endpoints that did not run the request or failed.
     pub(crate) exclude: Vec<EndpointId>,
+    /// Software version that has begun the stream; only its endpoints may go on.
+    pub(crate) software: Option<SoftwareVersion>,
+}
+
+impl AttemptHistory {
+    /// Returns the endpoints that a request to `service` must not go to.
+    pub(crate) fn excluded(&self, shared: &Shared, service: &str) -> Vec<EndpointId> {
+        let mut excluded = shared.excluded_endpoints(&self.exclude);
+        if let Some(software) = &self.software {
+            excluded.extend(shared.endpoints_of_other_versions(service, software));
+        }
+        excluded
+    }
+
+    /// Returns whether an endpoint may go on with the stream, if it has begun. One that this instance
+    /// does not know may have any version.
+    fn fits(&self, shared: &Shared, endpoint: &EndpointId) -> bool {
+        let known = || shared.software_of(endpoint);
+        self.software.is_none() || self.software == known()
+    }
 }
 
 /// Serves a request to a model engine.
@@ -100,7 +125,10 @@
     call: Rc<Call>,
     in_flight: InFlightGuard,
 ) -> Result<Response<Payload>, RefusalResponse> {
-    let mut history = AttemptHistory::default();
+    let mut history = AttemptHistory {
+        software: find_origin(shared, &call).await?,
+        ..AttemptHistory::default()
+    };
     let stream = match open_stream(shared, &call, &mut history, StartPoint::First).await? {
         StreamOutcome::Stream(stream) => stream,
         StreamOutcome::Answer(response) => return Ok(response),
@@ -160,7 +188,7 @@
         let placed = if let Some(placed) = granted.take() {
             placed
         } else {
-            let exclude = shared.excluded_endpoints(&history.exclude);
+            let exclude = history.excluded(shared, &call.service);
             match place(shared, &placement, &exclude).await {
                 Ok(placed) => placed,
                 Err(_) if error_response.is_some() => break,
@@ -169,6 +197,11 @@
                 }
             }
         };
+        if !history.fits(shared, &placed.endpoint) {
+            placed.grant.set_outcome(RequestOutcome::NotSent);
+            history.exclude.push(placed.endpoint.clone());
+            continue;
+        }
         if skip_blocked(shared, &placed) {
             history.exclude.push(placed.endpoint.clone());
             continue;
@@ -365,20 +398,14 @@
         placed.grant.set_outcome(RequestOutcome::Unreachable);
         return Outcome::NotRun("can't connect");
     };
-    // The endpoint may have started draining or pausing while the connection was made.
-    if let Some(reason) = shared.block_reason(&placed.endpoint) {
-        placed.grant.set_outcome(RequestOutcome::NotSent);
-        return Outcome::NotRun(reason.as_str());
-    }
-    let incarnation = EndpointIncarnation::registered(shared, &placed.endpoint);
-    if shared.is_permit_expired(&incarnation, placed.given_at.into_std()) {
-        placed.grant.set_outcome(RequestOutcome::NotSent);
-        return Outcome::NotRun(PERMIT_EXPIRED);
-    }
-    if let Some(quarantine) = shared.crash_watch.quarantine(call) {
-        placed.grant.set_outcome(RequestOutcome::NotSent);
-        return Outcome::Quarantined(quarantine);
-    }
+    let incarnation = match check_before_send(shared, call, &placed, history) {
+        Ok(incarnation) => incarnation,
+        Err(outcome) => {
+            placed.grant.set_outcome(RequestOutcome::NotSent);
+            return *outcome;
+        }
+    };
+    let software = shared.software_of(&placed.endpoint);
     // `deadline` covers the first event only; closing the connection cancels an abandoned attempt.
     let request = request_to_endpoint(call, &placed.endpoint, resume_after, call.deadline);
     record_first_send(shared, call, history.sent);
@@ -453,10 +480,35 @@
         first,
         body,
         incarnation,
+        software,
         sent_at,
     }))
 }
 
+/// Returns the incarnation that a request goes to, or the outcome of a request that must not be sent:
+/// things may have changed while its connection was made.
+fn check_before_send(
+    shared: &Shared,
+    call: &Call,
+    placed: &Placement,
+    history: &AttemptHistory,
+) -> Result<EndpointIncarnation, Box<Outcome>> {
+    if let Some(reason) = shared.block_reason(&placed.endpoint) {
+        return Err(Outcome::NotRun(reason.as_str()).into());
+    }
+    if !history.fits(shared, &placed.endpoint) {
+        return Err(Outcome::NotRun(OTHER_SOFTWARE).into());
+    }
+    if let Some(quarantine) = shared.crash_watch.quarantine(call) {
+        return Err(Outcome::Quarantined(quarantine).into());
+    }
+    let incarnation = EndpointIncarnation::registered(shared, &placed.endpoint);
+    if shared.is_permit_expired(&incarnation, placed.given_at.into_std()) {
+        return Err(Outcome::NotRun(PERMIT_EXPIRED).into());
+    }
+    Ok(incarnation)
+}
+
 /// Waits for a response; reports the endpoint to its placer as stalled when there is none by
 /// `stall_at`, and goes on waiting.
 async fn report_if_stalled<T>(
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod shared;
 mod sse;
 mod store_backoff;
+mod stream_origins;
 mod succession;
 mod topics;
 
--- a/crates/caraway-gateway/src/monitoring.rs
+++ b/crates/caraway-gateway/src/monitoring.rs
@@ -50,7 +50,7 @@
     let has_endpoints = !shared.directory.borrow().is_empty();
     let is_draining = shared.is_draining();
     // Otherwise a starting instance would send requests that are in quarantine.
-    let has_quarantines = shared.topics.borrow().is_read_or_failing(Topic::Prompts);
+    let has_quarantines = shared.topics.borrow().is_read_or_failing(Topic::Shared);
     let ready = has_config && has_endpoints && has_quarantines && !is_draining;
     if shared.is_ready.replace(ready) != ready {
         emit!(shared, info, ReadinessChanged; "ready" => ready, "has_config" => has_config,
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, Payload};
 use caraway_placement::RequestOutcome;
-use caraway_types::EndpointId;
+use caraway_types::{EndpointId, SoftwareVersion};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -28,6 +28,7 @@
     request::{Call, InFlightGuard},
     shared::Shared,
     sse::EventSplitter,
+    stream_origins,
 };
 
 /// Chunks that are buffered for a slow caller.
@@ -42,6 +43,8 @@
     call: Rc<Call>,
     history: AttemptHistory,
     splitter: EventSplitter,
+    /// Whether the caller has events of this request's stream.
+    has_events: bool,
     _in_flight: InFlightGuard,
 }
 
@@ -117,10 +120,23 @@
             call,
             history,
             splitter,
+            has_events: false,
             _in_flight: in_flight,
         }
     }
 
+    /// Binds the stream to the software version that wrote its first event.
+    async fn on_events(&mut self, software: Option<&SoftwareVersion>) {
+        if self.has_events {
+            return;
+        }
+        self.has_events = true;
+        if let Some(software) = software.filter(|_| self.history.software.is_none()) {
+            self.history.software = Some(software.clone());
+            stream_origins::on_first_event(&self.shared, &self.call, software).await;
+        }
+    }
+
     /// Forwards the stream, resuming it at other endpoints, until it is complete, its caller has
     /// disconnected or it can't be resumed.
     async fn run(mut self, mut stream: OpenStream, out: mpsc::Sender<Result<Bytes, Aborted>>) {
@@ -165,6 +181,10 @@
     /// Resumes the stream at another endpoint after the last whole event: at `placed`, whose retry
     /// has already been taken from the budget, or wherever the route and the budget allow it.
     async fn resume(&mut self, placed: Option<Placement>) -> Option<OpenStream> {
+        // What the endpoint's software was is not known, so no other endpoint is known to fit.
+        if self.has_events && self.history.software.is_none() {
+            return None;
+        }
         if placed.is_none() && !try_acquire_rerun(&self.shared, &self.call, &self.history) {
             return None;
         }
@@ -203,6 +223,7 @@
             first,
             mut body,
             incarnation,
+            software,
             sent_at,
             ..
         } = stream;
@@ -216,6 +237,7 @@
         let mut chunk = Some(first);
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
+                self.on_events(software.as_ref()).await;
                 if progress.on_events(&self.splitter) {
                     crash_watch::on_progress(&self.shared, &self.call);
                 }
@@ -287,7 +309,12 @@
         let mut exclude = self.history.exclude.clone();
         exclude.push(endpoint.clone());
         let placement = placement_request(&self.call, Instant::now());
-        let exclude = self.shared.excluded_endpoints(&exclude);
+        let history = AttemptHistory {
+            exclude,
+            software: self.history.software.clone(),
+            ..AttemptHistory::default()
+        };
+        let exclude = history.excluded(&self.shared, &self.call.service);
         let placed = tokio::select! {
             placed = place(&self.shared, &placement, &exclude) => placed,
             frame = body.frame() => return TakeoverSearch::Frame(frame),
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -26,7 +26,7 @@
     serve::{listen, serve},
     session_server,
     shared::Shared,
-    topics,
+    stream_origins, topics,
 };
 
 /// Interval between periodic checks.
@@ -76,7 +76,7 @@
     let shared = Rc::new(Shared::new(site, log, queue, metrics, new_incarnation()));
     let closing = watch::Sender::new(false);
     start_servers(&shared, options, &closing).await?;
-    for topic in Topic::ALL {
+    for topic in Topic::FOLLOWED {
         tokio::task::spawn_local(topics::follow_topic(shared.clone(), topic));
     }
     tokio::task::spawn_local(run_periodic_checks(shared.clone()));
@@ -153,6 +153,9 @@
         claim::check_zones(&shared);
         crash_watch::draw_conclusions(&shared);
         rounds += 1;
+        if shared.streams.is_outdated.get() || rounds % CHECKS_PER_SWEEP == 0 {
+            stream_origins::update_histories(&shared);
+        }
         if rounds % CHECKS_PER_SWEEP == 0 {
             shared.pool.sweep();
             shared.update_retry_limits();
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -386,7 +386,7 @@
                 }
                 let reads = |t: &Topic| next.iter().any(|(label, _)| **label == *t.label());
                 *self.holder_unread_topics.borrow_mut() =
-                    Topic::ALL.into_iter().filter(|t| !reads(t)).collect();
+                    Topic::FOLLOWED.into_iter().filter(|t| !reads(t)).collect();
                 self.instance_count.set(peers);
                 self.pressure.set(pressure);
             }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -31,6 +31,7 @@
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
     session::Session,
+    stream_origins::StreamState,
     succession::weakness,
     topics::Topics,
 };
@@ -105,6 +106,8 @@
     pub(crate) limits: LimitState,
     /// What is known of prompts that crash engines.
     pub(crate) crash_watch: CrashWatch,
+    /// What is known of the software versions at which streams began.
+    pub(crate) streams: StreamState,
     /// The number of instances of all zones, as far as it is known.
     pub(crate) fleet_size: Cell<FleetSize>,
     /// The newest announced version of each adapter.
@@ -171,6 +174,7 @@
             pauses: RefCell::default(),
             limits: LimitState::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
+            streams: StreamState::default(),
             fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
--- /dev/null
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -0,0 +1,466 @@
+//! At which software version the streams of callers began, as they may go on only there.
+//!
+//! While a service has had one version only, nothing is recorded. While streams may have begun at one of
+//! several, each is recorded: instances send what they begin to the holder of their zone, which appends
+//! it to a topic of the platform's store, a batch at a time. An instance at which a caller takes a
+//! stream up that it does not know reads that topic.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use caraway_platform::{Record, StoreError, Topic, versions_key};
+use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory};
+use caraway_types::{EndpointId, Offset, Reason, RequestId, SoftwareVersion};
+use tokio::{
+    sync::{Mutex, oneshot},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    apply::RecordSource,
+    crash_records::unix_ms,
+    event::emit,
+    executor::millis,
+    frame::{RecordsFrame, ToHolder},
+    request::{Call, RefusalResponse},
+    shared::Shared,
+};
+
+/// Label of frames with the origins of streams, from an instance to the holder of its zone.
+pub(crate) const ORIGINS_LABEL: &str = "stream-origins";
+/// Time in which the origins of streams are collected before they are appended to the store.
+const BATCH_TIME: Duration = Duration::from_millis(20);
+/// Number of origins that wait to be appended; beyond it the oldest are dropped.
+const MAX_PENDING: usize = 4096;
+/// Longest time for which the first event of a stream waits until its origin is in the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Multiple of a route's timeout that a stream lasts at most, from its first request to the end of the
+/// last one that takes it up.
+const LIFE_TIMEOUTS: u32 = 2;
+/// Longest time for which a request that takes a stream up waits for the store.
+const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which the store is read again for a stream that is not found: its origin may be in a
+/// batch that is not appended yet.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
+/// Delay of a shared history for each instance, so that few instances share the same.
+const HISTORY_DELAY: Duration = Duration::from_millis(20);
+/// Pause after a history could not be shared.
+const HISTORY_RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Number of attempts to share a history.
+const MAX_HISTORY_APPENDS: u32 = 20;
+/// `Retry-After` of a request whose stream's origin can't be found while the store does not answer.
+const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Where the origin of a stream was looked for in vain, for log lines and refusals.
+const STORE_SILENT: &str = "the store does not answer";
+
+/// What this instance knows of the software versions of services and of the streams begun there.
+#[derive(Debug, Default)]
+pub(crate) struct StreamState {
+    history: RefCell<VersionHistory>,
+    origins: RefCell<StreamOrigins>,
+    /// Origins that are to be appended to the store.
+    pending: RefCell<Vec<PendingOrigin>>,
+    is_flush_scheduled: Cell<bool>,
+    /// The next offset of the topic of origins.
+    next_offset: Cell<Offset>,
+    /// Held while the topic is read, so that concurrent lookups share a read.
+    reading: Mutex<()>,
+    /// Whether endpoints have changed since the history was updated.
+    pub(crate) is_outdated: Cell<bool>,
+    /// Histories that are to be shared unless another instance shares the same first.
+    unshared: RefCell<HashMap<Arc<str>, HistoryRecord>>,
+}
+
+/// An origin that is to be appended to the store.
+#[derive(Debug)]
+struct PendingOrigin {
+    request: RequestId,
+    software: SoftwareVersion,
+    /// Told when it is in the store; dropped if that fails.
+    stored: Option<oneshot::Sender<()>>,
+}
+
+impl Shared {
+    /// Returns the endpoints of a service whose software has another version.
+    pub(crate) fn endpoints_of_other_versions(
+        &self,
+        service: &str,
+        software: &SoftwareVersion,
+    ) -> Vec<EndpointId> {
+        let directory = self.directory.borrow();
+        let others = directory
+            .of_service(service)
+            .filter(|e| e.software != *software);
+        others.map(|e| e.id.clone()).collect()
+    }
+}
+
+/// Returns how long the streams of a request's route last at most, in milliseconds.
+fn life_ms(call: &Call) -> u64 {
+    millis(call.route.timeout * LIFE_TIMEOUTS)
+}
+
+/// Records that the stream of a request began at a version, if that does not follow from the history
+/// of its service. Returns once the first event may go to the caller: where the history says that the
+/// stream began at another version, the store has to have its origin by then.
+pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, software: &SoftwareVersion) {
+    let state = &shared.streams;
+    let is_new = call.head.resumes.is_none() && call.head.resume_after.is_none();
+    if !is_new || !call.route.resumable || call.head.id.is_empty() {
+        return;
+    }
+    let (now_ms, life_ms) = (unix_ms(), life_ms(call));
+    let (needs_record, unrecorded) = {
+        let history = state.history.borrow();
+        (
+            history.needs_record(now_ms, &call.service, life_ms),
+            history.unrecorded_origin(now_ms, &call.service, life_ms),
+        )
+    };
+    if !needs_record {
+        return;
+    }
+    let request = &call.head.id;
+    state.origins.borrow_mut().insert(request, software);
+    if matches!(unrecorded, Origin::Known(other) if other != *software) {
+        let (sender, stored) = oneshot::channel();
+        append_later(shared, request, software, Some(sender));
+        // If it can't be stored, the stream goes on, and can be taken up only where it is known.
+        timeout(STORE_TIMEOUT, stored).await.ok();
+        return;
+    }
+    let own_zone = &shared.site.zone;
+    let is_sent = shared.held_zone(own_zone).is_none()
+        && shared.session(own_zone).is_some_and(|session| {
+            session.send(&ToHolder::Records(origin_frame(request, software)))
+        });
+    if !is_sent {
+        append_later(shared, request, software, None);
+    }
+}
+
+fn origin_frame(request: &RequestId, software: &SoftwareVersion) -> RecordsFrame {
+    let record = Record {
+        offset: 0,
+        key: request.clone(),
+        value: Some(software.as_bytes().to_vec().into()),
+    };
+    RecordsFrame {
+        topic: ORIGINS_LABEL.into(),
+        complete: false,
+        from: 0,
+        next: 0,
+        records: vec![record],
+        late: false,
+    }
+}
+
+/// Handles the origins of streams that another instance of the zone has begun.
+pub(crate) fn on_peer_origins(shared: &Rc<Shared>, frame: &RecordsFrame) {
+    for record in &frame.records {
+        if let Some(software) = decode_software(record) {
+            let state = &shared.streams;
+            state.origins.borrow_mut().insert(&record.key, &software);
+            append_later(shared, &record.key, &software, None);
+        }
+    }
+}
+
+fn decode_software(record: &Record) -> Option<SoftwareVersion> {
+    let text = std::str::from_utf8(record.value.as_deref()?).ok()?;
+    Some(text.into())
+}
+
+/// Appends an origin to the store with the next batch, and then tells `stored`.
+fn append_later(
+    shared: &Rc<Shared>,
+    request: &RequestId,
+    software: &SoftwareVersion,
+    stored: Option<oneshot::Sender<()>>,
+) {
+    let state = &shared.streams;
+    {
+        let mut pending = state.pending.borrow_mut();
+        if pending.len() >= MAX_PENDING {
+            pending.remove(0);
+        }
+        pending.push(PendingOrigin {
+            request: request.clone(),
+            software: software.clone(),
+            stored,
+        });
+    }
+    if state.is_flush_scheduled.replace(true) {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(BATCH_TIME).await;
+            let batch = std::mem::take(&mut *shared.streams.pending.borrow_mut());
+            if batch.is_empty() {
+                shared.streams.is_flush_scheduled.set(false);
+                return;
+            }
+            append_batch(&shared, batch).await;
+        }
+    });
+}
+
+/// Appends origins to the store. If that fails, only the instances that know them can tell.
+async fn append_batch(shared: &Rc<Shared>, batch: Vec<PendingOrigin>) {
+    let records = batch
+        .iter()
+        .map(|o| (o.request.clone(), o.software.clone()));
+    let records: Vec<(Arc<str>, Arc<str>)> = records.collect();
+    let result = shared.store.append_all(Topic::Streams, &records).await;
+    let label = if result.is_ok() { "ok" } else { "failed" };
+    shared
+        .metrics
+        .record_store_call(Topic::Streams.label(), label);
+    if let Err(error) = result {
+        emit!(shared, warn, OriginsLost; "streams" => batch.len(), "error" => %error);
+        return;
+    }
+    for stored in batch.into_iter().filter_map(|o| o.stored) {
+        // The caller may have disconnected.
+        stored.send(()).ok();
+    }
+}
+
+/// Returns the version at which the stream began that a request takes up; `None` if the request takes
+/// none up.
+///
+/// # Errors
+///
+/// Returns the refusal of a request whose stream can't go on: its version is not known, or no endpoint
+/// has it any more.
+pub(crate) async fn find_origin(
+    shared: &Rc<Shared>,
+    call: &Call,
+) -> Result<Option<SoftwareVersion>, RefusalResponse> {
+    let takes_up = call.head.resumes.is_some() || call.head.resume_after.is_some();
+    if !takes_up || !call.route.resumable {
+        return Ok(None);
+    }
+    let lookup = timeout(LOOKUP_TIMEOUT, look_up(shared, call)).await;
+    let (software, source) = match lookup {
+        Ok(Ok(found)) => found,
+        Ok(Err(_)) | Err(_) => (None, STORE_SILENT),
+    };
+    emit!(shared, info, StreamTakenUp; "request" => &*call.head.id,
+        "resumes" => call.head.resumes.as_deref(), "software" => software.as_deref(),
+        "source" => source, "ms" => millis(call.arrived_at.elapsed()));
+    let Some(software) = software else {
+        let detail = format!("the software version that began the stream is not known: {source}");
+        let refusal = RefusalResponse::not_run(Reason::NotResumable, &detail);
+        return Err(if source == STORE_SILENT {
+            refusal.with_retry_after(STORE_RETRY_AFTER)
+        } else {
+            refusal
+        });
+    };
+    if !serves(shared, call, &software) {
+        let detail = format!("no endpoint of the software version {software} is left");
+        return Err(RefusalResponse::not_run(Reason::NotResumable, &detail));
+    }
+    Ok(Some(software))
+}
+
+/// Returns whether an endpoint of a request's service with this software version is ready.
+fn serves(shared: &Shared, call: &Call, software: &SoftwareVersion) -> bool {
+    let directory = shared.directory.borrow();
+    let mut endpoints = directory.of_service(&call.service);
+    endpoints.any(|e| e.is_ready() && e.software == *software)
+}
+
+/// Returns the version at which a stream began, if it is known, and where that was learned.
+async fn look_up(
+    shared: &Rc<Shared>,
+    call: &Call,
+) -> Result<(Option<SoftwareVersion>, &'static str), StoreError> {
+    let state = &shared.streams;
+    let request = call.head.resumes.as_deref().unwrap_or_default();
+    let known = |request| state.origins.borrow().get(request).cloned();
+    if let Some(software) = known(request) {
+        return Ok((Some(software), "this instance"));
+    }
+    let needs_record = || {
+        let history = state.history.borrow();
+        history.needs_record(unix_ms(), &call.service, life_ms(call))
+    };
+    if needs_record() {
+        read_origins(shared).await?;
+        if known(request).is_none() {
+            sleep(LOOKUP_PAUSE).await;
+            read_origins(shared).await?;
+        }
+        if let Some(software) = known(request) {
+            return Ok((Some(software), "the store"));
+        }
+    }
+    let history = state.history.borrow();
+    match history.unrecorded_origin(unix_ms(), &call.service, life_ms(call)) {
+        Origin::Known(software) => Ok((Some(software), "the versions that served")),
+        Origin::Ambiguous => Ok((None, "several versions served, and it is not recorded")),
+    }
+}
+
+/// Reads the topic of origins to its end.
+async fn read_origins(shared: &Rc<Shared>) -> Result<(), StoreError> {
+    let state = &shared.streams;
+    let from = state.next_offset.get();
+    let _reading = state.reading.lock().await;
+    // Another lookup may have read on meanwhile.
+    if state.next_offset.get() > from {
+        return Ok(());
+    }
+    loop {
+        let next = state.next_offset.get();
+        let read = shared
+            .store
+            .read(Topic::Streams, next, Duration::ZERO)
+            .await;
+        let label = if read.is_ok() { "ok" } else { "failed" };
+        shared
+            .metrics
+            .record_store_call(Topic::Streams.label(), label);
+        let log = match read {
+            Ok(log) => log,
+            Err(StoreError::Trimmed(Some(first))) if first > next => {
+                state.next_offset.set(first);
+                continue;
+            }
+            Err(e) => return Err(e),
+        };
+        if log.next == next {
+            return Ok(());
+        }
+        state.next_offset.set(log.next);
+        let mut origins = state.origins.borrow_mut();
+        for record in &log.records {
+            if let Some(software) = decode_software(record) {
+                origins.insert(&record.key, &software);
+            }
+        }
+    }
+}
+
+/// Applies a history that an instance has shared.
+pub(crate) fn on_history(shared: &Rc<Shared>, record: &Record, source: RecordSource) -> bool {
+    let value = record.value.as_deref().unwrap_or_default();
+    let history = match serde_json::from_slice::<HistoryRecord>(value) {
+        Ok(history) => history,
+        Err(e) => {
+            emit!(shared, warn, ConfigFinding; "key" => &*record.key, "offset" => record.offset,
+                "finding" => %e);
+            return false;
+        }
+    };
+    let state = &shared.streams;
+    let is_same = {
+        let unshared = state.unshared.borrow();
+        unshared
+            .get(&history.service)
+            .is_some_and(|u| names(u) == names(&history))
+    };
+    if is_same {
+        state.unshared.borrow_mut().remove(&history.service);
+    }
+    emit!(shared, info, VersionsChanged; "service" => &*history.service,
+        "versions" => describe(&history), "source" => format!("{source:?}"));
+    state.history.borrow_mut().adopt(&history);
+    state.is_outdated.set(true);
+    true
+}
+
+/// Returns the versions of a history, and which of them have left.
+fn names(history: &HistoryRecord) -> Vec<(SoftwareVersion, bool)> {
+    let versions = history.versions.iter();
+    versions
+        .map(|v| (v.software.clone(), v.until.is_some()))
+        .collect()
+}
+
+fn describe(history: &HistoryRecord) -> String {
+    let versions = history.versions.iter().map(|v| {
+        let (since, until) = (v.since.unwrap_or(0), v.until);
+        until.map_or_else(
+            || format!("{} since {since}", v.software),
+            |until| format!("{} from {since} to {until}", v.software),
+        )
+    });
+    versions.collect::<Vec<_>>().join(", ")
+}
+
+/// Updates the histories of all services by the endpoints in the registry, and shares what other
+/// instances have to know.
+pub(crate) fn update_histories(shared: &Rc<Shared>) {
+    let state = &shared.streams;
+    let is_ready = {
+        let topics = shared.topics.borrow();
+        topics.is_read(Topic::Shared) && topics.is_read(Topic::Endpoints)
+    };
+    if !is_ready {
+        return;
+    }
+    state.is_outdated.set(false);
+    let mut present: BTreeMap<Arc<str>, BTreeMap<SoftwareVersion, Option<u64>>> = BTreeMap::new();
+    for endpoint in shared.directory.borrow().all().filter(|e| e.is_engine) {
+        let versions = present.entry(endpoint.service.clone()).or_default();
+        let started = versions.entry(endpoint.software.clone()).or_default();
+        *started = match (*started, endpoint.started_ms) {
+            (Some(earliest), Some(started)) => Some(earliest.min(started)),
+            (known, started) => known.or(started),
+        };
+    }
+    for (service, versions) in present {
+        let changed = {
+            let mut history = state.history.borrow_mut();
+            history.update(unix_ms(), &service, &versions)
+        };
+        if let Some(changed) = changed {
+            emit!(shared, info, VersionsChanged; "service" => &*service,
+                "versions" => describe(&changed), "source" => "the registry");
+            share_history(shared, changed);
+        }
+    }
+}
+
+/// Shares a history after a random delay, unless another instance does.
+fn share_history(shared: &Rc<Shared>, history: HistoryRecord) {
+    let service = history.service.clone();
+    let is_scheduled = {
+        let mut unshared = shared.streams.unshared.borrow_mut();
+        unshared.insert(service.clone(), history).is_some()
+    };
+    if is_scheduled {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        let instances = u32::try_from(shared.estimated_instances()).unwrap_or(u32::MAX);
+        let longest = HISTORY_DELAY.saturating_mul(instances);
+        for _ in 0..MAX_HISTORY_APPENDS {
+            sleep(longest.mul_f64(Shared::random_fraction())).await;
+            let unshared = shared.streams.unshared.borrow().get(&service).cloned();
+            let Some(history) = unshared else {
+                return;
+            };
+            let value =
+                serde_json::to_vec(&history).expect("a history has only strings and numbers");
+            let key = versions_key(&service);
+            let Err(error) = shared.store.append(Topic::Shared, &key, &value).await else {
+                break;
+            };
+            emit!(shared, warn, EvidenceLost; "key" => &*key, "error" => %error);
+            sleep(HISTORY_RETRY_PAUSE).await;
+        }
+        shared.streams.unshared.borrow_mut().remove(&service);
+    });
+}
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -24,6 +24,7 @@
     session::Outgoing,
     shared::Shared,
     store_backoff::StoreBackoff,
+    stream_origins::{self, ORIGINS_LABEL},
 };
 
 /// Time for which a read of the operators' topic waits at the store for a new record. A lost answer
@@ -33,7 +34,7 @@
 /// Time for which a read of the holders' topic waits at the store; changes of a holder are rare.
 const HOLDERS_LONG_POLL: Duration = Duration::from_secs(15);
 /// Time for which a read of the topic of deadly prompts waits at the store; it has few records.
-const PROMPTS_LONG_POLL: Duration = Duration::from_secs(15);
+const SHARED_LONG_POLL: Duration = Duration::from_secs(15);
 /// Time for which a read of the registry waits at the store. It also bounds how late an outage of
 /// the store is detected, on which the other topics and the instances that receive forwarded
 /// records rely: with the timeout of the answer it is well within the shortest time (2 s) in which
@@ -163,7 +164,9 @@
                 match topic {
                     Topic::Endpoints => REGISTRY_PAUSE,
                     Topic::Holders if !needs_prompt_reads(&shared) => HOLDERS_PAUSE,
-                    Topic::Operators | Topic::Holders | Topic::Prompts => Duration::ZERO,
+                    Topic::Operators | Topic::Holders | Topic::Shared | Topic::Streams => {
+                        Duration::ZERO
+                    }
                 }
             }
             Err(e) => {
@@ -231,11 +234,14 @@
 
 /// Handles records that another instance forwarded.
 pub(crate) fn on_records(shared: &Rc<Shared>, frame: &RecordsFrame) {
-    if *frame.topic == *PEER_EVIDENCE_LABEL {
-        crash_records::on_peer_evidence(shared, frame);
-        return;
-    }
-    let topic = Topic::ALL.into_iter().find(|t| t.label() == &*frame.topic);
+    match &*frame.topic {
+        PEER_EVIDENCE_LABEL => return crash_records::on_peer_evidence(shared, frame),
+        ORIGINS_LABEL => return stream_origins::on_peer_origins(shared, frame),
+        _ => {}
+    }
+    let topic = Topic::FOLLOWED
+        .into_iter()
+        .find(|t| t.label() == &*frame.topic);
     let Some(topic) = topic else {
         return;
     };
@@ -309,7 +315,8 @@
         Topic::Endpoints => REGISTRY_LONG_POLL,
         Topic::Operators => OPERATORS_LONG_POLL,
         Topic::Holders => HOLDERS_LONG_POLL,
-        Topic::Prompts => PROMPTS_LONG_POLL,
+        Topic::Shared => SHARED_LONG_POLL,
+        Topic::Streams => Duration::ZERO,
     };
     let read = tokio::select! {
         read = shared.store.read(topic, from, wait) => read,
@@ -329,7 +336,7 @@
             );
             Ok(ReadOutcome::Read)
         }
-        Err(StoreError::Trimmed) => {
+        Err(StoreError::Trimmed(_)) => {
             read_newest(shared, topic).await?;
             Ok(ReadOutcome::Read)
         }
@@ -343,7 +350,9 @@
     let now = Shared::now();
     match topic {
         Topic::Endpoints => topics.outage.on_read(now),
-        Topic::Operators | Topic::Holders | Topic::Prompts => topics.outage.missing_policy(now),
+        Topic::Operators | Topic::Holders | Topic::Shared | Topic::Streams => {
+            topics.outage.missing_policy(now)
+        }
     }
 }
 
@@ -453,9 +462,9 @@
 
 /// Returns whether this instance may have missed records of the topic of deadly prompts, so that the
 /// next ones may be old.
-pub(crate) fn may_miss_prompts(shared: &Shared) -> bool {
+pub(crate) fn may_miss_shared(shared: &Shared) -> bool {
     let mut topics = shared.topics.borrow_mut();
-    topics.state(Topic::Prompts).failing
+    topics.state(Topic::Shared).failing
 }
 
 /// Forwards records to the instances that are connected to this one, and those of the operators'
@@ -492,7 +501,7 @@
 pub(crate) fn send_missed(shared: &Shared, outgoing: &Outgoing, known: &[(Arc<str>, Offset)]) {
     for (label, next) in readable_offsets(shared) {
         let from = known.iter().find(|(l, _)| *l == label).map(|(_, n)| *n);
-        let topic = Topic::ALL.into_iter().find(|t| t.label() == &*label);
+        let topic = Topic::FOLLOWED.into_iter().find(|t| t.label() == &*label);
         let Some(topic) = topic.filter(|_| from.is_none_or(|f| f < next)) else {
             continue;
         };
@@ -547,7 +556,7 @@
 ) {
     let forwards = *zone == shared.site.zone || !shared.held_zones.borrow().is_empty();
     let mut topics = shared.topics.borrow_mut();
-    for topic in Topic::ALL {
+    for topic in Topic::FOLLOWED {
         let holder_next = next.iter().find(|(label, _)| **label == *topic.label());
         let state = topics.state(topic);
         let has_all =
@@ -616,7 +625,7 @@
         return;
     }
     // The reads of the other topics may still wait on broken connections.
-    for other in Topic::ALL.into_iter().filter(|t| *t != topic) {
+    for other in Topic::FOLLOWED.into_iter().filter(|t| *t != topic) {
         topics.wake(other);
     }
     drop(topics);
--- /dev/null
+++ b/crates/caraway-streams/src/history.rs
@@ -0,0 +1,146 @@
+//! [`VersionHistory`]: which versions of a service's software served when.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use caraway_types::SoftwareVersion;
+
+use crate::{HistoryRecord, VersionRecord};
+
+/// Time after which a version that has left is forgotten, in milliseconds.
+const RETENTION_MS: u64 = 3_600_000;
+/// Time without an endpoint after which a version counts as gone, in milliseconds.
+const ABSENCE_MS: u64 = 2000;
+/// Number of versions of a service that are remembered.
+const MAX_VERSIONS: usize = 16;
+/// Largest difference between the clocks of two instances, in milliseconds.
+const CLOCK_SLACK_MS: u64 = 5000;
+
+/// What is known of the version at which a stream began, of which there is no record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// It began at this version.
+    Known(SoftwareVersion),
+    /// It may have begun at one of several.
+    Ambiguous,
+}
+
+/// Which versions of each service's software served when. Times are in Unix milliseconds, as
+/// instances share them.
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    services: HashMap<Arc<str>, Vec<VersionRecord>>,
+    /// Versions without an endpoint, and since when.
+    missing: HashMap<(Arc<str>, SoftwareVersion), u64>,
+}
+
+impl VersionHistory {
+    /// Adopts the history that another instance shared.
+    pub fn adopt(&mut self, record: &HistoryRecord) {
+        let versions = record.versions.iter().take(MAX_VERSIONS);
+        self.services
+            .insert(record.service.clone(), versions.cloned().collect());
+    }
+
+    /// Updates the history of a service by the versions of its endpoints, each with the earliest start
+    /// of an endpoint, in Unix milliseconds. Returns the history if it changed so that other instances
+    /// have to know: a service with one version ever needs none.
+    pub fn update(
+        &mut self,
+        now_ms: u64,
+        service: &Arc<str>,
+        present: &BTreeMap<SoftwareVersion, Option<u64>>,
+    ) -> Option<HistoryRecord> {
+        if present.is_empty() {
+            return None;
+        }
+        let is_first = !self.services.contains_key(service);
+        let versions = self.services.entry(service.clone()).or_default();
+        let mut is_changed = false;
+        // Of versions that are seen together for the first time, the oldest endpoint has the former
+        // one.
+        let mut by_start: Vec<_> = present.iter().collect();
+        by_start.sort_by_key(|(_, started_ms)| started_ms.unwrap_or(0));
+        for (software, _) in by_start {
+            let known = versions.iter_mut().find(|v| v.software == *software);
+            if let Some(known) = known {
+                is_changed |= known.until.take().is_some();
+                continue;
+            }
+            let is_former = is_first && versions.is_empty();
+            is_changed |= !is_former;
+            versions.push(VersionRecord {
+                software: software.clone(),
+                since: (!is_former).then_some(now_ms),
+                until: None,
+            });
+        }
+        for version in versions.iter_mut().filter(|v| v.until.is_none()) {
+            let key = (service.clone(), version.software.clone());
+            if present.contains_key(&version.software) {
+                self.missing.remove(&key);
+                continue;
+            }
+            // Instances learn of endpoints at different times.
+            let missing_since = *self.missing.entry(key.clone()).or_insert(now_ms);
+            if now_ms >= missing_since + ABSENCE_MS {
+                version.until = Some(now_ms);
+                self.missing.remove(&key);
+                is_changed = true;
+            }
+        }
+        versions.retain(|v| v.until.is_none_or(|u| now_ms < u + RETENTION_MS));
+        if versions.len() > MAX_VERSIONS {
+            versions.remove(0);
+        }
+        is_changed.then(|| HistoryRecord {
+            service: service.clone(),
+            versions: versions.clone(),
+        })
+    }
+
+    /// Returns whether the origin of a stream that begins now at `software` has to be recorded.
+    /// Streams last `life_ms` at most.
+    #[must_use]
+    pub fn needs_record(&self, now_ms: u64, service: &str, life_ms: u64) -> bool {
+        self.candidates(now_ms, service, life_ms).len() != 1
+    }
+
+    /// Returns at which version a stream began that is taken up now and of which there is no record.
+    #[must_use]
+    pub fn unrecorded_origin(&self, now_ms: u64, service: &str, life_ms: u64) -> Origin {
+        let candidates = self.candidates(now_ms, service, life_ms);
+        match &candidates[..] {
+            [only] => Origin::Known(only.software.clone()),
+            // Streams that began since the versions serve side by side are recorded.
+            [former, others @ ..] => {
+                let is_recent = |v: &&VersionRecord| {
+                    v.since.is_some_and(|s| s.saturating_add(life_ms) > now_ms)
+                };
+                let is_former_older = former
+                    .since
+                    .is_none_or(|s| s.saturating_add(life_ms) <= now_ms);
+                if is_former_older && others.iter().all(is_recent) {
+                    Origin::Known(former.software.clone())
+                } else {
+                    Origin::Ambiguous
+                }
+            }
+            [] => Origin::Ambiguous,
+        }
+    }
+
+    /// Returns the versions at which a stream may have begun that exists now, the earliest first.
+    fn candidates(&self, now_ms: u64, service: &str, life_ms: u64) -> Vec<&VersionRecord> {
+        let versions = self.services.get(service).map(Vec::as_slice);
+        let lasted = life_ms.saturating_add(CLOCK_SLACK_MS);
+        let may_have_begun = |v: &&VersionRecord| {
+            v.until
+                .is_none_or(|until| until.saturating_add(lasted) > now_ms)
+        };
+        let versions = versions.unwrap_or_default().iter();
+        versions.filter(may_have_begun).collect()
+    }
+}
--- /dev/null
+++ b/crates/caraway-streams/src/record.rs
@@ -0,0 +1,28 @@
+//! [`HistoryRecord`]: the versions of a service's software, as instances share them.
+
+use std::sync::Arc;
+
+use caraway_types::SoftwareVersion;
+use serde::{Deserialize, Serialize};
+
+/// The versions of a service's software that served lately, the earliest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryRecord {
+    /// The service.
+    pub service: Arc<str>,
+    /// The versions.
+    pub versions: Vec<VersionRecord>,
+}
+
+/// When a version served. Times are in Unix milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// The version.
+    pub software: SoftwareVersion,
+    /// When it was first seen; `None` if it was there before anything is known.
+    #[serde(rename = "since_ms")]
+    pub since: Option<u64>,
+    /// When it was seen last; `None` while it serves.
+    #[serde(rename = "until_ms")]
+    pub until: Option<u64>,
+}
--- a/crates/caraway-types/src/refusal.rs
+++ b/crates/caraway-types/src/refusal.rs
@@ -46,6 +46,8 @@
     LogUnavailable,
     /// The request has what crashed several endpoints.
     Quarantined,
+    /// The stream that the request takes up can't go on.
+    NotResumable,
     /// The endpoint failed while it ran the request.
     EndpointFailed,
     /// The endpoint made no progress within the timeout.
