--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -182,7 +182,8 @@
                 poll_at,
             };
             match self.adapters.get_mut(model) {
-                Some(adapter) if adapter.phase == Phase::Uncertain => {
+                // A queued load may be under way by an order of the former holder.
+                Some(adapter) if matches!(adapter.phase, Phase::Uncertain | Phase::LoadQueued) => {
                     adapter.phase = loading;
                     adapter.timing = LoadTiming::Unknown;
                 }
