Take no endpoint that stops as planned for a crashed one

Connections to an endpoint that has drained, or whose entry is gone, end as at a crash, and requests without progress there were reported as evidence. Found by reading; only endpoints that are listed as ready count now.

--- a/crates/caraway-gateway/src/crash_watch.rs
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -141,16 +141,17 @@
 async fn check_endpoint(shared: Rc<Shared>, service: Arc<str>, incarnation: EndpointIncarnation) {
     let broke_at = Instant::now();
     sleep(COLLECT_TIME).await;
+    // An endpoint that drains or is no longer listed has stopped as planned.
     let addr = {
         let directory = shared.directory.borrow();
-        directory.get(&incarnation.endpoint).map(|e| e.addr)
+        let endpoint = directory.get(&incarnation.endpoint);
+        endpoint.filter(|e| e.is_ready()).map(|e| e.addr)
     };
-    // The registry has already removed an endpoint without an address.
     let has_crashed = match addr {
         Some(addr) => {
             check_acceptance(addr, &ConnectTimeouts::default()).await == Acceptance::Refusing
         }
-        None => true,
+        None => false,
     };
     let requests = {
         let mut broken = shared.crash_watch.broken.borrow_mut();
