Play releases of engines in the soak, and judge what streams consist of

Callers send streams that may be resumed, and take them up at a random instance when they break off. Engines change between two software versions among the other faults; after these, half of them have each, and they restart in turn. The stand-ins record which version runs each part of a stream: no more than two may be joined from two versions.

--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -7,11 +7,15 @@
     time::{Duration, Instant},
 };
 
-use caraway_http::{ConnectTimeouts, Connection, read_body};
+use caraway_http::{ConnectTimeouts, Connection};
 use caraway_platform_standin::{
     Ledger, RequestKind, build_request, build_route_request, check_response, set_prompt,
+    set_resumption,
 };
 use http::StatusCode;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{
@@ -49,6 +53,9 @@
 /// Part of the drafts that have the deadly segment while such prompts come.
 const DEADLY_SHARE: f64 = 0.2;
 
+/// Number of times that a caller takes a stream up.
+const MAX_TAKE_UPS: u32 = 2;
+
 /// A request that was sent, with its result.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestResult {
@@ -90,6 +97,10 @@
     prompt: Vec<u64>,
     /// Whether its last request was refused because of what its prompt has.
     is_quarantined: bool,
+    /// Number of whole events that its last stream had.
+    event_count: u64,
+    /// Addresses of all instances, at which it takes broken streams up.
+    pub(crate) others: Vec<SocketAddr>,
 }
 
 impl Caller {
@@ -102,6 +113,8 @@
             sent_count: 0,
             prompt: vec![SHARED_SEGMENT],
             is_quarantined: false,
+            event_count: 0,
+            others: Vec::new(),
         }
     }
 
@@ -124,6 +137,10 @@
                 self.prompt.push(DEADLY_SEGMENT);
             }
             if let Some(result) = self.send_request(kind, adapter).await {
+                let is_broken = result.outcome == Outcome::Incomplete && self.event_count > 0;
+                if kind == RequestKind::Digest && is_broken {
+                    self.take_up(&result.request, adapter, &mut rng).await;
+                }
                 results.0.borrow_mut().push(result);
             }
             let pause = Duration::from_millis(rng.random_range(5..40));
@@ -165,7 +182,7 @@
             kind,
             outcome,
             sent_at,
-            is_deadly: kind == RequestKind::Draft && self.prompt.contains(&DEADLY_SEGMENT),
+            is_deadly: kind.is_stream() && self.prompt.contains(&DEADLY_SEGMENT),
             is_quarantined: self.is_quarantined,
         })
     }
@@ -173,20 +190,25 @@
     /// Sends a request over the open connection, and checks the response.
     async fn exchange(&mut self, kind: RequestKind, adapter: u32, request: &str) -> Outcome {
         self.is_quarantined = false;
+        self.event_count = 0;
         let Some(connection) = self.connection.as_mut() else {
             return Outcome::Incomplete;
         };
         let mut message = build_request(kind, adapter, request, RESPONSE_TIMEOUT);
-        if kind == RequestKind::Draft {
+        if kind.is_stream() {
             set_prompt(&mut message, &self.prompt, request);
         }
         let Ok(response) = connection.send(message).await else {
             return Outcome::Incomplete;
         };
         let (head, body) = response.into_parts();
-        let Ok(body) = read_body(body, MAX_BODY_BYTES).await else {
+        let (body, is_whole) = read_partial(body).await;
+        if kind.is_stream() {
+            self.event_count = count_events(&body);
+        }
+        if !is_whole {
             return Outcome::Incomplete;
-        };
+        }
         if head.status != StatusCode::OK {
             let reason = br#""quarantined""#;
             self.is_quarantined = body.windows(reason.len()).any(|w| w == reason);
@@ -199,6 +221,66 @@
     }
 }
 
+impl Caller {
+    /// Takes a broken stream up at random instances until it is whole, at most twice.
+    async fn take_up(&mut self, first: &str, adapter: u32, rng: &mut ChaCha8Rng) {
+        let mut last_event = self.event_count;
+        for _ in 0..MAX_TAKE_UPS {
+            sleep(Duration::from_millis(rng.random_range(50..400))).await;
+            let other = rng.random_range(0..self.others.len());
+            let Ok(mut connection) =
+                Connection::connect(self.others[other], &ConnectTimeouts::default()).await
+            else {
+                continue;
+            };
+            self.sent_count += 1;
+            let request = format!("c{other}-{}-{}", self.name, self.sent_count);
+            let mut message =
+                build_request(RequestKind::Digest, adapter, &request, RESPONSE_TIMEOUT);
+            set_prompt(&mut message, &self.prompt, first);
+            set_resumption(&mut message, first, last_event);
+            let sent = timeout(RESPONSE_TIMEOUT, connection.send(message)).await;
+            let Ok(Ok(response)) = sent else {
+                continue;
+            };
+            if response.status() != StatusCode::OK {
+                continue;
+            }
+            let read = timeout(RESPONSE_TIMEOUT, read_partial(response.into_body())).await;
+            let (body, is_whole) = read.unwrap_or_default();
+            let next = format!("id: {}\n", last_event + 1);
+            if !body.is_empty() && !body.starts_with(next.as_bytes()) {
+                let violation = format!("ORDER: {request} does not go on after event {last_event}");
+                self.ledger.record_violation(violation);
+            }
+            last_event += count_events(&body);
+            if is_whole {
+                return;
+            }
+        }
+    }
+}
+
+/// Reads a body; returns the bytes that arrived, and whether they are the whole body.
+async fn read_partial(mut body: Incoming) -> (Vec<u8>, bool) {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        match frame.map(Frame::into_data) {
+            Ok(Ok(data)) if bytes.len() + data.len() <= MAX_BODY_BYTES => {
+                bytes.extend_from_slice(&data);
+            }
+            Ok(Err(_)) => {}
+            Ok(Ok(_)) | Err(_) => return (bytes, false),
+        }
+    }
+    (bytes, true)
+}
+
+/// Returns the number of whole events in the body of a stream.
+fn count_events(body: &[u8]) -> u64 {
+    body.windows(2).filter(|w| w == b"\n\n").count() as u64
+}
+
 /// Returns whether an instance serves the route `name`, which a newer configuration adds.
 pub(crate) async fn has_route(front_addr: SocketAddr, name: &str, request: &str) -> bool {
     let Ok(mut connection) = Connection::connect(front_addr, &ConnectTimeouts::default()).await
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -47,6 +47,8 @@
     /// Makes an endpoint without engine refuse requests and ask for a pause of this length; the
     /// number is its zone's.
     AskForPause(usize, Duration),
+    /// Replaces the software of an engine by another version, with a restart.
+    Release(usize, u32),
     /// Makes callers send prompts with a segment that crashes engines.
     DeadlyPrompts,
 }
@@ -84,6 +86,7 @@
     faults.extend(schedule_limits(plan));
     faults.extend(schedule_signals(plan));
     faults.push(schedule_deadly_prompts(plan));
+    faults.extend(schedule_releases(plan));
     faults.sort_by_key(|f| f.at);
     faults
 }
@@ -152,6 +155,30 @@
     }
 }
 
+/// Added to the seed of the draws of releases.
+const RELEASE_SEED: u64 = 1 << 35;
+/// Number of releases of an engine in a run.
+const RELEASES: std::ops::RangeInclusive<usize> = 2..=4;
+/// Number of software versions.
+const SOFTWARE_VERSIONS: u32 = 2;
+
+/// Draws releases of engines, forward and back.
+fn schedule_releases(plan: &Plan) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + RELEASE_SEED);
+    let count = rng.random_range(RELEASES);
+    (0..count)
+        .map(|_| {
+            let engine = rng.random_range(0..plan.zones * plan.engines);
+            let software = rng.random_range(1..=SOFTWARE_VERSIONS);
+            Timed {
+                at: plan.fault_period.mul_f64(rng.random_range(0.0..1.0)),
+                lasts: Duration::ZERO,
+                fault: Fault::Release(engine, software),
+            }
+        })
+        .collect()
+}
+
 /// Draws all faults but what endpoints say in their answers.
 fn schedule_disruptions(plan: &Plan) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -22,9 +22,13 @@
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of consecutive requests of each kind that an instance must serve to count as recovered.
 const REQUIRED_SUCCESSES: u32 = 5;
-/// Time for which deadly prompts come after the other faults: several crashes, the time after which
-/// few such prompts may run, and as much again.
-const CALM_TIME: Duration = Duration::from_secs(7);
+/// Time for which engines fail after the other faults: several crashes by deadly prompts, the time after
+/// which few such prompts may run, and as much again.
+const ENGINE_FAULT_TIME: Duration = Duration::from_secs(7);
+/// Time between two restarts of engines meanwhile.
+const ENGINE_RESTART_INTERVAL: Duration = Duration::from_millis(350);
+/// Number of streams that may hold events of two software versions.
+const MAX_JOINED_STREAMS: usize = 2;
 /// Pause between checks of an instance that has not recovered.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which requests that callers have abandoned may still reach endpoints.
@@ -121,7 +125,8 @@
         for caller_number in 0..plan.callers {
             let name = format!("c{number}-{caller_number}");
             let seed = plan.seed * 1000 + (number * plan.callers + caller_number) as u64;
-            let caller = Caller::new(name, *front_addr, ledger.clone());
+            let mut caller = Caller::new(name, *front_addr, ledger.clone());
+            caller.others.clone_from(&front_addrs);
             let deadly_prompts = testbed.borrow().deadly_prompts.clone();
             let run = caller.run(seed, result_log.clone(), deadly_prompts, stop.subscribe());
             callers.push(tokio::task::spawn_local(run));
@@ -156,9 +161,7 @@
             ));
         }
     }
-    // Deadly prompts also come while nothing else disturbs the gateways.
-    testbed.borrow().deadly_prompts.set(true);
-    sleep(CALM_TIME).await;
+    play_engine_faults(&testbed).await;
     stop.send_replace(true);
     for caller in callers {
         caller.await.context("the task of a caller failed")?;
@@ -166,34 +169,59 @@
     sleep(SETTLE_TIME).await;
     restart_task.abort();
     let results = result_log.take();
-    violations.extend(ledger.violations());
-    violations.extend(testbed.borrow().limit_violations());
+    violations.extend(find_violations(&testbed.borrow(), &results));
+    let count = |outcome: Outcome| results.iter().filter(|r| r.outcome == outcome).count();
+    Ok(Report {
+        seed: plan.seed,
+        faults: faults.len(),
+        sent: results.len(),
+        served: count(Outcome::Served),
+        refused: count(Outcome::Status(503)),
+        violations,
+        logs: None,
+    })
+}
+
+/// Lets deadly prompts come and engines of two software versions restart, while nothing disturbs the
+/// gateways.
+async fn play_engine_faults(testbed: &Rc<RefCell<Testbed>>) {
+    testbed.borrow_mut().release_half_of_engines();
+    testbed.borrow().deadly_prompts.set(true);
+    let start = Instant::now();
+    let mut restarts = 0;
+    while start.elapsed() < ENGINE_FAULT_TIME {
+        sleep(ENGINE_RESTART_INTERVAL).await;
+        testbed.borrow_mut().restart_engine(restarts);
+        restarts += 1;
+    }
+}
+
+/// Returns the violations that the endpoints and the callers' results show.
+fn find_violations(testbed: &Testbed, results: &[RequestResult]) -> Vec<String> {
+    let ledger = &testbed.ledger;
+    let mut violations = ledger.violations();
+    violations.extend(testbed.limit_violations());
     let senders = ResultSenders {
-        testbed: &testbed.borrow(),
+        testbed,
         sent_at: results.iter().map(|r| (&*r.request, r.sent_at)).collect(),
     };
-    violations.extend(testbed.borrow().signal_violations(&senders));
+    violations.extend(testbed.signal_violations(&senders));
     let deadly = results.iter().filter(|r| r.is_deadly);
     let deadly_runs = deadly.filter(|r| ledger.runs(&r.request) > 0);
     let deadly_runs: Vec<_> = deadly_runs
         .filter_map(|r| Some((senders.sender(&r.request)?, r.sent_at)))
         .collect();
-    violations.extend(testbed.borrow().deadly_violation(&deadly_runs));
+    violations.extend(testbed.deadly_violation(&deadly_runs));
+    let joined = ledger.joined_streams();
+    if joined.len() > MAX_JOINED_STREAMS {
+        violations.extend(joined.iter().map(|j| format!("ORDER: {j}")));
+    }
     violations.extend(
         results
             .iter()
             .filter_map(|r| find_violation(r, ledger.runs(&r.request))),
     );
-    let count = |outcome: Outcome| results.iter().filter(|r| r.outcome == outcome).count();
-    Ok(Report {
-        seed: plan.seed,
-        faults: faults.len(),
-        sent: results.len(),
-        served: count(Outcome::Served),
-        refused: count(Outcome::Status(503)),
-        violations,
-        logs: None,
-    })
+    violations
 }
 
 /// The senders of requests, from the callers' results.
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -26,6 +26,21 @@
 /// The segment of prompts that crashes engines.
 pub(crate) const DEADLY_SEGMENT: u64 = 0xdead;
 
+/// Time between the events of streams: long enough for some to break off between two.
+const EVENT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Sets up an engine that has started with this software version.
+fn set_up(engine: &Engine, software: u32) {
+    engine.set_deadly_segments(&[DEADLY_SEGMENT]);
+    engine.set_software(&software_name(software));
+    engine.set_event_interval(EVENT_INTERVAL);
+}
+
+/// Returns the name of a software version.
+fn software_name(number: u32) -> String {
+    format!("v{number}")
+}
+
 /// An endpoint that gateways reach through a proxy.
 #[derive(Debug)]
 struct Endpoint {
@@ -34,6 +49,8 @@
     proxy: Proxy,
     /// Number of starts, written to the registry entry.
     incarnation: u64,
+    /// Number of its software version.
+    software: u32,
     backend: Backend,
 }
 
@@ -117,7 +134,7 @@
                 };
                 let id = spec.id.to_string();
                 let engine = Engine::new(spec, testbed.ledger.clone());
-                engine.set_deadly_segments(&[DEADLY_SEGMENT]);
+                set_up(&engine, 1);
                 let addr = engine.start().await.context("can't start an engine")?;
                 testbed
                     .add(&id, zone, addr, Backend::Engine(engine))
@@ -163,6 +180,7 @@
             zone: zone.to_owned(),
             proxy: Proxy::start(addr).await.context("can't start a proxy")?,
             incarnation: 1,
+            software: 1,
             backend,
         };
         self.register(&endpoint);
@@ -177,7 +195,8 @@
             Backend::Engine(engine) => ("lm", Some(held_models(engine.has_weights()))),
         };
         let addr = endpoint.proxy.addr();
-        let entry = registry_entry(service, &endpoint.zone, addr, endpoint.incarnation, models);
+        let mut entry = registry_entry(service, &endpoint.zone, addr, endpoint.incarnation, models);
+        entry["Version"] = software_name(endpoint.software).into();
         self.store.publish_endpoint(&endpoint.id, &entry);
     }
 
@@ -257,6 +276,10 @@
                 self.set_behavior(number, Behavior::RefuseFor(pause));
             }
             Fault::DeadlyPrompts => self.deadly_prompts.set(true),
+            Fault::Release(number, software) => {
+                self.endpoints[number].software = software;
+                self.restart_endpoint(number);
+            }
             Fault::Configuration => {
                 let name = format!("more{}", self.version);
                 self.publish_configuration(Some(&name));
@@ -284,7 +307,11 @@
             Fault::Limit(number, _) => self.endpoints[number].arrivals().set_limit(None),
             Fault::Draining(number) => self.restart_endpoint(number),
             Fault::DeadlyPrompts => self.deadly_prompts.set(false),
-            Fault::Stop(_) | Fault::Reload(_) | Fault::Restart(_) | Fault::Configuration => {}
+            Fault::Stop(_)
+            | Fault::Reload(_)
+            | Fault::Restart(_)
+            | Fault::Release(..)
+            | Fault::Configuration => {}
         }
         Ok(())
     }
@@ -322,6 +349,26 @@
         Ok(())
     }
 
+    /// Gives every other engine another software version, and the rest the first one.
+    pub(crate) fn release_half_of_engines(&mut self) {
+        for number in 0..self.engine_count() {
+            let software = 1 + u32::from(number % 2 == 1);
+            if self.endpoints[number].software != software {
+                self.start_fault(Fault::Release(number, software), Duration::ZERO);
+            }
+        }
+    }
+
+    /// Restarts an engine; `number` counts over and over all engines.
+    pub(crate) fn restart_engine(&mut self, number: usize) {
+        self.restart_endpoint(number % self.engine_count());
+    }
+
+    fn engine_count(&self) -> usize {
+        let is_engine = |e: &&Endpoint| matches!(e.backend, Backend::Engine(_));
+        self.endpoints.iter().filter(is_engine).count()
+    }
+
     /// Starts a new incarnation of an endpoint.
     fn restart_endpoint(&mut self, number: usize) {
         let endpoint = &mut self.endpoints[number];
@@ -329,7 +376,7 @@
         match &endpoint.backend {
             Backend::Engine(engine) => {
                 engine.restart();
-                engine.set_deadly_segments(&[DEADLY_SEGMENT]);
+                set_up(engine, endpoint.software);
             }
             Backend::Plain(plain_endpoint) => {
                 plain_endpoint.signals().restart();
