Bound the records of crashes: share progress only for suspects of several, and each report once

Cause: a report whose suspects had been cleared counted as new at each instance, so holders passed it on to each other without end; and every instance shared progress with every segment of every crash. Now a crash remembers what was reported of it, only holders pass evidence on, progress is shared for suspects of two or more crashes, and each instance has a part of 40 records a second.

--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -35,7 +35,7 @@
 /// progress with the same segment share it.
 const PROGRESS_DELAY: Duration = Duration::from_millis(2);
 /// Largest delay of shared progress, a part of the time in which crashes settle.
-const MAX_PROGRESS_DELAY: Duration = Duration::from_millis(40);
+const MAX_PROGRESS_DELAY: Duration = Duration::from_millis(400);
 /// Delay of a shared quarantine for each instance. All instances decide on it at about the same
 /// time; only those that start later depend on the record.
 const QUARANTINE_DELAY: Duration = Duration::from_millis(20);
@@ -44,7 +44,42 @@
 /// Number of records that are shared at a time.
 const MAX_SHARING: usize = 64;
 /// Number of attempts to append a record.
-const MAX_APPENDS: u32 = 6;
+const MAX_APPENDS: u32 = 3;
+/// Number of records that all instances together share per second for long, and one at once.
+const SHARED_PER_SECOND: f64 = 40.0;
+const SHARED_AT_ONCE: f64 = 10.0;
+
+/// Limits the records that this instance shares to its part of what all instances may share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ShareLimiter {
+    credit: f64,
+    updated_at: Option<Instant>,
+}
+
+impl Default for ShareLimiter {
+    fn default() -> Self {
+        Self {
+            credit: SHARED_AT_ONCE,
+            updated_at: None,
+        }
+    }
+}
+
+impl ShareLimiter {
+    /// Returns whether a record may be shared at `now`; if so, uses the credit for it.
+    fn admit(&mut self, now: Instant, instances: usize) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let rate = SHARED_PER_SECOND / instances.max(1) as f64;
+        let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now - at);
+        self.updated_at = Some(now);
+        self.credit = (self.credit + elapsed.as_secs_f64() * rate).min(SHARED_AT_ONCE);
+        let is_admitted = self.credit >= 1.0;
+        if is_admitted {
+            self.credit -= 1.0;
+        }
+        is_admitted
+    }
+}
 
 /// A record of [`Topic::Shared`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -210,8 +245,9 @@
 
 /// Handles evidence that another instance could not write to the store.
 pub(crate) fn on_peer_evidence(shared: &Rc<Shared>, frame: &RecordsFrame) {
+    let holds = !shared.held_zones.borrow().is_empty();
     for record in &frame.records {
-        if on_record(shared, record, RecordSource::Log) {
+        if on_record(shared, record, RecordSource::Log) && holds {
             send_to_peers(shared, record.clone());
         }
     }
@@ -358,7 +394,11 @@
     seen_at: Instant,
 ) {
     let sharing = &shared.crash_watch.sharing;
-    if sharing.get() >= MAX_SHARING {
+    let is_admitted = {
+        let mut limiter = shared.crash_watch.share_limiter.borrow_mut();
+        limiter.admit(Instant::now(), shared.estimated_instances())
+    };
+    if sharing.get() >= MAX_SHARING || !is_admitted {
         emit!(shared, warn, EvidenceLost; "key" => &*key, "error" => "too many are being shared");
         return;
     }
--- a/crates/caraway-gateway/src/crash_watch.rs
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -19,7 +19,11 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    crash_records, endpoint_signals::EndpointIncarnation, request::Call, shared::Shared, topics,
+    crash_records::{self, ShareLimiter},
+    endpoint_signals::EndpointIncarnation,
+    request::Call,
+    shared::Shared,
+    topics,
 };
 
 /// Time in which the requests that break off at a crash are collected.
@@ -45,6 +49,7 @@
     pub(crate) unshared_quarantines: RefCell<HashMap<Arc<str>, Option<Quarantine>>>,
     /// Number of records that are being shared.
     pub(crate) sharing: Cell<usize>,
+    pub(crate) share_limiter: RefCell<ShareLimiter>,
 }
 
 /// A request that broke off without progress.
@@ -68,6 +73,7 @@
             unshared_progress: RefCell::default(),
             unshared_quarantines: RefCell::default(),
             sharing: Cell::new(0),
+            share_limiter: RefCell::default(),
         }
     }
 
--- a/crates/caraway-quarantine/src/evidence.rs
+++ b/crates/caraway-quarantine/src/evidence.rs
@@ -66,6 +66,8 @@
 const OTHERS_PER_EXTRA: usize = 4;
 /// Largest number of crashes that are necessary because of others.
 const MAX_EXTRA_CRASHES: usize = 1;
+/// Number of crashes from which on progress with a suspect segment is shared.
+const DANGEROUS_CRASHES: usize = 2;
 /// Shortest time between two crashes of an endpoint.
 const RESTART_TIME: Duration = Duration::from_secs(1);
 
@@ -77,6 +79,8 @@
     started_ms: Option<u64>,
     at: Instant,
     suspects: BTreeSet<SegmentId>,
+    /// The segments that were reported, also those that are not suspect any more.
+    reported: BTreeSet<SegmentId>,
 }
 
 /// How a quarantine changed; none of the two is set if it did not.
@@ -118,8 +122,8 @@
 
     /// Handles a report of a crash; [`Self::on_tick`] draws the conclusions.
     ///
-    /// Returns the suspects with which requests have made progress before, and when. The instance
-    /// that has sent the report may not know that.
+    /// Returns the suspects of several crashes with which requests have made progress before, and when.
+    /// The instance that has sent the report may not know that.
     pub fn on_report(&mut self, now: Instant, report: &CrashReport) -> Vec<(SegmentId, Instant)> {
         let at = now.checked_sub(report.age.get()).unwrap_or(now);
         let known = self.incidents.iter().position(|i| i.is_of(at, report));
@@ -130,6 +134,7 @@
                 started_ms: report.started_ms,
                 at,
                 suspects: BTreeSet::new(),
+                reported: BTreeSet::new(),
             });
             if self.incidents.len() > self.settings.max_incidents {
                 self.incidents.pop_front();
@@ -140,7 +145,10 @@
         for suspect in report.suspects.iter().chain(&report.proven) {
             let last = self.progress.last(&report.service, *suspect);
             let is_cleared = last.is_some_and(|last| last > incident.at);
-            if !is_cleared && incident.suspects.len() < MAX_SUSPECTS {
+            if incident.reported.len() < MAX_SUSPECTS
+                && incident.reported.insert(*suspect)
+                && !is_cleared
+            {
                 incident.suspects.insert(*suspect);
             }
         }
@@ -150,7 +158,8 @@
         }
         self.unsettled.insert(report.service.clone());
         let suspects = report.suspects.iter();
-        let proven = suspects.filter_map(|s| Some((*s, self.progress.last(&report.service, *s)?)));
+        let in_danger = suspects.filter(|s| self.is_in_danger(&report.service, **s));
+        let proven = in_danger.filter_map(|s| Some((*s, self.progress.last(&report.service, *s)?)));
         proven.collect()
     }
 
@@ -206,12 +215,15 @@
     pub fn is_known(&self, now: Instant, report: &CrashReport) -> bool {
         let at = now.checked_sub(report.age.get()).unwrap_or(now);
         let mut same = self.incidents.iter().filter(|i| i.is_of(at, report));
-        let mut suspects = report.suspects.iter().chain(&report.proven);
-        same.any(|i| suspects.all(|s| i.suspects.contains(s)))
+        let is_known = |i: &Incident, s: &SegmentId| {
+            i.reported.len() >= MAX_SUSPECTS || i.reported.contains(s)
+        };
+        let suspects = || report.suspects.iter().chain(&report.proven);
+        same.any(|i| suspects().all(|s| is_known(i, s)))
     }
 
     /// Records that a request of this instance with these segments has made progress. Returns those
-    /// that are suspect or in quarantine, for [`Self::on_progress`].
+    /// that are suspects of several crashes or in quarantine, for [`Self::on_progress`].
     pub fn record_progress(
         &mut self,
         now: Instant,
@@ -221,7 +233,7 @@
         let mut suspects = Vec::new();
         for segment in segments {
             self.progress.record(now, service, segment);
-            if self.is_suspect(service, segment) {
+            if self.is_in_danger(service, segment) {
                 suspects.push(segment);
             }
         }
@@ -259,6 +271,15 @@
         verdicts
     }
 
+    /// Returns whether a segment is a suspect of several crashes or in quarantine, so that others should
+    /// know of progress with it.
+    fn is_in_danger(&self, service: &str, segment: SegmentId) -> bool {
+        let crashes = self.incidents.iter();
+        let crashes = crashes.filter(|i| i.is_suspect(service, segment)).count();
+        let mut quarantines = self.quarantines.iter().filter(|q| *q.service == *service);
+        crashes >= DANGEROUS_CRASHES || quarantines.any(|q| q.segments.contains(&segment))
+    }
+
     /// Returns whether a segment is suspect or in quarantine.
     #[must_use]
     pub fn is_suspect(&self, service: &str, segment: SegmentId) -> bool {
