Tell the holder of the zone a stream's origin also where the store has to know it

The holder is told now in each case; a caller that takes such a stream up elsewhere still meets that, as long as the store is away early in a release.

--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -127,19 +127,18 @@
     }
     let request = &call.head.id;
     state.origins.borrow_mut().insert(request, software);
-    if matches!(unrecorded, Origin::Known(other) if other != *software) {
-        let (sender, stored) = oneshot::channel();
-        append_later(shared, request, software, Some(sender));
-        // If it can't be stored, the stream goes on, and can be taken up only where it is known.
-        timeout(STORE_TIMEOUT, stored).await.ok();
-        return;
-    }
     let own_zone = &shared.site.zone;
     let is_sent = shared.held_zone(own_zone).is_none()
         && shared.session(own_zone).is_some_and(|session| {
             session.send(&ToHolder::Records(origin_frame(request, software)))
         });
-    if !is_sent {
+    if matches!(unrecorded, Origin::Known(other) if other != *software) {
+        let (sender, stored) = oneshot::channel();
+        append_later(shared, request, software, Some(sender));
+        // If it can't be stored, the stream goes on, and the instances of the zone know its origin at
+        // most.
+        timeout(STORE_TIMEOUT, stored).await.ok();
+    } else if !is_sent {
         append_later(shared, request, software, None);
     }
 }
