Survive long request ids and absurd times in shared records

A caller's request id of more than 255 bytes, as the key of a stream's origin, ended the task that writes origins, so that no further stream was recorded; a history or a quarantine with times near the largest number ended the task that reads the topic. Such a stream is not recorded now, and lifetimes are bounded.

--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use caraway_platform::{Record, Topic, crash_key, progress_key, quarantine_key};
-use caraway_quarantine::{CrashReport, Quarantine, SegmentId, Verdict};
+use caraway_quarantine::{CrashReport, EvidenceSettings, Quarantine, SegmentId, Verdict};
 use caraway_types::{EndpointId, InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
@@ -202,6 +202,7 @@
             lifetime,
         } => {
             let remaining = Duration::from_millis(until_ms.saturating_sub(unix_ms()));
+            let lifetime = lifetime.get().min(EvidenceSettings::default().max_lifetime);
             let now = Shared::now();
             let quarantine = Quarantine {
                 service,
@@ -209,8 +210,8 @@
                 crashed,
                 decided_at: now,
                 // The clock of the instance that wrote the record may be wrong.
-                until: now + remaining.min(lifetime.get() * 2),
-                lifetime: lifetime.get(),
+                until: now + remaining.min(lifetime * 2),
+                lifetime,
             };
             adopt(shared, &record.key, &quarantine)
         }
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use caraway_platform::{Record, StoreError, Topic, versions_key};
+use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic, versions_key};
 use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory};
 use caraway_types::{EndpointId, Offset, Reason, RequestId, SoftwareVersion};
 use tokio::{
@@ -111,7 +111,9 @@
 pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, software: &SoftwareVersion) {
     let state = &shared.streams;
     let is_new = call.head.resumes.is_none() && call.head.resume_after.is_none();
-    if !is_new || !call.route.resumable || call.head.id.is_empty() {
+    // A longer id is no key of the store; that stream goes on only where it is known.
+    let has_key = (1..=MAX_KEY_BYTES).contains(&call.head.id.len());
+    if !is_new || !call.route.resumable || !has_key {
         return;
     }
     let (now_ms, life_ms) = (unix_ms(), life_ms(call));
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -169,6 +169,24 @@
     });
 }
 
+// Guards against: the id of a request, which callers choose, is too long for a key of the store, and no
+// stream is recorded any more.
+#[test]
+fn long_request_id_does_not_end_the_records_of_other_streams() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    let long_id = "x".repeat(400);
+    for adapter in 0..4 {
+        let headers = headers(&long_id, adapter);
+        let answer = call(first.front, "POST /mixed/x", &headers, "prompt");
+        assert!(answer.contains("id: 4\n"), "{answer}");
+    }
+    check_take_ups(&platform, first, |platform, killed| {
+        drop(killed);
+        start_gateway(platform, "gate-2")
+    });
+}
+
 // Guards against: the engines of the old version have just left, and an instance that starts takes the
 // only version that it sees for the one that began a stream.
 #[test]
--- a/crates/caraway-streams/src/history.rs
+++ b/crates/caraway-streams/src/history.rs
@@ -91,7 +91,10 @@
                 is_changed = true;
             }
         }
-        versions.retain(|v| v.until.is_none_or(|u| now_ms < u + RETENTION_MS));
+        versions.retain(|v| {
+            v.until
+                .is_none_or(|u| now_ms < u.saturating_add(RETENTION_MS))
+        });
         if versions.len() > MAX_VERSIONS {
             versions.remove(0);
         }
--- a/crates/caraway-streams/tests/history.rs
+++ b/crates/caraway-streams/tests/history.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use caraway_streams::{Origin, StreamOrigins, VersionHistory};
+use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory, VersionRecord};
 use caraway_types::SoftwareVersion;
 
 const SERVICE: &str = "lm";
@@ -137,6 +137,26 @@
     assert_eq!(origin(&history, back + LIFE), Origin::Ambiguous);
 }
 
+// Guards against: a record with absurd times ends the process.
+#[test]
+fn absurd_times_are_survived() {
+    let mut history = VersionHistory::default();
+    let version = |software: &str, since, until| VersionRecord {
+        software: software.into(),
+        since,
+        until,
+    };
+    history.adopt(&HistoryRecord {
+        service: SERVICE.into(),
+        versions: vec![
+            version("v1", Some(u64::MAX), Some(u64::MAX)),
+            version("v2", Some(0), Some(u64::MAX)),
+        ],
+    });
+    update(&mut history, START, &[("v1", u64::MAX)]);
+    assert_eq!(origin(&history, START), Origin::Ambiguous);
+}
+
 #[test]
 fn number_of_versions_is_bounded() {
     let mut history = VersionHistory::default();
