--- a/crates/caraway-routes/src/endpoint.rs
+++ b/crates/caraway-routes/src/endpoint.rs
@@ -53,7 +53,8 @@
     /// follow each other under one id.
     #[serde(rename = "born")]
     pub started_ms: Option<u64>,
-    /// Version of its software. What endpoints of different versions write does not fit together.
+    /// Version of its software, empty if it states none. What endpoints of different versions write
+    /// does not fit together.
     pub software: SoftwareVersion,
     /// Whether it is a model engine. A newly started engine may have no model loaded yet.
     pub is_engine: bool,
