--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use caraway_http::{BodyError, Payload, PooledConnection, read_body_within};
-use caraway_placement::Urgency;
+use caraway_placement::{LOW_PRIORITY_WAIT_SHARE, Urgency};
 use caraway_platform::{
     ForwardHeaders, KeepAlive, ResponseHead, SIGNATURE_MISSING, copy_request_headers,
     copy_response_headers, decode_response_head,
@@ -38,9 +38,6 @@
 /// Longest wait for the permit of an endpoint with a limit. Permits that are given ahead stay in use
 /// when the zone's holder changes, and the next holder does not know of them.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
-/// Part of the time that requests of lower priorities wait, so that permits are left to the most
-/// important ones.
-const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
 /// Least time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -21,7 +21,7 @@
 pub use decay::DecayingCount;
 pub use order::{Action, Order, OrderNumber, OrderOutcome, Report};
 pub use output::{Output, RefuseReason};
-pub use placer::{Placer, PlacerStats};
+pub use placer::{LOW_PRIORITY_WAIT_SHARE, Placer, PlacerStats};
 pub use request::{PlacementId, PlacementRequest, RequestOutcome, SourceId};
 pub use settings::PlacerSettings;
 pub use urgency::Urgency;
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -21,6 +21,8 @@
     replica::Replica, wait_queue::WaitQueue,
 };
 
+pub use limits::LOW_PRIORITY_WAIT_SHARE;
+
 /// Interval between checks for waiting requests that can no longer meet their deadline.
 const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/crates/caraway-placement/src/placer/limits.rs
+++ b/crates/caraway-placement/src/placer/limits.rs
@@ -8,9 +8,9 @@
 use super::Placer;
 use crate::{PlacementId, PlacementRequest};
 
-/// Part of the time until its goal that a request of a lower priority may wait for permits. More
-/// important requests that arrive meanwhile go before it.
-const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
+/// Part of its time that a request of a lower priority may wait for permits, so that they are left to
+/// more important requests that arrive meanwhile.
+pub const LOW_PRIORITY_WAIT_SHARE: f64 = 0.5;
 
 /// Returns until when a request waits for a permit: no longer than its goal, as another zone may be
 /// able to serve it on time.
