--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -276,8 +276,7 @@
         Ok(appended) => format!("offset {}", appended.offset),
         Err(e) => e.to_string(),
     };
-    let label = if result.is_ok() { "ok" } else { "failed" };
-    shared.metrics.record_store_call("claim", label);
+    shared.metrics.record_store_call("claim", result.is_ok());
     emit!(shared, info, ClaimTried; "held_zone" => &**zone, "at" => topic_end,
         "released" => released, "outcome" => outcome);
     match &result {
--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -1,12 +1,7 @@
 //! Shares evidence of crashes with all instances: through a topic of the platform's store and, while
 //! the store can't be written to, through the sessions with the zones' holders.
 
-use std::{
-    collections::BTreeSet,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use caraway_platform::{Record, Topic, crash_key, progress_key, quarantine_key};
@@ -45,41 +40,6 @@
 const MAX_SHARING: usize = 64;
 /// Number of attempts to append a record.
 const MAX_APPENDS: u32 = 3;
-/// Number of records that all instances together share per second for long, and one at once.
-const SHARED_PER_SECOND: f64 = 40.0;
-const SHARED_AT_ONCE: f64 = 10.0;
-
-/// Limits the records that this instance shares to its part of what all instances may share.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ShareLimiter {
-    credit: f64,
-    updated_at: Option<Instant>,
-}
-
-impl Default for ShareLimiter {
-    fn default() -> Self {
-        Self {
-            credit: SHARED_AT_ONCE,
-            updated_at: None,
-        }
-    }
-}
-
-impl ShareLimiter {
-    /// Returns whether a record may be shared at `now`; if so, uses the credit for it.
-    fn admit(&mut self, now: Instant, instances: usize) -> bool {
-        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
-        let rate = SHARED_PER_SECOND / instances.max(1) as f64;
-        let elapsed = self.updated_at.map_or(Duration::ZERO, |at| now - at);
-        self.updated_at = Some(now);
-        self.credit = (self.credit + elapsed.as_secs_f64() * rate).min(SHARED_AT_ONCE);
-        let is_admitted = self.credit >= 1.0;
-        if is_admitted {
-            self.credit -= 1.0;
-        }
-        is_admitted
-    }
-}
 
 /// A record of [`Topic::Shared`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -123,7 +83,7 @@
             service: quarantine.service.clone(),
             segments: quarantine.segments.clone(),
             crashed: quarantine.crashed.clone(),
-            until_ms: unix_ms().saturating_add(millis(remaining)),
+            until_ms: Shared::unix_ms().saturating_add(millis(remaining)),
             lifetime: quarantine.lifetime.into(),
         }
     }
@@ -201,7 +161,7 @@
             until_ms,
             lifetime,
         } => {
-            let remaining = Duration::from_millis(until_ms.saturating_sub(unix_ms()));
+            let remaining = Duration::from_millis(until_ms.saturating_sub(Shared::unix_ms()));
             let lifetime = lifetime.get().min(EvidenceSettings::default().max_lifetime);
             let now = Shared::now();
             let quarantine = Quarantine {
@@ -345,7 +305,7 @@
     }
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        sleep(random_delay(&shared, PROGRESS_DELAY).min(MAX_PROGRESS_DELAY)).await;
+        sleep(shared.random_delay(PROGRESS_DELAY).min(MAX_PROGRESS_DELAY)).await;
         let is_unshared = {
             let mut unshared = shared.crash_watch.unshared_progress.borrow_mut();
             unshared.remove(&key)
@@ -374,7 +334,7 @@
     }
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        sleep(random_delay(&shared, QUARANTINE_DELAY)).await;
+        sleep(shared.random_delay(QUARANTINE_DELAY)).await;
         let unshared = {
             let mut unshared = shared.crash_watch.unshared_quarantines.borrow_mut();
             unshared.remove(&key)
@@ -427,8 +387,7 @@
         let value = evidence.as_ref().map(EvidenceRecord::encode);
         let text = value.as_deref().unwrap_or_default();
         let result = shared.store.append(Topic::Shared, key, text).await;
-        let label = if result.is_ok() { "ok" } else { "failed" };
-        shared.metrics.record_store_call("evidence", label);
+        shared.metrics.record_store_call("evidence", result.is_ok());
         let Err(error) = result else {
             return;
         };
@@ -452,14 +411,7 @@
 
 /// Sends evidence to the holders of all zones and to the instances that are connected to this one.
 fn send_to_peers(shared: &Rc<Shared>, record: Record) {
-    let frame = RecordsFrame {
-        topic: PEER_EVIDENCE_LABEL.into(),
-        complete: false,
-        from: 0,
-        next: 0,
-        records: vec![record],
-        late: false,
-    };
+    let frame = RecordsFrame::of_record(PEER_EVIDENCE_LABEL, record);
     let from_holder = FromHolder::Records(frame.clone());
     for held in shared.held_zones() {
         held.forward_records(&from_holder);
@@ -470,13 +422,6 @@
     }
 }
 
-/// Returns a random delay that grows with the number of instances.
-fn random_delay(shared: &Shared, for_each: Duration) -> Duration {
-    let instances = u32::try_from(shared.estimated_instances()).unwrap_or(u32::MAX);
-    let longest = for_each.saturating_mul(instances);
-    longest.mul_f64(Shared::random_fraction())
-}
-
 /// Returns the key of a quarantine's record.
 fn key_of(quarantine: &Quarantine) -> Arc<str> {
     quarantine_key(segments_hash(&quarantine.service, &quarantine.segments))
@@ -495,9 +440,3 @@
     let ids: Vec<String> = segments.into_iter().map(|s| format!("{s:x}")).collect();
     ids.join(",")
 }
-
-/// Returns the time of day in Unix milliseconds; 0 before 1970.
-pub(crate) fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.map_or(0, millis)
-}
--- a/crates/caraway-gateway/src/crash_watch.rs
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -19,11 +19,8 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    crash_records::{self, ShareLimiter},
-    endpoint_signals::EndpointIncarnation,
-    request::Call,
-    shared::Shared,
-    topics,
+    crash_records, endpoint_signals::EndpointIncarnation, request::Call,
+    share_limiter::ShareLimiter, shared::Shared, topics,
 };
 
 /// Time in which the requests that break off at a crash are collected.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -238,6 +238,20 @@
     pub(crate) late: bool,
 }
 
+impl RecordsFrame {
+    /// Creates a frame with a record that is not in the store, or that the sender can't tell to be.
+    pub(crate) fn of_record(label: &str, record: Record) -> Self {
+        Self {
+            topic: label.into(),
+            complete: false,
+            from: 0,
+            next: 0,
+            records: vec![record],
+            late: false,
+        }
+    }
+}
+
 /// Encodes a frame with its length before it.
 pub(crate) fn encode<T: Serialize>(frame: &T) -> Bytes {
     let body = rmp_serde::to_vec(frame).expect("frames have only plain data");
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod serve;
 mod session;
 mod session_server;
+mod share_limiter;
 mod shared;
 mod sse;
 mod store_backoff;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -211,8 +211,9 @@
         self.order_time.record(elapsed.as_secs_f64(), &[]);
     }
 
-    /// Counts a call to the platform's store by its result.
-    pub(crate) fn record_store_call(&self, topic: &'static str, result: &'static str) {
+    /// Counts a call to the platform's store by whether it succeeded.
+    pub(crate) fn record_store_call(&self, topic: &'static str, is_ok: bool) {
+        let result = if is_ok { "ok" } else { "failed" };
         let labels = [
             KeyValue::new("topic", topic),
             KeyValue::new("result", result),
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use caraway_http::{MemoryBudget, Pool, PoolTimeouts};
@@ -26,6 +26,7 @@
 use crate::{
     crash_watch::CrashWatch,
     endpoint_limits::LimitState,
+    executor::millis,
     fleet_size::FleetSize,
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
@@ -335,6 +336,19 @@
         self.fleet_size.set(fleet_size);
     }
 
+    /// Returns a random delay of at most `for_each` for each instance of the deployment.
+    pub(crate) fn random_delay(&self, for_each: Duration) -> Duration {
+        let instances = u32::try_from(self.estimated_instances()).unwrap_or(u32::MAX);
+        let longest = for_each.saturating_mul(instances);
+        longest.mul_f64(Self::random_fraction())
+    }
+
+    /// Returns the time of day in Unix milliseconds; 0 before 1970.
+    pub(crate) fn unix_ms() -> u64 {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        now.map_or(0, millis)
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction() -> f64 {
         rand::rng().random::<f64>()
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -23,7 +23,6 @@
 
 use crate::{
     apply::RecordSource,
-    crash_records::unix_ms,
     event::emit,
     executor::millis,
     frame::{RecordsFrame, ToHolder},
@@ -105,28 +104,29 @@
     millis(call.route.timeout * LIFE_TIMEOUTS)
 }
 
+/// Returns whether a request takes up a stream that broke off at its caller.
+fn takes_up(call: &Call) -> bool {
+    call.head.resumes.is_some() || call.head.resume_after.is_some()
+}
+
 /// Records that the stream of a request began at a version, if that does not follow from the history
 /// of its service. Returns once the first event may go to the caller: where the history says that the
 /// stream began at another version, the store has to have its origin by then.
 pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, software: &SoftwareVersion) {
     let state = &shared.streams;
-    let is_new = call.head.resumes.is_none() && call.head.resume_after.is_none();
     // A longer id is no key of the store; that stream goes on only where it is known.
     let has_key = (1..=MAX_KEY_BYTES).contains(&call.head.id.len());
-    if !is_new || !call.route.resumable || !has_key {
+    if takes_up(call) || !call.route.resumable || !has_key {
         return;
     }
-    let (now_ms, life_ms) = (unix_ms(), life_ms(call));
-    let (needs_record, unrecorded) = {
+    let (now_ms, life_ms) = (Shared::unix_ms(), life_ms(call));
+    let unrecorded = {
         let history = state.history.borrow();
-        (
-            history.needs_record(now_ms, &call.service, life_ms),
-            history.unrecorded_origin(now_ms, &call.service, life_ms),
-        )
+        if !history.needs_record(now_ms, &call.service, life_ms) {
+            return;
+        }
+        history.unrecorded_origin(now_ms, &call.service, life_ms)
     };
-    if !needs_record {
-        return;
-    }
     let request = &call.head.id;
     state.origins.borrow_mut().insert(request, software);
     let own_zone = &shared.site.zone;
@@ -151,14 +151,7 @@
         key: request.clone(),
         value: Some(software.as_bytes().to_vec().into()),
     };
-    RecordsFrame {
-        topic: ORIGINS_LABEL.into(),
-        complete: false,
-        from: 0,
-        next: 0,
-        records: vec![record],
-        late: false,
-    }
+    RecordsFrame::of_record(ORIGINS_LABEL, record)
 }
 
 /// Handles the origins of streams that another instance of the zone has begun.
@@ -220,10 +213,9 @@
         .map(|o| (o.request.clone(), o.software.clone()));
     let records: Vec<(Arc<str>, Arc<str>)> = records.collect();
     let result = shared.store.append_all(Topic::Streams, &records).await;
-    let label = if result.is_ok() { "ok" } else { "failed" };
     shared
         .metrics
-        .record_store_call(Topic::Streams.label(), label);
+        .record_store_call(Topic::Streams.label(), result.is_ok());
     if let Err(error) = result {
         emit!(shared, warn, OriginsLost; "streams" => batch.len(), "error" => %error);
         return;
@@ -245,8 +237,7 @@
     shared: &Rc<Shared>,
     call: &Call,
 ) -> Result<Option<SoftwareVersion>, RefusalResponse> {
-    let takes_up = call.head.resumes.is_some() || call.head.resume_after.is_some();
-    if !takes_up || !call.route.resumable {
+    if !takes_up(call) || !call.route.resumable {
         return Ok(None);
     }
     let lookup = timeout(LOOKUP_TIMEOUT, look_up(shared, call)).await;
@@ -293,7 +284,7 @@
     }
     let needs_record = || {
         let history = state.history.borrow();
-        history.needs_record(unix_ms(), &call.service, life_ms(call))
+        history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
     };
     if needs_record() {
         read_origins(shared).await?;
@@ -306,7 +297,7 @@
         }
     }
     let history = state.history.borrow();
-    match history.unrecorded_origin(unix_ms(), &call.service, life_ms(call)) {
+    match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
         Origin::Known(software) => Ok((Some(software), "the versions that served")),
         Origin::Ambiguous => Ok((None, "several versions served, and it is not recorded")),
     }
@@ -327,10 +318,9 @@
             .store
             .read(Topic::Streams, next, Duration::ZERO)
             .await;
-        let label = if read.is_ok() { "ok" } else { "failed" };
         shared
             .metrics
-            .record_store_call(Topic::Streams.label(), label);
+            .record_store_call(Topic::Streams.label(), read.is_ok());
         let log = match read {
             Ok(log) => log,
             Err(StoreError::Trimmed(Some(first))) if first > next => {
@@ -423,7 +413,7 @@
     for (service, versions) in present {
         let changed = {
             let mut history = state.history.borrow_mut();
-            history.update(unix_ms(), &service, &versions)
+            history.update(Shared::unix_ms(), &service, &versions)
         };
         if let Some(changed) = changed {
             emit!(shared, info, VersionsChanged; "service" => &*service,
@@ -445,10 +435,8 @@
     }
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        let instances = u32::try_from(shared.estimated_instances()).unwrap_or(u32::MAX);
-        let longest = HISTORY_DELAY.saturating_mul(instances);
         for _ in 0..MAX_HISTORY_APPENDS {
-            sleep(longest.mul_f64(Shared::random_fraction())).await;
+            sleep(shared.random_delay(HISTORY_DELAY)).await;
             let unshared = shared.streams.unshared.borrow().get(&service).cloned();
             let Some(history) = unshared else {
                 return;
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -154,8 +154,9 @@
             continue;
         }
         let result = read_once(&shared, topic, &wake).await;
-        let label = if result.is_ok() { "ok" } else { "failed" };
-        shared.metrics.record_store_call(topic.label(), label);
+        shared
+            .metrics
+            .record_store_call(topic.label(), result.is_ok());
         let pause = match result {
             Ok(ReadOutcome::Woken) => continue,
             Ok(ReadOutcome::Read) => {
