Handle a broken stream at one place

A stream that breaks off and one that ends within an event took the same steps in two places. The search for a takeover clones the history of attempts instead of rebuilding it, and the stall limit starts at the time of sending, which was read twice.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -89,7 +89,7 @@
 const STALL_TIMEOUT_PER_TOKEN: Duration = Duration::from_micros(100);
 
 /// The attempts of a request so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct AttemptHistory {
     /// Attempts that reached an endpoint.
     pub(crate) sent: u32,
@@ -411,8 +411,7 @@
     record_first_send(shared, call, history.sent);
     shared.record_limited_send(&incarnation, "stream");
     let sent_at = Instant::now();
-    let stall_at =
-        Instant::now() + STALL_TIMEOUT_BASE + STALL_TIMEOUT_PER_TOKEN * call.head.tokens.prompt;
+    let stall_at = sent_at + STALL_TIMEOUT_BASE + STALL_TIMEOUT_PER_TOKEN * call.head.tokens.prompt;
     let send = report_if_stalled(&placed, stall_at, pooled.connection.send(request));
     let answer = match timeout_at(deadline, send).await {
         Ok(Ok(answer)) => answer,
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -160,7 +160,8 @@
             };
             emit!(self.shared, info, AttemptFailed; "request" => &*self.call.head.id,
                 "endpoint" => &*endpoint, "why" => why, "events" => self.splitter.event_count(),
-                "segments" => self.call.segment_ids(), "in_doubt" => true, "ms" => millis(self.call.arrived_at.elapsed()));
+                "segments" => self.call.segment_ids(), "in_doubt" => true,
+                "ms" => millis(self.call.arrived_at.elapsed()));
             self.shared.metrics.record_failed_attempt(why);
             self.history.exclude.push(endpoint);
             let Some(resumed) = self.resume(takeover).await else {
@@ -234,6 +235,7 @@
         let mut last_event_at = Instant::now();
         let mut may_take_over = self.call.route.may_rerun();
         let mut progress = AttemptProgress::new(&self.splitter);
+        let mut broken = None;
         let mut chunk = Some(first);
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
@@ -279,20 +281,20 @@
                 Some(Ok(frame)) => Some(frame.into_data().unwrap_or_default()),
                 None => None,
                 Some(Err(_)) => {
-                    placed.grant.set_outcome(RequestOutcome::Failed);
-                    if !progress.is_made {
-                        crash_watch::on_break(&self.shared, &self.call, &incarnation, sent_at);
-                    }
-                    return ForwardEnd::Broken("the stream broke off");
+                    broken = Some("the stream broke off");
+                    None
                 }
             };
         }
-        if self.splitter.has_partial_event() {
+        if broken.is_none() && self.splitter.has_partial_event() {
+            broken = Some("the stream ended in the middle of an event");
+        }
+        if let Some(why) = broken {
             placed.grant.set_outcome(RequestOutcome::Failed);
             if !progress.is_made {
                 crash_watch::on_break(&self.shared, &self.call, &incarnation, sent_at);
             }
-            return ForwardEnd::Broken("the stream ended in the middle of an event");
+            return ForwardEnd::Broken(why);
         }
         return_connection(&self.shared, &placed.endpoint, pooled, &head);
         if !progress.is_made {
@@ -306,14 +308,9 @@
     /// Finds an endpoint that takes a silent stream over. Meanwhile the stream may continue, so
     /// that a merely slow one is not cut off when there is no other endpoint.
     async fn find_takeover(&self, endpoint: &EndpointId, body: &mut Incoming) -> TakeoverSearch {
-        let mut exclude = self.history.exclude.clone();
-        exclude.push(endpoint.clone());
+        let mut history = self.history.clone();
+        history.exclude.push(endpoint.clone());
         let placement = placement_request(&self.call, Instant::now());
-        let history = AttemptHistory {
-            exclude,
-            software: self.history.software.clone(),
-            ..AttemptHistory::default()
-        };
         let exclude = history.excluded(&self.shared, &self.call.service);
         let placed = tokio::select! {
             placed = place(&self.shared, &placement, &exclude) => placed,
