--- a/crates/caraway-quarantine/src/evidence.rs
+++ b/crates/caraway-quarantine/src/evidence.rs
@@ -8,55 +8,7 @@
 
 use caraway_types::EndpointId;
 
-use crate::{CrashReport, Quarantine, SegmentId, progress::RecentProgress};
-
-/// Settings of a [`CrashEvidence`].
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EvidenceSettings {
-    /// Number of crashes that have to have a segment in common.
-    pub crashes: usize,
-    /// The same for a segment with which requests have made progress before: it can only have
-    /// become the cause by a change of the endpoints.
-    pub proven_crashes: usize,
-    /// Factor of both for an instance that may not have learned all that others have seen.
-    pub isolated_factor: usize,
-    /// Time between two crashes from which on they count as two. Endpoints that crash at the same
-    /// moment, as in a loss of power, are one crash: it says nothing about the requests there.
-    pub separation: Duration,
-    /// Time after a crash in which all instances have reported it, and what made progress since.
-    pub settling: Duration,
-    /// Time for which a crash counts.
-    pub memory: Duration,
-    /// Time for which a first quarantine lasts.
-    pub lifetime: Duration,
-    /// Longest time for which a renewed quarantine lasts.
-    pub max_lifetime: Duration,
-    /// Part of the lifetime that is added, 0 to 1, a random number of the instance: when a
-    /// quarantine ends, few instances try the segments before they all know the result.
-    pub jitter: f64,
-    /// Number of crashes that are remembered.
-    pub max_incidents: usize,
-    /// Number of quarantines at a time.
-    pub max_quarantines: usize,
-}
-
-impl Default for EvidenceSettings {
-    fn default() -> Self {
-        Self {
-            crashes: 4,
-            proven_crashes: 8,
-            isolated_factor: 2,
-            separation: Duration::from_millis(40),
-            settling: Duration::from_millis(150),
-            memory: Duration::from_mins(5),
-            lifetime: Duration::from_mins(10),
-            max_lifetime: Duration::from_hours(2),
-            jitter: 0.0,
-            max_incidents: 128,
-            max_quarantines: 32,
-        }
-    }
-}
+use crate::{CrashReport, EvidenceSettings, Quarantine, SegmentId, progress::RecentProgress};
 
 /// Number of segments of a report that are remembered.
 const MAX_SUSPECTS: usize = 64;
@@ -276,18 +228,19 @@
     fn is_in_danger(&self, service: &str, segment: SegmentId) -> bool {
         let crashes = self.incidents.iter();
         let crashes = crashes.filter(|i| i.is_suspect(service, segment)).count();
-        let mut quarantines = self.quarantines.iter().filter(|q| *q.service == *service);
-        crashes >= DANGEROUS_CRASHES || quarantines.any(|q| q.segments.contains(&segment))
+        crashes >= DANGEROUS_CRASHES || self.is_quarantined(service, segment)
     }
 
     /// Returns whether a segment is suspect or in quarantine.
     #[must_use]
     pub fn is_suspect(&self, service: &str, segment: SegmentId) -> bool {
-        let mut quarantines = self.quarantines.iter().filter(|q| *q.service == *service);
-        self.incidents
-            .iter()
-            .any(|i| i.is_suspect(service, segment))
-            || quarantines.any(|q| q.segments.contains(&segment))
+        let mut incidents = self.incidents.iter();
+        incidents.any(|i| i.is_suspect(service, segment)) || self.is_quarantined(service, segment)
+    }
+
+    fn is_quarantined(&self, service: &str, segment: SegmentId) -> bool {
+        let mut quarantines = self.quarantines.iter();
+        quarantines.any(|q| *q.service == *service && q.segments.contains(&segment))
     }
 
     /// Adopts a quarantine that another instance decided on. Returns false if it is known.
@@ -506,9 +459,7 @@
             self.count += 1;
         }
     }
-}
 
-impl SeparateCrashes {
     /// Returns the number of other crashes between the first and the last of these; those at the same
     /// moment count once.
     fn others(&self, incidents: &[&Incident], separation: Duration) -> usize {
@@ -545,9 +496,3 @@
             && (self.started_ms.is_some() || distance < RESTART_TIME)
     }
 }
-
-impl EvidenceSettings {
-    fn with_jitter(&self, lifetime: Duration) -> Duration {
-        lifetime.mul_f64(1.0 + self.jitter.clamp(0.0, 1.0))
-    }
-}
--- a/crates/caraway-quarantine/src/progress.rs
+++ b/crates/caraway-quarantine/src/progress.rs
@@ -10,7 +10,8 @@
 /// A segment of prompts to a service.
 type Key = (Arc<str>, SegmentId);
 
-/// The segments with which requests have made progress lately, with the time of the last progress. The number of segments is bounded; the oldest are dropped first.
+/// The segments with which requests have made progress lately, with the time of the last progress.
+/// The number of segments is bounded; the oldest are dropped first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecentProgress {
     current: HashMap<Key, Instant>,
