Log path and digest of requests whose attempts fail

To tell apart whether the same request or only similar ones crash endpoints, event 1403 names the path and a digest of what stays the same when a caller sends a request again.

--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod claim_schedule;
 mod crash_records;
 mod crash_watch;
+mod digest;
 mod endpoint_limits;
 mod endpoint_signals;
 mod event;
@@ -40,6 +41,7 @@
 
 pub use caraway_metrics::MetricInfo;
 pub use claim_schedule::ClaimSchedule;
+pub use digest::request_digest;
 pub use event::Event;
 pub use fleet_size::FleetSize;
 pub use forwarding::ForwardingStatus;
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -160,7 +160,8 @@
             };
             emit!(self.shared, info, AttemptFailed; "request" => &*self.call.head.id,
                 "endpoint" => &*endpoint, "why" => why, "events" => self.splitter.event_count(),
-                "segments" => self.call.segment_ids(), "in_doubt" => true,
+                "segments" => self.call.segment_ids(), "path" => self.call.uri.path(),
+                "digest" => %self.call.digest, "in_doubt" => true,
                 "ms" => millis(self.call.arrived_at.elapsed()));
             self.shared.metrics.record_failed_attempt(why);
             self.history.exclude.push(endpoint);
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -6,13 +6,16 @@
 use bytes::Bytes;
 use caraway_http::{BodyError, Payload, read_body_within};
 use caraway_platform::{decode_request_head, refusal_response};
+use caraway_quarantine::RequestDigest;
 use caraway_routes::{Limits, RequestHead, Route, RoutingConfig};
 use caraway_types::{EndpointId, Findings, Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::{event::emit, executor::millis, generate, plain, shared::Shared};
+use crate::{
+    digest::request_digest, event::emit, executor::millis, generate, plain, shared::Shared,
+};
 
 /// Timeout of a request without a deadline header; the longest route timeout of the deployments.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(12);
@@ -30,6 +33,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Recognises the request when its caller sends it again.
+    pub(crate) digest: RequestDigest,
     pub(crate) route: Arc<Route>,
     /// The service of the route that was chosen for this request.
     pub(crate) service: Arc<str>,
@@ -81,8 +86,8 @@
         shared.metrics.record_failed_attempt(why);
         emit!(shared, info, AttemptFailed; "request" => &*self.head.id,
             "endpoint" => &**endpoint, "why" => why, "in_doubt" => in_doubt, "events" => 0,
-            "segments" => self.segment_ids(),
-            "ms" => millis(start.elapsed()));
+            "segments" => self.segment_ids(), "path" => self.uri.path(),
+            "digest" => %self.digest, "ms" => millis(start.elapsed()));
     }
 }
 
@@ -257,12 +262,14 @@
             }
             BodyError::Incomplete(why) => RefusalResponse::not_run(Reason::BadRequest, &why),
         })?;
+    let digest = request_digest(&parts.method, &parts.uri, &parts.headers, &head, &body);
     Ok(Call {
         head,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
+        digest,
         route,
         is_engine_service: routing
             .service(&service)
--- a/crates/caraway-quarantine/src/lib.rs
+++ b/crates/caraway-quarantine/src/lib.rs
@@ -10,8 +10,10 @@
 mod quarantine;
 mod report;
 mod settings;
+mod suspect;
 
 pub use evidence::{CrashEvidence, Verdict};
 pub use quarantine::Quarantine;
-pub use report::{CrashReport, SegmentId};
+pub use report::CrashReport;
 pub use settings::EvidenceSettings;
+pub use suspect::{RequestDigest, SegmentId};
--- a/crates/caraway-quarantine/src/report.rs
+++ b/crates/caraway-quarantine/src/report.rs
@@ -5,8 +5,7 @@
 use caraway_types::{EndpointId, Millis, RequestId};
 use serde::{Deserialize, Serialize};
 
-/// Identifies the content of a segment of a prompt.
-pub type SegmentId = u64;
+use crate::SegmentId;
 
 /// A crash of an endpoint as one instance has seen it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
