Add tests that fail: a request crashes endpoint after endpoint

Stand-ins of engines and plain endpoints crash at a body, at a set time after they begin to run it, and register again.

--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -149,8 +149,10 @@
     let mut pair_addrs = Vec::new();
     for (id, desk) in ["p-1", "p-2"].into_iter().zip(&pair) {
         let addr = desk.start().await.expect("an address");
-        let entry = registry_entry("pair", "z1", addr, 1, None);
-        store.publish("keyed.servers", id, &entry);
+        let entry = move |started_ms| registry_entry("pair", "z1", addr, started_ms, None);
+        store.publish("keyed.servers", id, &entry(1));
+        let crashes = desk.crashes();
+        tokio::task::spawn_local(register_after_crashes(store.clone(), id, crashes, entry));
         pair_addrs.push(addr);
     }
     let lab = ["l-1", "l-2"].map(|id| {
@@ -163,13 +165,10 @@
     });
     for (id, engine) in ["l-1", "l-2"].into_iter().zip(&lab) {
         let addr = engine.start().await.expect("an address");
-        register_engine(&store, id, addr, 1, true);
-        tokio::task::spawn_local(register_after_crashes(
-            store.clone(),
-            id,
-            addr,
-            engine.crashes(),
-        ));
+        let entry = move |started_ms| lab_entry(addr, started_ms);
+        store.publish("keyed.servers", id, &entry(1));
+        let crashes = engine.crashes();
+        tokio::task::spawn_local(register_after_crashes(store.clone(), id, crashes, entry));
     }
     let mixed = MIXED_IDS.map(|id| {
         let spec = EngineSpec {
@@ -211,23 +210,23 @@
     entry
 }
 
-/// Publishes the registry entry of an engine of the service `lab`.
-fn register_engine(store: &Store, id: &str, addr: SocketAddr, started_ms: u64, has_weights: bool) {
-    let models = held_models(has_weights);
-    let entry = registry_entry("lab", "z1", addr, started_ms, Some(models));
-    store.publish("keyed.servers", id, &entry);
+/// Returns the registry entry of an engine of the service `lab`, which has its model's weights at its first start.
+fn lab_entry(addr: SocketAddr, started_ms: u64) -> Value {
+    let models = held_models(started_ms == 1);
+    registry_entry("lab", "z1", addr, started_ms, Some(models))
 }
 
-/// Registers an engine as a new incarnation after each of its crashes.
+/// Registers an endpoint as a new incarnation after each of its crashes; `entry` is its entry by the
+/// time of its start.
 async fn register_after_crashes(
     store: Store,
     id: &'static str,
-    addr: SocketAddr,
     mut crashes: watch::Receiver<u64>,
+    entry: impl Fn(u64) -> Value,
 ) {
     while crashes.changed().await.is_ok() {
         let started_ms = 1 + *crashes.borrow_and_update();
-        register_engine(&store, id, addr, started_ms, false);
+        store.publish("keyed.servers", id, &entry(started_ms));
     }
 }
 
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway process with a stand-in of the platform.
 
 mod deadly_prompts;
+mod deadly_requests;
 mod endpoint_signals;
 mod faulty;
 mod harness;
