--- a/crates/caraway-explain/src/explanation.rs
+++ b/crates/caraway-explain/src/explanation.rs
@@ -159,19 +159,19 @@
     fn add_quarantine(&mut self, logs: &'a Logs, lines: &[&'a Line], last: OffsetDateTime) {
         let details = self.field_values("detail");
         let quarantine = last_before(lines, last, |l| {
-            let segments = l.field("segments").unwrap_or_default();
+            let suspects = l.field("suspects").unwrap_or_default();
             l.event == Event::QuarantineStarted.code()
-                && details.iter().any(|d| d.ends_with(&format!(" {segments}")))
+                && details.iter().any(|d| d.ends_with(&format!(" {suspects}")))
         });
         let Some(quarantine) = quarantine else {
             return;
         };
-        self.add("the quarantine of its prompt", Some(quarantine));
-        let segments = quarantine.field("segments").unwrap_or_default();
+        self.add("the quarantine that it is in", Some(quarantine));
+        let suspects = quarantine.field("suspects").unwrap_or_default();
         let is_cause = |l: &&Line| {
             l.event == Event::EndpointCrashed.code()
                 && l.timestamp <= last
-                && segments.split(',').all(|s| l.lists_value("segments", s))
+                && suspects.split(',').all(|s| l.lists_value("suspects", s))
         };
         for line in logs.lines().iter().filter(is_cause).take(MAX_CRASHES) {
             self.add("a crash that led to it", Some(line));
--- a/crates/caraway-explain/tests/explanation.rs
+++ b/crates/caraway-explain/tests/explanation.rs
@@ -104,12 +104,12 @@
 
 /// Logs of instances that put prompts with the segments `a` and `b` in quarantine.
 const QUARANTINE_LOG: &str = r#"
-{"msg":"endpoint crashed","ts":"2026-12-04T15:38:40.100000000Z","instance":"gate-1","endpoint":"e-1","seen_by":"gate-1","segments":"a,b,c","requests":"r1,r2","event":1125}
-{"msg":"endpoint crashed","ts":"2026-12-04T15:38:41.100000000Z","instance":"gate-1","endpoint":"e-2","seen_by":"gate-2","segments":"a,b","requests":"r4","event":1125}
-{"msg":"endpoint crashed","ts":"2026-12-04T15:38:41.200000000Z","instance":"gate-1","endpoint":"e-3","seen_by":"gate-2","segments":"a,d","requests":"r5","event":1125}
-{"msg":"quarantine started","ts":"2026-12-04T15:38:41.500000000Z","instance":"gate-1","segments":"d","crashed":"e-3","event":1126}
-{"msg":"quarantine started","ts":"2026-12-04T15:38:41.400000000Z","instance":"gate-1","segments":"a,b","crashed":"e-1,e-2","event":1126}
-{"msg":"request failed","ts":"2026-12-04T15:38:45.101000000Z","instance":"gate-1","reason":"Quarantined","detail":"the endpoints e-1, e-2 crashed on prompts with the segments a,b","request":"r9","event":1402}
+{"msg":"endpoint crashed","ts":"2026-12-04T15:38:40.100000000Z","instance":"gate-1","endpoint":"e-1","seen_by":"gate-1","suspects":"a,b,c","requests":"r1,r2","event":1125}
+{"msg":"endpoint crashed","ts":"2026-12-04T15:38:41.100000000Z","instance":"gate-1","endpoint":"e-2","seen_by":"gate-2","suspects":"a,b","requests":"r4","event":1125}
+{"msg":"endpoint crashed","ts":"2026-12-04T15:38:41.200000000Z","instance":"gate-1","endpoint":"e-3","seen_by":"gate-2","suspects":"a,d","requests":"r5","event":1125}
+{"msg":"quarantine started","ts":"2026-12-04T15:38:41.500000000Z","instance":"gate-1","suspects":"d","crashed":"e-3","event":1126}
+{"msg":"quarantine started","ts":"2026-12-04T15:38:41.400000000Z","instance":"gate-1","suspects":"a,b","crashed":"e-1,e-2","event":1126}
+{"msg":"request failed","ts":"2026-12-04T15:38:45.101000000Z","instance":"gate-1","reason":"Quarantined","detail":"the endpoints e-1, e-2 crashed on requests with a,b","request":"r9","event":1402}
 {"msg":"attempt failed","ts":"2026-12-04T15:38:40.090000000Z","instance":"gate-1","endpoint":"e-1","why":"the connection broke","request":"r2","event":1403}
 "#;
 
@@ -124,7 +124,7 @@
     };
     let refused = text("r9");
     for part in [
-        "the quarantine of its prompt: quarantine started (1126)",
+        "the quarantine that it is in: quarantine started (1126)",
         "a crash that led to it: endpoint crashed (1125) endpoint=\"e-1\"",
         "a crash that led to it: endpoint crashed (1125) endpoint=\"e-2\"",
     ] {
--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use caraway_platform::{Record, Topic, crash_key, progress_key, quarantine_key};
-use caraway_quarantine::{CrashReport, EvidenceSettings, Quarantine, SegmentId, Verdict};
+use caraway_quarantine::{CrashReport, EvidenceSettings, Quarantine, Suspect, Verdict};
 use caraway_types::{EndpointId, InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
@@ -52,21 +52,23 @@
         /// What it has seen.
         report: CrashReport,
     },
-    /// A request with a suspect segment has made progress.
+    /// A request with this suspect has made progress.
     Progress {
         /// The service.
         service: Arc<str>,
-        /// The segment.
-        segment: SegmentId,
+        /// The suspect.
+        #[serde(rename = "segment")]
+        suspect: Suspect,
         /// Time since the progress.
         age: Millis,
     },
-    /// Segments are in quarantine.
+    /// Suspects are in quarantine.
     Quarantine {
         /// The service.
         service: Arc<str>,
-        /// The segments.
-        segments: BTreeSet<SegmentId>,
+        /// The suspects.
+        #[serde(rename = "segments")]
+        suspects: BTreeSet<Suspect>,
         /// The endpoints that crashed.
         crashed: Vec<EndpointId>,
         /// When the quarantine ends, in Unix milliseconds.
@@ -81,7 +83,7 @@
         let remaining = quarantine.until.saturating_duration_since(Shared::now());
         Self::Quarantine {
             service: quarantine.service.clone(),
-            segments: quarantine.segments.clone(),
+            suspects: quarantine.suspects.clone(),
             crashed: quarantine.crashed.clone(),
             until_ms: Shared::unix_ms().saturating_add(millis(remaining)),
             lifetime: quarantine.lifetime.into(),
@@ -93,11 +95,11 @@
         match self {
             Self::Crash { instance, .. } => crash_key(xxh3_64(instance.as_bytes()) % EVIDENCE_KEYS),
             Self::Progress {
-                service, segment, ..
-            } => progress_key(segments_hash(service, [segment]) % EVIDENCE_KEYS),
+                service, suspect, ..
+            } => progress_key(suspects_hash(service, [suspect]) % EVIDENCE_KEYS),
             Self::Quarantine {
-                service, segments, ..
-            } => quarantine_key(segments_hash(service, segments)),
+                service, suspects, ..
+            } => quarantine_key(suspects_hash(service, suspects)),
         }
     }
 
@@ -127,15 +129,15 @@
     spawn_append(shared, evidence.key(), Some(evidence), broke_at);
 }
 
-/// Handles progress with a suspect segment that this instance has seen at `at`.
+/// Handles progress with a suspect that this instance has seen at `at`.
 pub(crate) fn on_own_progress(
     shared: &Rc<Shared>,
     service: &Arc<str>,
-    segment: SegmentId,
+    suspect: Suspect,
     at: Instant,
 ) {
-    apply_progress(shared, service, segment, at);
-    share_progress(shared, service, segment, at);
+    apply_progress(shared, service, suspect, at);
+    share_progress(shared, service, suspect, at);
 }
 
 /// Applies a record of [`Topic::Shared`]; returns whether it was new. Crashes and progress that may
@@ -156,7 +158,7 @@
     match evidence {
         EvidenceRecord::Quarantine {
             service,
-            segments,
+            suspects,
             crashed,
             until_ms,
             lifetime,
@@ -166,7 +168,7 @@
             let now = Shared::now();
             let quarantine = Quarantine {
                 service,
-                segments,
+                suspects,
                 crashed,
                 decided_at: now,
                 // The clock of the instance that wrote the record may be wrong.
@@ -186,18 +188,18 @@
         }
         EvidenceRecord::Progress {
             service,
-            segment,
+            suspect,
             age,
         } => {
             let watch = &shared.crash_watch;
-            let key = (service, segment);
+            let key = (service, suspect);
             watch.unshared_progress.borrow_mut().remove(&key);
-            let (service, segment) = key;
-            let is_suspect = watch.evidence.borrow().is_suspect(&service, segment);
+            let (service, suspect) = key;
+            let is_suspect = watch.evidence.borrow().is_suspect(&service, suspect);
             if is_suspect {
                 let now = Instant::now();
                 let at = now.checked_sub(age.get()).unwrap_or(now);
-                apply_progress(shared, &service, segment, at);
+                apply_progress(shared, &service, suspect, at);
             }
             is_suspect
         }
@@ -218,11 +220,11 @@
 pub(crate) fn on_verdict(shared: &Rc<Shared>, verdict: Verdict) {
     let Verdict { before, after } = verdict;
     if let Some(before) = before
-        && after.as_ref().is_none_or(|a| a.segments != before.segments)
+        && after.as_ref().is_none_or(|a| a.suspects != before.suspects)
     {
         emit!(shared, info, QuarantineEnded; "service" => &*before.service,
-            "segments" => segment_list(&before.segments),
-            "why" => "not all of its segments are necessary for a crash");
+            "suspects" => suspect_list(&before.suspects),
+            "why" => "other suspects explain its crashes, or others need the room");
         share_quarantine(shared, key_of(&before), None);
     }
     if let Some(after) = after {
@@ -234,21 +236,21 @@
 fn apply_crash(shared: &Rc<Shared>, instance: &InstanceId, report: &CrashReport) {
     emit!(shared, info, EndpointCrashed; "endpoint" => &*report.endpoint,
         "service" => &*report.service, "seen_by" => &**instance,
-        "segments" => segment_list(&report.suspects), "proven" => segment_list(&report.proven),
+        "suspects" => suspect_list(&report.suspects), "proven" => suspect_list(&report.proven),
         "requests" => report.requests.join(","), "age_ms" => millis(report.age.get()));
     let proven = {
         let mut evidence = shared.crash_watch.evidence.borrow_mut();
         evidence.on_report(Shared::now(), report)
     };
-    for (segment, at) in proven {
-        share_progress(shared, &report.service, segment, Instant::from_std(at));
+    for (suspect, at) in proven {
+        share_progress(shared, &report.service, suspect, Instant::from_std(at));
     }
 }
 
-fn apply_progress(shared: &Rc<Shared>, service: &Arc<str>, segment: SegmentId, at: Instant) {
+fn apply_progress(shared: &Rc<Shared>, service: &Arc<str>, suspect: Suspect, at: Instant) {
     let verdicts = {
         let mut evidence = shared.crash_watch.evidence.borrow_mut();
-        evidence.on_progress(at.into_std(), service, segment)
+        evidence.on_progress(at.into_std(), service, suspect)
     };
     for verdict in verdicts {
         on_verdict(shared, verdict);
@@ -257,7 +259,7 @@
 
 fn log_quarantine(shared: &Shared, quarantine: &Quarantine, source: &str) {
     emit!(shared, warn, QuarantineStarted; "service" => &*quarantine.service,
-        "segments" => segment_list(&quarantine.segments),
+        "suspects" => suspect_list(&quarantine.suspects),
         "crashed" => quarantine.crashed.join(","), "source" => source,
         "ms" => millis(quarantine.until.saturating_duration_since(Shared::now())));
 }
@@ -286,16 +288,16 @@
     };
     for quarantine in &known {
         emit!(shared, info, QuarantineEnded; "service" => &*quarantine.service,
-            "segments" => segment_list(&quarantine.segments), "why" => "its record was deleted");
+            "suspects" => suspect_list(&quarantine.suspects), "why" => "its record was deleted");
         let mut evidence = watch.evidence.borrow_mut();
-        evidence.lift(&quarantine.service, &quarantine.segments);
+        evidence.lift(&quarantine.service, &quarantine.suspects);
     }
     !known.is_empty()
 }
 
-/// Shares progress with a segment after a random delay, unless another instance does.
-fn share_progress(shared: &Rc<Shared>, service: &Arc<str>, segment: SegmentId, at: Instant) {
-    let key = (service.clone(), segment);
+/// Shares progress with a suspect after a random delay, unless another instance does.
+fn share_progress(shared: &Rc<Shared>, service: &Arc<str>, suspect: Suspect, at: Instant) {
+    let key = (service.clone(), suspect);
     let is_scheduled = {
         let mut unshared = shared.crash_watch.unshared_progress.borrow_mut();
         !unshared.insert(key.clone())
@@ -311,10 +313,10 @@
             unshared.remove(&key)
         };
         if is_unshared {
-            let (service, segment) = key;
+            let (service, suspect) = key;
             let evidence = EvidenceRecord::Progress {
                 service,
-                segment,
+                suspect,
                 age: Millis::default(),
             };
             spawn_append(&shared, evidence.key(), Some(evidence), at);
@@ -424,19 +426,22 @@
 
 /// Returns the key of a quarantine's record.
 fn key_of(quarantine: &Quarantine) -> Arc<str> {
-    quarantine_key(segments_hash(&quarantine.service, &quarantine.segments))
+    quarantine_key(suspects_hash(&quarantine.service, &quarantine.suspects))
 }
 
-fn segments_hash<'a>(service: &str, segments: impl IntoIterator<Item = &'a SegmentId>) -> u64 {
+fn suspects_hash<'a>(service: &str, suspects: impl IntoIterator<Item = &'a Suspect>) -> u64 {
     let mut bytes = service.as_bytes().to_vec();
-    for segment in segments {
-        bytes.extend_from_slice(&segment.to_be_bytes());
+    for suspect in suspects {
+        match suspect {
+            Suspect::Segment(segment) => bytes.extend_from_slice(&segment.to_be_bytes()),
+            Suspect::Request(digest) => bytes.extend_from_slice(&digest.0.to_be_bytes()),
+        }
     }
     xxh3_64(&bytes)
 }
 
-/// Returns segments as in log lines: hexadecimal, as callers write them.
-pub(crate) fn segment_list<'a>(segments: impl IntoIterator<Item = &'a SegmentId>) -> String {
-    let ids: Vec<String> = segments.into_iter().map(|s| format!("{s:x}")).collect();
+/// Returns suspects as in log lines: hexadecimal, segments as callers write them.
+pub(crate) fn suspect_list<'a>(suspects: impl IntoIterator<Item = &'a Suspect>) -> String {
+    let ids: Vec<String> = suspects.into_iter().map(ToString::to_string).collect();
     ids.join(",")
 }
--- a/crates/caraway-gateway/src/crash_watch.rs
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -1,8 +1,7 @@
-//! Finds out which engines crashed, and which requests were without progress there.
+//! Finds out which endpoints crashed, and which requests they ran.
 //!
-//! When a request breaks off without progress, this instance checks whether the endpoint still
-//! accepts connections. If not, it reports the crash with the segments of the requests that could be
-//! its cause; see [`crash_records`].
+//! When a request breaks off, this instance checks whether the endpoint still accepts connections. If
+//! not, it reports the crash with the requests that could be its cause; see [`crash_records`].
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,8 +12,9 @@
 };
 
 use caraway_http::{Acceptance, ConnectTimeouts, check_acceptance};
-use caraway_quarantine::{CrashEvidence, CrashReport, EvidenceSettings, Quarantine, SegmentId};
-use caraway_routes::PromptSegment;
+use caraway_quarantine::{
+    CrashEvidence, CrashReport, EvidenceSettings, Quarantine, RequestDigest, SegmentId, Suspect,
+};
 use caraway_types::{EndpointId, RequestId};
 use tokio::time::{Instant, sleep};
 
@@ -33,14 +33,14 @@
 /// due to the request.
 pub(crate) const PROGRESS_EVENTS: u64 = 2;
 
-/// What this instance knows of prompts that crash engines.
+/// What this instance knows of requests that crash endpoints.
 #[derive(Debug)]
 pub(crate) struct CrashWatch {
     pub(crate) evidence: RefCell<CrashEvidence>,
-    /// Requests that broke off without progress at endpoints that are being checked.
+    /// Requests that broke off at endpoints that are being checked.
     broken: RefCell<HashMap<EndpointId, Vec<BrokenRequest>>>,
-    /// Segments whose progress is to be shared unless another instance shares it first.
-    pub(crate) unshared_progress: RefCell<HashSet<(Arc<str>, SegmentId)>>,
+    /// Suspects whose progress is to be shared unless another instance shares it first.
+    pub(crate) unshared_progress: RefCell<HashSet<(Arc<str>, Suspect)>>,
     /// Quarantines that are to be shared unless another instance shares them first, by their keys;
     /// `None` for those that have ended.
     pub(crate) unshared_quarantines: RefCell<HashMap<Arc<str>, Option<Quarantine>>>,
@@ -49,11 +49,13 @@
     pub(crate) share_limiter: RefCell<ShareLimiter>,
 }
 
-/// A request that broke off without progress.
+/// A request that broke off.
 #[derive(Debug)]
 struct BrokenRequest {
     id: RequestId,
-    segments: Vec<PromptSegment>,
+    digest: RequestDigest,
+    /// The shared segments of its prompt if it had made no progress.
+    segments: Vec<SegmentId>,
     sent_at: Instant,
 }
 
@@ -83,9 +85,12 @@
     pub(crate) fn quarantine(&self, call: &Call) -> Option<Quarantine> {
         let evidence = self.evidence.borrow();
         let segments = call.head.shared_segments();
-        let has_segment = |id| segments.iter().any(|s| s.id == id);
+        let has = |suspect| match suspect {
+            Suspect::Segment(id) => segments.iter().any(|s| s.id == id),
+            Suspect::Request(digest) => digest == call.digest,
+        };
         evidence
-            .quarantine(Shared::now(), &call.service, has_segment)
+            .quarantine(Shared::now(), &call.service, has)
             .cloned()
     }
 }
@@ -102,32 +107,40 @@
     }
 }
 
-/// Records that a request has made progress at an engine.
+/// Records that a request has made progress at an engine, so that its segments are not suspect.
 pub(crate) fn on_progress(shared: &Rc<Shared>, call: &Call) {
-    let segments = call.head.shared_segments().iter().map(|s| s.id);
-    let suspects = {
+    let segments = call.head.shared_segments().iter();
+    record_progress(shared, call, segments.map(|s| Suspect::Segment(s.id)));
+}
+
+/// Records that an endpoint has run a request to its end, so that it is not suspect.
+pub(crate) fn on_end(shared: &Rc<Shared>, call: &Call) {
+    record_progress(shared, call, [Suspect::Request(call.digest)].into_iter());
+}
+
+fn record_progress(shared: &Rc<Shared>, call: &Call, suspects: impl Iterator<Item = Suspect>) {
+    let in_danger = {
         let mut evidence = shared.crash_watch.evidence.borrow_mut();
-        evidence.record_progress(Shared::now(), &call.service, segments)
+        evidence.record_progress(Shared::now(), &call.service, suspects)
     };
-    for segment in suspects {
-        crash_records::on_own_progress(shared, &call.service, segment, Instant::now());
+    for suspect in in_danger {
+        crash_records::on_own_progress(shared, &call.service, suspect, Instant::now());
     }
 }
 
-/// Handles a request that broke off at an endpoint without progress.
+/// Handles a request that broke off at an endpoint; `made_progress` is whether its segments are not suspect.
 pub(crate) fn on_break(
     shared: &Rc<Shared>,
     call: &Call,
     incarnation: &EndpointIncarnation,
     sent_at: Instant,
+    made_progress: bool,
 ) {
-    let segments = call.head.shared_segments();
-    if segments.is_empty() {
-        return;
-    }
+    let segments = call.head.shared_segments().iter().map(|s| s.id);
     let request = BrokenRequest {
         id: call.head.id.clone(),
-        segments: segments.to_vec(),
+        digest: call.digest,
+        segments: segments.filter(|_| !made_progress).collect(),
         sent_at,
     };
     let mut broken = shared.crash_watch.broken.borrow_mut();
@@ -156,7 +169,7 @@
         }
         None => false,
     };
-    let requests = {
+    let mut requests = {
         let mut broken = shared.crash_watch.broken.borrow_mut();
         broken.remove(&incarnation.endpoint).unwrap_or_default()
     };
@@ -164,6 +177,9 @@
         return;
     }
     sleep(MAX_REPORT_DELAY.mul_f64(Shared::random_fraction())).await;
+    // Those without progress are the likelier causes.
+    requests.sort_by_key(|r| r.segments.is_empty());
+    requests.truncate(MAX_REPORTED);
     let report = crash_report(&shared, service, &incarnation, &requests, broke_at);
     if !report.suspects.is_empty() || !report.proven.is_empty() {
         crash_records::on_own_crash(&shared, report, broke_at);
@@ -178,13 +194,14 @@
     requests: &[BrokenRequest],
     broke_at: Instant,
 ) -> CrashReport {
-    let segments = requests.iter().take(MAX_REPORTED).flat_map(|request| {
+    let candidates = requests.iter().flat_map(|request| {
         let sent_at = request.sent_at.into_std();
-        request.segments.iter().map(move |s| (s.id, sent_at))
+        let segments = request.segments.iter().map(|s| Suspect::Segment(*s));
+        let suspects = segments.chain([Suspect::Request(request.digest)]);
+        suspects.map(move |s| (s, sent_at))
     });
     let evidence = shared.crash_watch.evidence.borrow();
-    let (suspects, proven) = evidence.classify(&service, segments);
-    let ids = requests.iter().take(MAX_REPORTED).map(|r| r.id.clone());
+    let (suspects, proven) = evidence.classify(&service, candidates);
     CrashReport {
         service,
         endpoint: incarnation.endpoint.clone(),
@@ -192,6 +209,6 @@
         age: broke_at.elapsed().into(),
         suspects,
         proven,
-        requests: ids.collect(),
+        requests: requests.iter().map(|r| r.id.clone()).collect(),
     }
 }
--- a/crates/caraway-gateway/src/digest.rs
+++ b/crates/caraway-gateway/src/digest.rs
@@ -39,9 +39,7 @@
         add(&segment.id.to_be_bytes());
     }
     add(body);
-    let hash: [u8; 32] = hash.finalize().into();
-    let (first, _) = hash
-        .split_first_chunk()
-        .expect("the hash is longer than the digest");
-    RequestDigest(u128::from_be_bytes(*first))
+    let bytes = hash.finalize();
+    let first = bytes.iter().take(size_of::<RequestDigest>());
+    RequestDigest(first.fold(0, |digest, byte| digest << 8 | u128::from(*byte)))
 }
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    crash_records::segment_list,
+    crash_records::suspect_list,
     crash_watch,
     endpoint_limits::PERMIT_EXPIRED,
     endpoint_signals::{
@@ -183,7 +183,15 @@
     let mut error_response = None;
     loop {
         if let Some(quarantine) = shared.crash_watch.quarantine(call) {
-            return Err(quarantine_refusal(shared, call, history, &quarantine));
+            if error_response.is_some() {
+                break;
+            }
+            return Err(quarantine_refusal(
+                shared,
+                call,
+                history.possible_runs > 0,
+                &quarantine,
+            ));
         }
         let placed = if let Some(placed) = granted.take() {
             placed
@@ -237,8 +245,14 @@
                 }
                 why
             }
+            Outcome::Quarantined(_) if error_response.is_some() => break,
             Outcome::Quarantined(quarantine) => {
-                return Err(quarantine_refusal(shared, call, history, &quarantine));
+                return Err(quarantine_refusal(
+                    shared,
+                    call,
+                    history.possible_runs > 0,
+                    &quarantine,
+                ));
             }
             Outcome::InDoubt(why) => {
                 if !try_acquire_rerun(shared, call, history) {
@@ -345,20 +359,21 @@
     RefusalResponse::not_run(reason, &detail).with_retry_after(not_placed.retry_after)
 }
 
-/// Returns the refusal of a request whose prompt is in quarantine.
-fn quarantine_refusal(
+/// Returns the refusal of a request that is in quarantine; `may_have_run` is whether an endpoint may have
+/// run it before.
+pub(crate) fn quarantine_refusal(
     shared: &Shared,
     call: &Call,
-    history: &AttemptHistory,
+    may_have_run: bool,
     quarantine: &Quarantine,
 ) -> RefusalResponse {
     shared.metrics.record_quarantined();
     let detail = format!(
-        "the endpoints {} crashed on prompts with the segments {}",
+        "the endpoints {} crashed on requests with {}",
         quarantine.crashed.join(", "),
-        segment_list(&quarantine.segments)
+        suspect_list(&quarantine.suspects)
     );
-    if history.possible_runs > 0 {
+    if may_have_run {
         return call.in_doubt(&detail, MIN_ATTEMPT_TIME);
     }
     let remaining = quarantine.until.saturating_duration_since(Shared::now());
@@ -419,7 +434,7 @@
         Ok(Err(_)) => {
             (history.sent, history.possible_runs) = (history.sent + 1, history.possible_runs + 1);
             set_failed(&placed);
-            crash_watch::on_break(shared, call, &incarnation, sent_at);
+            crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return Outcome::InDoubt("the connection broke");
         }
         Err(_) => {
@@ -457,12 +472,12 @@
         // An answer without a length also ends like this where its endpoint has crashed.
         Ok(None) => {
             set_failed(&placed);
-            crash_watch::on_break(shared, call, &incarnation, sent_at);
+            crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return Outcome::InDoubt("the stream ended without an event");
         }
         Ok(Some(Err(_))) => {
             set_failed(&placed);
-            crash_watch::on_break(shared, call, &incarnation, sent_at);
+            crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return Outcome::InDoubt("the stream broke off before its first event");
         }
         Err(_) => {
@@ -571,7 +586,10 @@
         placed.grant.set_outcome(RequestOutcome::Failed);
     }
     match body {
-        Ok(Ok(body)) => Outcome::Answer(client_response(status, headers, body)),
+        Ok(Ok(body)) => {
+            crash_watch::on_end(shared, call);
+            Outcome::Answer(client_response(status, headers, body))
+        }
         _ => Outcome::InDoubt("the answer broke off"),
     }
 }
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -10,6 +10,7 @@
     ForwardHeaders, KeepAlive, ResponseHead, SIGNATURE_MISSING, copy_request_headers,
     copy_response_headers, decode_response_head,
 };
+use caraway_quarantine::Quarantine;
 use caraway_routes::{CallOutcome, Endpoint, Idempotency};
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
@@ -18,10 +19,12 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
+    crash_watch,
     endpoint_limits::{PERMIT_EXPIRED, PermitDenied, acquire_permit},
     endpoint_signals::{EndpointIncarnation, handle_answer_head},
     event::emit,
     executor::millis,
+    generate::quarantine_refusal,
     request::{Call, RefusalResponse},
     shared::Shared,
 };
@@ -41,6 +44,9 @@
 /// Least time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
+/// Why an answer that its endpoint did not finish can't be used.
+const ANSWER_BROKEN: &str = "the answer broke off";
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -50,6 +56,8 @@
     NotRun(&'static str),
     /// The endpoint may have run the request; this is what failed.
     InDoubt(&'static str),
+    /// The request was not sent, as it is in this quarantine.
+    Quarantined(Quarantine),
 }
 
 /// Serves a request to a plain service.
@@ -66,6 +74,12 @@
         if !call.has_time_for(MIN_ATTEMPT_TIME) {
             break;
         }
+        if let Some(quarantine) = shared.crash_watch.quarantine(call) {
+            if error_response.is_some() {
+                break;
+            }
+            return Err(quarantine_refusal(shared, call, may_have_run, &quarantine));
+        }
         let permit_wait = max_permit_wait(shared, call, &tried);
         let Some(endpoint) = choose_endpoint(shared, call, &tried, permit_wait) else {
             if tried.is_empty()
@@ -112,6 +126,10 @@
                     return Err(call.in_doubt(reason, MIN_ATTEMPT_TIME));
                 }
             }
+            Outcome::Quarantined(_) if error_response.is_some() => break,
+            Outcome::Quarantined(quarantine) => {
+                return Err(quarantine_refusal(shared, call, may_have_run, &quarantine));
+            }
         }
         shared.metrics.record_retry("plain");
         emit!(shared, info, RequestRetried; "request" => &*call.head.id, "why" => why,
@@ -262,6 +280,9 @@
     if let Some(reason) = shared.block_reason(&endpoint.id) {
         return (Outcome::NotRun(reason.as_str()), CallOutcome::Unrelated);
     }
+    if let Some(quarantine) = shared.crash_watch.quarantine(call) {
+        return (Outcome::Quarantined(quarantine), CallOutcome::Unrelated);
+    }
     let incarnation = EndpointIncarnation {
         endpoint: endpoint.id.clone(),
         started_ms: endpoint.started_ms,
@@ -283,6 +304,7 @@
         }
         Ok(Err(_)) => {
             *sent += 1;
+            crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return (
                 Outcome::InDoubt("the connection broke"),
                 CallOutcome::Broken,
@@ -298,7 +320,12 @@
     let head = decode_response_head(status, &headers);
     let body = match read_answer_body(shared, answer.into_body(), deadline).await {
         Ok(body) => body,
-        Err(why) => return (Outcome::InDoubt(why), CallOutcome::Broken),
+        Err(why) => {
+            if why == ANSWER_BROKEN {
+                crash_watch::on_break(shared, call, &incarnation, sent_at, false);
+            }
+            return (Outcome::InDoubt(why), CallOutcome::Broken);
+        }
     };
     if let Some(mismatch) = find_mismatch(call, &head, status) {
         return (Outcome::InDoubt(mismatch), CallOutcome::Broken);
@@ -311,6 +338,7 @@
             CallOutcome::Refused,
         );
     }
+    crash_watch::on_end(shared, call);
     let call_outcome = if status.is_server_error() {
         CallOutcome::Failed
     } else {
@@ -333,7 +361,7 @@
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLarge)) => Err("the answer is too long"),
         Ok(Err(BodyError::BudgetExceeded)) => Err("too many long answers"),
-        Ok(Err(BodyError::Incomplete(_))) => Err("the answer broke off"),
+        Ok(Err(BodyError::Incomplete(_))) => Err(ANSWER_BROKEN),
         Err(_) => Err("the answer took too long"),
     }
 }
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -292,15 +292,20 @@
         }
         if let Some(why) = broken {
             placed.grant.set_outcome(RequestOutcome::Failed);
-            if !progress.is_made {
-                crash_watch::on_break(&self.shared, &self.call, &incarnation, sent_at);
-            }
+            crash_watch::on_break(
+                &self.shared,
+                &self.call,
+                &incarnation,
+                sent_at,
+                progress.is_made,
+            );
             return ForwardEnd::Broken(why);
         }
         return_connection(&self.shared, &placed.endpoint, pooled, &head);
         if !progress.is_made {
             crash_watch::on_progress(&self.shared, &self.call);
         }
+        crash_watch::on_end(&self.shared, &self.call);
         ForwardEnd::Complete
     }
 }
--- a/crates/caraway-quarantine/src/lib.rs
+++ b/crates/caraway-quarantine/src/lib.rs
@@ -1,11 +1,16 @@
-//! Which segments of prompts crash engines, from the crashes that all instances have seen.
+//! Which segments of prompts and which requests crash endpoints, from the crashes that all instances have
+//! seen.
 //!
 //! - [`CrashEvidence`] adds up reports of crashes and progress, and decides on quarantines.
 //! - [`EvidenceSettings`] are the numbers by which it does.
 //! - [`CrashReport`] is a crash as one instance has seen it.
-//! - [`Quarantine`] is a set of segments; requests with all of them are not sent to engines.
+//! - [`Suspect`] is what a request has that may crash endpoints: a [`SegmentId`] of its prompt, or its
+//!   [`RequestDigest`].
+//! - [`Quarantine`] is a set of suspects; requests with all of them are not sent to endpoints.
 
+mod causes;
 mod evidence;
+mod incident;
 mod progress;
 mod quarantine;
 mod report;
@@ -16,4 +21,4 @@
 pub use quarantine::Quarantine;
 pub use report::CrashReport;
 pub use settings::EvidenceSettings;
-pub use suspect::{RequestDigest, SegmentId};
+pub use suspect::{RequestDigest, SegmentId, Suspect};
--- a/crates/caraway-quarantine/src/report.rs
+++ b/crates/caraway-quarantine/src/report.rs
@@ -5,7 +5,7 @@
 use caraway_types::{EndpointId, Millis, RequestId};
 use serde::{Deserialize, Serialize};
 
-use crate::SegmentId;
+use crate::Suspect;
 
 /// A crash of an endpoint as one instance has seen it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,11 +19,11 @@
     pub started_ms: Option<u64>,
     /// Time since the crash was seen.
     pub age: Millis,
-    /// Shared segments of the requests that had made no progress at the endpoint, without those with
-    /// which requests have made progress before.
-    pub suspects: Vec<SegmentId>,
+    /// The requests that had not ended at the endpoint, and the shared segments of those that had made no
+    /// progress, without those with which requests have made progress before.
+    pub suspects: Vec<Suspect>,
     /// Those with which requests have made progress before, but not since the crashed ones were sent.
-    pub proven: Vec<SegmentId>,
+    pub proven: Vec<Suspect>,
     /// Ids of these requests.
     pub requests: Vec<RequestId>,
 }
--- a/crates/caraway-quarantine/src/suspect.rs
+++ b/crates/caraway-quarantine/src/suspect.rs
@@ -7,6 +7,32 @@
 /// Identifies the content of a segment of a prompt.
 pub type SegmentId = u64;
 
+/// What a request has that may crash the endpoints that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Suspect {
+    /// A shared segment of its prompt.
+    Segment(SegmentId),
+    /// The request as a whole.
+    Request(RequestDigest),
+}
+
+impl Suspect {
+    /// Returns whether it is a request as a whole.
+    pub(crate) fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Segment(segment) => write!(f, "{segment:x}"),
+            Self::Request(digest) => fmt::Display::fmt(digest, f),
+        }
+    }
+}
+
 /// Identifies a request by what stays the same when its caller sends it again.
 #[derive(Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/crates/caraway-quarantine/tests/evidence.rs
+++ b/crates/caraway-quarantine/tests/evidence.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use caraway_quarantine::{CrashEvidence, CrashReport, EvidenceSettings, SegmentId};
+use caraway_quarantine::{
+    CrashEvidence, CrashReport, EvidenceSettings, RequestDigest, SegmentId, Suspect,
+};
 
 /// The segment that all prompts have.
 const SYSTEM: SegmentId = 1;
@@ -47,24 +49,28 @@
     fn progress(&mut self, segment: SegmentId) {
         self.now += Duration::from_millis(5);
         self.evidence
-            .on_progress(self.now, &SERVICE.into(), segment);
+            .on_progress(self.now, &SERVICE.into(), Suspect::Segment(segment));
     }
 
     /// Returns whether a prompt with these shared segments is refused.
     fn is_refused(&mut self, segments: &[SegmentId]) -> bool {
         self.settle();
-        let has_segment = |s| segments.contains(&s);
+        let has_segment = |s| matches!(s, Suspect::Segment(id) if segments.contains(&id));
         let found = self.evidence.quarantine(self.now, SERVICE, has_segment);
         found.is_some()
     }
 }
 
+fn segments(ids: &[SegmentId]) -> Vec<Suspect> {
+    ids.iter().copied().map(Suspect::Segment).collect()
+}
+
 fn report(endpoint: u64, suspects: &[SegmentId]) -> CrashReport {
     CrashReport {
         service: SERVICE.into(),
         endpoint: format!("e-{endpoint}").into(),
         started_ms: Some(7),
-        suspects: suspects.to_vec(),
+        suspects: segments(suspects),
         ..CrashReport::default()
     }
 }
@@ -141,8 +147,8 @@
     scene.now += INTERVAL;
     let report = report(2, &[SYSTEM, DEADLY]);
     let proven = scene.evidence.on_report(scene.now, &report);
-    let segments: Vec<SegmentId> = proven.iter().map(|(segment, _)| *segment).collect();
-    assert_eq!(segments, [SYSTEM]);
+    let suspects: Vec<Suspect> = proven.iter().map(|(suspect, _)| *suspect).collect();
+    assert_eq!(suspects, segments(&[SYSTEM]));
 
     assert!(scene.evidence.is_known(scene.now, &report));
     let mut other = CrashEvidence::new(EvidenceSettings::default());
@@ -151,7 +157,7 @@
         other.on_progress(at, &SERVICE.into(), segment);
     }
     assert!(
-        other.is_suspect(SERVICE, SYSTEM),
+        other.is_suspect(SERVICE, Suspect::Segment(SYSTEM)),
         "progress before the crash"
     );
 }
@@ -345,3 +351,189 @@
             .is_known(scene.now, &report(1, &[SYSTEM, 80]))
     );
 }
+
+/// A request that crashes endpoints.
+const DEADLY_REQUEST: RequestDigest = RequestDigest(999);
+
+fn request(number: u128) -> Suspect {
+    Suspect::Request(RequestDigest(number))
+}
+
+impl Scene {
+    /// Crashes another endpoint, with these requests as suspects, `after` the last event.
+    fn crash_with(&mut self, after: Duration, requests: &[u128]) {
+        self.now += after;
+        self.crashed += 1;
+        let report = CrashReport {
+            suspects: requests.iter().map(|n| request(*n)).collect(),
+            ..report(self.crashed, &[])
+        };
+        self.evidence.on_report(self.now, &report);
+    }
+
+    fn end(&mut self, number: u128) {
+        self.now += Duration::from_millis(5);
+        let service = SERVICE.into();
+        self.evidence
+            .on_progress(self.now, &service, request(number));
+    }
+
+    fn is_request_refused(&mut self, number: u128) -> bool {
+        self.settle();
+        let has = |s| s == request(number);
+        self.evidence.quarantine(self.now, SERVICE, has).is_some()
+    }
+}
+
+// Guards against: a request crashes endpoints while sound ones share all segments of its prompt.
+#[test]
+fn request_at_several_crashes_is_refused() {
+    let settings = EvidenceSettings::default();
+    let mut scene = Scene::new();
+    for number in 0..settings.request_crashes {
+        assert!(!scene.is_request_refused(DEADLY_REQUEST.0), "{number}");
+        scene.now += INTERVAL;
+        scene.crashed += 1;
+        let report = CrashReport {
+            suspects: [
+                segments(&[SYSTEM, 10]),
+                vec![Suspect::Request(DEADLY_REQUEST)],
+            ]
+            .concat(),
+            ..report(scene.crashed, &[])
+        };
+        scene.evidence.on_report(scene.now, &report);
+        scene.progress(SYSTEM);
+    }
+    assert!(scene.is_request_refused(DEADLY_REQUEST.0));
+    assert!(!scene.is_request_refused(1000));
+    assert!(!scene.is_refused(&[SYSTEM, 10]), "its segments are not");
+}
+
+#[test]
+fn request_that_ended_well_since_is_cleared() {
+    let mut scene = Scene::new();
+    scene.crash_with(INTERVAL, &[7]);
+    scene.crash_with(INTERVAL, &[7]);
+    scene.end(7);
+    scene.crash_with(INTERVAL, &[7]);
+    scene.crash_with(INTERVAL, &[7]);
+    assert!(!scene.is_request_refused(7));
+}
+
+// Guards against: a request that is sent again after each crash that another one caused is refused.
+#[test]
+fn bystander_that_is_sent_again_is_not_refused() {
+    let mut scene = Scene::new();
+    let deadly = DEADLY_REQUEST.0;
+    for _ in 0..3 {
+        scene.crash_with(INTERVAL, &[7, deadly]);
+    }
+    assert!(!scene.is_request_refused(7), "they can't be told apart");
+    assert!(
+        !scene.is_request_refused(deadly),
+        "they can't be told apart"
+    );
+    scene.crash_with(INTERVAL, &[deadly]);
+    assert!(scene.is_request_refused(deadly));
+    scene.crash_with(INTERVAL, &[7, deadly]);
+    assert!(!scene.is_request_refused(7));
+}
+
+// Guards against: endpoints crash for another reason, and what all callers poll is refused.
+#[test]
+fn frequent_request_that_ended_well_before_is_not_refused() {
+    let settings = EvidenceSettings::default();
+    let mut scene = Scene::new();
+    scene.end(7);
+    for _ in 1..settings.proven_crashes {
+        scene.crash_with(INTERVAL, &[7, 8]);
+    }
+    assert!(!scene.is_request_refused(7));
+}
+
+#[test]
+fn requests_that_are_at_the_same_moment_at_all_endpoints_are_not_refused() {
+    let mut scene = Scene::new();
+    for _ in 0..9 {
+        scene.crash_with(Duration::from_millis(2), &[7]);
+    }
+    assert!(!scene.is_request_refused(7));
+}
+
+#[test]
+fn repeats_of_a_deadly_segment_do_not_hide_it() {
+    let mut scene = Scene::new();
+    for number in 0..6 {
+        scene.now += INTERVAL;
+        scene.crashed += 1;
+        // The first callers send their requests again.
+        let report = CrashReport {
+            suspects: vec![Suspect::Segment(DEADLY), request(number / 3)],
+            ..report(scene.crashed, &[])
+        };
+        scene.evidence.on_report(scene.now, &report);
+        scene.settle();
+    }
+    assert!(scene.is_refused(&[DEADLY]));
+}
+
+#[test]
+fn ten_deadly_requests_are_all_found() {
+    let mut scene = Scene::new();
+    for round in 0..4 {
+        for number in 0..10 {
+            let bystander = 100 + number + 10 * round;
+            scene.crash_with(INTERVAL / 3, &[number, bystander]);
+        }
+    }
+    for number in 0..10 {
+        assert!(scene.is_request_refused(number), "{number}");
+    }
+    assert!(!scene.is_request_refused(103));
+}
+
+// Guards against: callers that fill the quarantines keep later requests from being refused.
+#[test]
+fn quarantine_that_ends_first_makes_room_for_another() {
+    let settings = EvidenceSettings::default();
+    let mut scene = Scene::new();
+    let last = settings.max_quarantines as u128;
+    for number in 0..=last {
+        // One more than for a request that was at all crashes.
+        for _ in 0..=settings.request_crashes {
+            scene.crash_with(INTERVAL, &[number]);
+        }
+        scene.settle();
+    }
+    assert!(scene.is_request_refused(last));
+    assert!(!scene.is_request_refused(0));
+    let quarantines = scene.evidence.quarantines(scene.now).count();
+    assert_eq!(quarantines, settings.max_quarantines);
+}
+
+// Guards against: reports of instances with an earlier version of the software can't be read.
+#[test]
+fn report_of_an_earlier_version_is_read() {
+    let text = r#"{"service":"lm","endpoint":"e-1","born":7,"age":5,"suspects":[11],"proven":[12],
+        "requests":["r1"]}"#;
+    let read: CrashReport = serde_json::from_str(text).expect("a report");
+    assert_eq!(read.suspects, segments(&[11]));
+    assert_eq!(read.proven, segments(&[12]));
+}
+
+// Guards against: what all callers poll is refused, as few instances know that it has ended well and
+// crashes follow each other too fast for them to say so.
+#[test]
+fn instance_that_knows_a_request_says_so_at_its_first_crash() {
+    let mut scene = Scene::new();
+    scene.end(7);
+    scene.now += INTERVAL;
+    let report = CrashReport {
+        suspects: vec![request(7), request(8)],
+        ..report(1, &[SYSTEM])
+    };
+    let proven = scene.evidence.on_report(scene.now, &report);
+    let suspects: Vec<Suspect> = proven.iter().map(|(suspect, _)| *suspect).collect();
+    assert_eq!(suspects, [request(7)]);
+}
--- a/crates/caraway-quarantine/tests/fleet.rs
+++ b/crates/caraway-quarantine/tests/fleet.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use caraway_quarantine::{CrashEvidence, CrashReport, EvidenceSettings, Quarantine, SegmentId};
+use caraway_quarantine::{
+    CrashEvidence, CrashReport, EvidenceSettings, Quarantine, RequestDigest, SegmentId, Suspect,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -18,8 +20,10 @@
 const DEADLY_FROM: Duration = Duration::from_secs(2);
 /// Time after the fifth crash from which few requests with the segment may reach engines.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Crashes after which the bound applies.
-const BOUND_CRASHES: usize = 5;
+/// Crashes by a segment after which the bound applies.
+const SEGMENT_BOUND: usize = 5;
+/// Crashes by a request after which the bound applies.
+const REQUEST_BOUND: usize = 3;
 /// Requests that may reach engines after that.
 const MAX_LATE: usize = 3;
 /// Interval at which instances draw conclusions.
@@ -28,6 +32,12 @@
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// First of the segments that crash engines.
 const FIRST_DEADLY: SegmentId = 1_000_000;
+/// First of the requests that crash engines.
+const FIRST_DEADLY_REQUEST: u64 = 2_000_000;
+/// Number of polls: requests that many callers send again and again.
+const POLLS: u128 = 10;
+/// Number of times that a request is sent again at once after a crash.
+const MAX_RESENDS: u32 = 3;
 /// Number of segments that a part of the sound prompts shares.
 const COMMON_SEGMENTS: u32 = 400;
 /// Environment variable with the number of seeds of each fleet; the default suits CI.
@@ -44,6 +54,14 @@
     /// Part of the requests that have each deadly segment.
     deadly_share: f64,
     deadly_segments: u64,
+    /// Number of requests that crash engines; each comes again and again.
+    deadly_requests: u64,
+    /// Whether these have written events by then.
+    crash_late: bool,
+    /// Part of the requests that are polls.
+    poll_share: f64,
+    /// Part of the requests that are sent again after a crash.
+    resent_share: f64,
     /// Whether engines crash for other reasons as well.
     crashes: bool,
     /// Whether a third of the instances learn nothing from others for some seconds.
@@ -68,13 +86,13 @@
     /// An instance reports a crash.
     Report(usize, usize),
     /// An instance shares progress with a segment.
-    ShareProgress(usize, SegmentId, Duration),
+    ShareProgress(usize, Suspect, Duration),
     /// An instance adopts a quarantine.
     Adopt(usize, usize),
     /// An instance receives a report.
     Receive(usize, usize),
     /// An instance receives progress with a segment.
-    ReceiveProgress(usize, SegmentId, Duration),
+    ReceiveProgress(usize, Suspect, Duration),
 }
 
 struct Request {
@@ -82,8 +100,22 @@
     engine: usize,
     incarnation: u64,
     segments: Vec<SegmentId>,
+    digest: RequestDigest,
+    /// What of it crashes engines.
+    deadly: Option<u64>,
     sent_at: Duration,
     has_progress: bool,
+    /// Number of times that it is sent again after a crash.
+    resends: u32,
+}
+
+impl Request {
+    fn has(&self, suspect: Suspect) -> bool {
+        match suspect {
+            Suspect::Segment(id) => self.segments.contains(&id),
+            Suspect::Request(digest) => digest == self.digest,
+        }
+    }
 }
 
 struct Engine {
@@ -94,8 +126,8 @@
 
 struct Node {
     evidence: CrashEvidence,
-    /// Segments whose progress it is going to share.
-    unshared: BTreeSet<SegmentId>,
+    /// Suspects whose progress it is going to share.
+    unshared: BTreeSet<Suspect>,
     /// Until when it learns nothing from others.
     cut_until: Duration,
 }
@@ -103,10 +135,10 @@
 /// What a run showed.
 #[derive(Debug, Default)]
 struct Figures {
-    /// Crashes by each deadly segment.
-    crashes: BTreeMap<SegmentId, usize>,
-    /// Requests with a deadly segment that reached engines late.
-    late: BTreeMap<SegmentId, usize>,
+    /// Crashes by each deadly segment or request.
+    crashes: BTreeMap<u64, usize>,
+    /// Requests with it that reached engines late.
+    late: BTreeMap<u64, usize>,
     sound: usize,
     refused_sound: usize,
     records: usize,
@@ -126,9 +158,10 @@
     reports: Vec<CrashReport>,
     /// The quarantines that were shared.
     quarantines: Vec<Quarantine>,
-    /// Crashes by each deadly segment that instances could report.
-    reported_crashes: BTreeMap<SegmentId, usize>,
-    fifth_crash: BTreeMap<SegmentId, Duration>,
+    /// Crashes by each deadly segment or request that instances could report.
+    reported_crashes: BTreeMap<u64, usize>,
+    /// When the bound of each began to apply.
+    bounded_from: BTreeMap<u64, Duration>,
     figures: Figures,
 }
 
@@ -167,7 +200,7 @@
             reports: Vec::new(),
             quarantines: Vec::new(),
             reported_crashes: BTreeMap::new(),
-            fifth_crash: BTreeMap::new(),
+            bounded_from: BTreeMap::new(),
             figures: Figures::default(),
         }
     }
@@ -219,6 +252,8 @@
             Event::End(request) => {
                 if let Some(ended) = self.requests.remove(&request) {
                     self.engines[ended.engine].running.retain(|r| *r != request);
+                    let suspect = Suspect::Request(ended.digest);
+                    self.record_progress(ended.instance, [suspect].into_iter());
                 }
             }
             Event::Crash(engine) => self.crash(engine),
@@ -265,7 +300,10 @@
     /// Shares a quarantine with instances that do not decide on it by themselves.
     fn share_quarantine(&mut self, node: usize, quarantine: Quarantine) {
         let mut shared = self.quarantines.iter();
-        if !shared.any(|q| q.segments == quarantine.segments) {
+        let is_shared = shared.any(|q| q.suspects == quarantine.suspects);
+        // What a cut instance shares arrives late, so that others do not rely on it.
+        let is_cut = self.nodes[node].cut_until > self.now;
+        if !is_shared && !is_cut {
             self.quarantines.push(quarantine);
             self.broadcast(node, Event::Adopt(0, self.quarantines.len() - 1));
         }
@@ -318,16 +356,44 @@
             reason = "the rank is a small positive number"
         )]
         segments.push(100 + rank as u64);
-        let deadly = (0..self.fleet.deadly_segments)
-            .find(|_| self.now >= DEADLY_FROM && self.rng.random_bool(self.fleet.deadly_share))
+        let is_time = self.now >= DEADLY_FROM;
+        let share = self.fleet.deadly_share;
+        let mut deadly_segments = 0..self.fleet.deadly_segments;
+        let segment = deadly_segments
+            .find(|_| is_time && self.rng.random_bool(share))
             .map(|number| FIRST_DEADLY + number);
-        segments.extend(deadly);
+        segments.extend(segment);
+        let mut deadly_requests = 0..self.fleet.deadly_requests;
+        let again = deadly_requests
+            .find(|_| is_time && self.rng.random_bool(share))
+            .map(|number| FIRST_DEADLY_REQUEST + number);
+        let digest = match again {
+            Some(number) => u128::from(number),
+            None if self.rng.random_bool(self.fleet.poll_share) => self.rng.random_range(0..POLLS),
+            None => u128::from(u64::MAX) + self.rng.random_range(0..u128::from(u64::MAX)),
+        };
+        let is_resent = self.rng.random_bool(self.fleet.resent_share);
         let instance = self.rng.random_range(0..self.fleet.instances);
-        let is_refused = self.nodes[instance]
-            .evidence
-            .quarantine(self.instant(), SERVICE, |s| segments.contains(&s))
-            .is_some();
-        if deadly.is_none() {
+        self.send(Request {
+            instance,
+            engine: 0,
+            incarnation: 0,
+            segments,
+            digest: RequestDigest(digest),
+            deadly: segment.or(again),
+            sent_at: self.now,
+            has_progress: false,
+            resends: if is_resent { MAX_RESENDS } else { 0 },
+        });
+    }
+
+    /// Sends a request to an engine, unless it is refused.
+    fn send(&mut self, request: Request) {
+        let instance = request.instance;
+        let evidence = &self.nodes[instance].evidence;
+        let quarantine = evidence.quarantine(self.instant(), SERVICE, |s| request.has(s));
+        let is_refused = quarantine.is_some();
+        if request.deadly.is_none() {
             self.figures.sound += 1;
             self.figures.refused_sound += usize::from(is_refused);
         }
@@ -338,9 +404,9 @@
             return;
         }
         let engine = up[self.rng.random_range(0..up.len())];
-        if let Some(deadly) = deadly
+        if let Some(deadly) = request.deadly
             && self
-                .fifth_crash
+                .bounded_from
                 .get(&deadly)
                 .is_some_and(|at| self.now > *at + CONTACT_TIME)
             && self.nodes[instance].cut_until + CONTACT_TIME < self.now
@@ -349,17 +415,14 @@
         }
         self.last_request += 1;
         let id = self.last_request;
-        self.requests.insert(
-            id,
-            Request {
-                instance,
-                engine,
-                incarnation: self.engines[engine].incarnation,
-                segments,
-                sent_at: self.now,
-                has_progress: false,
-            },
-        );
+        let incarnation = self.engines[engine].incarnation;
+        let sent = Request {
+            engine,
+            incarnation,
+            sent_at: self.now,
+            ..request
+        };
+        self.requests.insert(id, sent);
         self.engines[engine].running.push(id);
         let begin = self.random(20..250);
         self.schedule(begin, Event::Begin(id));
@@ -370,46 +433,64 @@
             return;
         };
         let (engine, instance) = (request.engine, request.instance);
-        let deadly = request.segments.iter().find(|s| **s >= FIRST_DEADLY);
-        if let Some(deadly) = deadly.copied() {
+        let deadly = request.deadly;
+        let is_late = self.fleet.crash_late && deadly.is_some_and(|d| d >= FIRST_DEADLY_REQUEST);
+        let has_begun = request.has_progress;
+        if let Some(deadly) = deadly.filter(|_| !is_late || has_begun) {
             *self.figures.crashes.entry(deadly).or_default() += 1;
             // Instances that are cut off can't tell the others what they have seen.
             if self.nodes[instance].cut_until <= self.now {
                 let reported = self.reported_crashes.entry(deadly).or_default();
                 *reported += 1;
-                if *reported == BOUND_CRASHES {
-                    self.fifth_crash.insert(deadly, self.now);
+                let bound = if deadly >= FIRST_DEADLY_REQUEST {
+                    REQUEST_BOUND
+                } else {
+                    SEGMENT_BOUND
+                };
+                if *reported == bound {
+                    self.bounded_from.insert(deadly, self.now);
                 }
             }
             self.crash(engine);
             return;
         }
-        let (progress, end) = (self.random(30..60), self.random(300..900));
+        let progress = self.random(30..60);
         self.schedule(progress, Event::Progress(id));
-        self.schedule(end, Event::End(id));
+        if is_late {
+            let crash = progress + self.random(30..200);
+            self.schedule(crash, Event::Begin(id));
+        } else {
+            let end = self.random(300..900);
+            self.schedule(end, Event::End(id));
+        }
     }
 
     fn on_progress(&mut self, id: usize) {
-        let now = self.instant();
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         request.has_progress = true;
         let (instance, segments) = (request.instance, request.segments.clone());
+        self.record_progress(instance, segments.into_iter().map(Suspect::Segment));
+    }
+
+    /// Records that a request with these suspects has made progress or ended well.
+    fn record_progress(&mut self, instance: usize, suspects: impl Iterator<Item = Suspect>) {
+        let now = self.instant();
         let evidence = &mut self.nodes[instance].evidence;
-        let suspects = evidence.record_progress(now, &SERVICE.into(), segments.into_iter());
-        for segment in suspects {
+        let in_danger = evidence.record_progress(now, &SERVICE.into(), suspects);
+        for suspect in in_danger {
             let evidence = &mut self.nodes[instance].evidence;
-            evidence.on_progress(now, &SERVICE.into(), segment);
-            self.share_progress(instance, segment, self.now);
+            evidence.on_progress(now, &SERVICE.into(), suspect);
+            self.share_progress(instance, suspect, self.now);
         }
     }
 
-    /// Shares progress with a segment after a random delay, unless another instance does.
-    fn share_progress(&mut self, node: usize, segment: SegmentId, at: Duration) {
-        if self.nodes[node].unshared.insert(segment) {
+    /// Shares progress with a suspect after a random delay, unless another instance does.
+    fn share_progress(&mut self, node: usize, suspect: Suspect, at: Duration) {
+        if self.nodes[node].unshared.insert(suspect) {
             let delay = self.random(0..(2 * self.fleet.instances as u64).min(400));
-            self.schedule(delay, Event::ShareProgress(node, segment, at));
+            self.schedule(delay, Event::ShareProgress(node, suspect, at));
         }
     }
 
@@ -427,17 +508,18 @@
         let mut by_node: BTreeMap<usize, Vec<Request>> = BTreeMap::new();
         for request in broken.iter().filter_map(|id| self.requests.remove(id)) {
             assert_eq!(request.incarnation, started_ms, "it ran at the crashed one");
-            if !request.has_progress {
-                by_node.entry(request.instance).or_default().push(request);
-            }
+            by_node.entry(request.instance).or_default().push(request);
         }
         for (node, requests) in by_node {
-            let segments = requests.iter().flat_map(|r| {
+            let candidates = requests.iter().flat_map(|r| {
                 let sent_at = self.origin + r.sent_at;
-                r.segments.iter().map(move |s| (*s, sent_at))
+                let segments = r.segments.iter().filter(|_| !r.has_progress);
+                let segments = segments.map(|s| Suspect::Segment(*s));
+                let suspects = segments.chain([Suspect::Request(r.digest)]);
+                suspects.map(move |s| (s, sent_at))
             });
             let evidence = &self.nodes[node].evidence;
-            let (suspects, proven) = evidence.classify(&SERVICE.into(), segments);
+            let (suspects, proven) = evidence.classify(&SERVICE.into(), candidates);
             // The time until an instance has seen that the engine refuses connections.
             let delay = self.random(5..30);
             self.reports.push(CrashReport {
@@ -450,6 +532,13 @@
                 requests: Vec::new(),
             });
             self.schedule(delay, Event::Report(node, self.reports.len() - 1));
+            for request in requests.into_iter().filter(|r| r.resends > 0) {
+                self.send(Request {
+                    resends: request.resends - 1,
+                    has_progress: false,
+                    ..request
+                });
+            }
         }
     }
 }
@@ -480,7 +569,7 @@
         sound += figures.sound;
     }
     println!(
-        "{} instances: at most {most_crashes} crashes by one segment, {most_late} late requests, \
+        "{} instances: at most {most_crashes} crashes by one cause, {most_late} late requests, \
          {records} records; {sound} sound requests, none refused",
         fleet.instances
     );
@@ -494,6 +583,10 @@
         rate: 60.0 + 4.0 * f64::from(u32::try_from(instances).expect("a small number")),
         deadly_share: 0.05,
         deadly_segments: 1,
+        deadly_requests: 0,
+        crash_late: false,
+        poll_share: 0.0,
+        resent_share: 0.0,
         crashes: false,
         cut: false,
     }
@@ -564,3 +657,104 @@
         });
     }
 }
+
+/// A fleet of this size with one deadly request.
+fn fleet_with_request(instances: usize) -> Fleet {
+    Fleet {
+        deadly_segments: 0,
+        deadly_requests: 1,
+        poll_share: 0.05,
+        resent_share: 0.3,
+        ..fleet(instances)
+    }
+}
+
+// Guards against: a request that comes again at many instances crashes engine after engine, or sound
+// requests that are sent again after its crashes are refused.
+#[test]
+fn fleets_find_a_deadly_request() {
+    for size in SIZES {
+        check(fleet_with_request(size));
+    }
+}
+
+#[test]
+fn fleets_find_a_rare_deadly_request() {
+    for size in SIZES {
+        check(Fleet {
+            deadly_share: 0.005,
+            ..fleet_with_request(size)
+        });
+    }
+}
+
+#[test]
+fn fleets_find_a_frequent_deadly_request() {
+    for size in SIZES {
+        check(Fleet {
+            deadly_share: 0.3,
+            ..fleet_with_request(size)
+        });
+    }
+}
+
+#[test]
+fn fleets_find_a_deadly_request_that_writes_events() {
+    for size in SIZES {
+        check(Fleet {
+            crash_late: true,
+            ..fleet_with_request(size)
+        });
+    }
+}
+
+#[test]
+fn fleets_find_ten_deadly_requests_and_a_segment_beside_other_crashes() {
+    for size in SIZES {
+        check(Fleet {
+            deadly_share: 0.005,
+            deadly_segments: 1,
+            deadly_requests: 10,
+            crashes: true,
+            ..fleet_with_request(size)
+        });
+    }
+}
+
+#[test]
+fn fleets_with_cut_instances_find_a_deadly_request() {
+    for size in SIZES {
+        check(Fleet {
+            cut: true,
+            crashes: true,
+            ..fleet_with_request(size)
+        });
+    }
+}
+
+// Guards against: requests that are sent again after crashes which cut instances did not report are
+// refused.
+#[test]
+fn cut_fleets_refuse_no_request_that_is_sent_again() {
+    for size in SIZES {
+        check(Fleet {
+            cut: true,
+            crashes: true,
+            poll_share: 0.05,
+            resent_share: 0.3,
+            ..fleet(size)
+        });
+    }
+}
+
+#[test]
+fn crashes_for_other_reasons_condemn_no_request() {
+    for size in SIZES {
+        check(Fleet {
+            deadly_share: 0.0,
+            crashes: true,
+            cut: true,
+            ..fleet_with_request(size)
+        });
+    }
+}
