--- a/crates/caraway-quarantine/src/causes.rs
+++ b/crates/caraway-quarantine/src/causes.rs
@@ -73,21 +73,21 @@
             suspect.is_request()
                 && requests.any(|(s, other)| *s != suspect && other.indices == c.indices)
         };
-        let clear = enough.iter().filter(|(s, c)| !is_ambiguous(*s, c));
-        let worst = clear
+        let unambiguous = enough.iter().filter(|(s, c)| !is_ambiguous(*s, c));
+        let worst = unambiguous
             .max_by_key(|(s, c)| (!is_proven(*s), c.count, c.indices.len(), s.is_request(), *s));
-        let Some((suspect, worst)) = worst else {
+        let Some((worst, of_worst)) = worst else {
             return causes;
         };
-        let crashed = worst
+        let endpoints = of_worst
             .indices
             .iter()
             .map(|i| unexplained[*i].endpoint.clone());
         causes.push(Cause {
-            suspects: suspects_together(*suspect, worst, &crashes, &is_proven),
-            crashed: crashed.collect(),
+            suspects: suspects_together(*worst, of_worst, &crashes, &is_proven),
+            crashed: endpoints.collect(),
         });
-        let explained = worst.indices.clone();
+        let explained = of_worst.indices.clone();
         let mut index = 0;
         unexplained.retain(|_| {
             index += 1;
