Take no refusal without an id for the answer to a request on a used connection

What callers saw on other systems: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that it ran, or the request ran again elsewhere.

Cause: an answer that says 'not run' was believed without an id. With an id, the wrong one was noticed.

Fix: on a connection that has had an answer before, a refusal without an id leaves the request in doubt. On a new connection there is no earlier refusal.

Evidence: repeated_refusal_without_id_is_not_taken_for_the_next_answer failed before (r1 ran and got 503, not_run) and passes; the same with ids passed before.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -446,7 +446,7 @@
     history.sent += 1;
     let (status, headers) = (answer.status(), answer.headers().clone());
     let head = decode_response_head(status, &headers);
-    if let Some(mismatch) = find_mismatch(call, &head, status) {
+    if let Some(mismatch) = find_mismatch(call, &head, status, pooled.reused) {
         history.possible_runs += 1;
         set_failed(&placed);
         return Outcome::InDoubt(mismatch);
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -327,7 +327,7 @@
             return (Outcome::InDoubt(why), CallOutcome::Broken);
         }
     };
-    if let Some(mismatch) = find_mismatch(call, &head, status) {
+    if let Some(mismatch) = find_mismatch(call, &head, status, pooled.reused) {
         return (Outcome::InDoubt(mismatch), CallOutcome::Broken);
     }
     handle_answer_head(shared, &incarnation, &head, sent_at.into_std());
@@ -380,14 +380,18 @@
     }
 }
 
-/// Returns why an answer can't be the answer to the request, `None` if it can.
+/// Returns why an answer can't be the answer to the request, `None` if it can. `reused` is whether the
+/// connection has had an answer before, which an endpoint may write once more.
 pub(crate) fn find_mismatch(
     call: &Call,
     head: &ResponseHead,
     status: StatusCode,
+    reused: bool,
 ) -> Option<&'static str> {
     if head.id.as_ref().is_some_and(|id| *id != call.head.id) {
         Some("the answer belongs to another request")
+    } else if head.not_run && head.id.is_none() && reused {
+        Some("the refusal names no request")
     } else if head.not_run {
         None
     } else if head.id.is_none() {
--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -30,23 +31,37 @@
     UntilClose,
     /// Its answer has no length, and its connection is reset in the middle.
     UntilReset,
+    /// It refuses the first request on a connection, runs the later ones, and answers these with the
+    /// first refusal; `has_id` is whether refusals name their request.
+    RepeatedRefusal { has_id: bool },
 }
 
+/// Ids of the requests that a faulty endpoint has run.
+type Runs = Arc<Mutex<Vec<String>>>;
+
 /// Starts an endpoint with a fault; returns its address.
 fn start_faulty_endpoint(fault: Fault) -> SocketAddr {
+    start_recorded_endpoint(fault, &Runs::default())
+}
+
+/// Starts an endpoint with a fault, which adds the requests that it runs to `runs`.
+fn start_recorded_endpoint(fault: Fault, runs: &Runs) -> SocketAddr {
+    let runs = runs.clone();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || serve(stream, fault));
+            let runs = runs.clone();
+            thread::spawn(move || serve(stream, fault, &runs));
         }
     });
     addr
 }
 
 /// Serves requests on a connection until the other end closes it.
-fn serve(mut stream: TcpStream, fault: Fault) -> Option<()> {
+fn serve(mut stream: TcpStream, fault: Fault, runs: &Runs) -> Option<()> {
     let mut reader = BufReader::new(stream.try_clone().ok()?);
+    let mut refusal = None;
     loop {
         let mut id = String::new();
         loop {
@@ -88,6 +103,23 @@
                 stream.write_all(answer.as_bytes()).ok()?;
                 return None;
             }
+            Fault::RepeatedRefusal { has_id } => {
+                if refusal.is_some() {
+                    runs.lock().expect("no panic holds it").push(id.clone());
+                }
+                let own_id = if has_id {
+                    format!("X-Attempt-Id: {id}\r\n")
+                } else {
+                    String::new()
+                };
+                let first = refusal.get_or_insert_with(|| {
+                    format!(
+                        "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\
+                         {own_id}Content-Length: 0\r\n\r\n"
+                    )
+                });
+                stream.write_all(first.as_bytes()).ok()?;
+            }
             Fault::UntilReset => {
                 let body = long_body(&id);
                 let answer = format!("{head}\r\n{}", &body[..body.len() / 2]);
@@ -141,6 +173,47 @@
     kb.expect("a figure").parse().expect("a number")
 }
 
+/// Checks that no request which a faulty endpoint ran is said not to have run, or runs elsewhere.
+fn check_repeated_refusals(has_id: bool) {
+    let platform = Platform::start();
+    let runs = Runs::default();
+    let faulty = start_recorded_endpoint(Fault::RepeatedRefusal { has_id }, &runs);
+    let entry = registry_entry("pair", "z1", faulty, 2, None);
+    platform.publish("keyed.servers", "p-2", entry);
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the endpoints", || has_endpoints(&gateway, &["p-1", "p-2"]));
+    let answers: Vec<(String, String)> = (0..60)
+        .map(|number| {
+            let id = format!("r{number}");
+            let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
+            let answer = call(gateway.front, "POST /order/x", &headers, "");
+            (id, answer)
+        })
+        .collect();
+    let runs = runs.lock().expect("no panic holds it").clone();
+    for (id, answer) in &answers {
+        assert!(answer.starts_with("HTTP/1.1 "), "{id}: {answer}");
+        if runs.contains(id) {
+            assert!(!answer.contains("not_run"), "{id} ran: {answer}");
+            assert!(!answer.starts_with("HTTP/1.1 503"), "{id} ran: {answer}");
+            assert_eq!(platform.ledger.runs(id), 0, "{id} ran twice");
+        }
+    }
+}
+
+// Guards against: a refusal that an endpoint writes once more on a kept connection is taken for the
+// answer to the next request, which then runs twice or is said not to have run.
+#[test]
+fn repeated_refusal_is_not_taken_for_the_next_answer() {
+    check_repeated_refusals(true);
+}
+
+// Guards against: the same, where refusals do not name their request.
+#[test]
+fn repeated_refusal_without_id_is_not_taken_for_the_next_answer() {
+    check_repeated_refusals(false);
+}
+
 #[test]
 fn endless_bodies_take_bounded_memory() {
     let platform = Platform::start();
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -390,6 +390,14 @@
     ] {
         pair[field] = json!(text);
     }
+    let mut order = pair.clone();
+    for (field, text) in [
+        ("Name", "order"),
+        ("PathPrefix", "/order/"),
+        ("Kind", "non_idempotent"),
+    ] {
+        order[field] = json!(text);
+    }
     let summary = json!({"Name": "summary", "Host": "h.example", "PathPrefix": "/summary/",
         "Kind": "streaming", "Resumable": true, "TimeoutMs": 9000, "GoalMs": 100, "Service": "lm",
         "MaxAttempts": 2});
@@ -414,6 +422,7 @@
     routes.push(flaky);
     routes.push(summary);
     routes.push(pair);
+    routes.push(order);
     routes.push(report);
     routes.push(lab);
     routes.push(mixed);
