Test that an answer which ends in its head is not forwarded

On other systems callers got a 200 with an empty or short body when an endpoint closed in the middle of its answer's head. It can't happen here: the head has to be whole before any of it is used, and the attempt counts as one that may have run.

--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -34,6 +34,8 @@
     /// It refuses the first request on a connection, runs the later ones, and answers these with the
     /// first refusal; `has_id` is whether refusals name their request.
     RepeatedRefusal { has_id: bool },
+    /// It closes the connection in the middle of the head of its answer.
+    CutHead,
 }
 
 /// Ids of the requests that a faulty endpoint has run.
@@ -120,6 +122,10 @@
                 });
                 stream.write_all(first.as_bytes()).ok()?;
             }
+            Fault::CutHead => {
+                stream.write_all(&head.as_bytes()[..head.len() - 5]).ok()?;
+                return None;
+            }
             Fault::UntilReset => {
                 let body = long_body(&id);
                 let answer = format!("{head}\r\n{}", &body[..body.len() / 2]);
@@ -214,6 +220,21 @@
     check_repeated_refusals(false);
 }
 
+// Guards against: an answer that ends in the middle of its head reaches the caller as a success with
+// a short body.
+#[test]
+fn answer_that_ends_in_its_head_is_not_forwarded() {
+    let platform = Platform::start();
+    let gateway = start_gateway(&platform, Fault::CutHead);
+    for number in 0..20 {
+        let id = format!("r{number}");
+        let answer = get_pair(gateway.front, &id);
+        let is_whole = answer.ends_with(&format!("\r\n\r\n{id}"));
+        assert!(is_whole || !answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    gateway.wait_for("a failed attempt", || gateway.has_event(1403));
+}
+
 #[test]
 fn endless_bodies_take_bounded_memory() {
     let platform = Platform::start();
