Test that an error in place of the rest of a stream breaks it off

On other systems callers found the text of an error, or its head, in their stream when the next endpoint answered the request to go on with an error. It can't happen here: only a signed success goes on, else the stream is broken off, so that it looks incomplete.

--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -7,6 +7,9 @@
     time::Duration,
 };
 
+use caraway_platform_standin::RESUME_ERROR;
+use http::StatusCode;
+
 use crate::harness::{Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, has_endpoints};
 
 /// Time between events, long enough to break a stream off between two of them.
@@ -217,3 +220,42 @@
         assert_eq!(engine_of(&platform, &id), None, "{id} ran");
     }
 }
+
+/// Lets a stream break off after two events and other engines answer the request that goes on with an
+/// error; checks what the caller gets.
+fn check_resume_error(status: StatusCode) {
+    let platform = start_platform();
+    platform.with_parts(move |parts| {
+        for engine in &parts.mixed {
+            engine.set_resume_error(status);
+        }
+    });
+    let gateway = start_gateway(&platform, "gate-1");
+    let mut stream = read_until_event(gateway.front, "s0", 0, 2);
+    let began = engine_of(&platform, "s0").expect("it ran");
+    platform.with_parts(move |parts| parts.mixed[began].crash());
+    let mut rest = Vec::new();
+    // The connection may be reset.
+    stream.read_to_end(&mut rest).ok();
+    let rest = String::from_utf8_lossy(&rest);
+    assert!(
+        platform.ledger.runs("s0") > 1,
+        "another engine was asked to go on"
+    );
+    for line in RESUME_ERROR.split_whitespace() {
+        assert!(!rest.contains(line), "{line} in {rest}");
+    }
+    assert!(!rest.ends_with("0\r\n\r\n"), "not complete: {rest}");
+}
+
+// Guards against: the text of an error, with which an engine answers the request to go on with a stream,
+// gets into that stream, or the stream ends as if it were complete.
+#[test]
+fn error_in_place_of_the_rest_of_a_stream_breaks_it_off() {
+    check_resume_error(StatusCode::INTERNAL_SERVER_ERROR);
+}
+
+#[test]
+fn rejection_in_place_of_the_rest_of_a_stream_breaks_it_off() {
+    check_resume_error(StatusCode::BAD_REQUEST);
+}
