Survive a store that returns from an older copy of itself

When the store goes back, it gives offsets out again. Instances went on at positions that it did not have, took the newest records for outdated, and noticed neither configurations nor departures; what the copy listed would have been taken for news, and the next holder's orders refused for their tokens.

Change: the client reads the store's era from every answer. Positions belong to an era; those of an earlier one lead to one new read of the newest records, by the holders, which send them to their instances. Instances tell each other the era, ignore records and answers of earlier ones, and keep what they know against older configurations, versions and registry entries (a removed or earlier incarnation does not come back). Fencing tokens contain the era. Holders record themselves again at once; quarantines, histories of software versions and origins of streams are written again. Missing entries are kept as after an outage. An invalid era is logged once (event 1112) and changes nothing.

Evidence: the stand-in store goes back.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -55,6 +55,33 @@
     true
 }
 
+/// Returns whether a record of an older copy of the store says less than this instance knows. Holders
+/// are compared by their fencing tokens instead.
+pub(crate) fn is_outdated(shared: &Shared, topic: Topic, record: &Record) -> bool {
+    let Some(value) = record.value.as_deref() else {
+        return false;
+    };
+    // Invalid records are reported when they are applied.
+    match topic {
+        Topic::Operators => match operator_key(&record.key) {
+            OperatorKey::Configuration => decode_configuration(value).is_ok_and(|(routing, _)| {
+                shared
+                    .routing()
+                    .is_some_and(|r| routing.version < r.version)
+            }),
+            OperatorKey::Version => decode_version_announcement(value).is_ok_and(|announced| {
+                let newest = shared.newest_versions.borrow();
+                let known = newest.get(&announced.model);
+                known.is_some_and(|k| announced.version < k.version)
+            }),
+            OperatorKey::Other => false,
+        },
+        Topic::Endpoints => decode_registry_entry(&record.key, value)
+            .is_ok_and(|entry| shared.directory.borrow().is_outdated(&entry)),
+        Topic::Holders | Topic::Shared | Topic::Streams => false,
+    }
+}
+
 /// Passes the known adapter versions and endpoints to the placer of a zone that was just acquired.
 pub(crate) fn init_placer(shared: &Rc<Shared>, held: &Rc<HeldZone>) {
     let newest: Vec<(ModelRef, Announcement)> = {
@@ -179,7 +206,11 @@
 fn apply_endpoint(shared: &Rc<Shared>, record: &Record, missing_policy: MissingPolicy) -> bool {
     let id: EndpointId = record.key.clone();
     let Some(value) = &record.value else {
-        if shared.directory.borrow_mut().remove(&id, missing_policy) {
+        if shared
+            .directory
+            .borrow_mut()
+            .remove(Shared::now(), &id, missing_policy)
+        {
             on_endpoint_removed(shared, &id, "its entry was removed");
         }
         return true;
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -11,7 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 use caraway_platform::{Record, StoreError, Topic, holder_key};
-use caraway_types::{FencingToken, ZoneId};
+use caraway_types::{FencingToken, Position, ZoneId};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,6 +28,9 @@
 /// Number of fencing tokens per record. The first is for the instance in the record, the others are
 /// for hand-overs that are not recorded yet; no outage of the store lasts for that many.
 const TOKENS_PER_RECORD: FencingToken = 1 << 8;
+/// Number of fencing tokens of an era of the store, enough for 16 million records. The store gives
+/// offsets out again in each era, tokens have to rise.
+const TOKENS_PER_ERA: FencingToken = 1 << 32;
 /// Delay between attempts to append the record of a zone that was handed over.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -52,7 +55,11 @@
             topics.claims.remove(&zone);
             continue;
         };
-        let topic_end = topics.next_offset(Topic::Holders);
+        let topic_end = topics.next(Topic::Holders);
+        if topic_end.is_none() {
+            // The topic is being read anew, as the store has returned from an older copy.
+            continue;
+        }
         if topics
             .claims
             .try_begin(Shared::now(), &zone, wait, topic_end)
@@ -75,10 +82,25 @@
             "finding" => "the holder record is malformed");
         return;
     };
-    holder.token = record.offset * TOKENS_PER_RECORD;
+    let is_own =
+        holder.instance == shared.site.instance && holder.incarnation == shared.incarnation;
+    if is_own && holder.era < shared.store.era() && shared.held_zone(zone).is_none() {
+        // A claim that the store executed in a later era than this instance knew of: its token may
+        // have been given out before. The next check claims the zone again.
+        return;
+    }
+    holder.token = first_token(Position {
+        era: holder.era,
+        offset: record.offset,
+    });
     set_holder(shared, zone, &holder);
 }
 
+/// Returns the first fencing token of the record at a position.
+fn first_token(position: Position) -> FencingToken {
+    position.era * TOKENS_PER_ERA + position.offset * TOKENS_PER_RECORD
+}
+
 /// Handles a hand-over of a zone to another holder, as announced by the current one.
 pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
     let former = shared.holders.borrow().get(zone).cloned();
@@ -245,7 +267,7 @@
 }
 
 async fn claim_zone(shared: Rc<Shared>, zone: ZoneId) {
-    let topic_end = shared.topics.borrow().next_offset(Topic::Holders);
+    let topic_end = shared.topics.borrow().next(Topic::Holders);
     let result = append_record(&shared, &zone, false).await;
     let conflict_at = topic_end.filter(|_| matches!(result, Err(StoreError::OffsetMismatch(_))));
     shared.topics.borrow_mut().claims.finish(&zone, conflict_at);
@@ -257,13 +279,14 @@
     zone: &ZoneId,
     released: bool,
 ) -> Result<(), StoreError> {
-    let Some(topic_end) = shared.topics.borrow().next_offset(Topic::Holders) else {
+    let Some(topic_end) = shared.topics.borrow().next(Topic::Holders) else {
         return Err(StoreError::Unavailable(
             "the topic has not been read yet".into(),
         ));
     };
     let holder = Holder {
         released,
+        era: topic_end.era,
         ..shared.own_record()
     };
     let value = serde_json::to_vec(&holder).expect("a holder has only strings and numbers");
@@ -277,7 +300,8 @@
         Err(e) => e.to_string(),
     };
     shared.metrics.record_store_call("claim", result.is_ok());
-    emit!(shared, info, ClaimTried; "held_zone" => &**zone, "at" => topic_end,
+    emit!(shared, info, ClaimTried; "held_zone" => &**zone, "at" => topic_end.offset,
+        "era" => topic_end.era,
         "released" => released, "outcome" => outcome);
     match &result {
         Ok(appended) => {
@@ -289,7 +313,7 @@
             topics::on_own_append(shared, Topic::Holders, topic_end, &record);
         }
         // Another record was appended, or the outcome is unknown: reading the topic shows which.
-        Err(StoreError::OffsetMismatch(_) | StoreError::Unanswered(_)) => {
+        Err(StoreError::OffsetMismatch(_) | StoreError::Unanswered(_) | StoreError::OtherEra) => {
             shared.topics.borrow().wake(Topic::Holders);
         }
         // The next periodic check retries.
--- a/crates/caraway-gateway/src/claim_schedule.rs
+++ b/crates/caraway-gateway/src/claim_schedule.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use caraway_types::{Offset, ZoneId};
+use caraway_types::{Position, ZoneId};
 
 /// The zones that an instance is going to claim, each after a delay; one claim is in flight at a
 /// time.
@@ -22,8 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     due: Instant,
-    /// Offset at which the last attempt failed, as the topic did not end there any more.
-    failed_at: Option<Offset>,
+    /// Position at which the last attempt failed, as the topic did not end there any more.
+    failed_at: Option<Position>,
 }
 
 impl ClaimSchedule {
@@ -49,7 +49,7 @@
         now: Instant,
         zone: &ZoneId,
         wait: Duration,
-        topic_end: Option<Offset>,
+        topic_end: Option<Position>,
     ) -> bool {
         let claim = self.pending.entry(zone.clone()).or_insert(Claim {
             due: now + wait,
@@ -65,9 +65,9 @@
         true
     }
 
-    /// Records the end of a claim. `conflict_at` is the offset of the attempt if the topic did not
+    /// Records the end of a claim. `conflict_at` is the position of the attempt if the topic did not
     /// end there any more.
-    pub fn finish(&mut self, zone: &str, conflict_at: Option<Offset>) {
+    pub fn finish(&mut self, zone: &str, conflict_at: Option<Position>) {
         self.in_flight = false;
         match (self.pending.get_mut(zone), conflict_at) {
             (Some(claim), Some(_)) => claim.failed_at = conflict_at,
--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -233,6 +233,17 @@
     }
 }
 
+/// Shares all quarantines again, as the store may have lost them.
+pub(crate) fn share_quarantines(shared: &Rc<Shared>) {
+    let quarantines: Vec<Quarantine> = {
+        let evidence = shared.crash_watch.evidence.borrow();
+        evidence.quarantines(Shared::now()).cloned().collect()
+    };
+    for quarantine in quarantines {
+        share_quarantine(shared, key_of(&quarantine), Some(quarantine));
+    }
+}
+
 fn apply_crash(shared: &Rc<Shared>, instance: &InstanceId, report: &CrashReport) {
     emit!(shared, info, EndpointCrashed; "endpoint" => &*report.endpoint,
         "service" => &*report.service, "seen_by" => &**instance,
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -63,6 +63,8 @@
     StoreLost = 1110, "store lost", 20;
     /// The platform's store serves a topic again.
     StoreRegained = 1111, "store regained", 20;
+    /// The platform's store has returned from an older copy of itself, or states no valid era.
+    StoreWentBack = 1112, "store went back", 20;
     /// An endpoint was added, changed its state, restarted or was removed.
     EndpointChanged = 1120, "endpoint changed", 50;
     /// An entry of the registry is invalid.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -9,7 +9,7 @@
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::Record;
 use caraway_routes::{ModelRef, RequestRate, TokenCount};
-use caraway_types::{EndpointId, FencingToken, Millis, Offset, Ticket, ZoneId};
+use caraway_types::{EndpointId, FencingToken, Millis, Offset, StoreEra, Ticket, ZoneId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::shared::Holder;
@@ -33,6 +33,9 @@
         /// The next offset of each topic that the sender has read, by the topic's label.
         #[serde(default)]
         known: Vec<(Arc<str>, Offset)>,
+        /// The store's era that these offsets belong to.
+        #[serde(default)]
+        era: StoreEra,
     },
     /// Requests an endpoint.
     Ask {
@@ -136,6 +139,9 @@
         /// does not state it.
         #[serde(default)]
         instances: usize,
+        /// The store's era that the offsets belong to.
+        #[serde(default)]
+        era: StoreEra,
     },
     /// Grants a permit.
     Permit {
@@ -236,6 +242,9 @@
     /// Whether the records replace missed ones, and so may be old.
     #[serde(default)]
     pub(crate) late: bool,
+    /// The store's era that the offsets belong to.
+    #[serde(default)]
+    pub(crate) era: StoreEra,
 }
 
 impl RecordsFrame {
@@ -248,6 +257,7 @@
             next: 0,
             records: vec![record],
             late: false,
+            era: 0,
         }
     }
 }
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -143,6 +143,11 @@
         self.is_recorded.set(true);
     }
 
+    /// Records that the store may have lost the record of this instance as the holder.
+    pub(crate) fn set_unrecorded(&self) {
+        self.is_recorded.set(false);
+    }
+
     /// Returns whether the placer gives no more orders, as the zone is being given up.
     pub(crate) fn is_stopping(&self) -> bool {
         self.placer.borrow().is_stopping()
@@ -358,6 +363,7 @@
             next: topics::readable_offsets(shared),
             limits: endpoint_limits::frames(shared, &self.zone),
             instances: self.known_instances(),
+            era: shared.store.era(),
         }
     }
 
--- a/crates/caraway-gateway/src/record_cache.rs
+++ b/crates/caraway-gateway/src/record_cache.rs
@@ -61,6 +61,20 @@
         self.newest = records.iter().map(|r| (r.key.clone(), r.clone())).collect();
     }
 
+    /// Replaces the content as [`Self::replace`] does, but keeps the records of other keys. They come
+    /// before all records that the store has from now on; `next` is the offset after those it has.
+    pub fn update(&mut self, records: &[Record], next: Offset) {
+        let former = std::mem::take(&mut self.newest);
+        self.replace(records, next);
+        for (key, record) in former.into_iter().filter(|(_, r)| r.value.is_some()) {
+            let record = Record {
+                offset: 0,
+                ..record
+            };
+            self.newest.entry(key).or_insert(record);
+        }
+    }
+
     /// Returns the records that an instance has missed which has read the topic up to `from`;
     /// `None` stands for one that has read nothing.
     #[must_use]
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -302,6 +302,7 @@
             zone: shared.site.zone.clone(),
             weakness: shared.weakness(),
             known: topics::known_offsets(shared),
+            era: shared.store.era(),
         };
         // The queue is empty and its receiver is in the request, so this can't fail.
         outgoing.try_send(Ok(frame::encode(&hello))).ok();
@@ -372,14 +373,19 @@
                 next,
                 limits,
                 instances,
+                era,
             } => {
+                shared.store.learn_era(era);
+                topics::check_era(shared);
                 shared.on_fleet_size(instances);
                 for limit in &limits {
                     endpoint_limits::on_frame(shared, limit, LimitSource::Holder);
                 }
                 if topics::forwarding_zone(shared).as_ref() == Some(&self.zone) {
                     let ping_sent = asked.map(|at| (self.opened_at.get() + at.get()).into_std());
-                    topics::on_holder_heartbeat(shared, &self.zone, ping_sent, is_current, &next);
+                    topics::on_holder_heartbeat(
+                        shared, &self.zone, ping_sent, is_current, era, &next,
+                    );
                 }
                 if is_current {
                     topics::on_peer_registry_read(shared);
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -100,11 +100,12 @@
             zone,
             weakness,
             known,
+            era,
         } = frame
         {
             let frames = self.outgoing.clone();
             if zone == self.held.zone {
-                topics::send_missed(&self.shared, &frames, &known);
+                topics::send_missed(&self.shared, &frames, &known, era);
             }
             let peer = Peer::new(zone.clone(), holder, weakness, frames);
             let source = self.held.add_peer(&self.shared, peer);
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -16,7 +16,7 @@
     Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
 };
 use caraway_types::{
-    EndpointId, FencingToken, Incarnation, InstanceId, SoftwareVersion, Ticket, ZoneId,
+    EndpointId, FencingToken, Incarnation, InstanceId, SoftwareVersion, StoreEra, Ticket, ZoneId,
 };
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -48,6 +48,9 @@
     pub(crate) addr: SocketAddr,
     /// Whether the instance has given the zone up.
     pub(crate) released: bool,
+    /// The store's era in which the record was written.
+    #[serde(default)]
+    pub(crate) era: StoreEra,
     /// The fencing token of the holder's orders; follows from the offset of the record.
     #[serde(skip)]
     pub(crate) token: FencingToken,
@@ -228,6 +231,7 @@
             incarnation: self.incarnation,
             addr: self.peer_addr(),
             released: false,
+            era: self.store.era(),
             token: 0,
         }
     }
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -15,7 +15,7 @@
 
 use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic, versions_key};
 use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory};
-use caraway_types::{EndpointId, Offset, Reason, RequestId, SoftwareVersion};
+use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
     time::{sleep, timeout},
@@ -65,8 +65,8 @@
     /// Origins that are to be appended to the store.
     pending: RefCell<Vec<PendingOrigin>>,
     is_flush_scheduled: Cell<bool>,
-    /// The next offset of the topic of origins.
-    next_offset: Cell<Offset>,
+    /// The next position in the topic of origins.
+    next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
     reading: Mutex<()>,
     /// Whether endpoints have changed since the history was updated.
@@ -306,14 +306,14 @@
 /// Reads the topic of origins to its end.
 async fn read_origins(shared: &Rc<Shared>) -> Result<(), StoreError> {
     let state = &shared.streams;
-    let from = state.next_offset.get();
+    let from = state.next.get();
     let _reading = state.reading.lock().await;
     // Another lookup may have read on meanwhile.
-    if state.next_offset.get() > from {
+    if state.next.get() > from {
         return Ok(());
     }
     loop {
-        let next = state.next_offset.get();
+        let next = state.next.get();
         let read = shared
             .store
             .read(Topic::Streams, next, Duration::ZERO)
@@ -323,8 +323,15 @@
             .record_store_call(Topic::Streams.label(), read.is_ok());
         let log = match read {
             Ok(log) => log,
-            Err(StoreError::Trimmed(Some(first))) if first > next => {
-                state.next_offset.set(first);
+            Err(StoreError::Trimmed(Some(first))) if first > next.offset => {
+                state.next.set(next.at(first));
+                continue;
+            }
+            Err(StoreError::OtherEra) if next.era < shared.store.era() => {
+                state.next.set(Position {
+                    era: shared.store.era(),
+                    offset: 0,
+                });
                 continue;
             }
             Err(e) => return Err(e),
@@ -332,7 +339,7 @@
         if log.next == next {
             return Ok(());
         }
-        state.next_offset.set(log.next);
+        state.next.set(log.next);
         let mut origins = state.origins.borrow_mut();
         for record in &log.records {
             if let Some(software) = decode_software(record) {
@@ -389,6 +396,26 @@
     versions.collect::<Vec<_>>().join(", ")
 }
 
+/// Shares the histories again, as the store may have lost them, and as the holder of the own zone the
+/// origins of its streams.
+pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
+    let histories = shared.streams.history.borrow().records();
+    for history in histories {
+        share_history(shared, history);
+    }
+    if shared.held_zone(&shared.site.zone).is_none() {
+        return;
+    }
+    let origins: Vec<(RequestId, SoftwareVersion)> = {
+        let origins = shared.streams.origins.borrow();
+        let newest = origins.newest(MAX_PENDING);
+        newest.map(|(r, s)| (r.clone(), s.clone())).collect()
+    };
+    for (request, software) in &origins {
+        append_later(shared, request, software, None);
+    }
+}
+
 /// Updates the histories of all services by the endpoints in the registry, and shares what other
 /// instances have to know.
 pub(crate) fn update_histories(shared: &Rc<Shared>) {
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -5,7 +5,7 @@
 
 use caraway_platform::{Record, StoreError, Topic};
 use caraway_routes::{MissingPolicy, OutageDetector};
-use caraway_types::{Offset, ZoneId};
+use caraway_types::{Offset, Position, StoreEra, ZoneId};
 use tokio::{
     sync::Notify,
     time::{Instant, sleep},
@@ -70,6 +70,8 @@
     states: HashMap<Topic, TopicState>,
     /// Time within which records have to be in force after they were written.
     max_delay: Duration,
+    /// The newest era of the store of which the instance has taken notice.
+    era: StoreEra,
     /// Detects outages of the registry of endpoints.
     outage: OutageDetector,
     /// The claims of zones, which are records in the holders' topic.
@@ -78,8 +80,9 @@
 
 #[derive(Debug, Default)]
 struct TopicState {
-    /// Offset of the next record; `None` until the topic was read to its end once.
-    next_offset: Option<Offset>,
+    /// Position of the next record; `None` until the topic was read to its end once. One of an earlier
+    /// era means that the topic has to be read anew.
+    next: Option<Position>,
     /// When the store last answered a read of the topic.
     last_read: Option<Instant>,
     /// Whether the last read from the store failed.
@@ -102,18 +105,20 @@
 
     /// Returns whether a topic was read to its end once.
     pub(crate) fn is_read(&self, topic: Topic) -> bool {
-        self.next_offset(topic).is_some()
+        self.states.get(&topic).is_some_and(|s| s.next.is_some())
     }
 
-    /// Returns the offset of a topic's next record; `None` until it was read once.
-    pub(crate) fn next_offset(&self, topic: Topic) -> Option<Offset> {
-        self.states.get(&topic)?.next_offset
+    /// Returns the position of a topic's next record; `None` until it was read once in the store's
+    /// present era.
+    pub(crate) fn next(&self, topic: Topic) -> Option<Position> {
+        let next = self.states.get(&topic)?.next;
+        next.filter(|n| n.era == self.era)
     }
 
     /// Returns whether a topic was read to its end once, or can't be read now.
     pub(crate) fn is_read_or_failing(&self, topic: Topic) -> bool {
         let state = self.states.get(&topic);
-        state.is_some_and(|s| s.next_offset.is_some() || s.failing)
+        state.is_some_and(|s| s.next.is_some() || s.failing)
     }
 
     /// Makes the reader of a topic read at once.
@@ -154,6 +159,7 @@
             continue;
         }
         let result = read_once(&shared, topic, &wake).await;
+        check_era(&shared);
         shared
             .metrics
             .record_store_call(topic.label(), result.is_ok());
@@ -246,30 +252,26 @@
     let Some(topic) = topic else {
         return;
     };
-    let next = shared.topics.borrow().next_offset(topic);
+    shared.store.learn_era(frame.era);
+    check_era(shared);
+    if frame.era < shared.store.era() {
+        return;
+    }
+    let next = shared.topics.borrow().next(topic).map(|n| n.offset);
+    let end = Position {
+        era: frame.era,
+        offset: frame.next,
+    };
     if frame.complete && next.is_none_or(|n| n < frame.next) {
         let missing_policy = shared.topics.borrow().outage.missing_policy(Shared::now());
-        apply_snapshot(
-            shared,
-            topic,
-            frame.next,
-            frame.records.clone(),
-            missing_policy,
-        );
+        apply_snapshot(shared, topic, end, frame.records.clone(), missing_policy);
     } else if next.is_some_and(|n| frame.from <= n && n < frame.next) {
         let source = if frame.late {
             RecordSource::Snapshot
         } else {
             RecordSource::Log
         };
-        apply_records(
-            shared,
-            topic,
-            frame.from,
-            frame.next,
-            &frame.records,
-            source,
-        );
+        apply_records(shared, topic, frame.from, end, &frame.records, source);
     } else if next.is_none_or(|n| n < frame.from) {
         // There is a gap between the known records and these, so this instance reads the store.
         let mut topics = shared.topics.borrow_mut();
@@ -280,11 +282,12 @@
 }
 
 /// Handles a record that this instance has appended where it knew the topic to end, at `at`.
-pub(crate) fn on_own_append(shared: &Rc<Shared>, topic: Topic, at: Offset, record: &Record) {
-    let next = shared.topics.borrow().next_offset(topic);
-    if next == Some(at) && record.offset == at {
+pub(crate) fn on_own_append(shared: &Rc<Shared>, topic: Topic, at: Position, record: &Record) {
+    let next = shared.topics.borrow().next(topic);
+    if next == Some(at) && record.offset == at.offset {
         let records = std::slice::from_ref(record);
-        apply_records(shared, topic, at, at + 1, records, RecordSource::Log);
+        let end = at.at(at.offset + 1);
+        apply_records(shared, topic, at.offset, end, records, RecordSource::Log);
     }
     shared.topics.borrow().wake(topic);
 }
@@ -303,7 +306,7 @@
     topic: Topic,
     wake: &Notify,
 ) -> Result<ReadOutcome, StoreError> {
-    let next = shared.topics.borrow().next_offset(topic);
+    let next = shared.topics.borrow().next(topic);
     let Some(from) = next else {
         read_newest(shared, topic).await?;
         return Ok(ReadOutcome::Read);
@@ -330,14 +333,15 @@
             apply_records(
                 shared,
                 topic,
-                from,
+                from.offset,
                 log.next,
                 &log.records,
                 RecordSource::Log,
             );
             Ok(ReadOutcome::Read)
         }
-        Err(StoreError::Trimmed(_)) => {
+        Err(StoreError::Trimmed(_) | StoreError::OtherEra) => {
+            check_era(shared);
             read_newest(shared, topic).await?;
             Ok(ReadOutcome::Read)
         }
@@ -359,7 +363,8 @@
 
 async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
     let newest = shared.store.read_newest(topic).await?;
-    let known = shared.topics.borrow().next_offset(topic);
+    check_era(shared);
+    let known = shared.topics.borrow().next(topic);
     if known.is_some_and(|known| newest.next < known) {
         let why = "the store's newest records are older than the known ones";
         return Err(StoreError::Unanswered(why.into()));
@@ -374,16 +379,21 @@
 fn apply_snapshot(
     shared: &Rc<Shared>,
     topic: Topic,
-    next: Offset,
+    next: Position,
     mut records: Vec<Record>,
     missing_policy: MissingPolicy,
 ) {
+    let former = shared.topics.borrow_mut().state(topic).next;
+    let is_restored = former.is_some_and(|f| f.era < next.era);
+    if is_restored {
+        records.retain(|r| !apply::is_outdated(shared, topic, r));
+    }
     if topic == Topic::Endpoints {
         let present = |id: &str| records.iter().any(|r| &*r.key == id);
         let removed = shared
             .directory
             .borrow_mut()
-            .retain(present, missing_policy);
+            .retain(Shared::now(), present, missing_policy);
         for id in removed {
             apply::on_endpoint_removed(shared, &id, "its entry is missing");
         }
@@ -401,16 +411,21 @@
     {
         let mut topics = shared.topics.borrow_mut();
         let state = topics.state(topic);
-        state.next_offset = Some(next);
-        state.cache.replace(&records, next);
+        state.next = Some(next);
+        if is_restored && topic == Topic::Operators {
+            state.cache.update(&records, next.offset);
+        } else {
+            state.cache.replace(&records, next.offset);
+        }
     }
     let frame = RecordsFrame {
         topic: topic.label().into(),
         complete: true,
         from: 0,
-        next,
+        next: next.offset,
         records,
         late: true,
+        era: next.era,
     };
     forward(shared, topic, frame);
 }
@@ -420,18 +435,19 @@
     shared: &Rc<Shared>,
     topic: Topic,
     from: Offset,
-    next: Offset,
+    next: Position,
     records: &[Record],
     source: RecordSource,
 ) {
-    let known = shared.topics.borrow().next_offset(topic).unwrap_or(from);
-    if next <= known {
+    let known = shared.topics.borrow().next(topic);
+    let known = known.map_or(from, |k| k.offset);
+    if next.offset <= known {
         return;
     }
     {
         let mut topics = shared.topics.borrow_mut();
         let state = topics.state(topic);
-        state.next_offset = Some(next);
+        state.next = Some(next);
         for record in records {
             state.cache.insert(record);
         }
@@ -447,9 +463,10 @@
         topic: topic.label().into(),
         complete: false,
         from: known,
-        next,
+        next: next.offset,
         records: forwarded,
         late: source == RecordSource::Snapshot,
+        era: next.era,
     };
     forward(shared, topic, frame);
 }
@@ -494,12 +511,21 @@
     let mut topics = shared.topics.borrow_mut();
     let missing_policy = topics.outage.missing_policy(Shared::now());
     let state = topics.state(Topic::Endpoints);
-    !state.failing && state.next_offset.is_some() && missing_policy == MissingPolicy::Remove
+    !state.failing && state.next.is_some() && missing_policy == MissingPolicy::Remove
 }
 
 /// Sends the records that an instance has missed, which has read the topics up to the offsets in
-/// `known`.
-pub(crate) fn send_missed(shared: &Shared, outgoing: &Outgoing, known: &[(Arc<str>, Offset)]) {
+/// `known`, of the store's era `era`.
+pub(crate) fn send_missed(
+    shared: &Rc<Shared>,
+    outgoing: &Outgoing,
+    known: &[(Arc<str>, Offset)],
+    era: StoreEra,
+) {
+    shared.store.learn_era(era);
+    check_era(shared);
+    let own_era = shared.store.era();
+    let known = if era == own_era { known } else { &[] };
     for (label, next) in readable_offsets(shared) {
         let from = known.iter().find(|(l, _)| *l == label).map(|(_, n)| *n);
         let topic = Topic::FOLLOWED.into_iter().find(|t| t.label() == &*label);
@@ -519,17 +545,19 @@
             next,
             records: missed.records,
             late: true,
+            era: own_era,
         });
         // A peer that misses the frame detects it by the next pong, and reads the store.
         outgoing.try_send(Ok(frame::encode(&frame))).ok();
     }
 }
 
-/// Returns the next offset of each topic that this instance has read, by the topic's label.
+/// Returns the next offset of each topic that this instance has read in the store's present era, by the
+/// topic's label.
 pub(crate) fn known_offsets(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
     let topics = shared.topics.borrow();
-    let read = topics.states.iter();
-    read.filter_map(|(topic, state)| Some((topic.label().into(), state.next_offset?)))
+    let all = topics.states.keys();
+    all.filter_map(|topic| Some((topic.label().into(), topics.next(*topic)?.offset)))
         .collect()
 }
 
@@ -537,8 +565,9 @@
 /// receive forwarded records read those from the store themselves.
 pub(crate) fn readable_offsets(shared: &Shared) -> Vec<(Arc<str>, Offset)> {
     let topics = shared.topics.borrow();
-    let read = topics.states.iter().filter(|(_, state)| !state.failing);
-    read.filter_map(|(topic, state)| Some((topic.label().into(), state.next_offset?)))
+    let readable = topics.states.iter().filter(|(_, state)| !state.failing);
+    readable
+        .filter_map(|(topic, _)| Some((topic.label().into(), topics.next(*topic)?.offset)))
         .collect()
 }
 
@@ -553,15 +582,17 @@
     zone: &ZoneId,
     requested_at: Option<std::time::Instant>,
     is_current: bool,
+    era: StoreEra,
     next: &[(Arc<str>, Offset)],
 ) {
     let forwards = *zone == shared.site.zone || !shared.held_zones.borrow().is_empty();
+    let is_current = is_current && era == shared.store.era();
     let mut topics = shared.topics.borrow_mut();
     for topic in Topic::FOLLOWED {
         let holder_next = next.iter().find(|(label, _)| **label == *topic.label());
+        let own = topics.next(topic);
+        let has_all = holder_next.is_some_and(|(_, n)| own.is_some_and(|own| own.offset >= *n));
         let state = topics.state(topic);
-        let has_all =
-            holder_next.is_some_and(|(_, n)| state.next_offset.is_some_and(|own| own >= *n));
         let is_up_to_date = is_current && has_all;
         if (is_up_to_date || forwards) && state.forwarding.on_heartbeat(requested_at, is_up_to_date)
         {
@@ -610,6 +641,43 @@
     topics.state(topic).forwarding.is_active(Shared::now())
 }
 
+/// Takes notice of a later era of the store, which any of its answers or another instance may have
+/// stated: the store has returned from an older copy and may have lost what it had acknowledged.
+///
+/// All topics are read anew, by holders at once and by other instances unless their holder sends its
+/// records. What this instance has written is written again.
+pub(crate) fn check_era(shared: &Rc<Shared>) {
+    if let Some(text) = shared.store.take_invalid_era() {
+        emit!(shared, warn, StoreWentBack; "unreadable" => &*text);
+    }
+    let era = shared.store.era();
+    let former = {
+        let mut topics = shared.topics.borrow_mut();
+        if topics.era == era {
+            return;
+        }
+        let former = std::mem::replace(&mut topics.era, era);
+        if topics.states.values().all(|s| s.next.is_none()) {
+            return;
+        }
+        topics.outage.on_restored(Shared::now());
+        for state in topics.states.values() {
+            state.wake.notify_one();
+        }
+        former
+    };
+    emit!(shared, warn, StoreWentBack; "era" => era, "former" => former);
+    for held in shared.held_zones() {
+        held.set_unrecorded();
+        let mut topics = shared.topics.borrow_mut();
+        topics.claims.schedule_now(Shared::now(), &held.zone);
+        drop(topics);
+        held.broadcast_pong(shared);
+    }
+    stream_origins::on_store_restored(shared);
+    crash_records::share_quarantines(shared);
+}
+
 /// Records that another instance's copy of the registry is current.
 pub(crate) fn on_peer_registry_read(shared: &Shared) {
     let mut topics = shared.topics.borrow_mut();
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -22,6 +22,9 @@
 /// Timeout of every wait in these tests. It only ends a hanging test and asserts no latency.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// Version of the configuration with which the platform starts.
+pub(crate) const FIRST_VERSION: u64 = 3;
+
 /// The parts of the platform, which tests inspect and change.
 #[derive(Debug)]
 pub(crate) struct Parts {
@@ -121,7 +124,7 @@
 async fn start_parts(ledger: Ledger) -> (Parts, SocketAddr) {
     let store = Store::default();
     let addr = store.start().await.expect("an address");
-    store.publish("keyed.op", "config", &configuration());
+    store.publish("keyed.op", "config", &configuration(FIRST_VERSION, &[]));
     let spec = EngineSpec {
         id: "e-1".into(),
         model: "base".into(),
@@ -328,12 +331,13 @@
         assert!(stop.expect("kill runs").success());
     }
 
-    /// Returns whether the log has a line with this event and this text in this field.
-    pub(crate) fn has_line(&self, event: u16, field: &str, text: &str) -> bool {
+    /// Returns whether the log has a line with this event and this value in this field.
+    pub(crate) fn has_line(&self, event: u16, field: &str, value: impl Into<Value>) -> bool {
+        let value = value.into();
         let lines = self.lines.lock().expect("no panic holds it");
         lines
             .iter()
-            .any(|l| l["event"] == event && l[field] == text)
+            .any(|l| l["event"] == event && l[field] == value)
     }
 
     /// Returns whether the log has a line with this event.
@@ -353,7 +357,7 @@
 
 /// Returns whether a gateway has logged all these endpoints as known.
 pub(crate) fn has_endpoints(gateway: &Gateway, ids: &[&str]) -> bool {
-    ids.iter().all(|id| gateway.has_line(1120, "endpoint", id))
+    ids.iter().all(|id| gateway.has_line(1120, "endpoint", *id))
 }
 
 /// Sends a request on a new connection and returns the answer's text, which is empty if there was
@@ -376,9 +380,10 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
-/// Returns the configuration with the services and routes of these tests.
-fn configuration() -> Value {
-    let mut configuration = caraway_platform_standin::configuration(3, 2, &[]);
+/// Returns version `version` of the configuration with the services and routes of these tests, and
+/// further routes with these names.
+pub(crate) fn configuration(version: u64, extra_routes: &[String]) -> Value {
+    let mut configuration = caraway_platform_standin::configuration(version, 2, extra_routes);
     let flaky = json!({"Name": "flaky", "Host": "h.example", "PathPrefix": "/flaky/",
         "Kind": "idempotent", "TimeoutMs": 2000, "GoalMs": 100, "Service": "flaky",
         "MaxAttempts": 2});
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod software_versions;
 mod stop;
+mod store_era;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
 
--- a/crates/caraway-gateway/tests/record_cache.rs
+++ b/crates/caraway-gateway/tests/record_cache.rs
@@ -100,3 +100,28 @@
         prop_assert_eq!(late, whole);
     }
 }
+
+/// After the store has returned from an older copy, a starting instance gets the records that the copy
+/// lacks from its holder, until the store has later ones.
+#[test]
+fn records_that_an_older_copy_lacks_are_kept() {
+    let mut cache = RecordCache::default();
+    for (offset, key) in [(7, "newer"), (8, "lost"), (9, "same")] {
+        cache.insert(&record(offset, key, Some(offset)));
+    }
+    // The copy's older record of `newer` has been left out.
+    cache.update(&[record(1, "same", Some(1))], 2);
+    cache.insert(&record(2, "lost", Some(2)));
+    let missed = cache.missed_since(None);
+    let values = |key: &str| {
+        let records = missed.records.iter().filter(|r| &*r.key == key);
+        let values = records.map(|r| r.value.clone().expect("a value"));
+        values.collect::<Vec<_>>()
+    };
+    assert!(missed.complete);
+    assert_eq!(values("newer"), ["7"]);
+    assert_eq!(values("lost"), ["2"], "the store has a later one");
+    assert_eq!(values("same"), ["1"]);
+    let missed = cache.missed_since(Some(2));
+    assert_eq!(missed.records, [record(2, "lost", Some(2))]);
+}
--- a/crates/caraway-routes/src/directory.rs
+++ b/crates/caraway-routes/src/directory.rs
@@ -43,12 +43,14 @@
     endpoints: HashMap<EndpointId, Known>,
     /// Draining incarnations, with the time of the last report of each.
     draining: HashMap<IncarnationKey, Instant>,
+    /// Incarnations that were removed, with the time of the removal of each.
+    removed: HashMap<IncarnationKey, Instant>,
 }
 
 /// Identifies an incarnation of an endpoint by the endpoint's id and start time.
 type IncarnationKey = (EndpointId, Option<u64>);
 
-/// Time for which a draining incarnation is remembered. Endpoints exit within a minute after they
+/// Time for which a draining or removed incarnation is remembered. Endpoints exit within a minute after they
 /// report that they drain; one hour's worth of them takes little memory.
 const DRAINING_RETENTION: Duration = Duration::from_hours(1);
 
@@ -114,9 +116,9 @@
     }
 
     /// Handles the absence of the entry of `id`. Returns true if the endpoint was removed.
-    pub fn remove(&mut self, id: &str, policy: MissingPolicy) -> bool {
+    pub fn remove(&mut self, now: Instant, id: &str, policy: MissingPolicy) -> bool {
         match policy {
-            MissingPolicy::Remove => self.endpoints.remove(id).is_some(),
+            MissingPolicy::Remove => self.remove_now(now, id),
             MissingPolicy::KeepUntil(until) => {
                 if let Some(known) = self.endpoints.get_mut(id) {
                     known.expires_at.get_or_insert(until);
@@ -126,10 +128,32 @@
         }
     }
 
+    fn remove_now(&mut self, now: Instant, id: &str) -> bool {
+        let Some(known) = self.endpoints.remove(id) else {
+            return false;
+        };
+        self.removed
+            .retain(|_, since| now.saturating_duration_since(*since) < DRAINING_RETENTION);
+        let key = (known.endpoint.id.clone(), known.endpoint.started_ms);
+        self.removed.insert(key, now);
+        true
+    }
+
+    /// Returns whether an entry of an older copy of the registry says less than is known: the
+    /// incarnation was removed since, or another one has started since.
+    #[must_use]
+    pub fn is_outdated(&self, entry: &Endpoint) -> bool {
+        let key = (entry.id.clone(), entry.started_ms);
+        let known = self.endpoints.get(&entry.id);
+        known.is_some_and(|k| entry.started_ms < k.endpoint.started_ms)
+            || known.is_none() && self.removed.contains_key(&key)
+    }
+
     /// Handles a full listing: every endpoint for which `is_listed` returns false is missing.
     /// Returns the endpoints that were removed.
     pub fn retain(
         &mut self,
+        now: Instant,
         is_listed: impl Fn(&str) -> bool,
         policy: MissingPolicy,
     ) -> Vec<EndpointId> {
@@ -137,7 +161,7 @@
         let missing: Vec<EndpointId> = missing.cloned().collect();
         missing
             .into_iter()
-            .filter(|id| self.remove(id, policy))
+            .filter(|id| self.remove(now, id, policy))
             .collect()
     }
 
@@ -152,7 +176,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &expired {
-            self.endpoints.remove(id);
+            self.remove_now(now, id);
         }
         expired
     }
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod route;
 mod solo_limiter;
+mod store_era;
 
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
@@ -28,3 +29,4 @@
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Idempotency, Route, Target};
 pub use solo_limiter::SoloLimiter;
+pub use store_era::EraTracker;
--- a/crates/caraway-routes/src/outage.rs
+++ b/crates/caraway-routes/src/outage.rs
@@ -66,6 +66,13 @@
         self.last_read = Some(now);
     }
 
+    /// Records that the registry has returned from an older copy of itself. Entries that it has lost are
+    /// registered again as after an outage.
+    pub fn on_restored(&mut self, now: Instant) {
+        self.grace_end = Some(now + self.limits.grace);
+        self.last_read = Some(now);
+    }
+
     /// Returns how to treat entries that are missing at `now`.
     #[must_use]
     pub fn missing_policy(&self, now: Instant) -> MissingPolicy {
--- a/crates/caraway-routes/tests/draining_and_pauses.rs
+++ b/crates/caraway-routes/tests/draining_and_pauses.rs
@@ -44,7 +44,7 @@
     );
     directory.put(now, endpoint("e", 1, EndpointState::Ready));
     assert!(!directory.get("e").expect("known").is_ready());
-    directory.remove("e", MissingPolicy::Remove);
+    directory.remove(Instant::now(), "e", MissingPolicy::Remove);
     directory.put(now, endpoint("e", 1, EndpointState::Ready));
     assert!(
         !directory.get("e").expect("known").is_ready(),
@@ -174,7 +174,7 @@
                 Event::Removed { id, after_outage } => {
                     let until = now + Duration::from_secs(2);
                     let policy = if after_outage { MissingPolicy::KeepUntil(until) } else { MissingPolicy::Remove };
-                    directory.remove(&id.to_string(), policy);
+                    directory.remove(now, &id.to_string(), policy);
                 }
                 Event::Draining { id, started_ms } => {
                     directory.on_draining(now, &id.to_string().into(), Some(started_ms));
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -51,6 +51,10 @@
     Release(usize, u32),
     /// Makes callers send prompts with a segment that crashes engines.
     DeadlyPrompts,
+    /// At the end, makes the store return from a copy as old as the fault.
+    StoreReturn,
+    /// Makes operators and endpoints write again what the store may have lost.
+    StoreRewrite,
 }
 
 /// A fault with its start and duration.
@@ -87,6 +91,7 @@
     faults.extend(schedule_signals(plan));
     faults.push(schedule_deadly_prompts(plan));
     faults.extend(schedule_releases(plan));
+    faults.extend(schedule_store_return(plan));
     faults.sort_by_key(|f| f.at);
     faults
 }
@@ -179,6 +184,33 @@
         .collect()
 }
 
+/// Added to the seed of the draw of the store's return.
+const STORE_RETURN_SEED: u64 = 1 << 36;
+/// Range of the age of the copy from which the store returns, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 500..4000;
+/// Range of the time after which what the store lost is written again, in milliseconds.
+const REWRITE_DELAY_MS: std::ops::Range<u64> = 50..1500;
+
+/// Draws when the store returns from an older copy, within the period.
+fn schedule_store_return(plan: &Plan) -> [Timed; 2] {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + STORE_RETURN_SEED);
+    let at = plan.fault_period.mul_f64(rng.random_range(0.0..0.8));
+    let lasts = Duration::from_millis(rng.random_range(COPY_AGE_MS));
+    let delay = Duration::from_millis(rng.random_range(REWRITE_DELAY_MS));
+    [
+        Timed {
+            at,
+            lasts,
+            fault: Fault::StoreReturn,
+        },
+        Timed {
+            at: at + lasts + delay,
+            lasts: Duration::ZERO,
+            fault: Fault::StoreRewrite,
+        },
+    ]
+}
+
 /// Draws all faults but what endpoints say in their answers.
 fn schedule_disruptions(plan: &Plan) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -10,7 +10,8 @@
 use anyhow::{Context, Result};
 use caraway_platform_standin::{
     Behavior, Engine, EngineSpec, Ledger, OrderHandling, PlainEndpoint, Proxy, ProxyMode,
-    RateRecorder, Senders, SignalLog, Store, StoreMode, configuration, held_models, registry_entry,
+    RateRecorder, Senders, SignalLog, Store, StoreCopy, StoreMode, configuration, held_models,
+    registry_entry,
 };
 use nix::sys::signal::Signal;
 use tokio::sync::watch;
@@ -83,6 +84,8 @@
     pub(crate) ledger: Ledger,
     pub(crate) gateways: Vec<Gateway>,
     store: Store,
+    /// The copy from which the store will return.
+    store_copy: Option<StoreCopy>,
     /// The proxy between each gateway and the store.
     store_proxies: Vec<Proxy>,
     /// All engines, by zone, and then the endpoint without engine of each zone.
@@ -115,6 +118,7 @@
             ledger,
             gateways: Vec::new(),
             store,
+            store_copy: None,
             store_proxies: Vec::new(),
             endpoints: Vec::new(),
             disturbances: Vec::new(),
@@ -217,10 +221,22 @@
         self.register(&self.endpoints[number]);
     }
 
+    /// Publishes the newest configuration and all registry entries again.
+    fn rewrite(&self) {
+        self.write_configuration();
+        for endpoint in &self.endpoints {
+            self.register(endpoint);
+        }
+    }
+
     /// Publishes a configuration with all routes so far and, if given, the route `route`.
     pub(crate) fn publish_configuration(&mut self, route: Option<&str>) {
         self.version += 1;
         self.extra_routes.extend(route.map(str::to_owned));
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
         let configuration = configuration(self.version, ADAPTER_SLOTS, &self.extra_routes);
         self.store.publish_configuration(&configuration);
     }
@@ -232,7 +248,7 @@
                 self.disturb(number, lasts + SETTLE_TIME);
             }
             Fault::Stop(number) => self.disturb(number, STOP_TIME + SETTLE_TIME),
-            Fault::Store(_) | Fault::StoreWay(..) => {
+            Fault::Store(_) | Fault::StoreWay(..) | Fault::StoreReturn | Fault::StoreRewrite => {
                 let gateway = match fault {
                     Fault::StoreWay(number, _) => Some(number),
                     _ => None,
@@ -276,6 +292,8 @@
                 self.set_behavior(number, Behavior::RefuseFor(pause));
             }
             Fault::DeadlyPrompts => self.deadly_prompts.set(true),
+            Fault::StoreReturn => self.store_copy = Some(self.store.copy()),
+            Fault::StoreRewrite => self.rewrite(),
             Fault::Release(number, software) => {
                 self.endpoints[number].software = software;
                 self.restart_endpoint(number);
@@ -307,7 +325,13 @@
             Fault::Limit(number, _) => self.endpoints[number].arrivals().set_limit(None),
             Fault::Draining(number) => self.restart_endpoint(number),
             Fault::DeadlyPrompts => self.deadly_prompts.set(false),
+            Fault::StoreReturn => {
+                if let Some(copy) = self.store_copy.take() {
+                    self.store.restore(copy);
+                }
+            }
             Fault::Stop(_)
+            | Fault::StoreRewrite
             | Fault::Reload(_)
             | Fault::Restart(_)
             | Fault::Release(..)
--- a/crates/caraway-streams/src/history.rs
+++ b/crates/caraway-streams/src/history.rs
@@ -44,6 +44,17 @@
             .insert(record.service.clone(), versions.cloned().collect());
     }
 
+    /// Returns the histories of the services that have had several versions.
+    #[must_use]
+    pub fn records(&self) -> Vec<HistoryRecord> {
+        let several = self.services.iter().filter(|(_, v)| v.len() > 1);
+        let record = |(service, versions): (&Arc<str>, &Vec<VersionRecord>)| HistoryRecord {
+            service: service.clone(),
+            versions: versions.clone(),
+        };
+        several.map(record).collect()
+    }
+
     /// Updates the history of a service by the versions of its endpoints, each with the earliest start
     /// of an endpoint, in Unix milliseconds. Returns the history if it changed so that other instances
     /// have to know: a service with one version ever needs none.
--- a/crates/caraway-streams/src/origins.rs
+++ b/crates/caraway-streams/src/origins.rs
@@ -27,6 +27,11 @@
         self.current.insert(request.clone(), software.clone());
     }
 
+    /// Returns up to `count` streams, none of which began before the generation of the others.
+    pub fn newest(&self, count: usize) -> impl Iterator<Item = (&RequestId, &SoftwareVersion)> {
+        self.current.iter().chain(&self.previous).take(count)
+    }
+
     /// Returns the version at which the stream of a request began, `None` if it is not known.
     #[must_use]
     pub fn get(&self, request: &str) -> Option<&SoftwareVersion> {
--- a/crates/caraway-types/src/ids.rs
+++ b/crates/caraway-types/src/ids.rs
@@ -31,3 +31,5 @@
 pub type Incarnation = u64;
 /// Position of a record in one stream of the platform's log.
 pub type Offset = u64;
+/// Number that rises whenever the platform's store returns from an older copy of itself.
+pub type StoreEra = u64;
--- a/crates/caraway-types/src/lib.rs
+++ b/crates/caraway-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod finding;
 mod ids;
 mod millis;
+mod position;
 mod refusal;
 
 pub use adapter_ref::{AdapterRef, AdapterRefError};
@@ -15,7 +16,8 @@
 pub use finding::{Finding, Findings};
 pub use ids::{
     AccountId, AdapterId, AttemptId, EndpointId, FencingToken, Incarnation, InstanceId, LoadName,
-    Offset, RequestId, SoftwareVersion, Ticket, VersionId, ZoneId,
+    Offset, RequestId, SoftwareVersion, StoreEra, Ticket, VersionId, ZoneId,
 };
 pub use millis::Millis;
+pub use position::Position;
 pub use refusal::{Certainty, Reason, Refusal};
