--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -83,6 +83,9 @@
     /// Position of the next record; `None` until the topic was read to its end once. One of an earlier
     /// era means that the topic has to be read anew.
     next: Option<Position>,
+    /// Where the topic ended when it was first read in the present era, if it was known before: records
+    /// before that may be of an older copy.
+    restored_end: Option<Offset>,
     /// When the store last answered a read of the topic.
     last_read: Option<Instant>,
     /// Whether the last read from the store failed.
@@ -383,10 +386,16 @@
     mut records: Vec<Record>,
     missing_policy: MissingPolicy,
 ) {
-    let former = shared.topics.borrow_mut().state(topic).next;
-    let is_restored = former.is_some_and(|f| f.era < next.era);
-    if is_restored {
-        records.retain(|r| !apply::is_outdated(shared, topic, r));
+    let restored_end = {
+        let mut topics = shared.topics.borrow_mut();
+        let state = topics.state(topic);
+        if state.next.is_some_and(|known| known.era < next.era) {
+            state.restored_end = Some(next.offset);
+        }
+        state.restored_end
+    };
+    if let Some(end) = restored_end {
+        records.retain(|r| r.offset >= end || !apply::is_outdated(shared, topic, r));
     }
     if topic == Topic::Endpoints {
         let present = |id: &str| records.iter().any(|r| &*r.key == id);
@@ -412,7 +421,7 @@
         let mut topics = shared.topics.borrow_mut();
         let state = topics.state(topic);
         state.next = Some(next);
-        if is_restored && topic == Topic::Operators {
+        if restored_end.is_some() && topic == Topic::Operators {
             state.cache.update(&records, next.offset);
         } else {
             state.cache.replace(&records, next.offset);
--- a/crates/caraway-gateway/tests/process/store_era.rs
+++ b/crates/caraway-gateway/tests/process/store_era.rs
@@ -29,19 +29,19 @@
 }
 
 /// Publishes the entry of an endpoint that no instance has known, and waits until all know it.
-fn publish_marker(platform: &Platform, gateways: &[Gateway; 2]) {
+fn publish_marker(platform: &Platform, gateways: &[Gateway; 2], id: &'static str) {
     let mut marker = platform.pair_entry(0);
     marker["Service"] = json!("marker");
-    platform.publish("keyed.servers", "marker", marker);
+    platform.publish("keyed.servers", id, marker);
     for gateway in gateways {
-        gateway.wait_for("the marker", || has_endpoints(gateway, &["marker"]));
+        gateway.wait_for("the marker", || has_endpoints(gateway, &[id]));
     }
 }
 
 /// Sends requests to the service `pair` and checks that all run at the endpoint `p-1`.
-fn check_first_endpoint_runs_all(platform: &Platform, gateways: &[Gateway; 2]) {
+fn check_first_endpoint_runs_all(platform: &Platform, gateways: &[Gateway; 2], name: &str) {
     for number in 0..20 {
-        let id = format!("pair-{number}");
+        let id = format!("{name}-{number}");
         let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
         let answer = call(gateways[number % 2].front, "GET /pair/x", &headers, "");
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
@@ -70,7 +70,7 @@
             gateway.has_line(1100, "version", newest)
         });
     }
-    publish_marker(&platform, &gateways);
+    publish_marker(&platform, &gateways, "marker");
 
     platform.with_parts(move |parts| parts.store.restore(copy));
     let mut draining = platform.pair_entry(1);
@@ -84,7 +84,7 @@
         let kept = call(gateway.front, "GET /kept/x", "X-Attempt-Id: kept\r\n", "");
         assert!(kept.starts_with("HTTP/1.1 200"), "{kept}");
     }
-    check_first_endpoint_runs_all(&platform, &gateways);
+    check_first_endpoint_runs_all(&platform, &gateways, "restored");
 
     publish_configuration(&platform, newest, &["kept".to_owned()]);
     publish_configuration(&platform, newest + 1, &["late".to_owned()]);
@@ -111,8 +111,12 @@
         });
     }
     platform.with_parts(move |parts| parts.store.restore(copy));
-    publish_marker(&platform, &gateways);
-    check_first_endpoint_runs_all(&platform, &gateways);
+    publish_marker(&platform, &gateways, "marker");
+    check_first_endpoint_runs_all(&platform, &gateways, "restored");
+    // The copy's entry is still there when all entries are read once more.
+    platform.with_parts(|parts| parts.store.compact());
+    publish_marker(&platform, &gateways, "marker-2");
+    check_first_endpoint_runs_all(&platform, &gateways, "compacted");
 }
 
 // Guards against: an instance that starts after the store's return takes the older configuration of its
