Serve the callers of instances that reach no endpoint through instances that do

Cause: one instance's view of the endpoints was taken for the endpoints' state. A request was served only by the instance that took it, a holder that reached nothing kept its zone, and what a cut instance could not connect to was paused for all.

Change: caraway-reach concludes from trouble with two endpoints or more, and probes of others, whether the instance itself is cut off, for all or only for new connections; one silent endpoint or a service that is down is not a cut. A cut instance says so in its pings, gets the addresses of instances that reach endpoints with the pongs, and hands requests over to them once, with the remaining deadline; a request that has not been sent is "not run". It hands its zones over to an instance that reaches them and claims none. While it is suspect it reports no endpoint as unreachable, stalled or crashed. Probes find the way back.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -236,6 +236,7 @@
         shared.streams.is_outdated.set(true);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
+        shared.reach.forget(&id);
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
             "change" => format!("{change:?}"), "service" => &*endpoint.service,
             "endpoint_zone" => &*endpoint.zone, "addr" => %endpoint.addr,
@@ -264,6 +265,7 @@
     shared.streams.is_outdated.set(true);
     shared.pool.forget(id);
     shared.load_balancer.borrow_mut().forget(id);
+    shared.reach.forget(id);
     for held in shared.held_zones() {
         held.with_placer(shared, |placer, now| placer.on_endpoint_gone(now, id));
     }
--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -11,6 +11,7 @@
 use std::{rc::Rc, time::Duration};
 
 use caraway_platform::{Record, StoreError, Topic, holder_key};
+use caraway_reach::Reach;
 use caraway_types::{FencingToken, Position, ZoneId};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
@@ -186,13 +187,21 @@
 /// Hands held zones over to connected instances that are better holders.
 fn hand_over_to_better_holders(shared: &Rc<Shared>) {
     for held in shared.held_zones() {
-        if held.is_recorded() && !held.is_stopping() && held.has_better_holder(shared.weakness()) {
-            tokio::task::spawn_local(hand_over(shared.clone(), held));
+        if held.is_stopping() {
+            continue;
+        }
+        if shared.reach.reach() != Reach::Open && held.has_reaching_peer() {
+            let why = "this instance reaches no endpoint";
+            tokio::task::spawn_local(hand_over(shared.clone(), held, false, why));
+        } else if held.is_recorded() && held.has_better_holder(shared.weakness()) {
+            let why = "another instance is more suitable as the holder";
+            tokio::task::spawn_local(hand_over(shared.clone(), held, true, why));
         }
     }
 }
 
-async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>) {
+/// Hands a zone over to a better holder, of the zone itself if `own_zone_only`.
+async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>, own_zone_only: bool, why: &'static str) {
     stop_orders_and_wait(&shared, &held).await;
     // If this instance is stopping by now, `release_all` gives the zone up. The zone may also have
     // another holder by now.
@@ -201,13 +210,8 @@
     }
     // If the better holder has left by now, there is no successor, and this instance claims the
     // zone again.
-    let successor = held.hand_over(true);
-    end_holding(
-        &shared,
-        &held,
-        successor,
-        "another instance is more suitable as the holder",
-    );
+    let successor = held.hand_over(own_zone_only);
+    end_holding(&shared, &held, successor, why);
 }
 
 /// Stops the placer's orders, and waits a limited time for the outcomes of those in flight.
@@ -237,7 +241,11 @@
 /// Returns how long this instance waits before it claims a zone; `None` if it should not claim it.
 fn wait_before_claim(shared: &Shared, zone: &ZoneId) -> Option<Duration> {
     let is_own_zone = *zone == shared.site.zone;
-    if shared.held_zones.borrow().contains_key(zone) || !is_own_zone && !has_engines(shared, zone) {
+    let is_cut = shared.reach.reach() != Reach::Open;
+    if is_cut
+        || shared.held_zones.borrow().contains_key(zone)
+        || !is_own_zone && !has_engines(shared, zone)
+    {
         return None;
     }
     holder_state(shared, zone).claim_delay(is_own_zone, own_claim_rank(shared, zone))
--- a/crates/caraway-gateway/src/crash_watch.rs
+++ b/crates/caraway-gateway/src/crash_watch.rs
@@ -15,11 +15,12 @@
 use caraway_quarantine::{
     CrashEvidence, CrashReport, EvidenceSettings, Quarantine, RequestDigest, SegmentId, Suspect,
 };
+use caraway_reach::{Reach, Trouble};
 use caraway_types::{EndpointId, RequestId};
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    crash_records, endpoint_signals::EndpointIncarnation, request::Call,
+    crash_records, endpoint_signals::EndpointIncarnation, reach, request::Call,
     share_limiter::ShareLimiter, shared::Shared, topics,
 };
 
@@ -27,6 +28,9 @@
 const COLLECT_TIME: Duration = Duration::from_millis(5);
 /// Largest delay of a report, in which another instance may report the same.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(10);
+/// Time in which probes show whether this instance reaches any endpoint: the timeout of a connection
+/// and the pause between two probes.
+const PROBE_TIME: Duration = Duration::from_millis(650);
 /// Number of requests of which a report has the ids and segments.
 const MAX_REPORTED: usize = 64;
 /// Events of an attempt from which on it has made progress: a crash at the first event may still be
@@ -136,6 +140,7 @@
     sent_at: Instant,
     made_progress: bool,
 ) {
+    reach::on_trouble(shared, &incarnation.endpoint, Trouble::Answer);
     let segments = call.head.shared_segments().iter().map(|s| s.id);
     let request = BrokenRequest {
         id: call.head.id.clone(),
@@ -173,7 +178,7 @@
         let mut broken = shared.crash_watch.broken.borrow_mut();
         broken.remove(&incarnation.endpoint).unwrap_or_default()
     };
-    if !has_crashed {
+    if !has_crashed || is_cut_off(&shared).await {
         return;
     }
     sleep(MAX_REPORT_DELAY.mul_f64(Shared::random_fraction())).await;
@@ -186,6 +191,15 @@
     }
 }
 
+/// Returns whether an endpoint refuses connections because this instance reaches none, which looks like
+/// a crash of all of them.
+async fn is_cut_off(shared: &Shared) -> bool {
+    if shared.reach.is_suspect() {
+        sleep(PROBE_TIME).await;
+    }
+    shared.reach.reach() != Reach::Open
+}
+
 /// Returns the report of a crash.
 fn crash_report(
     shared: &Shared,
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -87,6 +87,8 @@
     VersionsChanged = 1130, "software versions changed", 20;
     /// The software versions at which streams began could not be written to the store.
     OriginsLost = 1131, "origins of streams not stored", 20;
+    /// This instance has lost its way to all endpoints, or found it again.
+    ReachChanged = 1140, "reach of endpoints changed", 20;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
@@ -121,6 +123,8 @@
     StreamResumed = 1406, "stream resumed", 50;
     /// A request takes up a stream that broke off at its caller.
     StreamTakenUp = 1407, "stream taken up", 50;
+    /// A request was handed over to an instance that reaches endpoints.
+    RequestHandedOver = 1408, "request handed over", 50;
 }
 
 /// Logs an [`Event`] with its number and the key-value pairs after the semicolon, unless the event
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -5,6 +5,7 @@
 use caraway_http::{Payload, read_body_within};
 use caraway_placement::{Action, Order, OrderOutcome, Report};
 use caraway_platform::{FencedOrder, decode_order_response, order_request, report_request};
+use caraway_reach::Trouble;
 use caraway_types::EndpointId;
 use caraway_wire::CallError;
 use http::{Request, StatusCode};
@@ -14,7 +15,7 @@
     endpoint_signals::{BlockReason, EndpointIncarnation, handle_answer_head},
     event::emit,
     held_zone::HeldZone,
-    plain,
+    plain, reach,
     shared::Shared,
 };
 
@@ -131,11 +132,13 @@
     }
     let incarnation = EndpointIncarnation::registered(shared, endpoint);
     let exchange = async {
-        let mut pooled = shared.pool.take(endpoint, addr).await?;
+        let connect = reach::connect(shared, endpoint, addr).await;
+        let mut pooled = connect.map_err(|why| CallError::NotSent(format!("{why:?}").into()))?;
         let sent_at = Shared::now();
         let answer = pooled.connection.send(request).await?;
         let status = answer.status();
         let head = caraway_platform::decode_response_head(status, answer.headers());
+        reach::on_answer(shared, endpoint, pooled.reused);
         handle_answer_head(shared, &incarnation, &head, sent_at);
         let body = read_body_within(answer.into_body(), MAX_ANSWER_BYTES, &shared.body_budget)
             .await
@@ -143,9 +146,10 @@
         plain::return_connection(shared, endpoint, pooled, &head);
         Ok((status, body))
     };
-    timeout(max_wait, exchange)
-        .await
-        .unwrap_or(Err(CallError::Timeout))
+    timeout(max_wait, exchange).await.unwrap_or_else(|_| {
+        reach::on_trouble(shared, endpoint, Trouble::Answer);
+        Err(CallError::Timeout)
+    })
 }
 
 /// Returns the name of an action in log lines and metric labels.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -111,6 +111,9 @@
         /// The request limits of the zone's endpoints that the sender knows.
         #[serde(default)]
         limits: Vec<LimitFrame>,
+        /// Whether the sender reaches no endpoint.
+        #[serde(default)]
+        cut: bool,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
@@ -142,6 +145,9 @@
         /// The store's era that the offsets belong to.
         #[serde(default)]
         era: StoreEra,
+        /// Addresses of instances that reach endpoints, for a receiver that reaches none.
+        #[serde(default)]
+        helpers: Vec<SocketAddr>,
     },
     /// Grants a permit.
     Permit {
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -8,6 +8,7 @@
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::{ResponseHead, copy_response_headers, decode_response_head};
 use caraway_quarantine::Quarantine;
+use caraway_reach::Trouble;
 use caraway_types::{EndpointId, Reason, SoftwareVersion};
 use caraway_wire::CallError;
 use http::{HeaderMap, Response, StatusCode};
@@ -30,6 +31,7 @@
         client_response, find_mismatch, record_first_send, request_to_endpoint, return_connection,
         try_acquire_retry,
     },
+    reach::{self, CUT_OFF, ConnectFailure},
     relay::{self, Relay},
     request::{Call, InFlightGuard, RefusalResponse},
     shared::Shared,
@@ -234,14 +236,8 @@
                 "the endpoint failed"
             }
             Outcome::NotRun(why) => {
-                if history.sent >= MAX_SENDS || history.sent > 0 && !try_acquire_retry(shared, call)
-                {
-                    return Err(if history.possible_runs > 0 {
-                        call.in_doubt(why, MIN_ATTEMPT_TIME)
-                    } else {
-                        RefusalResponse::not_run(Reason::NoEndpoint, why)
-                            .with_retry_after(BUSY_RETRY_AFTER)
-                    });
+                if !may_send_again(shared, call, history, why) {
+                    return Err(unsent_refusal(call, history, why));
                 }
                 why
             }
@@ -275,6 +271,21 @@
     }
 }
 
+/// Returns whether to try another endpoint after one has not run the request, for the reason `why`.
+fn may_send_again(shared: &Shared, call: &Call, history: &AttemptHistory, why: &str) -> bool {
+    let is_cut_off = why == CUT_OFF;
+    let may_repeat = || history.sent == 0 || try_acquire_retry(shared, call);
+    !is_cut_off && history.sent < MAX_SENDS && may_repeat()
+}
+
+/// Returns the refusal of a request after an attempt that has not run it, for the reason `why`.
+fn unsent_refusal(call: &Call, history: &AttemptHistory, why: &str) -> RefusalResponse {
+    if history.possible_runs > 0 {
+        return call.in_doubt(why, MIN_ATTEMPT_TIME);
+    }
+    RefusalResponse::not_run(Reason::NoEndpoint, why).with_retry_after(BUSY_RETRY_AFTER)
+}
+
 /// Returns whether to skip a granted endpoint because it is draining or paused. This instance may
 /// know that before the placer does.
 fn skip_blocked(shared: &Shared, placed: &Placement) -> bool {
@@ -408,10 +419,9 @@
 ) -> Outcome {
     let set_failed = |placed: &Placement| placed.grant.set_outcome(RequestOutcome::Failed);
     let deadline = attempt_deadline(shared, call, &placed.endpoint, history);
-    let connect = shared.pool.take(&placed.endpoint, placed.addr);
-    let Ok(Ok(mut pooled)) = timeout_at(deadline, connect).await else {
-        placed.grant.set_outcome(RequestOutcome::Unreachable);
-        return Outcome::NotRun("can't connect");
+    let mut pooled = match connect(shared, &placed, deadline).await {
+        Ok(pooled) => pooled,
+        Err(why) => return Outcome::NotRun(why),
     };
     let incarnation = match check_before_send(shared, call, &placed, history) {
         Ok(incarnation) => incarnation,
@@ -427,13 +437,14 @@
     shared.record_limited_send(&incarnation, "stream");
     let sent_at = Instant::now();
     let stall_at = sent_at + STALL_TIMEOUT_BASE + STALL_TIMEOUT_PER_TOKEN * call.head.tokens.prompt;
-    let send = report_if_stalled(&placed, stall_at, pooled.connection.send(request));
+    let send = report_if_stalled(shared, &placed, stall_at, pooled.connection.send(request));
     let answer = match timeout_at(deadline, send).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(CallError::NotSent(_))) => return Outcome::NotRun("the connection had ended"),
         Ok(Err(_)) => {
             (history.sent, history.possible_runs) = (history.sent + 1, history.possible_runs + 1);
             set_failed(&placed);
+            reach::on_break(shared, &placed.endpoint, pooled.reused);
             crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return Outcome::InDoubt("the connection broke");
         }
@@ -451,6 +462,7 @@
         set_failed(&placed);
         return Outcome::InDoubt(mismatch);
     }
+    reach::on_answer(shared, &placed.endpoint, pooled.reused);
     handle_answer_head(shared, &incarnation, &head, sent_at.into_std());
     let mut body = answer.into_body();
     if head.not_run || !status.is_success() {
@@ -466,8 +478,8 @@
         .await;
     }
     history.possible_runs += 1;
-    let first = match timeout_at(deadline, report_if_stalled(&placed, stall_at, body.frame())).await
-    {
+    let frame = report_if_stalled(shared, &placed, stall_at, body.frame());
+    let first = match timeout_at(deadline, frame).await {
         Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         // An answer without a length also ends like this where its endpoint has crashed.
         Ok(None) => {
@@ -499,6 +511,31 @@
     }))
 }
 
+/// Returns a connection to the granted endpoint, or why there is none.
+async fn connect(
+    shared: &Rc<Shared>,
+    placed: &Placement,
+    deadline: Instant,
+) -> Result<PooledConnection, &'static str> {
+    let connect = reach::connect(shared, &placed.endpoint, placed.addr);
+    let failure = match timeout_at(deadline, connect).await {
+        Ok(Ok(pooled)) => return Ok(pooled),
+        Ok(Err(failure)) => failure,
+        Err(_) => ConnectFailure::Unreachable,
+    };
+    // The placer pauses endpoints that can't be reached, for all instances.
+    let is_own = failure == ConnectFailure::CutOff || shared.reach.is_suspect();
+    placed.grant.set_outcome(if is_own {
+        RequestOutcome::NotSent
+    } else {
+        RequestOutcome::Unreachable
+    });
+    Err(match failure {
+        ConnectFailure::CutOff => CUT_OFF,
+        ConnectFailure::Unreachable => "can't connect",
+    })
+}
+
 /// Returns the incarnation that a request goes to, or the outcome of a request that must not be sent:
 /// things may have changed while its connection was made.
 fn check_before_send(
@@ -526,6 +563,7 @@
 /// Waits for a response; reports the endpoint to its placer as stalled when there is none by
 /// `stall_at`, and goes on waiting.
 async fn report_if_stalled<T>(
+    shared: &Rc<Shared>,
     placed: &Placement,
     stall_at: Instant,
     response: impl Future<Output = T>,
@@ -534,7 +572,10 @@
     if let Ok(response) = timeout_at(stall_at, response.as_mut()).await {
         return response;
     }
-    placed.grant.report_stall();
+    reach::on_trouble(shared, &placed.endpoint, Trouble::Answer);
+    if !shared.reach.is_suspect() {
+        placed.grant.report_stall();
+    }
     response.await
 }
 
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -4,6 +4,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -12,7 +13,9 @@
     ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
     SourceId,
 };
+use caraway_reach::Reach;
 use caraway_types::{EndpointId, FencingToken, Millis, Ticket, ZoneId};
+use rand::seq::SliceRandom;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
@@ -30,6 +33,8 @@
 /// Source of this instance's own requests, which use no session.
 const LOCAL_SOURCE: SourceId = 0;
 
+/// Number of instances that are named to one that reaches no endpoint.
+const MAX_HELPERS: usize = 8;
 /// Time after which to ask the next holder for a permit when the zone was given up.
 const NEXT_HOLDER_DELAY: Duration = Duration::from_millis(100);
 
@@ -76,14 +81,22 @@
     /// [`weakness`](crate::weakness).
     weakness: f64,
     connected_at: Instant,
-    /// Whether the instance holds a zone itself.
-    holds: bool,
-    /// Whether the instance is stopping.
-    leaving: bool,
+    state: PeerState,
     /// Frames to be sent to the instance.
     frames: Outgoing,
 }
 
+/// What an instance says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PeerState {
+    /// Whether it holds a zone itself.
+    pub(crate) holds: bool,
+    /// Whether it is stopping.
+    pub(crate) leaving: bool,
+    /// Whether it reaches no endpoint.
+    pub(crate) cut: bool,
+}
+
 impl Peer {
     /// Creates a peer that is connected from now on.
     pub(crate) fn new(zone: ZoneId, holder: Holder, weakness: f64, frames: Outgoing) -> Self {
@@ -92,8 +105,7 @@
             holder,
             weakness,
             connected_at: Shared::now(),
-            holds: false,
-            leaving: false,
+            state: PeerState::default(),
             frames,
         }
     }
@@ -159,7 +171,7 @@
         let now = Shared::now();
         let is_better = |p: &Peer| {
             let connected_for = now.saturating_duration_since(p.connected_at);
-            let is_eligible = p.zone == self.zone && !p.leaving;
+            let is_eligible = p.zone == self.zone && !p.state.leaving && !p.state.cut;
             is_eligible && should_hand_over(own_weakness, p.weakness, connected_for)
         };
         self.peers.borrow().values().any(is_better)
@@ -168,19 +180,21 @@
     /// Hands the zone over to a connected instance and sends the name of the new holder to all
     /// connected instances; returns the new holder, or `None` if there is no candidate.
     ///
-    /// Instances of the zone itself come first, then those with the least weakness, then those that
+    /// Instances that reach endpoints come first, then those of the zone itself, then those with the least weakness, then those that
     /// hold no zone. `own_zone_only` excludes instances of other zones.
     pub(crate) fn hand_over(&self, own_zone_only: bool) -> Option<Holder> {
         let peers = self.peers.borrow();
-        let is_candidate = |p: &&Peer| !p.leaving && (p.zone == self.zone || !own_zone_only);
+        let is_candidate = |p: &&Peer| !p.state.leaving && (p.zone == self.zone || !own_zone_only);
         let candidates = peers.values().filter(is_candidate);
         let is_other_zone = |p: &Peer| p.zone != self.zone;
         let next = candidates.min_by(|a, b| {
+            let by_reach = a.state.cut.cmp(&b.state.cut);
             let by_zone = is_other_zone(a).cmp(&is_other_zone(b));
             let by_weakness = a.weakness.total_cmp(&b.weakness);
-            let by_holding = a.holds.cmp(&b.holds);
+            let by_holding = a.state.holds.cmp(&b.state.holds);
             let by_name = a.holder.instance.cmp(&b.holder.instance);
-            by_zone.then(by_weakness).then(by_holding).then(by_name)
+            let by_place = by_reach.then(by_zone);
+            by_place.then(by_weakness).then(by_holding).then(by_name)
         })?;
         let token = self.token() + 1;
         let holder = Holder {
@@ -277,14 +291,40 @@
         id
     }
 
-    /// Records whether a connected instance holds a zone itself, and whether it is stopping.
-    pub(crate) fn set_peer_state(&self, source: SourceId, holds: bool, leaving: bool) {
+    /// Records what a connected instance says of itself.
+    pub(crate) fn set_peer_state(&self, source: SourceId, state: PeerState) {
         if let Some(peer) = self.peers.borrow_mut().get_mut(&source) {
-            peer.holds = holds;
-            peer.leaving = leaving;
+            peer.state = state;
         }
     }
 
+    /// Returns the addresses of connected instances that reach endpoints, a random choice of them if
+    /// there are many.
+    pub(crate) fn helpers(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let helping = peers.values().filter(|p| !p.state.cut && !p.state.leaving);
+        let mut addrs: Vec<SocketAddr> = helping.map(|p| p.holder.addr).collect();
+        addrs.sort_unstable();
+        addrs.dedup();
+        let (chosen, _) = addrs.partial_shuffle(&mut rand::rng(), MAX_HELPERS);
+        chosen.to_vec()
+    }
+
+    /// Returns the same as [`Self::helpers`], with this instance if it reaches endpoints.
+    pub(crate) fn helpers_with(&self, shared: &Shared) -> Vec<SocketAddr> {
+        let mut addrs = self.helpers();
+        if shared.reach.reach() == Reach::Open && !shared.is_draining() {
+            addrs.push(shared.peer_addr());
+        }
+        addrs
+    }
+
+    /// Returns whether a connected instance reaches endpoints.
+    pub(crate) fn has_reaching_peer(&self) -> bool {
+        let peers = self.peers.borrow();
+        peers.values().any(|p| !p.state.cut && !p.state.leaving)
+    }
+
     /// Removes an instance whose session has ended.
     pub(crate) fn remove_peer(self: &Rc<Self>, shared: &Rc<Shared>, source: SourceId) {
         let lost = self.peers.borrow_mut().remove(&source);
@@ -292,7 +332,7 @@
             let name = &lost.holder.instance;
             let is_back = |p: &Peer| p.holder.instance == *name;
             let mut connected = self.connected.borrow_mut();
-            if lost.leaving {
+            if lost.state.leaving {
                 connected.on_stopped(name);
             } else if !self.peers.borrow().values().any(is_back) {
                 connected.on_lost(Shared::now(), name);
@@ -343,7 +383,9 @@
     /// zones, which forward them there.
     pub(crate) fn forward_records(&self, frame: &FromHolder) {
         let peers = self.peers.borrow();
-        let receivers = peers.values().filter(|p| p.holds || p.zone == self.zone);
+        let receivers = peers
+            .values()
+            .filter(|p| p.state.holds || p.zone == self.zone);
         let bytes = frame::encode(frame);
         for peer in receivers {
             // A peer that misses the frame detects it by the offsets in the next pong.
@@ -364,6 +406,7 @@
             limits: endpoint_limits::frames(shared, &self.zone),
             instances: self.known_instances(),
             era: shared.store.era(),
+            helpers: Vec::new(),
         }
     }
 
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -25,6 +25,7 @@
     event::emit,
     executor::millis,
     generate::quarantine_refusal,
+    reach::{self, CUT_OFF, ConnectFailure},
     request::{Call, RefusalResponse},
     shared::Shared,
 };
@@ -41,6 +42,8 @@
 /// Longest wait for the permit of an endpoint with a limit. Permits that are given ahead stay in use
 /// when the zone's holder changes, and the next holder does not know of them.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(1);
+/// Time without an answer after which an endpoint counts as silent; answers take less than 100 ms.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Least time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
@@ -115,6 +118,9 @@
             }
             Outcome::NotRun(reason) => {
                 why = reason;
+                if reason == CUT_OFF {
+                    break;
+                }
                 if sent > 0 && !try_acquire_retry(shared, call) {
                     break;
                 }
@@ -263,10 +269,13 @@
     sent: &mut u32,
 ) -> (Outcome, CallOutcome) {
     let start = Instant::now();
-    let mut pooled = match timeout_at(deadline, shared.pool.take(&endpoint.id, endpoint.addr)).await
-    {
+    let connect = reach::connect(shared, &endpoint.id, endpoint.addr);
+    let mut pooled = match timeout_at(deadline, connect).await {
         Ok(Ok(pooled)) => pooled,
-        Ok(Err(_)) => {
+        Ok(Err(ConnectFailure::CutOff)) => {
+            return (Outcome::NotRun(CUT_OFF), CallOutcome::Unrelated);
+        }
+        Ok(Err(ConnectFailure::Unreachable)) => {
             return (Outcome::NotRun("can't connect"), CallOutcome::Unreachable);
         }
         Err(_) => {
@@ -294,7 +303,10 @@
     record_first_send(shared, call, *sent);
     shared.record_limited_send(&incarnation, "plain");
     let sent_at = Instant::now();
-    let answer = match timeout_at(deadline, pooled.connection.send(request)).await {
+    let silent_at = sent_at + SILENCE_TIMEOUT;
+    let answer = pooled.connection.send(request);
+    let answer = reach::watch_silence(shared, &endpoint.id, silent_at, answer);
+    let answer = match timeout_at(deadline, answer).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(CallError::NotSent(_))) => {
             return (
@@ -304,6 +316,7 @@
         }
         Ok(Err(_)) => {
             *sent += 1;
+            reach::on_break(shared, &endpoint.id, pooled.reused);
             crash_watch::on_break(shared, call, &incarnation, sent_at, false);
             return (
                 Outcome::InDoubt("the connection broke"),
@@ -330,6 +343,7 @@
     if let Some(mismatch) = find_mismatch(call, &head, status, pooled.reused) {
         return (Outcome::InDoubt(mismatch), CallOutcome::Broken);
     }
+    reach::on_answer(shared, &endpoint.id, pooled.reused);
     handle_answer_head(shared, &incarnation, &head, sent_at.into_std());
     return_connection(shared, &endpoint.id, pooled, &head);
     if head.not_run {
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -7,14 +7,16 @@
 use caraway_http::{BodyError, Payload, read_body_within};
 use caraway_platform::{decode_request_head, refusal_response};
 use caraway_quarantine::RequestDigest;
+use caraway_reach::Reach;
 use caraway_routes::{Limits, RequestHead, Route, RoutingConfig};
-use caraway_types::{EndpointId, Findings, Reason, Refusal};
+use caraway_types::{Certainty, EndpointId, Findings, Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    digest::request_digest, event::emit, executor::millis, generate, plain, shared::Shared,
+    digest::request_digest, event::emit, executor::millis, generate, hand_over, plain,
+    shared::Shared,
 };
 
 /// Timeout of a request without a deadline header; the longest route timeout of the deployments.
@@ -42,6 +44,8 @@
     pub(crate) is_engine_service: bool,
     /// Version of the configuration that its route comes from.
     pub(crate) config_version: u64,
+    /// Whether another instance has handed the request over, so that this one must not.
+    pub(crate) is_taken: bool,
     pub(crate) arrived_at: Instant,
     /// Time by which the caller gets a final answer: the earlier of its own deadline and the
     /// route's timeout.
@@ -126,6 +130,11 @@
         }
     }
 
+    /// Returns whether the request certainly did not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        self.refusal.certainty == Certainty::NotRun
+    }
+
     /// Sets the time after which the caller may retry; zero sets none.
     pub(crate) fn with_retry_after(mut self, retry_after: Duration) -> Self {
         if !retry_after.is_zero() {
@@ -170,8 +179,24 @@
     }
 }
 
-/// Handles a request and returns its answer.
+/// Handles a caller's request and returns its answer.
 pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
+    handle_from(shared, request, false).await
+}
+
+/// Handles a request that another instance has handed over, and returns its answer.
+pub(crate) async fn handle_taken(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Response<Payload> {
+    handle_from(shared, request, true).await
+}
+
+async fn handle_from(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+    is_taken: bool,
+) -> Response<Payload> {
     let in_flight = InFlightGuard::new(&shared);
     let arrived_at = Instant::now();
     let head = decode_request_head(request.headers());
@@ -182,7 +207,7 @@
         arrived_at,
         answered: false,
     };
-    let response = respond(&shared, request, head, arrived_at, &id, in_flight).await;
+    let response = respond(&shared, request, head, arrived_at, is_taken, in_flight).await;
     disconnect_guard.answered = true;
     response
 }
@@ -193,11 +218,13 @@
     request: Request<Incoming>,
     head: Result<RequestHead, Findings>,
     arrived_at: Instant,
-    id: &str,
+    is_taken: bool,
     in_flight: InFlightGuard,
 ) -> Response<Payload> {
+    let id = head.as_ref().map_or_else(|_| "".into(), |h| h.id.clone());
+    let id = &*id;
     let call = match prepare(shared, request, head, arrived_at).await {
-        Ok(call) => call,
+        Ok(call) => Call { is_taken, ..call },
         Err(refused) => return refuse(shared, "unrouted", id, arrived_at, &refused),
     };
     let kind = if call.route.streaming {
@@ -205,12 +232,7 @@
     } else {
         "plain"
     };
-    let result = if call.is_engine_service && call.head.model.is_some() {
-        generate::serve(shared, Rc::new(call), in_flight).await
-    } else {
-        plain::serve(shared, &call).await
-    };
-    match result {
+    match serve(shared, Rc::new(call), in_flight).await {
         Ok(response) => {
             shared.metrics.record_request(kind, "answered");
             shared.metrics.record_answer(kind, arrived_at.elapsed());
@@ -222,6 +244,32 @@
     }
 }
 
+/// Serves a request at an endpoint or, if this instance reaches none, at another instance.
+async fn serve(
+    shared: &Rc<Shared>,
+    call: Rc<Call>,
+    in_flight: InFlightGuard,
+) -> Result<Response<Payload>, RefusalResponse> {
+    let is_cut = || !call.is_taken && shared.reach.reach() != Reach::Open;
+    if !call.is_taken && shared.reach.reach() == Reach::Cut {
+        return hand_over::serve(shared, &call, in_flight).await;
+    }
+    let result = if call.is_engine_service && call.head.model.is_some() {
+        generate::serve(shared, call.clone(), in_flight).await
+    } else {
+        plain::serve(shared, &call).await
+    };
+    match result {
+        // The way was lost before the request was sent.
+        Err(refused)
+            if is_cut() && refused.refusal.reason == Reason::NoEndpoint && refused.is_not_run() =>
+        {
+            hand_over::serve(shared, &call, InFlightGuard::new(shared)).await
+        }
+        result => result,
+    }
+}
+
 /// Checks the head of a request, finds its route and service and reads its body.
 async fn prepare(
     shared: &Rc<Shared>,
@@ -276,6 +324,7 @@
             .is_some_and(|s| s.engine.is_some()),
         service,
         config_version: routing.version,
+        is_taken: false,
         arrived_at,
         deadline,
         caller_deadline,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -20,9 +20,10 @@
     apply, claim, crash_watch,
     event::emit,
     executor::millis,
+    hand_over,
     log::{LogLimits, LogQueue, json_logger, start_writer},
     metrics::Metrics,
-    monitoring, request,
+    monitoring, reach, request,
     serve::{listen, serve},
     session_server,
     shared::Shared,
@@ -130,7 +131,13 @@
     });
     let (state, closing_rx) = (shared.clone(), closing.subscribe());
     tokio::task::spawn_local(async move {
-        let handler = |shared, request| async move { session_server::handle(&shared, request) };
+        let handler = |shared, request| async move {
+            if hand_over::is_handed(&request) {
+                hand_over::take(shared, request).await
+            } else {
+                session_server::handle(&shared, request)
+            }
+        };
         serve(state, peers, || None, closing_rx, &Rc::default(), handler).await;
     });
     if let Some(port) = options.metrics_port {
@@ -152,12 +159,14 @@
         apply::expire_endpoints(&shared);
         claim::check_zones(&shared);
         crash_watch::draw_conclusions(&shared);
+        reach::probe_if_due(&shared);
         rounds += 1;
         if shared.streams.is_outdated.get() || rounds % CHECKS_PER_SWEEP == 0 {
             stream_origins::update_histories(&shared);
         }
         if rounds % CHECKS_PER_SWEEP == 0 {
             shared.pool.sweep();
+            shared.helper_pool.sweep();
             shared.update_retry_limits();
             log_placer_stats(&shared);
             for (event, lines) in shared.line_rates.take_suppressed() {
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload};
 use caraway_platform::Topic;
+use caraway_reach::Reach;
 use caraway_types::{Ticket, ZoneId};
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
@@ -337,7 +338,7 @@
 
     /// Sends a ping with the time since the session was opened, which the pong returns as `asked`, and
     /// with the limits of the zone's endpoints, some of which the holder may have missed.
-    fn ping(&self, shared: &Shared) -> bool {
+    pub(crate) fn ping(&self, shared: &Shared) -> bool {
         let is_current = topics::is_registry_current(shared);
         let holds = !shared.held_zones.borrow().is_empty();
         let sent = self.opened_at.get().elapsed().into();
@@ -347,6 +348,7 @@
             leaving: shared.is_draining(),
             sent,
             limits: endpoint_limits::frames(shared, &self.zone),
+            cut: shared.reach.reach() != Reach::Open,
         })
     }
 
@@ -374,7 +376,11 @@
                 limits,
                 instances,
                 era,
+                helpers,
             } => {
+                if !helpers.is_empty() {
+                    shared.on_helpers(&self.zone, helpers);
+                }
                 shared.store.learn_era(era);
                 topics::check_era(shared);
                 shared.on_fleet_size(instances);
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -1,11 +1,14 @@
 //! The holder's side of sessions, which other instances open (see
 //! [`Session`](crate::session::Session)).
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use caraway_http::Payload;
 use caraway_placement::{PlacementId, PlacementRequest, SourceId};
-use caraway_types::{Incarnation, Millis, ZoneId};
+use caraway_types::{EndpointId, Incarnation, Millis, Ticket, ZoneId};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -16,7 +19,7 @@
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
     frame::{self, FrameReader, FromHolder, InvalidFrame, LimitFrame, ToHolder},
-    held_zone::{self, HeldZone, Peer},
+    held_zone::{self, HeldZone, Peer, PeerState},
     session::{HEARTBEAT_TIMEOUT, Outgoing},
     shared::Shared,
     topics,
@@ -103,19 +106,18 @@
             era,
         } = frame
         {
-            let frames = self.outgoing.clone();
             if zone == self.held.zone {
-                topics::send_missed(&self.shared, &frames, &known, era);
+                topics::send_missed(&self.shared, &self.outgoing, &known, era);
             }
-            let peer = Peer::new(zone.clone(), holder, weakness, frames);
-            let source = self.held.add_peer(&self.shared, peer);
-            self.source = Some((source, zone));
+            let peer = Peer::new(zone.clone(), holder, weakness, self.outgoing.clone());
+            self.source = Some((self.held.add_peer(&self.shared, peer), zone));
             return;
         }
         let Some((source, zone)) = &self.source else {
             return;
         };
         let (source, held, shared) = (*source, &self.held, &self.shared);
+        let id = |ticket| PlacementId { source, ticket };
         match frame {
             ToHolder::Hello { .. } => {}
             ToHolder::Ask {
@@ -128,7 +130,6 @@
                 deadline,
                 avoid,
             } => {
-                let id = PlacementId { source, ticket };
                 held.with_placer(shared, |placer, now: Instant| {
                     let request = PlacementRequest {
                         service,
@@ -139,7 +140,7 @@
                         deadline: now + deadline.get(),
                         exclude: avoid,
                     };
-                    placer.on_request(now, id, request);
+                    placer.on_request(now, id(ticket), request);
                 });
             }
             ToHolder::Running {
@@ -147,27 +148,25 @@
                 endpoint,
                 model,
             } => {
-                let id = PlacementId { source, ticket };
                 held.with_placer(shared, |placer, _| {
-                    placer.register_run(id, &endpoint, &model);
+                    placer.register_run(id(ticket), &endpoint, &model);
                 });
             }
             ToHolder::End { ticket, end } => {
-                let id = PlacementId { source, ticket };
-                held.with_placer(shared, |placer, now| placer.on_request_end(now, id, end));
+                held.with_placer(shared, |placer, now| {
+                    placer.on_request_end(now, id(ticket), end);
+                });
             }
             ToHolder::Stall { ticket } => {
-                let id = PlacementId { source, ticket };
-                held.with_placer(shared, |placer, now| placer.on_stall(now, id));
+                held.with_placer(shared, |placer, now| placer.on_stall(now, id(ticket)));
             }
             ToHolder::Leaving { endpoint, born } => {
-                on_draining(
-                    shared,
-                    &EndpointIncarnation {
-                        endpoint,
-                        started_ms: born,
-                    },
-                );
+                let started_ms = born;
+                let incarnation = EndpointIncarnation {
+                    endpoint,
+                    started_ms,
+                };
+                on_draining(shared, &incarnation);
             }
             ToHolder::Limit(limit) => {
                 endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
@@ -178,10 +177,7 @@
                 max_wait,
             } => {
                 endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
-                let permit = held.acquire_permit(shared, &limit.endpoint, max_wait.get());
-                let reply = FromHolder::permit_reply(ticket, permit);
-                // If the queue is full, the request uses the instance's own share.
-                self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
+                self.reply_with_permit(ticket, &limit.endpoint, max_wait.get());
             }
             ToHolder::Ping {
                 served,
@@ -189,13 +185,28 @@
                 leaving,
                 sent,
                 limits,
+                cut,
             } => {
-                held.set_peer_state(source, holds, leaving);
-                self.on_ping(zone, sent, served, &limits);
+                let state = PeerState {
+                    holds,
+                    leaving,
+                    cut,
+                };
+                held.set_peer_state(source, state);
+                self.on_ping(zone, sent, served, &limits, cut);
             }
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
     }
+
+    /// Replies to a request for a permit.
+    fn reply_with_permit(&self, ticket: Ticket, endpoint: &EndpointId, max_wait: Duration) {
+        let permit = self.held.acquire_permit(&self.shared, endpoint, max_wait);
+        let reply = FromHolder::permit_reply(ticket, permit);
+        // If the queue is full, the request uses the instance's own share.
+        self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
+    }
+
     /// Answers a ping of an instance of `zone`.
     fn on_ping(
         &self,
@@ -203,6 +214,7 @@
         sent: Millis,
         is_registry_current: bool,
         limits: &[LimitFrame],
+        is_cut: bool,
     ) {
         let shared = &self.shared;
         for limit in limits {
@@ -211,7 +223,13 @@
         if is_registry_current {
             topics::on_peer_registry_read(shared);
         }
-        let pong = frame::encode(&self.held.pong(shared, zone, Some(sent)));
+        let mut pong = self.held.pong(shared, zone, Some(sent));
+        if let FromHolder::Pong { helpers, .. } = &mut pong
+            && is_cut
+        {
+            *helpers = self.held.helpers_with(shared);
+        }
+        let pong = frame::encode(&pong);
         // If the queue is full, the other end times out and ends the session.
         self.outgoing.try_send(Ok(pong)).ok();
     }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -31,6 +31,7 @@
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
+    reach::ReachState,
     session::Session,
     stream_origins::StreamState,
     succession::weakness,
@@ -96,6 +97,12 @@
     pub(crate) metrics: Metrics,
     /// Idle connections to endpoints.
     pub(crate) pool: Pool,
+    /// Idle connections to instances that serve requests for this one, by their addresses.
+    pub(crate) helper_pool: Pool,
+    /// Whether this instance reaches the endpoints.
+    pub(crate) reach: ReachState,
+    /// Number of requests that this instance is serving for others.
+    pub(crate) taken: Cell<usize>,
     /// Memory for long bodies that are buffered whole.
     pub(crate) body_budget: MemoryBudget,
     pub(crate) store: StoreClient,
@@ -172,6 +179,9 @@
             log_queue: queue,
             metrics,
             pool: Pool::new(PoolTimeouts::default()),
+            helper_pool: Pool::new(PoolTimeouts::default()),
+            reach: ReachState::default(),
+            taken: Cell::new(0),
             body_budget,
             routing: RefCell::default(),
             directory: RefCell::default(),
@@ -257,6 +267,13 @@
         sessions.get(zone).filter(|s| s.is_open()).cloned()
     }
 
+    /// Sends a ping on every open session, so that the holders know this instance's state at once.
+    pub(crate) fn ping_holders(&self) {
+        for session in self.sessions.borrow().values().filter(|s| s.is_open()) {
+            session.ping(self);
+        }
+    }
+
     /// Returns whether a zone's placer is reachable: on this instance or through a session.
     pub(crate) fn is_reachable(&self, zone: &str) -> bool {
         self.held_zone(zone).is_some() || self.session(zone).is_some()
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -41,6 +41,8 @@
     /// The two endpoints of the service `pair`; both answer requests.
     pub(crate) pair: [PlainEndpoint; 2],
     pair_addrs: Vec<SocketAddr>,
+    /// The proxies in front of the endpoints; empty unless the platform was started with them.
+    pub(crate) proxies: Vec<Proxy>,
 }
 
 type PartsAction = Box<dyn FnOnce(&Parts) + Send>;
@@ -61,6 +63,15 @@
 impl Platform {
     /// Starts the platform with a configuration and its endpoints registered.
     pub(crate) fn start() -> Self {
+        Self::start_with(false)
+    }
+
+    /// As [`Self::start`], with a proxy in front of each endpoint that tells gateways apart.
+    pub(crate) fn start_proxied() -> Self {
+        Self::start_with(true)
+    }
+
+    fn start_with(is_proxied: bool) -> Self {
         let (actions, mut receiver) = requests::unbounded_channel::<PartsAction>();
         let (sender, result) = mpsc::channel();
         let ledger = Ledger::default();
@@ -71,7 +82,7 @@
                 .build()
                 .expect("a runtime");
             LocalSet::new().block_on(&runtime, async move {
-                let (parts, store_addr) = start_parts(platform_ledger).await;
+                let (parts, store_addr) = start_parts(platform_ledger, is_proxied).await;
                 sender
                     .send((store_addr, parts.store_proxy.addr()))
                     .expect("the test waits");
@@ -121,7 +132,8 @@
 
 /// Starts the platform's parts and registers its endpoints; returns them with the address of the
 /// store.
-async fn start_parts(ledger: Ledger) -> (Parts, SocketAddr) {
+async fn start_parts(ledger: Ledger, is_proxied: bool) -> (Parts, SocketAddr) {
+    let mut proxies = Vec::new();
     let store = Store::default();
     let addr = store.start().await.expect("an address");
     store.publish("keyed.op", "config", &configuration(FIRST_VERSION, &[]));
@@ -132,6 +144,7 @@
     };
     let engine = Engine::new(spec, ledger.clone());
     let engine_addr = engine.start().await.expect("an address");
+    let engine_addr = proxied(&mut proxies, engine_addr, is_proxied).await;
     let model = json!([{"Name": "base", "Version": 1, "Adapters": []}]);
     let entry = registry_entry("lm", "z1", engine_addr, 1, Some(model));
     store.publish("keyed.servers", "e-1", &entry);
@@ -144,6 +157,7 @@
         let desk = PlainEndpoint::new(id, ledger.clone());
         desk.set_behavior(habit);
         let addr = desk.start().await.expect("an address");
+        let addr = proxied(&mut proxies, addr, is_proxied).await;
         // Endpoints of services without engines may also list models.
         let entry = registry_entry(service, "z1", addr, 1, Some(json!([])));
         store.publish("keyed.servers", id, &entry);
@@ -152,6 +166,7 @@
     let mut pair_addrs = Vec::new();
     for (id, desk) in ["p-1", "p-2"].into_iter().zip(&pair) {
         let addr = desk.start().await.expect("an address");
+        let addr = proxied(&mut proxies, addr, is_proxied).await;
         let entry = move |started_ms| registry_entry("pair", "z1", addr, started_ms, None);
         store.publish("keyed.servers", id, &entry(1));
         let crashes = desk.crashes();
@@ -168,6 +183,7 @@
     });
     for (id, engine) in ["l-1", "l-2"].into_iter().zip(&lab) {
         let addr = engine.start().await.expect("an address");
+        let addr = proxied(&mut proxies, addr, is_proxied).await;
         let entry = move |started_ms| lab_entry(addr, started_ms);
         store.publish("keyed.servers", id, &entry(1));
         let crashes = engine.crashes();
@@ -183,6 +199,7 @@
     });
     for (number, engine) in mixed.iter().enumerate() {
         let addr = engine.start().await.expect("an address");
+        let addr = proxied(&mut proxies, addr, is_proxied).await;
         store.publish(
             "keyed.servers",
             MIXED_IDS[number],
@@ -199,10 +216,23 @@
         mixed,
         pair,
         pair_addrs,
+        proxies,
     };
     (parts, addr)
 }
 
+/// Returns the address at which an endpoint is registered: its own or, if `is_proxied`, that of a new
+/// proxy in front of it.
+async fn proxied(proxies: &mut Vec<Proxy>, addr: SocketAddr, is_proxied: bool) -> SocketAddr {
+    if !is_proxied {
+        return addr;
+    }
+    let proxy = Proxy::start_with_owners(addr).await.expect("an address");
+    let addr = proxy.addr();
+    proxies.push(proxy);
+    addr
+}
+
 /// Ids of the engines of the service `mixed`.
 pub(crate) const MIXED_IDS: [&str; 4] = ["m-1", "m-2", "m-3", "m-4"];
 
@@ -305,7 +335,7 @@
     }
 
     /// Waits until `condition` is true; `what` names it in the panic message.
-    pub(crate) fn wait_for(&self, what: &str, condition: impl Fn() -> bool) {
+    pub(crate) fn wait_for(&self, what: &str, mut condition: impl FnMut() -> bool) {
         let start = Instant::now();
         while !condition() {
             assert!(
@@ -317,6 +347,12 @@
         }
     }
 
+    /// Returns the number of its log lines with this event.
+    pub(crate) fn count(&self, event: u16) -> usize {
+        let lines = self.lines.lock().expect("no panic holds it");
+        lines.iter().filter(|l| l["event"] == event).count()
+    }
+
     /// Waits until its log names this instance as the zone's holder.
     pub(crate) fn wait_to_hold(&self, instance: &str) {
         let what = format!("{instance} as the holder");
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod software_versions;
 mod stop;
 mod store_era;
+mod stranded;
 
 use std::{io::Write, net::TcpStream, process::Command, thread, time::Duration};
 
--- a/crates/caraway-http/src/pool.rs
+++ b/crates/caraway-http/src/pool.rs
@@ -88,6 +88,17 @@
         self.open(addr).await
     }
 
+    /// Returns whether an idle connection to `endpoint` can be taken.
+    #[must_use]
+    pub fn has_idle(&self, endpoint: &EndpointId, addr: SocketAddr) -> bool {
+        let all = self.idle.borrow();
+        let now = Instant::now();
+        let is_usable =
+            |i: &IdleConnection| i.addr == addr && i.expires_at > now && i.connection.is_ready();
+        all.get(endpoint)
+            .is_some_and(|list| list.iter().any(is_usable))
+    }
+
     /// Opens a new connection, even if one is idle.
     ///
     /// # Errors
