--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -15,6 +15,7 @@
 
 use caraway_platform_standin::{OrderHandling, ProxyMode, StoreMode};
 use harness::{Gateway, Platform, WAIT_LIMIT, call};
+use serde_json::json;
 
 /// Headers of a request to the route `draft` for the adapter `a7`. The caller must not be able to set
 /// `X-Hold`.
@@ -333,3 +334,30 @@
     drop(caller);
     gateway.wait_for("the line", || gateway.has_line(1405, "request", "r1"));
 }
+
+// Guards against: one odd entry among those of the endpoints ends the process, or its reader of the
+// registry.
+#[test]
+fn registry_is_followed_beyond_odd_entries() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    let mut odd = platform.pair_entry(0);
+    odd["State"] = json!("draining");
+    odd["RemainingMs"] = json!(1e300);
+    platform.publish("keyed.servers", "odd-1", odd.clone());
+    odd["RemainingMs"] = json!(-1e300);
+    odd["Address"] = json!("10.0.0.1:65536");
+    platform.publish("keyed.servers", "odd-2", odd.clone());
+    let mut nested = json!(1);
+    for _ in 0..1000 {
+        nested = json!([nested]);
+    }
+    odd["More"] = nested;
+    platform.publish("keyed.servers", "odd-3", odd);
+    platform.publish("keyed.servers", "last", platform.pair_entry(0));
+    gateway.wait_for("the entry after them", || {
+        harness::has_endpoints(&gateway, &["last"])
+    });
+    let answer = call(gateway.front, "GET /pair/x", "X-Attempt-Id: r1\r\n", "");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
