Answer the requests that are in flight at the end of the grace period

Reported by other operators: requests that came late in the grace were passed on and cut at its end without an answer, among them some that may not be repeated.

It could happen here: the daemon exits half a second before the end of the grace period, whatever is in flight then. Requests are taken for 2.5 s after the signal, but one that waited for an adapter or a permit could be sent to an endpoint in the last moments.

Change: from a second before the exit on, a request that has not been sent is refused as not run; 300 ms before it, every request without an answer gets 502, in doubt. Streams that have begun are broken off as before.

Evidence: requests_in_flight_at_the_end_of_the_grace_period_are_answered failed before (an empty answer) and passes now, as do the two other tests of stops.

--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -177,6 +177,7 @@
     };
     let end = call.caller_deadline + DEADLINE_GRACE;
     let request = handed_request(shared, call);
+    call.was_sent.set(true);
     emit!(shared, info, RequestHandedOver; "request" => &*call.head.id, "to" => %helper.addr,
         "ms" => millis(call.arrived_at.elapsed()));
     let offer = match timeout_at(end, pooled.connection.send(request)).await {
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! Handling of a caller's request: checks its head, finds its route, reads its body, dispatches it
 //! and logs the result.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use caraway_http::{BodyError, Payload, read_body_within};
@@ -15,8 +15,11 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    digest::request_digest, event::emit, executor::millis, generate, hand_over, plain,
-    shared::Shared,
+    digest::request_digest,
+    event::emit,
+    executor::millis,
+    generate, hand_over, plain,
+    shared::{LastAnswers, Shared},
 };
 
 /// Timeout of a request without a deadline header; the longest route timeout of the deployments.
@@ -27,6 +30,9 @@
 /// to read.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// `Retry-After` of a request to an instance that exits; other instances take it at once.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// A caller's request with its route and its whole body, ready to be sent to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -46,6 +52,8 @@
     pub(crate) config_version: u64,
     /// Whether another instance has handed the request over, so that this one must not.
     pub(crate) is_taken: bool,
+    /// Whether the request was sent, so that it may run.
+    pub(crate) was_sent: Cell<bool>,
     pub(crate) arrived_at: Instant,
     /// Time by which the caller gets a final answer: the earlier of its own deadline and the
     /// route's timeout.
@@ -232,7 +240,13 @@
     } else {
         "plain"
     };
-    match serve(shared, Rc::new(call), in_flight).await {
+    let call = Rc::new(call);
+    let result = tokio::select! {
+        biased;
+        result = serve(shared, call.clone(), in_flight) => result,
+        () = last_answer_due(shared, &call) => Err(stop_refusal(&call)),
+    };
+    match result {
         Ok(response) => {
             shared.metrics.record_request(kind, "answered");
             shared.metrics.record_answer(kind, arrived_at.elapsed());
@@ -244,6 +258,29 @@
     }
 }
 
+/// Waits until a request has to be answered because this instance exits.
+async fn last_answer_due(shared: &Shared, call: &Call) {
+    let mut last_answers = shared.last_answers.subscribe();
+    let is_due = |last: &LastAnswers| match last {
+        LastAnswers::None => false,
+        LastAnswers::Unsent => !call.was_sent.get(),
+        LastAnswers::All => true,
+    };
+    if last_answers.wait_for(is_due).await.is_err() {
+        // The sender lives as long as the daemon.
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Returns the refusal of a request that has no answer when this instance exits.
+fn stop_refusal(call: &Call) -> RefusalResponse {
+    let why = "this instance stops";
+    if call.was_sent.get() {
+        return RefusalResponse::in_doubt(Reason::EndpointFailed, why);
+    }
+    RefusalResponse::not_run(Reason::NoEndpoint, why).with_retry_after(STOP_RETRY_AFTER)
+}
+
 /// Serves a request at an endpoint or, if this instance reaches none, at another instance.
 async fn serve(
     shared: &Rc<Shared>,
@@ -325,6 +362,7 @@
         service,
         config_version: routing.version,
         is_taken: false,
+        was_sent: Cell::new(false),
         arrived_at,
         deadline,
         caller_deadline,
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -26,7 +26,7 @@
     monitoring, reach, request,
     serve::{listen, serve},
     session_server,
-    shared::Shared,
+    shared::{LastAnswers, Shared},
     stream_origins, topics,
 };
 
@@ -39,6 +39,11 @@
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2500);
 /// Time before the end of the grace period by which the daemon exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the exit from which on no request is sent to an endpoint for the first time: plain ones
+/// take less than a second.
+const LAST_SENDS_TIME: Duration = Duration::from_secs(1);
+/// Time before the exit at which the requests that are still in flight are answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
 /// Interval between checks for requests in flight while stopping.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -223,6 +228,12 @@
     sleep(ACCEPT_AFTER_STOP.saturating_sub(start.elapsed())).await;
     closing.send_replace(true);
     while shared.in_flight.get() > 0 && start.elapsed() < limit {
+        let left = limit.saturating_sub(start.elapsed());
+        if left <= LAST_ANSWERS_TIME {
+            shared.last_answers.send_replace(LastAnswers::All);
+        } else if left <= LAST_SENDS_TIME {
+            shared.last_answers.send_replace(LastAnswers::Unsent);
+        }
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     // All answers are complete by now, but callers may still be reading them.
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -66,6 +66,18 @@
     }
 }
 
+/// Which requests in flight have to be answered at the end of the grace period.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum LastAnswers {
+    /// None yet.
+    #[default]
+    None,
+    /// Those that have not been sent to an endpoint: there is no time left to run them.
+    Unsent,
+    /// All of them.
+    All,
+}
+
 /// The newest announced version of an adapter.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Announcement {
@@ -143,6 +155,8 @@
     pub(crate) running_requests: RefCell<HashMap<ZoneId, HashMap<Ticket, RunningRequest>>>,
     /// Turns true when the daemon starts to stop.
     pub(crate) draining: watch::Sender<bool>,
+    /// Which requests in flight have to be answered now, as the grace period ends.
+    pub(crate) last_answers: watch::Sender<LastAnswers>,
     /// Number of callers' requests in flight.
     pub(crate) in_flight: Cell<usize>,
     /// Number of open connections of callers.
@@ -200,6 +214,7 @@
             holder_reachable: Notify::new(),
             running_requests: RefCell::default(),
             draining: watch::Sender::new(false),
+            last_answers: watch::Sender::new(LastAnswers::None),
             in_flight: Cell::new(0),
             caller_connections: Rc::default(),
             is_ready: Cell::new(false),
--- a/crates/caraway-gateway/tests/process/stop.rs
+++ b/crates/caraway-gateway/tests/process/stop.rs
@@ -11,10 +11,10 @@
     time::Duration,
 };
 
-use caraway_platform_standin::Behavior;
+use caraway_platform_standin::{Behavior, ProxyMode};
 use socket2::{Domain, Socket, Type};
 
-use crate::harness::{Gateway, Platform, has_endpoints};
+use crate::harness::{Gateway, Platform, call, has_endpoints};
 
 /// Length of a body that exceeds the buffers of a connection and of the daemon.
 const LONG_ANSWER_BYTES: usize = 15 << 19;
@@ -128,3 +128,45 @@
         );
     }
 }
+
+/// Headers of a request whose caller waits far beyond the end of the grace period.
+const PATIENT_HEADERS: &str = "X-Model: base/a1\r\nX-Token-Count: 10,5\r\nX-Deadline-Ms: 40000\r\n";
+
+// Guards against: requests that endpoints still work on at the end of the grace period are cut off without
+// an answer, so that their callers can't tell what became of them.
+#[test]
+fn requests_in_flight_at_the_end_of_the_grace_period_are_answered() {
+    let platform = Platform::start_proxied();
+    let mut gateway = start_pair_gateway(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    let mut tries = 0;
+    gateway.wait_for("a stream", || {
+        tries += 1;
+        let headers = format!("X-Attempt-Id: warm{tries}\r\n{PATIENT_HEADERS}");
+        let answer = call(gateway.front, "POST /report/x", &headers, "prompt");
+        answer.starts_with("HTTP/1.1 200")
+    });
+    platform.with_parts(|parts| {
+        for proxy in &parts.proxies {
+            proxy.set_mode(ProxyMode::OneWay);
+        }
+    });
+    let front = gateway.front;
+    let callers = ["r1", "r2"].map(|id| {
+        thread::spawn(move || {
+            let headers = format!("X-Attempt-Id: {id}\r\n{PATIENT_HEADERS}");
+            call(front, "POST /report/x", &headers, "prompt")
+        })
+    });
+    gateway.wait_for("the runs", || {
+        ["r1", "r2"].iter().all(|id| platform.ledger.runs(id) > 0)
+    });
+    gateway.stop();
+    for caller in callers {
+        let answer = caller.join().expect("the caller ends");
+        assert!(answer.starts_with("HTTP/1.1 502"), "{answer}");
+        assert!(answer.contains("\"in_doubt\""), "{answer}");
+    }
+    let status = gateway.child.wait().expect("the daemon ends");
+    assert!(status.success(), "{status}");
+}
