Say that a request was not run when it was never sent

Cause: a request whose time had passed got 504, in doubt, whatever had become of it; time passes while connections hang.

Change: a refusal is in doubt only if an attempt may have run. A request that was never sent, or that endpoints turned away, gets 503, not run, with the deadline as the reason if its time has passed.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -267,7 +267,11 @@
     }
     match error_response {
         Some(response) => Ok(StreamOutcome::Answer(response)),
-        None => Err(call.in_doubt("no attempt gave an answer in time", MIN_ATTEMPT_TIME)),
+        None => Err(unsent_refusal(
+            call,
+            history,
+            "no attempt gave an answer in time",
+        )),
     }
 }
 
@@ -278,12 +282,13 @@
     !is_cut_off && history.sent < MAX_SENDS && may_repeat()
 }
 
-/// Returns the refusal of a request after an attempt that has not run it, for the reason `why`.
+/// Returns the refusal of a request after its last attempt, which has not run it, for the reason `why`.
 fn unsent_refusal(call: &Call, history: &AttemptHistory, why: &str) -> RefusalResponse {
     if history.possible_runs > 0 {
         return call.in_doubt(why, MIN_ATTEMPT_TIME);
     }
-    RefusalResponse::not_run(Reason::NoEndpoint, why).with_retry_after(BUSY_RETRY_AFTER)
+    call.not_run(why, MIN_ATTEMPT_TIME)
+        .with_retry_after(BUSY_RETRY_AFTER)
 }
 
 /// Returns whether to skip a granted endpoint because it is draining or paused. This instance may
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -144,10 +144,12 @@
     if let Some(response) = error_response {
         return Ok(response);
     }
-    if may_have_run || !call.has_time_for(MIN_ATTEMPT_TIME) {
+    if may_have_run {
         return Err(call.in_doubt(why, MIN_ATTEMPT_TIME));
     }
-    Err(RefusalResponse::not_run(Reason::NoEndpoint, why).with_retry_after(BUSY_RETRY_AFTER))
+    Err(call
+        .not_run(why, MIN_ATTEMPT_TIME)
+        .with_retry_after(BUSY_RETRY_AFTER))
 }
 
 /// Returns how long the request can wait for a permit of an endpoint that limits its requests: not
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -68,6 +68,17 @@
         Instant::now() + min_time <= self.deadline
     }
 
+    /// Returns the refusal of a request that no endpoint has run. Its reason is the deadline when less
+    /// time is left than `min_time`, which another attempt would have needed.
+    pub(crate) fn not_run(&self, why: &str, min_time: Duration) -> RefusalResponse {
+        let reason = if self.has_time_for(min_time) {
+            Reason::NoEndpoint
+        } else {
+            Reason::Deadline
+        };
+        RefusalResponse::not_run(reason, why)
+    }
+
     /// Returns the refusal of a request that may have run. Its reason is the deadline when less time
     /// is left than `min_time`, which another attempt would have needed.
     pub(crate) fn in_doubt(&self, why: &str, min_time: Duration) -> RefusalResponse {
--- a/crates/caraway-gateway/tests/process/stranded.rs
+++ b/crates/caraway-gateway/tests/process/stranded.rs
@@ -1,8 +1,13 @@
 //! Instances that reach no endpoint, while callers, the store and the other instances reach them.
 
-use std::{thread, time::Duration};
+use std::{
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
 
 use caraway_platform_standin::ProxyMode;
+use socket2::{Domain, Socket, Type};
 
 use crate::harness::{Gateway, Platform, call, has_endpoints};
 
@@ -179,3 +184,39 @@
     }
     assert!(!first.has_event(REACH_CHANGED));
 }
+
+/// Returns an address where connections hang while they are established, and the sockets that cause it.
+fn start_hanging_listener() -> (SocketAddr, Socket, Vec<TcpStream>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("a port");
+    listener.listen(0).expect("a listener");
+    let addr = listener.local_addr().expect("an address");
+    let addr = addr.as_socket().expect("an IP address");
+    let mut waiting = Vec::new();
+    // The queue of connections that nobody accepts is full once one takes too long.
+    while let Ok(stream) = TcpStream::connect_timeout(&addr, Duration::from_millis(100)) {
+        waiting.push(stream);
+    }
+    (addr, listener, waiting)
+}
+
+// Guards against: a request that was never sent, as its connections hung, is said to be in doubt, so that
+// its caller can't send it again.
+#[test]
+fn request_whose_connections_hang_is_not_run() {
+    let platform = Platform::start();
+    let (addr, _listener, _waiting) = start_hanging_listener();
+    for id in ["p-1", "p-2"] {
+        let entry = caraway_platform_standin::registry_entry("pair", "z1", addr, 2, None);
+        platform.publish("keyed.servers", id, entry);
+    }
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the endpoints", || has_endpoints(&gateway, &["p-1", "p-2"]));
+    for line in ["POST /order/x", "GET /pair/x"] {
+        let headers = "X-Attempt-Id: r1\r\nX-Deadline-Ms: 300\r\n";
+        let answer = call(gateway.front, line, headers, "");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"not_run\""), "{answer}");
+    }
+}
