Satisfy Clippy in the test of silent peers

No behaviour changes. Clippy's pedantic group asks for () in place of _ in a pattern of a unit value; cargo clippy and cargo doc of the workspace are clean after it.

--- a/crates/caraway-http/tests/silence.rs
+++ b/crates/caraway-http/tests/silence.rs
@@ -79,7 +79,7 @@
 async fn connection_of_a_peer_that_is_gone_ends() {
     let (mut client, peer) = connect().await;
     client.write_all(b"ping").await.expect("it is sent");
-    let (_, ended) = tokio::join!(
+    let ((), ended) = tokio::join!(
         async {
             for _ in 0..4 {
                 fall_silent(&peer).await;
