Take streams up only by knowledge of versions that is current

What callers saw (report of another operator, shown here by a test): a stream that had begun at engines of a new software version was taken up at an instance that had stood still and was cut off from the store, and went on at the former version.

Cause: the origin of a stream without a record follows from the versions that served, and nothing asked how old that knowledge was. An instance that has not heard of a second version does not read the records of streams at all. Class: a conclusion from not having heard.

Change: unless the instance itself knows the stream, it first reads the registry and the shared histories to their end, with a read that began after the request came (one for all that wait). Histories are brought up to date before they are asked.

--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    catch_up::CatchUp,
     crash_watch::CrashWatch,
     endpoint_limits::LimitState,
     executor::millis,
@@ -131,6 +132,8 @@
     pub(crate) crash_watch: CrashWatch,
     /// What is known of the software versions at which streams began.
     pub(crate) streams: StreamState,
+    /// When this instance's knowledge of versions was last brought up to date.
+    pub(crate) catch_up: CatchUp,
     /// The number of instances of all zones, as far as it is known.
     pub(crate) fleet_size: Cell<FleetSize>,
     /// The newest announced version of each adapter.
@@ -203,6 +206,7 @@
             limits: LimitState::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
             streams: StreamState::default(),
+            catch_up: CatchUp::default(),
             fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
             load_balancer: RefCell::default(),
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -23,6 +23,7 @@
 
 use crate::{
     apply::RecordSource,
+    catch_up::catch_up,
     event::emit,
     executor::millis,
     frame::{RecordsFrame, ToHolder},
@@ -41,7 +42,7 @@
 /// Multiple of a route's timeout that a stream lasts at most, from its first request to the end of the
 /// last one that takes it up.
 const LIFE_TIMEOUTS: u32 = 2;
-/// Longest time for which a request that takes a stream up waits for the store.
+/// Longest time for which a request that takes a stream up waits for the record of that stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which the store is read again for a stream that is not found: its origin may be in a
 /// batch that is not appended yet.
@@ -84,6 +85,13 @@
     stored: Option<oneshot::Sender<()>>,
 }
 
+impl StreamState {
+    /// Returns the version at which the stream of a request began, if this instance knows it.
+    fn known(&self, request: &str) -> Option<SoftwareVersion> {
+        self.origins.borrow().get(request).cloned()
+    }
+}
+
 impl Shared {
     /// Returns the endpoints of a service whose software has another version.
     pub(crate) fn endpoints_of_other_versions(
@@ -119,6 +127,7 @@
     if takes_up(call) || !call.route.resumable || !has_key {
         return;
     }
+    update_if_outdated(shared);
     let (now_ms, life_ms) = (Shared::unix_ms(), life_ms(call));
     let unrecorded = {
         let history = state.history.borrow();
@@ -240,14 +249,12 @@
     if !takes_up(call) || !call.route.resumable {
         return Ok(None);
     }
-    let lookup = timeout(LOOKUP_TIMEOUT, look_up(shared, call)).await;
-    let (software, source) = match lookup {
-        Ok(Ok(found)) => found,
-        Ok(Err(_)) | Err(_) => (None, STORE_SILENT),
-    };
+    let lookup = look_up(shared, call).await;
+    let (software, source) = lookup.unwrap_or((None, STORE_SILENT));
     emit!(shared, info, StreamTakenUp; "request" => &*call.head.id,
         "resumes" => call.head.resumes.as_deref(), "software" => software.as_deref(),
-        "source" => source, "ms" => millis(call.arrived_at.elapsed()));
+        "source" => source, "caught_up_ms" => shared.catch_up.age().map(millis),
+        "ms" => millis(call.arrived_at.elapsed()));
     let Some(software) = software else {
         let detail = format!("the software version that began the stream is not known: {source}");
         let refusal = RefusalResponse::not_run(Reason::NotResumable, &detail);
@@ -272,35 +279,55 @@
 }
 
 /// Returns the version at which a stream began, if it is known, and where that was learned.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer and the answer depends on it.
 async fn look_up(
     shared: &Rc<Shared>,
     call: &Call,
 ) -> Result<(Option<SoftwareVersion>, &'static str), StoreError> {
-    let state = &shared.streams;
     let request = call.head.resumes.as_deref().unwrap_or_default();
-    let known = |request| state.origins.borrow().get(request).cloned();
-    if let Some(software) = known(request) {
+    if let Some(software) = shared.streams.known(request) {
         return Ok((Some(software), "this instance"));
     }
-    let needs_record = || {
+    // A version may have joined without this instance having heard of it.
+    catch_up(shared).await?;
+    update_if_outdated(shared);
+    let lookup = timeout(LOOKUP_TIMEOUT, look_up_record(shared, call, request));
+    let timed_out = |_| Err(StoreError::Unanswered("timed out".into()));
+    if let Some(software) = lookup.await.unwrap_or_else(timed_out)? {
+        return Ok((Some(software), "the store"));
+    }
+    let history = shared.streams.history.borrow();
+    Ok(
+        match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
+            Origin::Known(software) => (Some(software), "the versions that served"),
+            Origin::Ambiguous => (None, "several versions served, and it is not recorded"),
+        },
+    )
+}
+
+/// Looks for the record of a stream in the store if the history of its service leaves its version open.
+async fn look_up_record(
+    shared: &Rc<Shared>,
+    call: &Call,
+    request: &str,
+) -> Result<Option<SoftwareVersion>, StoreError> {
+    let state = &shared.streams;
+    let needs_record = {
         let history = state.history.borrow();
         history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
     };
-    if needs_record() {
-        read_origins(shared).await?;
-        if known(request).is_none() {
-            sleep(LOOKUP_PAUSE).await;
-            read_origins(shared).await?;
-        }
-        if let Some(software) = known(request) {
-            return Ok((Some(software), "the store"));
-        }
+    if !needs_record {
+        return Ok(None);
     }
-    let history = state.history.borrow();
-    match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
-        Origin::Known(software) => Ok((Some(software), "the versions that served")),
-        Origin::Ambiguous => Ok((None, "several versions served, and it is not recorded")),
+    read_origins(shared).await?;
+    if state.known(request).is_none() {
+        sleep(LOOKUP_PAUSE).await;
+        read_origins(shared).await?;
     }
+    Ok(state.known(request))
 }
 
 /// Reads the topic of origins to its end.
@@ -416,6 +443,13 @@
     }
 }
 
+/// Updates the histories if endpoints have changed since they were updated last.
+fn update_if_outdated(shared: &Rc<Shared>) {
+    if shared.streams.is_outdated.get() {
+        update_histories(shared);
+    }
+}
+
 /// Updates the histories of all services by the endpoints in the registry, and shares what other
 /// instances have to know.
 pub(crate) fn update_histories(shared: &Rc<Shared>) {
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -364,6 +364,38 @@
     }
 }
 
+/// Reads a topic to its end as of now, at once.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer.
+pub(crate) async fn read_to_end(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
+    loop {
+        let next = shared.topics.borrow().next(topic);
+        let Some(from) = next else {
+            return read_newest(shared, topic).await;
+        };
+        let read = shared.store.read(topic, from, Duration::ZERO).await;
+        shared
+            .metrics
+            .record_store_call(topic.label(), read.is_ok());
+        check_era(shared);
+        match read {
+            Ok(log) if log.next == from => return Ok(()),
+            Ok(log) => {
+                record_read(shared, topic);
+                let offset = from.offset;
+                let source = RecordSource::Log;
+                apply_records(shared, topic, offset, log.next, &log.records, source);
+            }
+            Err(StoreError::Trimmed(_) | StoreError::OtherEra) => {
+                return read_newest(shared, topic).await;
+            }
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 async fn read_newest(shared: &Rc<Shared>, topic: Topic) -> Result<(), StoreError> {
     let newest = shared.store.read_newest(topic).await?;
     check_era(shared);
@@ -487,6 +519,13 @@
     topics.state(Topic::Operators).failing
 }
 
+/// Returns whether the last read of one of these topics failed.
+pub(crate) fn is_any_failing(shared: &Shared, topics: &[Topic]) -> bool {
+    let known = shared.topics.borrow();
+    let mut states = topics.iter().filter_map(|t| known.states.get(t));
+    states.any(|s| s.failing)
+}
+
 /// Returns whether this instance may have missed records of the topic of deadly prompts, so that the
 /// next ones may be old.
 pub(crate) fn may_miss_shared(shared: &Shared) -> bool {
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -41,6 +41,7 @@
     /// The two endpoints of the service `pair`; both answer requests.
     pub(crate) pair: [PlainEndpoint; 2],
     pair_addrs: Vec<SocketAddr>,
+    mixed_addrs: Vec<SocketAddr>,
     /// The proxies in front of the endpoints; empty unless the platform was started with them.
     pub(crate) proxies: Vec<Proxy>,
 }
@@ -124,6 +125,16 @@
         self.with_parts(move |parts| parts.store.remove("keyed.servers", MIXED_IDS[number]));
     }
 
+    /// Registers an engine of the service `mixed` again.
+    pub(crate) fn add_mixed(&self, number: usize) {
+        self.with_parts(move |parts| {
+            let entry = mixed_entry(parts.mixed_addrs[number], number);
+            parts
+                .store
+                .publish("keyed.servers", MIXED_IDS[number], &entry);
+        });
+    }
+
     /// Publishes a record to the store, as an operator or an endpoint does.
     pub(crate) fn publish(&self, topic: &'static str, key: &'static str, value: Value) {
         self.with_parts(move |parts| parts.store.publish(topic, key, &value));
@@ -197,9 +208,11 @@
         };
         Engine::new(spec, ledger.clone())
     });
+    let mut mixed_addrs = Vec::new();
     for (number, engine) in mixed.iter().enumerate() {
         let addr = engine.start().await.expect("an address");
         let addr = proxied(&mut proxies, addr, is_proxied).await;
+        mixed_addrs.push(addr);
         store.publish(
             "keyed.servers",
             MIXED_IDS[number],
@@ -216,6 +229,7 @@
         mixed,
         pair,
         pair_addrs,
+        mixed_addrs,
         proxies,
     };
     (parts, addr)
@@ -361,10 +375,23 @@
 
     /// Sends SIGTERM to the daemon.
     pub(crate) fn stop(&self) {
-        let stop = Command::new("kill")
-            .arg(self.child.id().to_string())
-            .status();
-        assert!(stop.expect("kill runs").success());
+        self.signal("-TERM");
+    }
+
+    /// Lets the daemon stand still until [`Self::resume`].
+    pub(crate) fn pause(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets the daemon go on.
+    pub(crate) fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.expect("kill runs").success());
     }
 
     /// Returns whether the log has a line with this event and this value in this field.
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use caraway_platform_standin::RESUME_ERROR;
+use caraway_platform_standin::{ProxyMode, RESUME_ERROR};
 use http::StatusCode;
 
 use crate::harness::{Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, has_endpoints};
@@ -259,3 +259,72 @@
 fn rejection_in_place_of_the_rest_of_a_stream_breaks_it_off() {
     check_resume_error(StatusCode::BAD_REQUEST);
 }
+
+// Guards against: an instance stood still and is cut off from the store while engines of a new version
+// take the place of the others, and takes streams that began there for streams of the only version that
+// it knows.
+#[test]
+fn instance_that_missed_a_release_joins_no_streams() {
+    let platform = start_platform();
+    platform.remove_mixed(2);
+    platform.remove_mixed(3);
+    let away = Gateway::start_as(platform.store_proxy_addr, "gate-1");
+    away.wait_to_hold("gate-1");
+    away.wait_for("the endpoints", || has_endpoints(&away, &MIXED_IDS[..2]));
+    for adapter in 0..4 {
+        let id = format!("before{adapter}");
+        let answer = call(
+            away.front,
+            "POST /mixed/x",
+            &headers(&id, adapter),
+            "prompt",
+        );
+        assert!(answer.contains("id: 4\n"), "{answer}");
+    }
+    let other = Gateway::start_as(platform.store_addr, "gate-2");
+    other.wait_for("its session", || other.has_event(1210));
+    away.pause();
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Silent));
+    other.wait_to_hold("gate-2");
+    for number in 0..2 {
+        platform.add_mixed(number + 2);
+        platform.remove_mixed(number);
+    }
+    other.wait_for("the new version", || {
+        has_endpoints(&other, &MIXED_IDS[2..]) && other.has_line(1120, "change", "Gone")
+    });
+    let open: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| read_until_event(other.front, &format!("s{n}"), n % 4, 2))
+        .collect();
+    drop(open);
+
+    away.resume();
+    for number in 0..STREAMS {
+        let id = format!("early{number}");
+        let answer = take_up(&away, &id, &format!("s{number}"), number % 4);
+        assert_eq!(
+            engine_of(&platform, &id),
+            None,
+            "{id} ran at the former version"
+        );
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"not_run\""), "{answer}");
+    }
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Pass));
+    away.wait_for("the next holder", || {
+        away.has_line(1210, "holder", "gate-2")
+    });
+    let continued = (0..STREAMS).filter(|number| {
+        let id = format!("late{number}");
+        let answer = take_up(&away, &id, &format!("s{number}"), number % 4);
+        if let Some(engine) = engine_of(&platform, &id) {
+            assert_eq!(version_of(engine), 1, "{id} ran at the former version");
+        }
+        answer.contains(&format!("data: {id} 4\n\n"))
+    });
+    let continued = continued.count();
+    assert!(
+        continued >= MIN_CONTINUED,
+        "{continued} of {STREAMS} went on"
+    );
+}
--- a/crates/caraway-streams/tests/releases.rs
+++ b/crates/caraway-streams/tests/releases.rs
@@ -25,6 +25,12 @@
 const REGISTRY_DELAY: std::ops::Range<u64> = 50..1000;
 /// Range of the time from the first event of a stream until its origin is in the store.
 const APPEND_DELAY: std::ops::Range<u64> = 10..80;
+/// Range of the time for which instances are out of step.
+const ABSENCE: std::ops::Range<u64> = 500..5000;
+/// When the first engine is replaced.
+const RELEASE_START: u64 = 10_000;
+/// Number of streams that are taken up at an instance that is out of step or has just come back.
+const VISIT: usize = 8;
 /// Least share of the streams that go on, of those whose version serves.
 const MIN_CONTINUED: f64 = 0.9;
 /// Number of streams that may hold events of two versions.
@@ -49,6 +55,37 @@
     All,
     Third,
     One,
+    None,
+}
+
+/// What an instance that is out of step lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Lack {
+    /// It stands still.
+    Time,
+    /// The other instances, which forward records to it; it reads the store.
+    Peers,
+    /// The store; the other instances forward records to it.
+    Store,
+    /// Both.
+    PeersAndStore,
+}
+
+const LACKS: [Lack; 4] = [Lack::Time, Lack::Peers, Lack::Store, Lack::PeersAndStore];
+
+impl Lack {
+    fn has_store(this: Option<Self>) -> bool {
+        matches!(this, None | Some(Self::Peers))
+    }
+
+    fn has_peers(this: Option<Self>) -> bool {
+        matches!(this, None | Some(Self::Store))
+    }
+
+    /// Returns whether it learns of records, from the store or from others.
+    fn learns(this: Option<Self>) -> bool {
+        Self::has_store(this) || Self::has_peers(this)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,6 +98,12 @@
     Update(usize),
     /// An instance is killed.
     Kill(usize),
+    /// An instance falls out of step.
+    Away(usize, Lack),
+    /// Callers take streams up at an instance.
+    Visit(usize),
+    /// An instance is back, and has missed what happened meanwhile.
+    Back(usize),
     /// A history is shared.
     Share(usize, usize),
     /// An instance receives a shared history.
@@ -82,6 +125,8 @@
     origins: StreamOrigins,
     /// The version of each engine as it knows it, with its start.
     engines: Vec<(usize, u64)>,
+    /// Set while it is out of step.
+    lack: Option<Lack>,
 }
 
 struct Stream {
@@ -98,6 +143,8 @@
     continued: usize,
     joined: usize,
     refused: usize,
+    /// Take-ups that were refused, and came back, as the store did not answer the instance.
+    unconfirmed: usize,
     records: usize,
     histories: usize,
 }
@@ -133,6 +180,7 @@
             history,
             origins: StreamOrigins::default(),
             engines: engines.clone(),
+            lack: None,
         };
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -159,6 +207,28 @@
         self.events.push(Reverse(entry));
     }
 
+    /// Lets instances fall out of step again and again, a tenth of them at a time.
+    fn schedule_absences(&mut self) {
+        let count = self.nodes.len().div_ceil(10);
+        // The first one spans the start of the release.
+        let mut at = RELEASE_START - self.rng.random_range(100..500);
+        while at < LENGTH - 10_000 {
+            let first = self.rng.random_range(0..self.nodes.len());
+            let lack = LACKS[self.rng.random_range(0..LACKS.len())];
+            let length = self.rng.random_range(ABSENCE);
+            for number in 0..count {
+                let node = (first + number) % self.nodes.len();
+                self.schedule(at, Event::Away(node, lack));
+                if lack != Lack::Time {
+                    let moment = self.rng.random_range(0..length);
+                    self.schedule(at + moment, Event::Visit(node));
+                }
+                self.schedule(at + length, Event::Back(node));
+            }
+            at += length + self.rng.random_range(200..3000);
+        }
+    }
+
     fn run(mut self, release: Release, kill: Kill) -> Figures {
         self.schedule(0, Event::Arrival);
         for node in 0..self.nodes.len() {
@@ -167,7 +237,7 @@
         }
         let half = self.engines.len() / 2;
         for engine in 0..self.engines.len() {
-            let step = 10_000 + engine as u64 * 20_000 / self.engines.len() as u64;
+            let step = RELEASE_START + engine as u64 * 20_000 / self.engines.len() as u64;
             match release {
                 Release::Forward => self.schedule(step, Event::Replace(engine, 1)),
                 Release::HalfWay if engine < half => {
@@ -188,6 +258,7 @@
                 Kill::All => self.nodes.len(),
                 Kill::Third => self.nodes.len().div_ceil(3),
                 Kill::One => 1,
+                Kill::None => 0,
             };
             let first = self.rng.random_range(0..self.nodes.len());
             for number in 0..count {
@@ -215,16 +286,29 @@
                     self.schedule(delay, Event::Learn(node, engine));
                 }
             }
-            Event::Learn(node, engine) => self.nodes[node].engines[engine] = self.engines[engine],
+            Event::Learn(node, engine) => {
+                if Lack::learns(self.nodes[node].lack) {
+                    self.nodes[node].engines[engine] = self.engines[engine];
+                }
+            }
+            Event::Away(node, lack) => {
+                self.nodes[node].lack.get_or_insert(lack);
+                self.break_some(node);
+            }
+            Event::Visit(node) => self.on_visit(node),
+            Event::Back(node) => self.on_back(node),
             Event::Update(node) => {
-                self.update(node);
+                if self.nodes[node].lack != Some(Lack::Time) {
+                    self.update(node);
+                }
                 self.schedule(UPDATE_INTERVAL, event);
             }
             Event::Kill(node) => self.on_kill(node),
             Event::Share(node, history) => {
                 let history_names = names(&self.histories[history]);
                 let newest = self.newest_history.map(|h| names(&self.histories[h]));
-                if self.nodes[node].is_up && newest != Some(history_names) {
+                let can_write = Lack::has_store(self.nodes[node].lack);
+                if self.nodes[node].is_up && can_write && newest != Some(history_names) {
                     self.figures.histories += 1;
                     self.newest_history = Some(history);
                     for receiver in 0..self.nodes.len() {
@@ -234,7 +318,7 @@
                 }
             }
             Event::Receive(node, history) => {
-                if self.nodes[node].is_up {
+                if self.nodes[node].is_up && Lack::learns(self.nodes[node].lack) {
                     self.nodes[node].history.adopt(&self.histories[history]);
                 }
             }
@@ -253,6 +337,9 @@
 
     fn update(&mut self, node: usize) {
         if !self.nodes[node].is_up {
+            if !Lack::has_store(self.nodes[node].lack) {
+                return;
+            }
             // It has started by now, and has read the registry and the newest history.
             let engines = self.engines.clone();
             let newest = self.newest_history.map(|h| self.histories[h].clone());
@@ -282,14 +369,16 @@
         )]
         self.schedule(1 + gap as u64, Event::Arrival);
         let instance = self.rng.random_range(0..self.nodes.len());
-        if !self.nodes[instance].is_up {
+        if !self.nodes[instance].is_up || self.nodes[instance].lack == Some(Lack::Time) {
             return;
         }
-        let version = self.engines[self.rng.random_range(0..self.engines.len())].0;
-        // An instance sends to engines that it knows, with the version that it knows.
-        if !self.nodes[instance].engines.iter().any(|e| e.0 == version) {
+        // An instance sends to engines that it knows; those that have left are not there any more.
+        let engine = self.rng.random_range(0..self.engines.len());
+        if self.nodes[instance].engines[engine] != self.engines[engine] {
             return;
         }
+        let version = self.engines[engine].0;
+        self.refresh(instance);
         self.last_stream += 1;
         let number = self.last_stream;
         let id: RequestId = format!("s{number}").into();
@@ -297,12 +386,20 @@
         let software: SoftwareVersion = VERSIONS[version].into();
         let node = &mut self.nodes[instance];
         let unrecorded = node.history.unrecorded_origin(now, SERVICE, LIFE);
+        let can_store = Lack::learns(node.lack);
         if matches!(unrecorded, Origin::Known(other) if other != software) {
+            if !can_store {
+                // It begins at the other version instead.
+                return;
+            }
             // Its first event waits until its origin is in the store.
             self.figures.records += 1;
             self.store.insert(id.clone(), software);
         } else if node.history.needs_record(now, SERVICE, LIFE) {
             node.origins.insert(&id, &software);
+        }
+        if node.origins.get(&id).is_some() && can_store {
+            let software: SoftwareVersion = VERSIONS[version].into();
             self.pending.insert(number, (id.clone(), software));
             let delay = self.rng.random_range(APPEND_DELAY);
             self.schedule(delay, Event::Store(number));
@@ -328,15 +425,7 @@
         killed.is_up = false;
         killed.history = VersionHistory::default();
         killed.origins = StreamOrigins::default();
-        let broken: Vec<usize> = self
-            .streams
-            .iter()
-            .filter(|(_, s)| s.instance == node)
-            .map(|(number, _)| *number)
-            .collect();
-        let mut broken = broken;
-        broken.sort_unstable();
-        for number in broken {
+        for number in self.streams_of(node) {
             if !self.streams[&number].is_sent {
                 self.pending.remove(&number);
             }
@@ -345,18 +434,108 @@
         }
     }
 
+    /// Returns the streams of an instance in the order in which they began.
+    fn streams_of(&self, node: usize) -> Vec<usize> {
+        let of_node = self.streams.iter().filter(|(_, s)| s.instance == node);
+        let mut numbers: Vec<usize> = of_node.map(|(number, _)| *number).collect();
+        numbers.sort_unstable();
+        numbers
+    }
+
+    /// Breaks half of the streams of an instance and of its neighbours off, some of them while the
+    /// instance is out of step and some when it is back.
+    fn break_some(&mut self, node: usize) {
+        for neighbour in 0..3 {
+            let node = (node + neighbour) % self.nodes.len();
+            for number in self.streams_of(node) {
+                if self.rng.random_bool(0.5) {
+                    let delay = self.rng.random_range(10..ABSENCE.end);
+                    self.schedule(delay, Event::TakeUp(number));
+                }
+            }
+        }
+    }
+
+    /// Streams are taken up at once at an instance that is back, before it learns what it has missed.
+    fn on_back(&mut self, node: usize) {
+        if self.nodes[node].lack.is_none() {
+            return;
+        }
+        self.break_some((node + 1) % self.nodes.len());
+        self.nodes[node].lack = None;
+        self.on_visit(node);
+        for engine in 0..self.engines.len() {
+            let delay = self.rng.random_range(REGISTRY_DELAY);
+            self.schedule(delay, Event::Learn(node, engine));
+        }
+        if let Some(history) = self.newest_history {
+            let delay = self.rng.random_range(REGISTRY_DELAY);
+            self.schedule(delay, Event::Receive(node, history));
+        }
+    }
+
+    /// Takes some of the newest streams up at an instance.
+    fn on_visit(&mut self, node: usize) {
+        if !self.nodes[node].is_up {
+            return;
+        }
+        let mut running: Vec<usize> = self.streams.keys().copied().collect();
+        running.sort_unstable();
+        running.reverse();
+        for number in running.into_iter().take(VISIT) {
+            self.take_up_at(number, node);
+        }
+    }
+
+    /// Updates the history of an instance by the engines that it knows.
+    fn refresh(&mut self, node: usize) {
+        if self.nodes[node].is_up {
+            self.update(node);
+        }
+    }
+
+    /// Brings what an instance knows up to the present; returns false if the store does not answer it.
+    fn catch_up(&mut self, node: usize) -> bool {
+        if !Lack::has_store(self.nodes[node].lack) {
+            return false;
+        }
+        self.nodes[node].engines = self.engines.clone();
+        if let Some(history) = self.newest_history {
+            let history = self.histories[history].clone();
+            self.nodes[node].history.adopt(&history);
+        }
+        self.refresh(node);
+        true
+    }
+
     fn on_take_up(&mut self, number: usize) {
+        let instance = self.rng.random_range(0..self.nodes.len());
+        let node = &self.nodes[instance];
+        if !node.is_up || node.lack == Some(Lack::Time) {
+            self.schedule(500, Event::TakeUp(number));
+            return;
+        }
+        self.take_up_at(number, instance);
+    }
+
+    fn take_up_at(&mut self, number: usize, instance: usize) {
         let Some(stream) = self.streams.get(&number) else {
             return;
         };
-        let instance = self.rng.random_range(0..self.nodes.len());
-        if !self.nodes[instance].is_up {
+        let id = stream.id.clone();
+        let is_known = self.nodes[instance].origins.get(&id).is_some();
+        if !is_known && !self.catch_up(instance) {
+            self.figures.unconfirmed += 1;
             self.schedule(500, Event::TakeUp(number));
             return;
         }
+        let stream = &self.streams[&number];
         let serving = self.engines.iter().filter(|e| e.0 == stream.version);
         let node = &self.nodes[instance];
-        let recorded = node.origins.get(&stream.id).or(self.store.get(&stream.id));
+        let needs_store = node.history.needs_record(self.now, SERVICE, LIFE);
+        // The store is read only if the history leaves the version open.
+        let stored = self.store.get(&id).filter(|_| needs_store);
+        let recorded = node.origins.get(&id).or(stored);
         let origin = recorded.map_or_else(
             || node.history.unrecorded_origin(self.now, SERVICE, LIFE),
             |software| Origin::Known(software.clone()),
@@ -408,18 +587,28 @@
 
 /// Plays a release with killed instances in fleets of all sizes, and checks the bounds.
 fn check(release: Release, kill: Kill) {
+    check_with(release, kill, false, MAX_JOINED);
+}
+
+/// As [`check`], also with instances out of step, and with this number of streams that may be joined.
+fn check_with(release: Release, kill: Kill, has_absences: bool, max_joined: usize) {
     for instances in [8, 60, 385] {
         let mut total = Figures::default();
         for seed in 0..seeds() {
-            let figures = Simulation::new(instances, seed).run(release, kill);
+            let mut simulation = Simulation::new(instances, seed);
+            if has_absences {
+                simulation.schedule_absences();
+            }
+            let figures = simulation.run(release, kill);
             assert!(
-                figures.joined <= MAX_JOINED,
+                figures.joined <= max_joined,
                 "{instances} instances, seed {seed}: {figures:?}"
             );
             total.taken_up += figures.taken_up;
             total.continued += figures.continued;
             total.joined += figures.joined;
             total.refused += figures.refused;
+            total.unconfirmed += figures.unconfirmed;
             total.records += figures.records;
             total.histories = total.histories.max(figures.histories);
         }
@@ -454,3 +643,19 @@
         check(release, Kill::One);
     }
 }
+
+// Guards against: an instance that stood still or was cut off while engines of a new version joined takes
+// streams that began there for streams of the version that it knows.
+#[test]
+fn streams_go_on_at_their_version_at_instances_that_were_out_of_step() {
+    for release in [Release::Forward, Release::HalfWay, Release::Back] {
+        check_with(release, Kill::None, true, 0);
+    }
+}
+
+#[test]
+fn streams_go_on_at_their_version_when_instances_are_killed_and_out_of_step() {
+    for release in [Release::Forward, Release::HalfWay, Release::Back] {
+        check_with(release, Kill::Third, true, MAX_JOINED);
+    }
+}
