Begin streams at the former version while the store takes no origins

While the store is away early in a release, the origin of a stream that begins at the new version is not recorded; after the loss of its instance, another one takes it for a stream of the former version, as a missing record means that.

Cause: the stream went on whether or not the store had taken its origin, and a failed batch was dropped.

Change: if the store rejects the origin, the first event is held back and the stream begins at the former version, where no record is needed; for a second after a failure new streams are not sent to other versions at all. If it is not known whether the store took the origin, the stream stays where it is, as a record may exist, and the origin is appended again until the store takes it. Where the former version has no ready endpoint, the stream goes on as before: it can't be joined there.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -36,7 +36,7 @@
     request::{Call, InFlightGuard, RefusalResponse},
     shared::Shared,
     sse::EventSplitter,
-    stream_origins::find_origin,
+    stream_origins::{find_origin, required_version},
 };
 
 /// Why a request was not sent to an endpoint, for log lines and metric labels.
@@ -104,11 +104,12 @@
 }
 
 impl AttemptHistory {
-    /// Returns the endpoints that a request to `service` must not go to.
-    pub(crate) fn excluded(&self, shared: &Shared, service: &str) -> Vec<EndpointId> {
+    /// Returns the endpoints that a request must not go to.
+    pub(crate) fn excluded(&self, shared: &Rc<Shared>, call: &Call) -> Vec<EndpointId> {
         let mut excluded = shared.excluded_endpoints(&self.exclude);
-        if let Some(software) = &self.software {
-            excluded.extend(shared.endpoints_of_other_versions(service, software));
+        let begun = self.software.clone();
+        if let Some(software) = begun.or_else(|| required_version(shared, call)) {
+            excluded.extend(shared.endpoints_of_other_versions(&call.service, &software));
         }
         excluded
     }
@@ -198,7 +199,7 @@
         let placed = if let Some(placed) = granted.take() {
             placed
         } else {
-            let exclude = history.excluded(shared, &call.service);
+            let exclude = history.excluded(shared, call);
             match place(shared, &placement, &exclude).await {
                 Ok(placed) => placed,
                 Err(_) if error_response.is_some() => break,
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -125,16 +125,20 @@
         }
     }
 
-    /// Binds the stream to the software version that wrote its first event.
-    async fn on_events(&mut self, software: Option<&SoftwareVersion>) {
+    /// Binds the stream to the software version that wrote its first event. Returns false if the stream
+    /// has to begin anew at another version.
+    async fn on_events(&mut self, software: Option<&SoftwareVersion>) -> bool {
         if self.has_events {
-            return;
+            return true;
         }
-        self.has_events = true;
         if let Some(software) = software.filter(|_| self.history.software.is_none()) {
+            if !stream_origins::on_first_event(&self.shared, &self.call, software).await {
+                return false;
+            }
             self.history.software = Some(software.clone());
-            stream_origins::on_first_event(&self.shared, &self.call, software).await;
         }
+        self.has_events = true;
+        true
     }
 
     /// Forwards the stream, resuming it at other endpoints, until it is complete, its caller has
@@ -240,7 +244,10 @@
         let mut chunk = Some(first);
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
-                self.on_events(software.as_ref()).await;
+                if !self.on_events(software.as_ref()).await {
+                    self.splitter = EventSplitter::default();
+                    return ForwardEnd::Broken("the store does not take the stream's origin");
+                }
                 if progress.on_events(&self.splitter) {
                     crash_watch::on_progress(&self.shared, &self.call);
                 }
@@ -317,7 +324,7 @@
         let mut history = self.history.clone();
         history.exclude.push(endpoint.clone());
         let placement = placement_request(&self.call, Instant::now());
-        let exclude = history.excluded(&self.shared, &self.call.service);
+        let exclude = history.excluded(&self.shared, &self.call);
         let placed = tokio::select! {
             placed = place(&self.shared, &placement, &exclude) => placed,
             frame = body.frame() => return TakeoverSearch::Frame(frame),
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -7,7 +7,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -18,7 +18,7 @@
 use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -39,6 +39,10 @@
 const MAX_PENDING: usize = 4096;
 /// Longest time for which the first event of a stream waits until its origin is in the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause after the store did not take origins, before they are appended again.
+const STORE_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time after which a stream may begin at the new version again, to see whether the store takes its origin.
+const STORE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Multiple of a route's timeout that a stream lasts at most, from its first request to the end of the
 /// last one that takes it up.
 const LIFE_TIMEOUTS: u32 = 2;
@@ -64,8 +68,10 @@
     history: RefCell<VersionHistory>,
     origins: RefCell<StreamOrigins>,
     /// Origins that are to be appended to the store.
-    pending: RefCell<Vec<PendingOrigin>>,
+    pending: RefCell<VecDeque<PendingOrigin>>,
     is_flush_scheduled: Cell<bool>,
+    /// When the store last failed to take origins; `None` after it has taken some.
+    unstored_at: Cell<Option<Instant>>,
     /// The next position in the topic of origins.
     next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
@@ -81,8 +87,16 @@
 struct PendingOrigin {
     request: RequestId,
     software: SoftwareVersion,
-    /// Told when it is in the store; dropped if that fails.
-    stored: Option<oneshot::Sender<()>>,
+    /// Told whether the store has taken or has rejected it.
+    stored: Option<oneshot::Sender<Stored>>,
+}
+
+/// Whether an origin is in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stored {
+    Yes,
+    /// It is not, and will not be.
+    Rejected,
 }
 
 impl StreamState {
@@ -118,40 +132,71 @@
 }
 
 /// Records that the stream of a request began at a version, if that does not follow from the history
-/// of its service. Returns once the first event may go to the caller: where the history says that the
-/// stream began at another version, the store has to have its origin by then.
-pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, software: &SoftwareVersion) {
+/// of its service. Where the history says that the stream began at another version, waits until the store
+/// has its origin.
+///
+/// Returns whether the first event may go to the caller: not if the store has rejected the origin and the
+/// stream can begin at the other version instead.
+pub(crate) async fn on_first_event(
+    shared: &Rc<Shared>,
+    call: &Call,
+    software: &SoftwareVersion,
+) -> bool {
     let state = &shared.streams;
     // A longer id is no key of the store; that stream goes on only where it is known.
     let has_key = (1..=MAX_KEY_BYTES).contains(&call.head.id.len());
-    if takes_up(call) || !call.route.resumable || !has_key {
-        return;
+    if takes_up(call) || !call.route.resumable || !has_key || !needs_record(shared, call) {
+        return true;
     }
-    update_if_outdated(shared);
-    let (now_ms, life_ms) = (Shared::unix_ms(), life_ms(call));
-    let unrecorded = {
-        let history = state.history.borrow();
-        if !history.needs_record(now_ms, &call.service, life_ms) {
-            return;
-        }
-        history.unrecorded_origin(now_ms, &call.service, life_ms)
-    };
     let request = &call.head.id;
+    let former = unrecorded_origin(shared, call).filter(|former| former != software);
+    if let Some(former) = &former {
+        let (sender, stored) = oneshot::channel();
+        append_later(shared, request, software, Some(sender));
+        // After the timeout the store may still take the origin, so the stream stays where it is.
+        let stored = timeout(STORE_TIMEOUT, stored).await;
+        if matches!(stored, Ok(Ok(Stored::Rejected))) && serves(shared, call, former) {
+            return false;
+        }
+    }
     state.origins.borrow_mut().insert(request, software);
     let own_zone = &shared.site.zone;
     let is_sent = shared.held_zone(own_zone).is_none()
         && shared.session(own_zone).is_some_and(|session| {
             session.send(&ToHolder::Records(origin_frame(request, software)))
         });
-    if matches!(unrecorded, Origin::Known(other) if other != *software) {
-        let (sender, stored) = oneshot::channel();
-        append_later(shared, request, software, Some(sender));
-        // If it can't be stored, the stream goes on, and the instances of the zone know its origin at
-        // most.
-        timeout(STORE_TIMEOUT, stored).await.ok();
-    } else if !is_sent {
+    if former.is_none() && !is_sent {
         append_later(shared, request, software, None);
     }
+    true
+}
+
+/// Returns the only version at which the stream of a request may begin now: while the store does not take
+/// origins, a stream without a record would be taken for one of the former version. `None` if any version
+/// will do.
+pub(crate) fn required_version(shared: &Rc<Shared>, call: &Call) -> Option<SoftwareVersion> {
+    let unstored_at = shared.streams.unstored_at.get()?;
+    let is_exempt = takes_up(call) || !call.route.resumable;
+    if is_exempt || unstored_at.elapsed() >= STORE_PROBE_INTERVAL || !needs_record(shared, call) {
+        return None;
+    }
+    unrecorded_origin(shared, call).filter(|former| serves(shared, call, former))
+}
+
+/// Returns whether the origin of a stream that begins now has to be recorded.
+fn needs_record(shared: &Rc<Shared>, call: &Call) -> bool {
+    update_if_outdated(shared);
+    let history = shared.streams.history.borrow();
+    history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
+}
+
+/// Returns the version at which a stream of a request's service began that has no record, if it is known.
+fn unrecorded_origin(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
+    let history = shared.streams.history.borrow();
+    match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
+        Origin::Known(software) => Some(software),
+        Origin::Ambiguous => None,
+    }
 }
 
 fn origin_frame(request: &RequestId, software: &SoftwareVersion) -> RecordsFrame {
@@ -184,15 +229,15 @@
     shared: &Rc<Shared>,
     request: &RequestId,
     software: &SoftwareVersion,
-    stored: Option<oneshot::Sender<()>>,
+    stored: Option<oneshot::Sender<Stored>>,
 ) {
     let state = &shared.streams;
     {
         let mut pending = state.pending.borrow_mut();
         if pending.len() >= MAX_PENDING {
-            pending.remove(0);
+            pending.pop_front();
         }
-        pending.push(PendingOrigin {
+        pending.push_back(PendingOrigin {
             request: request.clone(),
             software: software.clone(),
             stored,
@@ -210,13 +255,16 @@
                 shared.streams.is_flush_scheduled.set(false);
                 return;
             }
-            append_batch(&shared, batch).await;
+            if !append_batch(&shared, batch).await {
+                sleep(STORE_RETRY_PAUSE).await;
+            }
         }
     });
 }
 
-/// Appends origins to the store. If that fails, only the instances that know them can tell.
-async fn append_batch(shared: &Rc<Shared>, batch: Vec<PendingOrigin>) {
+/// Appends origins to the store. If that fails, they are pending again, except those whose streams begin
+/// at another version instead. Returns whether the store has them.
+async fn append_batch(shared: &Rc<Shared>, batch: VecDeque<PendingOrigin>) -> bool {
     let records = batch
         .iter()
         .map(|o| (o.request.clone(), o.software.clone()));
@@ -225,14 +273,27 @@
     shared
         .metrics
         .record_store_call(Topic::Streams.label(), result.is_ok());
-    if let Err(error) = result {
-        emit!(shared, warn, OriginsLost; "streams" => batch.len(), "error" => %error);
-        return;
-    }
-    for stored in batch.into_iter().filter_map(|o| o.stored) {
-        // The caller may have disconnected.
-        stored.send(()).ok();
+    let state = &shared.streams;
+    let Err(error) = result else {
+        state.unstored_at.set(None);
+        for stored in batch.into_iter().filter_map(|o| o.stored) {
+            // The caller may have disconnected.
+            stored.send(Stored::Yes).ok();
+        }
+        return true;
+    };
+    state.unstored_at.set(Some(Instant::now()));
+    emit!(shared, warn, OriginsLost; "streams" => batch.len(), "error" => %error);
+    let is_rejected = matches!(error, StoreError::Unavailable(_) | StoreError::Refused(_));
+    let mut pending = state.pending.borrow_mut();
+    for mut origin in batch.into_iter().rev() {
+        let stored = origin.stored.take_if(|_| is_rejected);
+        let is_withdrawn = stored.is_some_and(|s| s.send(Stored::Rejected).is_ok());
+        if !is_withdrawn && pending.len() < MAX_PENDING {
+            pending.push_front(origin);
+        }
     }
+    false
 }
 
 /// Returns the version at which the stream began that a request takes up; `None` if the request takes
@@ -293,19 +354,15 @@
     }
     // A version may have joined without this instance having heard of it.
     catch_up(shared).await?;
-    update_if_outdated(shared);
     let lookup = timeout(LOOKUP_TIMEOUT, look_up_record(shared, call, request));
     let timed_out = |_| Err(StoreError::Unanswered("timed out".into()));
     if let Some(software) = lookup.await.unwrap_or_else(timed_out)? {
         return Ok((Some(software), "the store"));
     }
-    let history = shared.streams.history.borrow();
-    Ok(
-        match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
-            Origin::Known(software) => (Some(software), "the versions that served"),
-            Origin::Ambiguous => (None, "several versions served, and it is not recorded"),
-        },
-    )
+    Ok(match unrecorded_origin(shared, call) {
+        Some(software) => (Some(software), "the versions that served"),
+        None => (None, "several versions served, and it is not recorded"),
+    })
 }
 
 /// Looks for the record of a stream in the store if the history of its service leaves its version open.
@@ -315,11 +372,7 @@
     request: &str,
 ) -> Result<Option<SoftwareVersion>, StoreError> {
     let state = &shared.streams;
-    let needs_record = {
-        let history = state.history.borrow();
-        history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
-    };
-    if !needs_record {
+    if !needs_record(shared, call) {
         return Ok(None);
     }
     read_origins(shared).await?;
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use caraway_platform_standin::{ProxyMode, RESUME_ERROR};
+use caraway_platform_standin::{ProxyMode, RESUME_ERROR, StoreMode};
 use http::StatusCode;
 
 use crate::harness::{Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, has_endpoints};
@@ -328,3 +328,23 @@
         "{continued} of {STREAMS} went on"
     );
 }
+
+// Guards against: the store does not take the records of streams that begin at the new version, and an
+// instance to which they are unknown takes them for streams of the former one.
+#[test]
+fn streams_that_begin_without_the_store_go_on_at_their_software_version() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    let other = start_gateway(&platform, "gate-2");
+    first.wait_for("the versions", || first.has_event(1130));
+    platform.with_parts(|parts| parts.store.set_mode(StoreMode::Away));
+    for gateway in [&first, &other] {
+        gateway.wait_for("the loss of the store", || gateway.has_event(1110));
+    }
+    check_take_ups(&platform, first, |platform, killed| {
+        drop(killed);
+        platform.with_parts(|parts| parts.store.set_mode(StoreMode::Up));
+        other.wait_to_hold("gate-2");
+        other
+    });
+}
