Keep streams of an endpoint that changed its version in place apart

An engine restarted with another software version under its id and address; an instance that had not read its new entry began streams there. They were recorded as of the former version, or not at all, which means the same.

Cause: the version was read off a registry entry that may be older than the process that answers, and no answer names the incarnation that gave it. Class: identity taken from a copy that was not checked.

Change: a connection belongs to one incarnation, so an entry that is read two seconds after the connection was opened, or later, and lists the same incarnation proves which one began the stream. After an endpoint of a service has restarted with another version under its id (shared with the history, a new optional field), a stream on a younger connection is recorded once that is proven, and not resumed before; a stream without a record is ambiguous as long as one from before can exist. A resumable stream does not begin at an endpoint that the instance's registry does not list, as its version is not known and could not be recorded.

Evidence: process test streams_of_an_engine_that_changed_its_version_in_place_are_not_joined failed before (t0 went on at another version) and passes; caraway-streams history has the rule by itself.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -233,7 +233,7 @@
         return false;
     };
     if matches!(change, Change::New | Change::Reborn) {
-        shared.streams.is_outdated.set(true);
+        stream_origins::on_endpoint_started(shared, &endpoint);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
         shared.reach.forget(&id);
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -114,11 +114,13 @@
         excluded
     }
 
-    /// Returns whether an endpoint may go on with the stream, if it has begun. One that this instance
-    /// does not know may have any version.
-    fn fits(&self, shared: &Shared, endpoint: &EndpointId) -> bool {
-        let known = || shared.software_of(endpoint);
-        self.software.is_none() || self.software == known()
+    /// Returns whether an endpoint may begin the stream, or go on with it if it has begun. One that this
+    /// instance does not know may have any version, which a resumable stream must not begin at unrecorded.
+    fn fits(&self, shared: &Shared, call: &Call, endpoint: &EndpointId) -> bool {
+        match (&self.software, shared.software_of(endpoint)) {
+            (None, known) => known.is_some() || !call.route.resumable,
+            (Some(begun), known) => known.as_ref() == Some(begun),
+        }
     }
 }
 
@@ -208,7 +210,7 @@
                 }
             }
         };
-        if !history.fits(shared, &placed.endpoint) {
+        if !history.fits(shared, call, &placed.endpoint) {
             placed.grant.set_outcome(RequestOutcome::NotSent);
             history.exclude.push(placed.endpoint.clone());
             continue;
@@ -553,7 +555,7 @@
     if let Some(reason) = shared.block_reason(&placed.endpoint) {
         return Err(Outcome::NotRun(reason.as_str()).into());
     }
-    if !history.fits(shared, &placed.endpoint) {
+    if !history.fits(shared, call, &placed.endpoint) {
         return Err(Outcome::NotRun(OTHER_SOFTWARE).into());
     }
     if let Some(quarantine) = shared.crash_watch.quarantine(call) {
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use caraway_http::{Aborted, Payload};
 use caraway_placement::RequestOutcome;
-use caraway_types::{EndpointId, SoftwareVersion};
+use caraway_types::EndpointId;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -28,7 +28,7 @@
     request::{Call, InFlightGuard},
     shared::Shared,
     sse::EventSplitter,
-    stream_origins,
+    stream_origins::{self, StreamStart},
 };
 
 /// Chunks that are buffered for a slow caller.
@@ -45,6 +45,8 @@
     splitter: EventSplitter,
     /// Whether the caller has events of this request's stream.
     has_events: bool,
+    /// Where the stream began, if it began at this instance.
+    start: Option<StreamStart>,
     _in_flight: InFlightGuard,
 }
 
@@ -121,21 +123,24 @@
             history,
             splitter,
             has_events: false,
+            start: None,
             _in_flight: in_flight,
         }
     }
 
-    /// Binds the stream to the software version that wrote its first event. Returns false if the stream
-    /// has to begin anew at another version.
-    async fn on_events(&mut self, software: Option<&SoftwareVersion>) -> bool {
+    /// Binds the stream to the software version that wrote its first event; `start` is `None` if the
+    /// registry does not list the endpoint. Returns false if the stream has to begin anew at another
+    /// version.
+    async fn on_events(&mut self, start: Option<&StreamStart>) -> bool {
         if self.has_events {
             return true;
         }
-        if let Some(software) = software.filter(|_| self.history.software.is_none()) {
-            if !stream_origins::on_first_event(&self.shared, &self.call, software).await {
+        if let Some(start) = start.filter(|_| self.history.software.is_none()) {
+            if !stream_origins::on_first_event(&self.shared, &self.call, start).await {
                 return false;
             }
-            self.history.software = Some(software.clone());
+            self.history.software = Some(start.software.clone());
+            self.start = Some(start.clone());
         }
         self.has_events = true;
         true
@@ -191,6 +196,10 @@
         if self.has_events && self.history.software.is_none() {
             return None;
         }
+        let start = self.start.as_ref();
+        if start.is_some_and(|s| s.is_in_doubt(&self.shared, &self.call)) {
+            return None;
+        }
         if placed.is_none() && !try_acquire_rerun(&self.shared, &self.call, &self.history) {
             return None;
         }
@@ -233,6 +242,11 @@
             sent_at,
             ..
         } = stream;
+        let start = software.map(|software| StreamStart {
+            incarnation: incarnation.clone(),
+            software,
+            opened_at: pooled.connection.opened_at(),
+        });
         let deadline = self.call.caller_deadline + DEADLINE_GRACE;
         let silence_limit = self.call.route.max_gap.unwrap_or(DEFAULT_MAX_GAP) * SILENT_GAPS;
         let event_timeout = self.call.route.event_timeout() + DEADLINE_GRACE;
@@ -244,7 +258,7 @@
         let mut chunk = Some(first);
         while let Some(bytes) = chunk {
             if let Some(events) = self.splitter.push(&bytes) {
-                if !self.on_events(software.as_ref()).await {
+                if !self.on_events(start.as_ref()).await {
                     self.splitter = EventSplitter::default();
                     return ForwardEnd::Broken("the store does not take the stream's origin");
                 }
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -14,16 +14,18 @@
 };
 
 use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic, versions_key};
+use caraway_routes::Endpoint;
 use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory};
 use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use crate::{
     apply::RecordSource,
     catch_up::catch_up,
+    endpoint_signals::EndpointIncarnation,
     event::emit,
     executor::millis,
     frame::{RecordsFrame, ToHolder},
@@ -43,6 +45,10 @@
 const STORE_RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which a stream may begin at the new version again, to see whether the store takes its origin.
 const STORE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time from the start of an endpoint until instances can read its registry entry.
+const ENTRY_LAG: Duration = Duration::from_secs(2);
+/// Number of endpoints beyond which the software versions of those that have left are forgotten.
+const MAX_ENDPOINTS: usize = 4096;
 /// Multiple of a route's timeout that a stream lasts at most, from its first request to the end of the
 /// last one that takes it up.
 const LIFE_TIMEOUTS: u32 = 2;
@@ -78,6 +84,8 @@
     reading: Mutex<()>,
     /// Whether endpoints have changed since the history was updated.
     pub(crate) is_outdated: Cell<bool>,
+    /// Software versions of endpoints by id, also of those that have left.
+    last_software: RefCell<HashMap<EndpointId, SoftwareVersion>>,
     /// Histories that are to be shared unless another instance shares the same first.
     unshared: RefCell<HashMap<Arc<str>, HistoryRecord>>,
 }
@@ -91,6 +99,36 @@
     stored: Option<oneshot::Sender<Stored>>,
 }
 
+/// Where a stream began.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamStart {
+    /// The incarnation that the registry listed when the request was sent.
+    pub(crate) incarnation: EndpointIncarnation,
+    /// Its software version.
+    pub(crate) software: SoftwareVersion,
+    /// When the connection was opened.
+    pub(crate) opened_at: Instant,
+}
+
+impl StreamStart {
+    /// Returns whether the connection is so new that the endpoint may have restarted before it was opened,
+    /// without the registry having listed the new incarnation.
+    fn is_recent(&self) -> bool {
+        self.opened_at.elapsed() < ENTRY_LAG
+    }
+
+    /// Returns whether another incarnation than the listed one may have begun the stream.
+    pub(crate) fn is_in_doubt(&self, shared: &Shared, call: &Call) -> bool {
+        self.is_recent() && was_replaced(shared, call)
+    }
+
+    /// Returns whether the registry still lists the incarnation.
+    fn is_listed(&self, shared: &Shared) -> bool {
+        let listed = EndpointIncarnation::registered(shared, &self.incarnation.endpoint);
+        listed.started_ms == self.incarnation.started_ms
+    }
+}
+
 /// Whether an origin is in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stored {
@@ -121,6 +159,25 @@
     }
 }
 
+/// Records the software version of an endpoint that has joined or restarted.
+pub(crate) fn on_endpoint_started(shared: &Shared, endpoint: &Endpoint) {
+    let state = &shared.streams;
+    state.is_outdated.set(true);
+    if !endpoint.is_engine {
+        return;
+    }
+    let mut known = state.last_software.borrow_mut();
+    if known.len() >= MAX_ENDPOINTS {
+        let directory = shared.directory.borrow();
+        known.retain(|id, _| directory.get(id).is_some());
+    }
+    let former = known.insert(endpoint.id.clone(), endpoint.software.clone());
+    if former.is_some_and(|f| f != endpoint.software) {
+        let mut history = state.history.borrow_mut();
+        history.set_replaced(&endpoint.service, Shared::unix_ms());
+    }
+}
+
 /// Returns how long the streams of a request's route last at most, in milliseconds.
 fn life_ms(call: &Call) -> u64 {
     millis(call.route.timeout * LIFE_TIMEOUTS)
@@ -131,18 +188,14 @@
     call.head.resumes.is_some() || call.head.resume_after.is_some()
 }
 
-/// Records that the stream of a request began at a version, if that does not follow from the history
+/// Records at which version the stream of a request began, if that does not follow from the history
 /// of its service. Where the history says that the stream began at another version, waits until the store
 /// has its origin.
 ///
 /// Returns whether the first event may go to the caller: not if the store has rejected the origin and the
 /// stream can begin at the other version instead.
-pub(crate) async fn on_first_event(
-    shared: &Rc<Shared>,
-    call: &Call,
-    software: &SoftwareVersion,
-) -> bool {
-    let state = &shared.streams;
+pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, start: &StreamStart) -> bool {
+    let software = &start.software;
     // A longer id is no key of the store; that stream goes on only where it is known.
     let has_key = (1..=MAX_KEY_BYTES).contains(&call.head.id.len());
     if takes_up(call) || !call.route.resumable || !has_key || !needs_record(shared, call) {
@@ -159,18 +212,48 @@
             return false;
         }
     }
-    state.origins.borrow_mut().insert(request, software);
-    let own_zone = &shared.site.zone;
-    let is_sent = shared.held_zone(own_zone).is_none()
-        && shared.session(own_zone).is_some_and(|session| {
-            session.send(&ToHolder::Records(origin_frame(request, software)))
-        });
-    if former.is_none() && !is_sent {
+    if former.is_none() && start.is_in_doubt(shared, call) {
+        tokio::task::spawn_local(record_when_proven(
+            shared.clone(),
+            request.clone(),
+            start.clone(),
+        ));
+        return true;
+    }
+    if !record_in_zone(shared, request, software) && former.is_none() {
         append_later(shared, request, software, None);
     }
     true
 }
 
+/// Records the origin of a stream once the registry proves which incarnation of the endpoint began it.
+async fn record_when_proven(shared: Rc<Shared>, request: RequestId, start: StreamStart) {
+    sleep_until(start.opened_at + ENTRY_LAG).await;
+    let why = match catch_up(&shared).await {
+        Ok(()) if start.is_listed(&shared) => {
+            if !record_in_zone(&shared, &request, &start.software) {
+                append_later(&shared, &request, &start.software, None);
+            }
+            return;
+        }
+        Ok(()) => "its endpoint has restarted".to_owned(),
+        Err(e) => e.to_string(),
+    };
+    emit!(shared, warn, OriginsLost; "streams" => 1, "request" => &*request, "error" => why);
+}
+
+/// Records an origin here and at the holder of the zone, which appends it to the store; returns whether
+/// that got it.
+fn record_in_zone(shared: &Shared, request: &RequestId, software: &SoftwareVersion) -> bool {
+    let mut origins = shared.streams.origins.borrow_mut();
+    origins.insert(request, software);
+    let own_zone = &shared.site.zone;
+    shared.held_zone(own_zone).is_none()
+        && shared.session(own_zone).is_some_and(|session| {
+            session.send(&ToHolder::Records(origin_frame(request, software)))
+        })
+}
+
 /// Returns the only version at which the stream of a request may begin now: while the store does not take
 /// origins, a stream without a record would be taken for one of the former version. `None` if any version
 /// will do.
@@ -190,6 +273,12 @@
     history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
 }
 
+/// Returns whether an endpoint of a request's service restarted lately with another version under its id.
+fn was_replaced(shared: &Shared, call: &Call) -> bool {
+    let history = shared.streams.history.borrow();
+    history.was_replaced(Shared::unix_ms(), &call.service, life_ms(call))
+}
+
 /// Returns the version at which a stream of a request's service began that has no record, if it is known.
 fn unrecorded_origin(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
     let history = shared.streams.history.borrow();
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -135,6 +135,23 @@
         });
     }
 
+    /// Registers an engine of the service `mixed` as one that has restarted with another version.
+    pub(crate) fn replace_mixed(&self, number: usize, software: &'static str) {
+        self.with_parts(move |parts| {
+            let mut entry = registry_entry(
+                "mixed",
+                "z1",
+                parts.mixed_addrs[number],
+                2,
+                Some(held_models(true)),
+            );
+            entry["Version"] = json!(software);
+            parts
+                .store
+                .publish("keyed.servers", MIXED_IDS[number], &entry);
+        });
+    }
+
     /// Publishes a record to the store, as an operator or an endpoint does.
     pub(crate) fn publish(&self, topic: &'static str, key: &'static str, value: Value) {
         self.with_parts(move |parts| parts.store.publish(topic, key, &value));
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -348,3 +348,37 @@
         other
     });
 }
+
+// Guards against: an engine has restarted with another version under its id, and an instance that has not
+// read its new entry begins streams there, which are then taken for streams of the former version.
+#[test]
+fn streams_of_an_engine_that_changed_its_version_in_place_are_not_joined() {
+    let platform = start_platform();
+    platform.remove_mixed(2);
+    platform.remove_mixed(3);
+    let away = Gateway::start_as(platform.store_proxy_addr, "gate-1");
+    away.wait_to_hold("gate-1");
+    let other = Gateway::start_as(platform.store_addr, "gate-2");
+    for gateway in [&away, &other] {
+        gateway.wait_for("the endpoints", || has_endpoints(gateway, &MIXED_IDS[..2]));
+    }
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Silent));
+    away.wait_for("the loss of the store", || away.has_event(1110));
+    platform.replace_mixed(0, "v2");
+    other.wait_for("the new entry", || other.has_line(1120, "change", "Reborn"));
+    let open: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| read_until_event(away.front, &format!("s{n}"), n % 4, 2))
+        .collect();
+    drop(open);
+    for number in 0..STREAMS {
+        let id = format!("t{number}");
+        let began = engine_of(&platform, &format!("s{number}")).expect("it ran");
+        let answer = take_up(&other, &id, &format!("s{number}"), number % 4);
+        if let Some(engine) = engine_of(&platform, &id) {
+            // Both engines had the same version before.
+            assert_eq!(engine, began, "{id} went on at another version");
+        } else {
+            assert!(answer.contains("\"not_run\""), "{answer}");
+        }
+    }
+}
--- a/crates/caraway-streams/src/history.rs
+++ b/crates/caraway-streams/src/history.rs
@@ -1,7 +1,7 @@
 //! [`VersionHistory`]: which versions of a service's software served when.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -32,6 +32,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct VersionHistory {
     services: HashMap<Arc<str>, Vec<VersionRecord>>,
+    /// When an endpoint of a service last restarted with another version under its id.
+    replaced: HashMap<Arc<str>, u64>,
+    /// Services for which other instances have to know that.
+    newly_replaced: HashSet<Arc<str>>,
     /// Versions without an endpoint, and since when.
     missing: HashMap<(Arc<str>, SoftwareVersion), u64>,
 }
@@ -42,17 +46,35 @@
         let versions = record.versions.iter().take(MAX_VERSIONS);
         self.services
             .insert(record.service.clone(), versions.cloned().collect());
+        if let Some(at) = record.replaced {
+            let replaced = self.replaced.entry(record.service.clone()).or_default();
+            *replaced = at.max(*replaced);
+            self.newly_replaced.remove(&record.service);
+        }
+    }
+
+    /// Records that an endpoint of a service has restarted with another version under its id, at `at_ms` or
+    /// before. An instance that does not know it yet takes streams that begin there for streams of the
+    /// former version.
+    pub fn set_replaced(&mut self, service: &Arc<str>, at_ms: u64) {
+        let replaced = self.replaced.entry(service.clone()).or_default();
+        *replaced = at_ms.max(*replaced);
+        self.newly_replaced.insert(service.clone());
+    }
+
+    fn record(&self, service: &Arc<str>, versions: &[VersionRecord]) -> HistoryRecord {
+        HistoryRecord {
+            service: service.clone(),
+            versions: versions.to_vec(),
+            replaced: self.replaced.get(service).copied(),
+        }
     }
 
     /// Returns the histories of the services that have had several versions.
     #[must_use]
     pub fn records(&self) -> Vec<HistoryRecord> {
         let several = self.services.iter().filter(|(_, v)| v.len() > 1);
-        let record = |(service, versions): (&Arc<str>, &Vec<VersionRecord>)| HistoryRecord {
-            service: service.clone(),
-            versions: versions.clone(),
-        };
-        several.map(record).collect()
+        several.map(|(s, v)| self.record(s, v)).collect()
     }
 
     /// Updates the history of a service by the versions of its endpoints, each with the earliest start
@@ -69,7 +91,7 @@
         }
         let is_first = !self.services.contains_key(service);
         let versions = self.services.entry(service.clone()).or_default();
-        let mut is_changed = false;
+        let mut is_changed = self.newly_replaced.remove(service);
         // Of versions that are seen together for the first time, the oldest endpoint has the former
         // one.
         let mut by_start: Vec<_> = present.iter().collect();
@@ -109,10 +131,11 @@
         if versions.len() > MAX_VERSIONS {
             versions.remove(0);
         }
-        is_changed.then(|| HistoryRecord {
-            service: service.clone(),
-            versions: versions.clone(),
-        })
+        if !is_changed {
+            return None;
+        }
+        let versions = &self.services[service];
+        Some(self.record(service, versions))
     }
 
     /// Returns whether the origin of a stream that begins now at `software` has to be recorded.
@@ -128,8 +151,9 @@
         let candidates = self.candidates(now_ms, service, life_ms);
         match &candidates[..] {
             [only] => Origin::Known(only.software.clone()),
-            // Streams that began since the versions serve side by side are recorded.
-            [former, others @ ..] => {
+            // Streams that began since the versions serve side by side are recorded, except by instances
+            // that did not know of an endpoint's new version.
+            [former, others @ ..] if !self.was_replaced(now_ms, service, life_ms) => {
                 let is_recent = |v: &&VersionRecord| {
                     v.since.is_some_and(|s| s.saturating_add(life_ms) > now_ms)
                 };
@@ -142,10 +166,19 @@
                     Origin::Ambiguous
                 }
             }
-            [] => Origin::Ambiguous,
+            _ => Origin::Ambiguous,
         }
     }
 
+    /// Returns whether a stream that exists now can have begun after an endpoint had restarted with another
+    /// version under its id.
+    #[must_use]
+    pub fn was_replaced(&self, now_ms: u64, service: &str, life_ms: u64) -> bool {
+        let lasted = life_ms.saturating_add(CLOCK_SLACK_MS);
+        let replaced = self.replaced.get(service);
+        replaced.is_some_and(|at| at.saturating_add(lasted) > now_ms)
+    }
+
     /// Returns the versions at which a stream may have begun that exists now, the earliest first.
     fn candidates(&self, now_ms: u64, service: &str, life_ms: u64) -> Vec<&VersionRecord> {
         let versions = self.services.get(service).map(Vec::as_slice);
--- a/crates/caraway-streams/src/record.rs
+++ b/crates/caraway-streams/src/record.rs
@@ -12,6 +12,13 @@
     pub service: Arc<str>,
     /// The versions.
     pub versions: Vec<VersionRecord>,
+    /// When an endpoint last restarted with another version under its id, in Unix milliseconds.
+    #[serde(
+        rename = "replaced_ms",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub replaced: Option<u64>,
 }
 
 /// When a version served. Times are in Unix milliseconds.
--- a/crates/caraway-streams/tests/history.rs
+++ b/crates/caraway-streams/tests/history.rs
@@ -152,6 +152,7 @@
             version("v1", Some(u64::MAX), Some(u64::MAX)),
             version("v2", Some(0), Some(u64::MAX)),
         ],
+        replaced: None,
     });
     update(&mut history, START, &[("v1", u64::MAX)]);
     assert_eq!(origin(&history, START), Origin::Ambiguous);
@@ -180,3 +181,23 @@
     assert_eq!(origins.get("r1"), None);
     assert_eq!(origins.get("n39999").map(|s| &**s), Some("v2"));
 }
+
+// Guards against: an instance that has not read the new entry of an endpoint begins streams there without
+// a record, which are taken for streams of the former version.
+#[test]
+fn unrecorded_streams_are_ambiguous_after_an_endpoint_changed_its_version() {
+    let mut history = VersionHistory::default();
+    update(&mut history, START, &[("v1", 5)]);
+    let release = START + 60_000;
+    history.set_replaced(&SERVICE.into(), release);
+    assert!(update(&mut history, release, &[("v1", 5), ("v2", release)]));
+    assert_eq!(origin(&history, release + 1000), Origin::Ambiguous);
+    let mut other = VersionHistory::default();
+    other.adopt(&history.records()[0]);
+    assert_eq!(origin(&other, release + 1000), Origin::Ambiguous);
+    assert!(!update(
+        &mut history,
+        release + 1000,
+        &[("v1", 5), ("v2", release)]
+    ));
+}
