--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -22,6 +22,8 @@
     Pause(usize),
     /// Sends the gateway a SIGTERM; it is started again once it has exited.
     Stop(usize),
+    /// Stops the gateway; its next process is one of the other build.
+    Replace(usize),
     /// Sends the gateway a SIGHUP, on which it reloads its settings.
     Reload(usize),
     /// Puts the store into this mode, for all gateways.
@@ -92,6 +94,9 @@
     faults.push(schedule_deadly_prompts(plan));
     faults.extend(schedule_releases(plan));
     faults.extend(schedule_store_return(plan));
+    if plan.former.is_some() {
+        faults.extend(schedule_replacements(plan));
+    }
     faults.sort_by_key(|f| f.at);
     faults
 }
@@ -184,6 +189,29 @@
         .collect()
 }
 
+/// Added to the seed of the draws of replaced gateways.
+const REPLACE_SEED: u64 = 1 << 37;
+
+/// Draws when each gateway is replaced by one of the other build, and half of them back.
+fn schedule_replacements(plan: &Plan) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + REPLACE_SEED);
+    let mut gateways: Vec<usize> = (0..plan.zones * plan.instances).collect();
+    gateways.shuffle(&mut rng);
+    let back = gateways[..gateways.len() / 2].to_vec();
+    let ranges = [(gateways, 0.0..0.6), (back, 0.6..1.0)];
+    let mut replacements = Vec::new();
+    for (gateways, range) in ranges {
+        for gateway in gateways {
+            replacements.push(Timed {
+                at: plan.fault_period.mul_f64(rng.random_range(range.clone())),
+                lasts: Duration::ZERO,
+                fault: Fault::Replace(gateway),
+            });
+        }
+    }
+    replacements
+}
+
 /// Added to the seed of the draw of the store's return.
 const STORE_RETURN_SEED: u64 = 1 << 36;
 /// Range of the age of the copy from which the store returns, in milliseconds.
--- a/crates/caraway-soak/src/gateway.rs
+++ b/crates/caraway-soak/src/gateway.rs
@@ -19,8 +19,8 @@
 /// Paths that all gateways of a run share.
 #[derive(Clone, Debug)]
 pub(crate) struct GatewayFiles {
-    /// Executable of the gateway.
-    pub(crate) program: PathBuf,
+    /// Executables of the gateway; there are two if two builds run side by side.
+    pub(crate) programs: Vec<PathBuf>,
     /// Directory of the settings files and logs.
     pub(crate) directory: PathBuf,
 }
@@ -31,11 +31,14 @@
     pub(crate) name: String,
     pub(crate) front_addr: SocketAddr,
     files: GatewayFiles,
+    /// Index of the executable of the next process.
+    build: usize,
     child: Option<Child>,
 }
 
 impl Gateway {
-    /// Writes the settings of an instance that reaches the store at `store`, and starts it.
+    /// Writes the settings of an instance that reaches the store at `store`, and starts it with one of the
+    /// executables, counted over and over.
     ///
     /// An instance with `is_limited` gets limited resources; it hands over its zone to an instance
     /// without this limit.
@@ -46,6 +49,7 @@
         zones: &[&str],
         store: SocketAddr,
         is_limited: bool,
+        build: usize,
     ) -> Result<Self> {
         let [front, ready, peers] = free_addrs().context("no free ports")?;
         let addresses = Addresses {
@@ -62,6 +66,7 @@
             name: name.to_owned(),
             front_addr: front,
             files: files.clone(),
+            build,
             child: None,
         };
         std::fs::write(gateway.path("json"), text.to_string())
@@ -80,18 +85,32 @@
             .append(true)
             .open(self.path("log"))
             .context("can't write the log")?;
-        let child = Command::new(&self.files.program)
+        let program = &self.files.programs[self.build % self.files.programs.len()];
+        let child = Command::new(program)
             .arg("--settings")
             .arg(self.path("json"))
             .stdout(log)
             .stderr(Stdio::inherit())
             .kill_on_drop(true)
             .spawn()
-            .with_context(|| format!("can't start {}", self.files.program.display()))?;
+            .with_context(|| format!("can't start {}", program.display()))?;
         self.child = Some(child);
         Ok(())
     }
 
+    /// Sets that the next process is one of the other build.
+    pub(crate) fn change_build(&mut self) {
+        self.build += 1;
+    }
+
+    /// Returns the number of sessions that it has lost because it did not understand a frame.
+    pub(crate) fn count_invalid_frames(&self) -> usize {
+        // An instance that has logged nothing has lost none.
+        let log = std::fs::read_to_string(self.path("log")).unwrap_or_default();
+        let is_invalid = |l: &&str| l.contains("invalid frame");
+        log.lines().filter(is_invalid).count()
+    }
+
     /// Sends a signal to the process if it is running.
     pub(crate) fn signal(&mut self, signal: Signal) {
         if !self.is_running() {
--- a/crates/caraway-soak/src/main.rs
+++ b/crates/caraway-soak/src/main.rs
@@ -23,6 +23,8 @@
             optional --engines engines: usize
             /// Executable of the gateway; by default caraway-gateway beside this program.
             optional --program program: PathBuf
+            /// Executable of another build of the gateway, to run side by side with the first.
+            optional --former former: PathBuf
             /// Print the faults of the seeds without running them.
             optional --list
         }
@@ -52,6 +54,7 @@
     for seed in first..=last {
         let plan = Plan {
             program: program.clone(),
+            former: flags.former.clone(),
             seed,
             fault_period: flags
                 .seconds
--- a/crates/caraway-soak/src/plan.rs
+++ b/crates/caraway-soak/src/plan.rs
@@ -7,6 +7,9 @@
 pub struct Plan {
     /// Executable of the gateway.
     pub program: PathBuf,
+    /// Executable of another build, which half of the instances of each zone run at the start; instances
+    /// are replaced by ones of the other build and back.
+    pub former: Option<PathBuf>,
     /// Seed of the faults and of the requests that callers choose.
     pub seed: u64,
     /// Period in which faults start.
@@ -30,6 +33,7 @@
     fn default() -> Self {
         Self {
             program: "caraway-gateway".into(),
+            former: None,
             seed: 1,
             fault_period: Duration::from_secs(8),
             // With two zones of two instances, each zone has a holder of its own, and one can fail
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -13,7 +13,7 @@
 use crate::{
     Plan, Timed,
     caller::{Caller, Outcome, RequestResult, ResultLog, has_route},
-    gateway::GatewayFiles,
+    gateway::{Gateway, GatewayFiles},
     schedule,
     testbed::{RESTART_INTERVAL, Testbed},
 };
@@ -47,6 +47,8 @@
     pub served: usize,
     /// Number of requests that were refused with status 503.
     pub refused: usize,
+    /// Number of sessions between instances that were lost because one did not understand the other.
+    pub invalid_frames: usize,
     /// Violations of the guarantees, each starting with the name of the check; empty if all hold.
     pub violations: Vec<String>,
     /// Directory of the gateways' logs; `None` if there were no violations, as it is removed then.
@@ -62,8 +64,8 @@
         };
         write!(
             f,
-            "seed {}: {verdict}; {} faults; {} requests, {} served, {} refused",
-            self.seed, self.faults, self.sent, self.served, self.refused
+            "seed {}: {verdict}; {} faults; {} requests, {} served, {} refused; {} invalid frames",
+            self.seed, self.faults, self.sent, self.served, self.refused, self.invalid_frames
         )?;
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
@@ -86,7 +88,10 @@
     let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory).context("can't create the directory for logs")?;
     let files = GatewayFiles {
-        program: plan.program.clone(),
+        programs: std::iter::once(&plan.program)
+            .chain(&plan.former)
+            .cloned()
+            .collect(),
         directory: directory.clone(),
     };
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -170,6 +175,9 @@
     restart_task.abort();
     let results = result_log.take();
     violations.extend(find_violations(&testbed.borrow(), &results));
+    let testbed = testbed.borrow();
+    let invalid_frames = testbed.gateways.iter().map(Gateway::count_invalid_frames);
+    let invalid_frames = invalid_frames.sum();
     let count = |outcome: Outcome| results.iter().filter(|r| r.outcome == outcome).count();
     Ok(Report {
         seed: plan.seed,
@@ -177,6 +185,7 @@
         sent: results.len(),
         served: count(Outcome::Served),
         refused: count(Outcome::Status(503)),
+        invalid_frames,
         violations,
         logs: None,
     })
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -162,7 +162,10 @@
                 let proxy = Proxy::start(addr).await.context("can't start a proxy")?;
                 let name = format!("gate-{zone}-{number}");
                 let is_limited = number % 2 == 1;
-                let gateway = Gateway::start(files, &name, zone, &zones, proxy.addr(), is_limited)?;
+                // Which half of the instances runs which build depends on the seed.
+                let build = number + usize::from(plan.seed.is_multiple_of(2));
+                let store = proxy.addr();
+                let gateway = Gateway::start(files, &name, zone, &zones, store, is_limited, build)?;
                 testbed.store_proxies.push(proxy);
                 testbed.gateways.push(gateway);
                 testbed.keep_running.push(true);
@@ -247,7 +250,9 @@
             Fault::Kill(number) | Fault::Pause(number) => {
                 self.disturb(number, lasts + SETTLE_TIME);
             }
-            Fault::Stop(number) => self.disturb(number, STOP_TIME + SETTLE_TIME),
+            Fault::Stop(number) | Fault::Replace(number) => {
+                self.disturb(number, STOP_TIME + SETTLE_TIME);
+            }
             Fault::Store(_) | Fault::StoreWay(..) | Fault::StoreReturn | Fault::StoreRewrite => {
                 let gateway = match fault {
                     Fault::StoreWay(number, _) => Some(number),
@@ -271,6 +276,10 @@
             }
             Fault::Pause(number) => self.gateways[number].signal(Signal::SIGSTOP),
             Fault::Stop(number) => self.gateways[number].signal(Signal::SIGTERM),
+            Fault::Replace(number) => {
+                self.gateways[number].change_build();
+                self.gateways[number].signal(Signal::SIGTERM);
+            }
             Fault::Reload(number) => self.gateways[number].signal(Signal::SIGHUP),
             Fault::Store(mode) => self.store.set_mode(mode),
             Fault::StoreWay(number, mode) => self.store_proxies[number].set_mode(mode),
@@ -331,6 +340,7 @@
                 }
             }
             Fault::Stop(_)
+            | Fault::Replace(_)
             | Fault::StoreRewrite
             | Fault::Reload(_)
             | Fault::Restart(_)
