Encode frames between instances by name, skip unknown ones and reopen sessions ever later

Cause: frames were encoded by position, so a reader took one with more fields for invalid; one such frame ended the session, which was opened again after 0.1 s, over and over. Class: a message whose meaning depends on all readers having its shape.

Change: frames are encoded with field names, which the decoders of both older builds read as well; fields that are not known are ignored, missing ones have defaults, an outcome or reason that is not known has a stated meaning. A frame that can't be decoded is skipped, with one line a kind (event 1212) and a count; only a length beyond the limit ends a session. A session that ends right after it was opened is opened again after 0.1 s, 0.2 s and so on up to 5 s. Instances state their build in a header of the session (events 1000, 1210, 1213). No request is handed over to a build that takes none: it does not state whether it is cut off, and answers as to a session.

Process tests: builds::frames_of_a_later_build_are_understood_or_skipped and builds::sessions_that_end_at_once_are_opened_again_ever_later.

--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -99,6 +99,10 @@
     SessionOpened = 1210, "session up", 20;
     /// A session to a zone's holder ended.
     SessionLost = 1211, "session lost", 20;
+    /// Another instance has opened a session to this one.
+    PeerConnected = 1213, "instance connected", 20;
+    /// A frame of another instance was skipped, as it can't be decoded; once for each kind.
+    FrameSkipped = 1212, "frame skipped", 20;
     /// An order to an endpoint ended, with or without an answer.
     OrderEnded = 1300, "order ended", 60;
     /// An endpoint sent its report.
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -2,15 +2,22 @@
 //!
 //! They are sent in both directions over one HTTP call whose request and response bodies stay open.
 //! Each frame is preceded by its length.
+//!
+//! Instances of several builds run side by side, so frames may grow but never change their meaning:
+//! fields are encoded by name, a reader ignores those that it does not know, and a field that was added
+//! has a default for frames of builds without it. A frame of an unknown kind is skipped.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::Record;
 use caraway_routes::{ModelRef, RequestRate, TokenCount};
 use caraway_types::{EndpointId, FencingToken, Millis, Offset, StoreEra, Ticket, ZoneId};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
+};
 
 use crate::shared::Holder;
 
@@ -18,6 +25,10 @@
 const LENGTH_BYTES: usize = 4;
 /// Largest accepted frame, in bytes; the largest ones hold a configuration and its records.
 const FRAME_LIMIT_BYTES: usize = 8 << 20;
+/// Longest kind of a skipped frame in a log line, in bytes.
+const MAX_KIND_BYTES: usize = 64;
+/// Longest description of what is wrong with a frame, in bytes.
+const MAX_PROBLEM_BYTES: usize = 200;
 
 /// A frame from an instance to a holder.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -54,6 +65,7 @@
         /// Time left until the caller stops waiting.
         deadline: Millis,
         /// Endpoints that must not be chosen.
+        #[serde(default)]
         avoid: Vec<EndpointId>,
     },
     /// A request that an earlier holder granted is still running.
@@ -69,7 +81,8 @@
     End {
         /// Identifies the request.
         ticket: Ticket,
-        /// How the request ended.
+        /// How the request ended; an unknown outcome is taken for one that frees the endpoint's slot.
+        #[serde(deserialize_with = "known_or_default")]
         end: RequestOutcome,
     },
     /// The endpoint has made no progress with a request for too long.
@@ -111,9 +124,10 @@
         /// The request limits of the zone's endpoints that the sender knows.
         #[serde(default)]
         limits: Vec<LimitFrame>,
-        /// Whether the sender reaches no endpoint.
+        /// Whether the sender reaches no endpoint; `None` if its build does not know, and serves no
+        /// requests for other instances.
         #[serde(default)]
-        cut: bool,
+        cut: Option<bool>,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
@@ -180,11 +194,13 @@
     Refuse {
         /// Identifies the request.
         ticket: Ticket,
-        /// Why the request is refused.
+        /// Why the request is refused; an unknown reason is taken for a lack of endpoints.
+        #[serde(deserialize_with = "known_or_default")]
         reason: RefuseReason,
         /// Delay after which the caller may retry.
         after: Millis,
         /// Number of requests that wait at the placer.
+        #[serde(default)]
         waiting: usize,
     },
     /// The sender gives no more orders and hands the zone over.
@@ -268,9 +284,20 @@
     }
 }
 
+/// Decodes the name of a value, or returns the default if it is not known.
+fn known_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned + Default,
+{
+    let name = Arc::<str>::deserialize(deserializer)?;
+    let known: Result<T, value::Error> = T::deserialize((*name).into_deserializer());
+    Ok(known.unwrap_or_default())
+}
+
 /// Encodes a frame with its length before it.
 pub(crate) fn encode<T: Serialize>(frame: &T) -> Bytes {
-    let body = rmp_serde::to_vec(frame).expect("frames have only plain data");
+    let body = rmp_serde::to_vec_named(frame).expect("frames have only plain data");
     let mut bytes = BytesMut::with_capacity(LENGTH_BYTES + body.len());
     bytes.put_u32(u32::try_from(body.len()).expect("frames are short"));
     bytes.put_slice(&body);
@@ -283,9 +310,27 @@
     buffer: BytesMut,
 }
 
-/// A frame that is too long or can't be decoded.
+/// A frame that was received.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Received<T> {
+    /// A frame of a known kind.
+    Frame(T),
+    /// A frame that can't be decoded; those after it can.
+    Skipped(SkippedFrame),
+}
+
+/// A frame that can't be decoded, as its kind is not known or as it is malformed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SkippedFrame {
+    /// The kind that it states; empty if it states none.
+    pub(crate) kind: Arc<str>,
+    /// What is wrong with it.
+    pub(crate) problem: Arc<str>,
+}
+
+/// A frame that is too long, so that the ones after it can't be found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct InvalidFrame;
+pub(crate) struct FrameTooLong;
 
 impl FrameReader {
     /// Appends received bytes to the buffer.
@@ -297,22 +342,73 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the frame is too long or can't be decoded.
-    pub(crate) fn next<T: DeserializeOwned>(&mut self) -> Result<Option<T>, InvalidFrame> {
+    /// Returns an error if the frame is too long.
+    pub(crate) fn next<T: DeserializeOwned>(
+        &mut self,
+    ) -> Result<Option<Received<T>>, FrameTooLong> {
         let Some(mut head) = self.buffer.get(..LENGTH_BYTES) else {
             return Ok(None);
         };
         let len = head.get_u32() as usize;
         if len > FRAME_LIMIT_BYTES {
-            return Err(InvalidFrame);
+            return Err(FrameTooLong);
         }
         if self.buffer.len() < LENGTH_BYTES + len {
             return Ok(None);
         }
         self.buffer.advance(LENGTH_BYTES);
         let body = self.buffer.split_to(len);
-        rmp_serde::from_slice(&body)
-            .map(Some)
-            .map_err(|_| InvalidFrame)
+        Ok(Some(decode(&body)))
+    }
+}
+
+/// Decodes a frame without the length before it.
+pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Received<T> {
+    match rmp_serde::from_slice(body) {
+        Ok(frame) => Received::Frame(frame),
+        Err(e) => {
+            let (kind, mut problem) = (kind_of(body), e.to_string());
+            problem.truncate(problem.floor_char_boundary(MAX_PROBLEM_BYTES));
+            Received::Skipped(SkippedFrame {
+                kind: kind.into(),
+                problem: problem.into(),
+            })
+        }
+    }
+}
+
+/// Returns the kind that a frame states; empty if it states none.
+fn kind_of(body: &[u8]) -> String {
+    let FrameKind(mut kind) = rmp_serde::from_slice(body).unwrap_or_default();
+    kind.truncate(kind.floor_char_boundary(MAX_KIND_BYTES));
+    kind
+}
+
+/// The kind of a frame; decoding it leaves the rest of the frame unread.
+#[derive(Default)]
+struct FrameKind(String);
+
+impl<'de> Deserialize<'de> for FrameKind {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(KindVisitor).map(Self)
+    }
+}
+
+struct KindVisitor;
+
+impl<'de> Visitor<'de> for KindVisitor {
+    type Value = String;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a frame")
+    }
+
+    /// A frame without fields is only a name.
+    fn visit_str<E: Error>(self, kind: &str) -> Result<String, E> {
+        Ok(kind.to_owned())
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<String, A::Error> {
+        Ok(map.next_key()?.unwrap_or_default())
     }
 }
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -26,6 +26,7 @@
     plain::try_acquire_retry,
     reach::CUT_OFF,
     request::{self, Call, InFlightGuard, RefusalResponse},
+    session_server::incarnation_of,
     shared::Shared,
 };
 
@@ -184,6 +185,10 @@
         Ok(Ok(response)) if response.headers().contains_key(DECLINED_HEADER) => {
             Offer::NotTaken("the instance that was to help reaches no endpoint either")
         }
+        // A build that takes no requests over answers as to a session that it does not accept.
+        Ok(Ok(response)) if incarnation_of(response.headers()).is_some() => {
+            Offer::NotTaken("the instance that was to help takes no requests over")
+        }
         Ok(Ok(response)) => {
             return Offer::Answered(Box::new(HandedAnswer {
                 response,
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -93,8 +93,20 @@
     pub(crate) holds: bool,
     /// Whether it is stopping.
     pub(crate) leaving: bool,
-    /// Whether it reaches no endpoint.
-    pub(crate) cut: bool,
+    /// Whether it reaches no endpoint; `None` before it says so, and if its build does not know.
+    pub(crate) cut: Option<bool>,
+}
+
+impl PeerState {
+    fn is_cut(self) -> bool {
+        self.cut == Some(true)
+    }
+
+    /// Returns whether it serves requests for others. Builds that do not know whether they are cut off
+    /// take none over.
+    fn takes_requests(self) -> bool {
+        self.cut == Some(false) && !self.leaving
+    }
 }
 
 impl Peer {
@@ -171,7 +183,7 @@
         let now = Shared::now();
         let is_better = |p: &Peer| {
             let connected_for = now.saturating_duration_since(p.connected_at);
-            let is_eligible = p.zone == self.zone && !p.state.leaving && !p.state.cut;
+            let is_eligible = p.zone == self.zone && !p.state.leaving && !p.state.is_cut();
             is_eligible && should_hand_over(own_weakness, p.weakness, connected_for)
         };
         self.peers.borrow().values().any(is_better)
@@ -188,7 +200,7 @@
         let candidates = peers.values().filter(is_candidate);
         let is_other_zone = |p: &Peer| p.zone != self.zone;
         let next = candidates.min_by(|a, b| {
-            let by_reach = a.state.cut.cmp(&b.state.cut);
+            let by_reach = a.state.is_cut().cmp(&b.state.is_cut());
             let by_zone = is_other_zone(a).cmp(&is_other_zone(b));
             let by_weakness = a.weakness.total_cmp(&b.weakness);
             let by_holding = a.state.holds.cmp(&b.state.holds);
@@ -302,7 +314,7 @@
     /// there are many.
     pub(crate) fn helpers(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let helping = peers.values().filter(|p| !p.state.cut && !p.state.leaving);
+        let helping = peers.values().filter(|p| p.state.takes_requests());
         let mut addrs: Vec<SocketAddr> = helping.map(|p| p.holder.addr).collect();
         addrs.sort_unstable();
         addrs.dedup();
@@ -322,7 +334,9 @@
     /// Returns whether a connected instance reaches endpoints.
     pub(crate) fn has_reaching_peer(&self) -> bool {
         let peers = self.peers.borrow();
-        peers.values().any(|p| !p.state.cut && !p.state.leaving)
+        peers
+            .values()
+            .any(|p| !p.state.is_cut() && !p.state.leaving)
     }
 
     /// Removes an instance whose session has ended.
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -53,6 +53,7 @@
     MetricInfo::new("caraway_gateway_held_back", "requests", &[]),
     MetricInfo::new("caraway_gateway_quarantines", "quarantines", &[]),
     MetricInfo::new("caraway_gateway_quarantined_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_frames_skipped_total", "frames", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -78,6 +79,7 @@
     held_back: Gauge<u64>,
     quarantines: Gauge<u64>,
     quarantined: Counter<u64>,
+    skipped_frames: Counter<u64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
@@ -134,6 +136,7 @@
             held_back: gauge("caraway_gateway_held_back"),
             quarantines: gauge("caraway_gateway_quarantines"),
             quarantined: counter("caraway_gateway_quarantined"),
+            skipped_frames: counter("caraway_gateway_frames_skipped"),
             exporter,
         })
     }
@@ -200,6 +203,11 @@
         self.quarantined.add(1, &[]);
     }
 
+    /// Counts a frame of another instance that can't be decoded.
+    pub(crate) fn record_skipped_frame(&self) {
+        self.skipped_frames.add(1, &[]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -25,7 +25,7 @@
     metrics::Metrics,
     monitoring, reach, request,
     serve::{listen, serve},
-    session_server,
+    session_server::{self, BUILD},
     shared::{LastAnswers, Shared},
     stream_origins, topics,
 };
@@ -91,7 +91,7 @@
         options.settings.clone(),
         reload,
     ));
-    emit!(shared, info, Started; "front" => %shared.site.front_addr,
+    emit!(shared, info, Started; "build" => BUILD, "front" => %shared.site.front_addr,
         "peers" => %shared.peer_addr(), "incarnation" => shared.incarnation,
         "store" => %shared.site.store.addr);
     let signal_name = tokio::select! {
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -26,7 +26,7 @@
     claim,
     endpoint_limits::{self, LimitSource},
     event::emit,
-    frame::{self, FrameReader, FromHolder, LimitFrame, ToHolder},
+    frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
     held_zone,
     placement::Decision,
     session_server::{self, SESSION_PATH},
@@ -46,6 +46,18 @@
 /// Delay before a lost session is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest delay before a lost session is opened again.
+const MAX_REOPEN_DELAY: Duration = Duration::from_secs(5);
+/// Time for which a session has to last so that it is opened again without a longer delay.
+const MIN_SESSION_TIME: Duration = Duration::from_secs(2);
+
+/// Returns the delay before a session is opened again, which doubles with each in a row that ended right
+/// after it was opened.
+fn reopen_delay(short_sessions: u32) -> Duration {
+    let factor = 2_u32.saturating_pow(short_sessions);
+    REOPEN_DELAY.saturating_mul(factor).min(MAX_REOPEN_DELAY)
+}
+
 /// Receives the reply to a request for a permit: the time until the request may be sent or, if it is
 /// denied, until asking again.
 type PermitSender = oneshot::Sender<Result<Duration, Duration>>;
@@ -206,8 +218,12 @@
     /// Keeps the session open until it is stopped.
     pub(crate) async fn run(self: Rc<Self>, shared: Rc<Shared>) {
         let mut was_logged = false;
+        let mut short_sessions = 0;
         while !self.stopped.get() {
             let end = self.run_connection(&shared).await;
+            // A session that ends right after it was opened is likely to do so again.
+            let is_short = self.is_open() && self.opened_at.get().elapsed() < MIN_SESSION_TIME;
+            short_sessions = if is_short { short_sessions + 1 } else { 0 };
             // Repeated failures to open the session are not logged.
             let should_log = self.is_open() || !was_logged;
             was_logged = true;
@@ -222,7 +238,7 @@
                     "why" => %end);
             }
             if !self.stopped.get() {
-                sleep(REOPEN_DELAY).await;
+                sleep(reopen_delay(short_sessions)).await;
             }
         }
     }
@@ -261,13 +277,14 @@
             reader.feed(&chunk);
             loop {
                 match reader.next() {
-                    Ok(Some(frame)) => {
+                    Ok(Some(Received::Frame(frame))) => {
                         if let Some(end) = self.on_frame(shared, frame) {
                             return end;
                         }
                     }
+                    Ok(Some(Received::Skipped(skipped))) => shared.on_skipped_frame(&skipped),
                     Ok(None) => break,
-                    Err(frame::InvalidFrame) => {
+                    Err(FrameTooLong) => {
                         return SessionEnd::Closed("the holder sent an invalid frame".to_owned());
                     }
                 }
@@ -305,6 +322,7 @@
             known: topics::known_offsets(shared),
             era: shared.store.era(),
         };
+        session_server::set_build(request.headers_mut());
         // The queue is empty and its receiver is in the request, so this can't fail.
         outgoing.try_send(Ok(frame::encode(&hello))).ok();
         let requests = shared.running_requests.borrow().get(&self.zone).cloned();
@@ -332,7 +350,8 @@
         self.ping(shared);
         shared.holder_reachable.notify_waiters();
         emit!(shared, info, SessionOpened; "held_zone" => &*self.zone,
-            "holder" => &*self.holder.instance, "token" => self.holder.token);
+            "holder" => &*self.holder.instance, "token" => self.holder.token,
+            "build" => session_server::build_of(answer.headers()));
         Ok((connection, answer.into_body()))
     }
 
@@ -348,7 +367,7 @@
             leaving: shared.is_draining(),
             sent,
             limits: endpoint_limits::frames(shared, &self.zone),
-            cut: shared.reach.reach() != Reach::Open,
+            cut: Some(shared.reach.reach() != Reach::Open),
         })
     }
 
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -3,6 +3,7 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -18,10 +19,10 @@
     endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
-    frame::{self, FrameReader, FromHolder, InvalidFrame, LimitFrame, ToHolder},
+    frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
     held_zone::{self, HeldZone, Peer, PeerState},
     session::{HEARTBEAT_TIMEOUT, Outgoing},
-    shared::Shared,
+    shared::{Holder, Shared},
     topics,
 };
 
@@ -32,6 +33,21 @@
 /// learns that its process has ended.
 const INCARNATION_HEADER: HeaderName = HeaderName::from_static("caraway-run");
 
+/// Header with the build of the instance that sends it; builds before 0.2 send none.
+const BUILD_HEADER: HeaderName = HeaderName::from_static("caraway-build");
+/// The build of this program.
+pub(crate) const BUILD: &str = env!("CARGO_PKG_VERSION");
+
+/// Returns the build in the headers of an answer or a request; `None` if it is not stated.
+pub(crate) fn build_of(headers: &HeaderMap) -> Option<&str> {
+    headers.get(BUILD_HEADER)?.to_str().ok()
+}
+
+/// States the build of this program in the headers of an answer or a request.
+pub(crate) fn set_build(headers: &mut HeaderMap) {
+    headers.insert(BUILD_HEADER, HeaderValue::from_static(BUILD));
+}
+
 /// Returns the incarnation in the headers of an answer; `None` if there is none or it is invalid.
 pub(crate) fn incarnation_of(headers: &HeaderMap) -> Option<Incarnation> {
     headers.get(INCARNATION_HEADER)?.to_str().ok()?.parse().ok()
@@ -46,6 +62,7 @@
     response
         .headers_mut()
         .insert(INCARNATION_HEADER, incarnation);
+    set_build(response.headers_mut());
     match held {
         Some(held) if request.method() == Method::POST => {
             let (outgoing, frames) = held_zone::frame_queue();
@@ -54,6 +71,7 @@
                 shared: shared.clone(),
                 held,
                 outgoing,
+                build: build_of(request.headers()).map(Into::into),
                 source: None,
             };
             tokio::task::spawn_local(session.serve(request.into_body()));
@@ -68,6 +86,8 @@
     shared: Rc<Shared>,
     held: Rc<HeldZone>,
     outgoing: Outgoing,
+    /// The instance's build, if it states it.
+    build: Option<Arc<str>>,
     /// The source of the instance's requests and its own zone, once its first frame has arrived.
     source: Option<(SourceId, ZoneId)>,
 }
@@ -90,9 +110,12 @@
         }
     }
 
-    fn read_frames(&mut self, reader: &mut FrameReader) -> Result<(), InvalidFrame> {
-        while let Some(frame) = reader.next::<ToHolder>()? {
-            self.on_frame(frame);
+    fn read_frames(&mut self, reader: &mut FrameReader) -> Result<(), FrameTooLong> {
+        while let Some(received) = reader.next::<ToHolder>()? {
+            match received {
+                Received::Frame(frame) => self.on_frame(frame),
+                Received::Skipped(skipped) => self.shared.on_skipped_frame(&skipped),
+            }
         }
         Ok(())
     }
@@ -109,8 +132,7 @@
             if zone == self.held.zone {
                 topics::send_missed(&self.shared, &self.outgoing, &known, era);
             }
-            let peer = Peer::new(zone.clone(), holder, weakness, self.outgoing.clone());
-            self.source = Some((self.held.add_peer(&self.shared, peer), zone));
+            self.on_hello(holder, zone, weakness);
             return;
         }
         let Some((source, zone)) = &self.source else {
@@ -193,12 +215,20 @@
                     cut,
                 };
                 held.set_peer_state(source, state);
-                self.on_ping(zone, sent, served, &limits, cut);
+                self.on_ping(zone, sent, served, &limits, cut == Some(true));
             }
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
     }
 
+    /// Adds the instance to those that are connected to the zone's holder.
+    fn on_hello(&mut self, holder: Holder, zone: ZoneId, weakness: f64) {
+        emit!(self.shared, info, PeerConnected; "held_zone" => &*self.held.zone,
+            "peer" => &*holder.instance, "build" => self.build.as_deref());
+        let peer = Peer::new(zone.clone(), holder, weakness, self.outgoing.clone());
+        self.source = Some((self.held.add_peer(&self.shared, peer), zone));
+    }
+
     /// Replies to a request for a permit.
     fn reply_with_permit(&self, ticket: Ticket, endpoint: &EndpointId, max_wait: Duration) {
         let permit = self.held.acquire_permit(&self.shared, endpoint, max_wait);
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -27,8 +27,10 @@
     catch_up::CatchUp,
     crash_watch::CrashWatch,
     endpoint_limits::LimitState,
+    event::emit,
     executor::millis,
     fleet_size::FleetSize,
+    frame::SkippedFrame,
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
@@ -39,6 +41,9 @@
     topics::Topics,
 };
 
+/// Number of kinds of skipped frames that are logged.
+const MAX_SKIPPED_KINDS: usize = 64;
+
 /// The holder of a zone, as written in its record in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Holder {
@@ -132,6 +137,8 @@
     pub(crate) crash_watch: CrashWatch,
     /// What is known of the software versions at which streams began.
     pub(crate) streams: StreamState,
+    /// Kinds of frames that were skipped.
+    skipped_kinds: RefCell<HashSet<Arc<str>>>,
     /// When this instance's knowledge of versions was last brought up to date.
     pub(crate) catch_up: CatchUp,
     /// The number of instances of all zones, as far as it is known.
@@ -206,6 +213,7 @@
             limits: LimitState::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
             streams: StreamState::default(),
+            skipped_kinds: RefCell::default(),
             catch_up: CatchUp::default(),
             fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
@@ -293,6 +301,15 @@
         }
     }
 
+    /// Records a frame that can't be decoded; logs the first of each kind.
+    pub(crate) fn on_skipped_frame(&self, skipped: &SkippedFrame) {
+        self.metrics.record_skipped_frame();
+        let mut kinds = self.skipped_kinds.borrow_mut();
+        if kinds.len() < MAX_SKIPPED_KINDS && kinds.insert(skipped.kind.clone()) {
+            emit!(self, warn, FrameSkipped; "kind" => &*skipped.kind, "problem" => &*skipped.problem);
+        }
+    }
+
     /// Returns whether a zone's placer is reachable: on this instance or through a session.
     pub(crate) fn is_reachable(&self, zone: &str) -> bool {
         self.held_zone(zone).is_some() || self.session(zone).is_some()
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway process with a stand-in of the platform.
 
+mod builds;
 mod deadly_prompts;
 mod deadly_requests;
 mod endpoint_signals;
--- a/crates/caraway-placement/src/output.rs
+++ b/crates/caraway-placement/src/output.rs
@@ -8,9 +8,10 @@
 use crate::{Order, PlacementId};
 
 /// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefuseReason {
     /// No endpoint of the service accepts work.
+    #[default]
     NoEndpoint,
     /// It can't be served before its deadline.
     Deadline,
--- a/crates/caraway-placement/src/request.rs
+++ b/crates/caraway-placement/src/request.rs
@@ -38,9 +38,10 @@
 }
 
 /// How a granted or waiting request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RequestOutcome {
     /// The endpoint processed the request, or its caller disconnected.
+    #[default]
     Done,
     /// The endpoint did not run it because it does not hold the adapter.
     NotHeld,
