--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -6,6 +6,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -25,6 +26,7 @@
     frame::{self, FromHolder},
     placement::Decision,
     session::Outgoing,
+    session_server::BUILD,
     shared::{Holder, Shared},
     succession::should_hand_over,
     topics,
@@ -80,6 +82,8 @@
     /// Part of the link speed or processor time that it lacks as a holder, 0 to 1; see
     /// [`weakness`](crate::weakness).
     weakness: f64,
+    /// The instance's build, if it states it.
+    build: Option<Arc<str>>,
     connected_at: Instant,
     state: PeerState,
     /// Frames to be sent to the instance.
@@ -111,11 +115,18 @@
 
 impl Peer {
     /// Creates a peer that is connected from now on.
-    pub(crate) fn new(zone: ZoneId, holder: Holder, weakness: f64, frames: Outgoing) -> Self {
+    pub(crate) fn new(
+        zone: ZoneId,
+        holder: Holder,
+        weakness: f64,
+        build: Option<Arc<str>>,
+        frames: Outgoing,
+    ) -> Self {
         Self {
             zone,
             holder,
             weakness,
+            build,
             connected_at: Shared::now(),
             state: PeerState::default(),
             frames,
@@ -192,21 +203,24 @@
     /// Hands the zone over to a connected instance and sends the name of the new holder to all
     /// connected instances; returns the new holder, or `None` if there is no candidate.
     ///
-    /// Instances that reach endpoints come first, then those of the zone itself, then those with the least weakness, then those that
-    /// hold no zone. `own_zone_only` excludes instances of other zones.
+    /// Instances that reach endpoints come first, then those of the zone itself, then those with the least weakness, then those of
+    /// another build, as this one may be being replaced everywhere, then those that hold no zone. `own_zone_only` excludes instances of other zones.
     pub(crate) fn hand_over(&self, own_zone_only: bool) -> Option<Holder> {
         let peers = self.peers.borrow();
         let is_candidate = |p: &&Peer| !p.state.leaving && (p.zone == self.zone || !own_zone_only);
         let candidates = peers.values().filter(is_candidate);
         let is_other_zone = |p: &Peer| p.zone != self.zone;
+        let is_own_build = |p: &Peer| p.build.as_deref() == Some(BUILD);
         let next = candidates.min_by(|a, b| {
             let by_reach = a.state.is_cut().cmp(&b.state.is_cut());
             let by_zone = is_other_zone(a).cmp(&is_other_zone(b));
             let by_weakness = a.weakness.total_cmp(&b.weakness);
+            let by_build = is_own_build(a).cmp(&is_own_build(b));
             let by_holding = a.state.holds.cmp(&b.state.holds);
             let by_name = a.holder.instance.cmp(&b.holder.instance);
             let by_place = by_reach.then(by_zone);
-            by_place.then(by_weakness).then(by_holding).then(by_name)
+            let by_host = by_weakness.then(by_build).then(by_holding);
+            by_place.then(by_host).then(by_name)
         })?;
         let token = self.token() + 1;
         let holder = Holder {
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -225,7 +225,8 @@
     fn on_hello(&mut self, holder: Holder, zone: ZoneId, weakness: f64) {
         emit!(self.shared, info, PeerConnected; "held_zone" => &*self.held.zone,
             "peer" => &*holder.instance, "build" => self.build.as_deref());
-        let peer = Peer::new(zone.clone(), holder, weakness, self.outgoing.clone());
+        let build = self.build.take();
+        let peer = Peer::new(zone.clone(), holder, weakness, build, self.outgoing.clone());
         self.source = Some((self.held.add_peer(&self.shared, peer), zone));
     }
 
--- a/crates/caraway-gateway/tests/process/builds.rs
+++ b/crates/caraway-gateway/tests/process/builds.rs
@@ -164,3 +164,26 @@
     let opened = opened.load(Ordering::Relaxed);
     assert!(opened <= 8, "{opened} sessions in 4 s");
 }
+
+// Guards against: in a roll, a zone moves from one instance that is about to be replaced to the next.
+#[test]
+fn stopping_holder_hands_its_zone_to_an_instance_of_another_build() {
+    let platform = Platform::start();
+    let first = Gateway::start_as(platform.store_addr, "gate-1");
+    first.wait_to_hold("gate-1");
+    let second = Gateway::start_as(platform.store_addr, "gate-2");
+    second.wait_for("its session", || second.has_event(1210));
+    let mut session = open_session(&first);
+    session.write_all(&chunk(&ping(1))).expect("it is sent");
+    first.wait_for("the instance", || {
+        first.has_line(PEER_CONNECTED, "build", "9.9.9")
+    });
+    read_until(&mut session, b"asked");
+    first.stop();
+    first.wait_for("the end of its holding", || first.has_event(1202));
+    assert!(
+        first.has_line(1202, "successor", "gate-9"),
+        "{:?}",
+        first.lines
+    );
+}
