Record streams of a new version at once, also after a change in place

Their records were put off until the registry proved the incarnation; an instance of the older build found none and took the streams for ones of the former version.

Change: only a stream of the former version may wait for its record, as a missing one means the same to all builds then; others are recorded before their first event, as before.

Evidence: process test streams_of_a_version_that_joined_in_place_are_recorded_at_once failed before (s0 has no record) and passes, as the ten others of its file.

--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -15,7 +15,7 @@
 
 use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic, versions_key};
 use caraway_routes::Endpoint;
-use caraway_streams::{HistoryRecord, Origin, StreamOrigins, VersionHistory};
+use caraway_streams::{HistoryRecord, StreamOrigins, VersionHistory};
 use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
@@ -202,7 +202,7 @@
         return true;
     }
     let request = &call.head.id;
-    let former = unrecorded_origin(shared, call).filter(|former| former != software);
+    let former = former_version(shared, call).filter(|former| former != software);
     if let Some(former) = &former {
         let (sender, stored) = oneshot::channel();
         append_later(shared, request, software, Some(sender));
@@ -212,6 +212,7 @@
             return false;
         }
     }
+    // A missing record means the former version to other builds, so only a stream of that can wait for it.
     if former.is_none() && start.is_in_doubt(shared, call) {
         tokio::task::spawn_local(record_when_proven(
             shared.clone(),
@@ -263,7 +264,7 @@
     if is_exempt || unstored_at.elapsed() >= STORE_PROBE_INTERVAL || !needs_record(shared, call) {
         return None;
     }
-    unrecorded_origin(shared, call).filter(|former| serves(shared, call, former))
+    former_version(shared, call).filter(|former| serves(shared, call, former))
 }
 
 /// Returns whether the origin of a stream that begins now has to be recorded.
@@ -282,10 +283,16 @@
 /// Returns the version at which a stream of a request's service began that has no record, if it is known.
 fn unrecorded_origin(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
     let history = shared.streams.history.borrow();
-    match history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call)) {
-        Origin::Known(software) => Some(software),
-        Origin::Ambiguous => None,
-    }
+    let origin = history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call));
+    origin.known()
+}
+
+/// Returns the version of which instances of all builds take a stream without a record to be, if there is
+/// one.
+fn former_version(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
+    let history = shared.streams.history.borrow();
+    let origin = history.former_version(Shared::unix_ms(), &call.service, life_ms(call));
+    origin.known()
 }
 
 fn origin_frame(request: &RequestId, software: &SoftwareVersion) -> RecordsFrame {
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -382,3 +382,32 @@
         }
     }
 }
+
+// Guards against: a stream of a new version has no record for a while, which an instance of an older build
+// takes for a stream of the former version.
+#[test]
+fn streams_of_a_version_that_joined_in_place_are_recorded_at_once() {
+    let platform = start_platform();
+    platform.remove_mixed(2);
+    platform.remove_mixed(3);
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the endpoints", || has_endpoints(&gateway, &MIXED_IDS[..2]));
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    platform.replace_mixed(0, "v2");
+    gateway.wait_for("the new entry", || {
+        gateway.has_line(1120, "change", "Reborn")
+    });
+    let mut at_new = 0;
+    for number in 0..STREAMS {
+        let id = format!("s{number}");
+        let _open = read_until_event(gateway.front, &id, number % 4, 1);
+        if engine_of(&platform, &id) != Some(0) {
+            continue;
+        }
+        at_new += 1;
+        let read = "GET /v1/log-read?Topic=caraway-streams&part=0&From=0";
+        let records = call(platform.store_addr, read, "", "");
+        assert!(records.contains(&format!("{id}v2")), "{id} has no record");
+    }
+    assert!(at_new > 0, "some began at the new version");
+}
--- a/crates/caraway-streams/src/history.rs
+++ b/crates/caraway-streams/src/history.rs
@@ -27,6 +27,17 @@
     Ambiguous,
 }
 
+impl Origin {
+    /// Returns the version if it is known.
+    #[must_use]
+    pub fn known(self) -> Option<SoftwareVersion> {
+        match self {
+            Self::Known(software) => Some(software),
+            Self::Ambiguous => None,
+        }
+    }
+}
+
 /// Which versions of each service's software served when. Times are in Unix milliseconds, as
 /// instances share them.
 #[derive(Clone, Debug, Default)]
@@ -148,12 +159,23 @@
     /// Returns at which version a stream began that is taken up now and of which there is no record.
     #[must_use]
     pub fn unrecorded_origin(&self, now_ms: u64, service: &str, life_ms: u64) -> Origin {
+        let is_only = !self.needs_record(now_ms, service, life_ms);
+        // Streams that began since the versions serve side by side are recorded, except by instances
+        // that did not know of an endpoint's new version.
+        if !is_only && self.was_replaced(now_ms, service, life_ms) {
+            return Origin::Ambiguous;
+        }
+        self.former_version(now_ms, service, life_ms)
+    }
+
+    /// Returns the version from which streams without a record come if every instance records those of
+    /// other versions. Instances of builds before 0.2 rely on that.
+    #[must_use]
+    pub fn former_version(&self, now_ms: u64, service: &str, life_ms: u64) -> Origin {
         let candidates = self.candidates(now_ms, service, life_ms);
         match &candidates[..] {
             [only] => Origin::Known(only.software.clone()),
-            // Streams that began since the versions serve side by side are recorded, except by instances
-            // that did not know of an endpoint's new version.
-            [former, others @ ..] if !self.was_replaced(now_ms, service, life_ms) => {
+            [former, others @ ..] => {
                 let is_recent = |v: &&VersionRecord| {
                     v.since.is_some_and(|s| s.saturating_add(life_ms) > now_ms)
                 };
@@ -166,7 +188,7 @@
                     Origin::Ambiguous
                 }
             }
-            _ => Origin::Ambiguous,
+            [] => Origin::Ambiguous,
         }
     }
 
--- a/crates/caraway-streams/tests/history.rs
+++ b/crates/caraway-streams/tests/history.rs
@@ -192,6 +192,8 @@
     history.set_replaced(&SERVICE.into(), release);
     assert!(update(&mut history, release, &[("v1", 5), ("v2", release)]));
     assert_eq!(origin(&history, release + 1000), Origin::Ambiguous);
+    let former = history.former_version(release + 1000, SERVICE, LIFE);
+    assert_eq!(former, known("v1"), "older builds conclude this");
     let mut other = VersionHistory::default();
     other.adopt(&history.records()[0]);
     assert_eq!(origin(&other, release + 1000), Origin::Ambiguous);
