End an outage of the store for instances to which a holder forwards its records

It went on counting as cut off: evidence of other instances' crashes was taken for old, and, since take-ups ask the store, every take-up was refused there for ever.

Cause: only a successful read of its own ended the failed state. Change: a heartbeat of the holder that says that it is current and that this instance has all records ends it too.

--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -88,7 +88,7 @@
     restored_end: Option<Offset>,
     /// When the store last answered a read of the topic.
     last_read: Option<Instant>,
-    /// Whether the last read from the store failed.
+    /// Whether the last read from the store failed, and no holder has had all records since.
     failing: bool,
     forwarding: ForwardingStatus,
     cache: RecordCache,
@@ -642,6 +642,10 @@
         let has_all = holder_next.is_some_and(|(_, n)| own.is_some_and(|own| own.offset >= *n));
         let state = topics.state(topic);
         let is_up_to_date = is_current && has_all;
+        if is_up_to_date {
+            // This instance stops reading, so that no read would show that the store is back.
+            state.failing = false;
+        }
         if (is_up_to_date || forwards) && state.forwarding.on_heartbeat(requested_at, is_up_to_date)
         {
             state.wake.notify_one();
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -10,7 +10,9 @@
 use caraway_platform_standin::{ProxyMode, RESUME_ERROR, StoreMode};
 use http::StatusCode;
 
-use crate::harness::{Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, has_endpoints};
+use crate::harness::{
+    FIRST_VERSION, Gateway, MIXED_IDS, Platform, WAIT_LIMIT, call, configuration, has_endpoints,
+};
 
 /// Time between events, long enough to break a stream off between two of them.
 const EVENT_INTERVAL: Duration = Duration::from_millis(250);
@@ -411,3 +413,39 @@
     }
     assert!(at_new > 0, "some began at the new version");
 }
+
+// Guards against: an instance whose reads of the store have failed, and which gets all records from its
+// zone's holder since, counts as cut off from the store for ever and refuses every take-up.
+#[test]
+fn streams_are_taken_up_where_the_holder_ended_an_outage_of_the_store() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    let other = Gateway::start_as(platform.store_proxy_addr, "gate-2");
+    other.wait_for("the endpoints", || has_endpoints(&other, &MIXED_IDS));
+    other.wait_for("its session", || other.has_event(1210));
+    platform.with_parts(|parts| {
+        parts.store.set_mode(StoreMode::Away);
+        parts.store_proxy.set_mode(ProxyMode::Silent);
+    });
+    for gateway in [&first, &other] {
+        for topic in ["endpoints", "shared"] {
+            gateway.wait_for("the loss of the store", || {
+                gateway.has_line(1110, "topic", topic)
+            });
+        }
+    }
+    platform.with_parts(|parts| parts.store.set_mode(StoreMode::Up));
+    let newest = configuration(FIRST_VERSION + 1, &[]);
+    platform.publish("keyed.op", "config", newest);
+    other.wait_for("a record from the holder", || {
+        other.has_line(1100, "version", FIRST_VERSION + 1)
+    });
+    // The holder's copy counts as current again some seconds after the outage.
+    thread::sleep(Duration::from_secs(5));
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Pass));
+    let mut running = None;
+    check_take_ups(&platform, first, |_, first| {
+        running = Some(first);
+        other
+    });
+}
