--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -15,7 +15,7 @@
     event::emit,
     held_zone::HeldZone,
     shared::{Announcement, Shared},
-    stream_origins, topics,
+    topics, version_histories,
 };
 
 /// Of the registry's records that only change the adapters of an endpoint, one in this many is
@@ -44,7 +44,7 @@
         Topic::Endpoints => return apply_endpoint(shared, record, missing_policy),
         Topic::Holders => claim::on_holder_record(shared, record),
         Topic::Shared if is_versions_key(&record.key) => {
-            stream_origins::on_history(shared, record, source);
+            version_histories::on_history(shared, record, source);
         }
         Topic::Shared => {
             crash_records::on_record(shared, record, source);
@@ -233,7 +233,7 @@
         return false;
     };
     if matches!(change, Change::New | Change::Reborn) {
-        stream_origins::on_endpoint_started(shared, &endpoint);
+        version_histories::on_endpoint_started(shared, &endpoint);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
         shared.reach.forget(&id);
@@ -262,7 +262,7 @@
 /// Handles the removal of an endpoint from the directory; `why` is logged.
 pub(crate) fn on_endpoint_removed(shared: &Rc<Shared>, id: &EndpointId, why: &str) {
     emit!(shared, info, EndpointChanged; "endpoint" => &**id, "change" => "Gone", "why" => why);
-    shared.streams.is_outdated.set(true);
+    shared.versions.is_outdated.set(true);
     shared.pool.forget(id);
     shared.load_balancer.borrow_mut().forget(id);
     shared.reach.forget(id);
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream_origins;
 mod succession;
 mod topics;
+mod version_histories;
 
 pub use caraway_metrics::MetricInfo;
 pub use claim_schedule::ClaimSchedule;
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -27,7 +27,7 @@
     serve::{listen, serve},
     session_server::{self, BUILD},
     shared::{LastAnswers, Shared},
-    stream_origins, topics,
+    topics, version_histories,
 };
 
 /// Interval between periodic checks.
@@ -166,8 +166,8 @@
         crash_watch::draw_conclusions(&shared);
         reach::probe_if_due(&shared);
         rounds += 1;
-        if shared.streams.is_outdated.get() || rounds % CHECKS_PER_SWEEP == 0 {
-            stream_origins::update_histories(&shared);
+        if shared.versions.is_outdated.get() || rounds % CHECKS_PER_SWEEP == 0 {
+            version_histories::update_histories(&shared);
         }
         if rounds % CHECKS_PER_SWEEP == 0 {
             shared.pool.sweep();
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -39,6 +39,7 @@
     stream_origins::StreamState,
     succession::weakness,
     topics::Topics,
+    version_histories::VersionState,
 };
 
 /// Number of kinds of skipped frames that are logged.
@@ -135,6 +136,8 @@
     pub(crate) limits: LimitState,
     /// What is known of prompts that crash engines.
     pub(crate) crash_watch: CrashWatch,
+    /// What is known of the software versions of services.
+    pub(crate) versions: VersionState,
     /// What is known of the software versions at which streams began.
     pub(crate) streams: StreamState,
     /// Kinds of frames that were skipped.
@@ -212,6 +215,7 @@
             pauses: RefCell::default(),
             limits: LimitState::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
+            versions: VersionState::default(),
             streams: StreamState::default(),
             skipped_kinds: RefCell::default(),
             catch_up: CatchUp::default(),
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -7,15 +7,14 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::VecDeque,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 
-use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic, versions_key};
-use caraway_routes::Endpoint;
-use caraway_streams::{HistoryRecord, StreamOrigins, VersionHistory};
+use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic};
+use caraway_streams::StreamOrigins;
 use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
@@ -23,7 +22,6 @@
 };
 
 use crate::{
-    apply::RecordSource,
     catch_up::catch_up,
     endpoint_signals::EndpointIncarnation,
     event::emit,
@@ -31,6 +29,9 @@
     frame::{RecordsFrame, ToHolder},
     request::{Call, RefusalResponse},
     shared::Shared,
+    version_histories::{
+        former_version, needs_record, share_history, unrecorded_origin, was_replaced,
+    },
 };
 
 /// Label of frames with the origins of streams, from an instance to the holder of its zone.
@@ -47,31 +48,19 @@
 const STORE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time from the start of an endpoint until instances can read its registry entry.
 const ENTRY_LAG: Duration = Duration::from_secs(2);
-/// Number of endpoints beyond which the software versions of those that have left are forgotten.
-const MAX_ENDPOINTS: usize = 4096;
-/// Multiple of a route's timeout that a stream lasts at most, from its first request to the end of the
-/// last one that takes it up.
-const LIFE_TIMEOUTS: u32 = 2;
 /// Longest time for which a request that takes a stream up waits for the record of that stream.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which the store is read again for a stream that is not found: its origin may be in a
 /// batch that is not appended yet.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// Delay of a shared history for each instance, so that few instances share the same.
-const HISTORY_DELAY: Duration = Duration::from_millis(20);
-/// Pause after a history could not be shared.
-const HISTORY_RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Number of attempts to share a history.
-const MAX_HISTORY_APPENDS: u32 = 20;
 /// `Retry-After` of a request whose stream's origin can't be found while the store does not answer.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Where the origin of a stream was looked for in vain, for log lines and refusals.
 const STORE_SILENT: &str = "the store does not answer";
 
-/// What this instance knows of the software versions of services and of the streams begun there.
+/// What this instance knows of the software versions at which streams began.
 #[derive(Debug, Default)]
 pub(crate) struct StreamState {
-    history: RefCell<VersionHistory>,
     origins: RefCell<StreamOrigins>,
     /// Origins that are to be appended to the store.
     pending: RefCell<VecDeque<PendingOrigin>>,
@@ -82,12 +71,6 @@
     next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
     reading: Mutex<()>,
-    /// Whether endpoints have changed since the history was updated.
-    pub(crate) is_outdated: Cell<bool>,
-    /// Software versions of endpoints by id, also of those that have left.
-    last_software: RefCell<HashMap<EndpointId, SoftwareVersion>>,
-    /// Histories that are to be shared unless another instance shares the same first.
-    unshared: RefCell<HashMap<Arc<str>, HistoryRecord>>,
 }
 
 /// An origin that is to be appended to the store.
@@ -159,30 +142,6 @@
     }
 }
 
-/// Records the software version of an endpoint that has joined or restarted.
-pub(crate) fn on_endpoint_started(shared: &Shared, endpoint: &Endpoint) {
-    let state = &shared.streams;
-    state.is_outdated.set(true);
-    if !endpoint.is_engine {
-        return;
-    }
-    let mut known = state.last_software.borrow_mut();
-    if known.len() >= MAX_ENDPOINTS {
-        let directory = shared.directory.borrow();
-        known.retain(|id, _| directory.get(id).is_some());
-    }
-    let former = known.insert(endpoint.id.clone(), endpoint.software.clone());
-    if former.is_some_and(|f| f != endpoint.software) {
-        let mut history = state.history.borrow_mut();
-        history.set_replaced(&endpoint.service, Shared::unix_ms());
-    }
-}
-
-/// Returns how long the streams of a request's route last at most, in milliseconds.
-fn life_ms(call: &Call) -> u64 {
-    millis(call.route.timeout * LIFE_TIMEOUTS)
-}
-
 /// Returns whether a request takes up a stream that broke off at its caller.
 fn takes_up(call: &Call) -> bool {
     call.head.resumes.is_some() || call.head.resume_after.is_some()
@@ -267,34 +226,6 @@
     former_version(shared, call).filter(|former| serves(shared, call, former))
 }
 
-/// Returns whether the origin of a stream that begins now has to be recorded.
-fn needs_record(shared: &Rc<Shared>, call: &Call) -> bool {
-    update_if_outdated(shared);
-    let history = shared.streams.history.borrow();
-    history.needs_record(Shared::unix_ms(), &call.service, life_ms(call))
-}
-
-/// Returns whether an endpoint of a request's service restarted lately with another version under its id.
-fn was_replaced(shared: &Shared, call: &Call) -> bool {
-    let history = shared.streams.history.borrow();
-    history.was_replaced(Shared::unix_ms(), &call.service, life_ms(call))
-}
-
-/// Returns the version at which a stream of a request's service began that has no record, if it is known.
-fn unrecorded_origin(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
-    let history = shared.streams.history.borrow();
-    let origin = history.unrecorded_origin(Shared::unix_ms(), &call.service, life_ms(call));
-    origin.known()
-}
-
-/// Returns the version of which instances of all builds take a stream without a record to be, if there is
-/// one.
-fn former_version(shared: &Shared, call: &Call) -> Option<SoftwareVersion> {
-    let history = shared.streams.history.borrow();
-    let origin = history.former_version(Shared::unix_ms(), &call.service, life_ms(call));
-    origin.known()
-}
-
 fn origin_frame(request: &RequestId, software: &SoftwareVersion) -> RecordsFrame {
     let record = Record {
         offset: 0,
@@ -525,57 +456,10 @@
     }
 }
 
-/// Applies a history that an instance has shared.
-pub(crate) fn on_history(shared: &Rc<Shared>, record: &Record, source: RecordSource) -> bool {
-    let value = record.value.as_deref().unwrap_or_default();
-    let history = match serde_json::from_slice::<HistoryRecord>(value) {
-        Ok(history) => history,
-        Err(e) => {
-            emit!(shared, warn, ConfigFinding; "key" => &*record.key, "offset" => record.offset,
-                "finding" => %e);
-            return false;
-        }
-    };
-    let state = &shared.streams;
-    let is_same = {
-        let unshared = state.unshared.borrow();
-        unshared
-            .get(&history.service)
-            .is_some_and(|u| names(u) == names(&history))
-    };
-    if is_same {
-        state.unshared.borrow_mut().remove(&history.service);
-    }
-    emit!(shared, info, VersionsChanged; "service" => &*history.service,
-        "versions" => describe(&history), "source" => format!("{source:?}"));
-    state.history.borrow_mut().adopt(&history);
-    state.is_outdated.set(true);
-    true
-}
-
-/// Returns the versions of a history, and which of them have left.
-fn names(history: &HistoryRecord) -> Vec<(SoftwareVersion, bool)> {
-    let versions = history.versions.iter();
-    versions
-        .map(|v| (v.software.clone(), v.until.is_some()))
-        .collect()
-}
-
-fn describe(history: &HistoryRecord) -> String {
-    let versions = history.versions.iter().map(|v| {
-        let (since, until) = (v.since.unwrap_or(0), v.until);
-        until.map_or_else(
-            || format!("{} since {since}", v.software),
-            |until| format!("{} from {since} to {until}", v.software),
-        )
-    });
-    versions.collect::<Vec<_>>().join(", ")
-}
-
 /// Shares the histories again, as the store may have lost them, and as the holder of the own zone the
 /// origins of its streams.
 pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
-    let histories = shared.streams.history.borrow().records();
+    let histories = shared.versions.history.borrow().records();
     for history in histories {
         share_history(shared, history);
     }
@@ -591,75 +475,3 @@
         append_later(shared, request, software, None);
     }
 }
-
-/// Updates the histories if endpoints have changed since they were updated last.
-fn update_if_outdated(shared: &Rc<Shared>) {
-    if shared.streams.is_outdated.get() {
-        update_histories(shared);
-    }
-}
-
-/// Updates the histories of all services by the endpoints in the registry, and shares what other
-/// instances have to know.
-pub(crate) fn update_histories(shared: &Rc<Shared>) {
-    let state = &shared.streams;
-    let is_ready = {
-        let topics = shared.topics.borrow();
-        topics.is_read(Topic::Shared) && topics.is_read(Topic::Endpoints)
-    };
-    if !is_ready {
-        return;
-    }
-    state.is_outdated.set(false);
-    let mut present: BTreeMap<Arc<str>, BTreeMap<SoftwareVersion, Option<u64>>> = BTreeMap::new();
-    for endpoint in shared.directory.borrow().all().filter(|e| e.is_engine) {
-        let versions = present.entry(endpoint.service.clone()).or_default();
-        let started = versions.entry(endpoint.software.clone()).or_default();
-        *started = match (*started, endpoint.started_ms) {
-            (Some(earliest), Some(started)) => Some(earliest.min(started)),
-            (known, started) => known.or(started),
-        };
-    }
-    for (service, versions) in present {
-        let changed = {
-            let mut history = state.history.borrow_mut();
-            history.update(Shared::unix_ms(), &service, &versions)
-        };
-        if let Some(changed) = changed {
-            emit!(shared, info, VersionsChanged; "service" => &*service,
-                "versions" => describe(&changed), "source" => "the registry");
-            share_history(shared, changed);
-        }
-    }
-}
-
-/// Shares a history after a random delay, unless another instance does.
-fn share_history(shared: &Rc<Shared>, history: HistoryRecord) {
-    let service = history.service.clone();
-    let is_scheduled = {
-        let mut unshared = shared.streams.unshared.borrow_mut();
-        unshared.insert(service.clone(), history).is_some()
-    };
-    if is_scheduled {
-        return;
-    }
-    let shared = shared.clone();
-    tokio::task::spawn_local(async move {
-        for _ in 0..MAX_HISTORY_APPENDS {
-            sleep(shared.random_delay(HISTORY_DELAY)).await;
-            let unshared = shared.streams.unshared.borrow().get(&service).cloned();
-            let Some(history) = unshared else {
-                return;
-            };
-            let value =
-                serde_json::to_vec(&history).expect("a history has only strings and numbers");
-            let key = versions_key(&service);
-            let Err(error) = shared.store.append(Topic::Shared, &key, &value).await else {
-                break;
-            };
-            emit!(shared, warn, EvidenceLost; "key" => &*key, "error" => %error);
-            sleep(HISTORY_RETRY_PAUSE).await;
-        }
-        shared.streams.unshared.borrow_mut().remove(&service);
-    });
-}
