Take no silent stream over while its version is in doubt

A stream whose version is in doubt was given up when it fell silent and another endpoint could take it over, as the takeover was refused only after the connection had been dropped. It is left to go on instead.

--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -203,8 +203,9 @@
     /// Hands the zone over to a connected instance and sends the name of the new holder to all
     /// connected instances; returns the new holder, or `None` if there is no candidate.
     ///
-    /// Instances that reach endpoints come first, then those of the zone itself, then those with the least weakness, then those of
-    /// another build, as this one may be being replaced everywhere, then those that hold no zone. `own_zone_only` excludes instances of other zones.
+    /// Instances that reach endpoints come first, then those of the zone itself, then those with the
+    /// least weakness, then those of another build, as in a roll they have been replaced already, then
+    /// those that hold no zone. `own_zone_only` excludes instances of other zones.
     pub(crate) fn hand_over(&self, own_zone_only: bool) -> Option<Holder> {
         let peers = self.peers.borrow();
         let is_candidate = |p: &&Peer| !p.state.leaving && (p.zone == self.zone || !own_zone_only);
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -196,8 +196,7 @@
         if self.has_events && self.history.software.is_none() {
             return None;
         }
-        let start = self.start.as_ref();
-        if start.is_some_and(|s| s.is_in_doubt(&self.shared, &self.call)) {
+        if self.is_start_in_doubt() {
             return None;
         }
         if placed.is_none() && !try_acquire_rerun(&self.shared, &self.call, &self.history) {
@@ -332,9 +331,18 @@
 }
 
 impl Relay {
+    /// Returns whether the software version that began the stream is not certain yet.
+    fn is_start_in_doubt(&self) -> bool {
+        let start = self.start.as_ref();
+        start.is_some_and(|s| s.is_in_doubt(&self.shared, &self.call))
+    }
+
     /// Finds an endpoint that takes a silent stream over. Meanwhile the stream may continue, so
     /// that a merely slow one is not cut off when there is no other endpoint.
     async fn find_takeover(&self, endpoint: &EndpointId, body: &mut Incoming) -> TakeoverSearch {
+        if self.is_start_in_doubt() {
+            return TakeoverSearch::NoEndpoint;
+        }
         let mut history = self.history.clone();
         history.exclude.push(endpoint.clone());
         let placement = placement_request(&self.call, Instant::now());
