Probe endpoints of different services before an instance takes itself for cut off

Cause: three endpoints are probed at random; with all endpoints of three services down, the three could all be of those, one draw in 120. Change: endpoints of different services come first, those in trouble last, so that in the test one of a service that is up is always among them.

--- a/crates/caraway-gateway/src/reach.rs
+++ b/crates/caraway-gateway/src/reach.rs
@@ -1,6 +1,6 @@
 //! Finds out whether this instance has lost its way to all endpoints, and tells the zones' holders.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
 use caraway_http::{Acceptance, ConnectTimeouts, PooledConnection, check_acceptance};
 use caraway_reach::{Helpers, Reach, Reachability, Trouble};
@@ -146,16 +146,22 @@
     });
 }
 
-/// Chooses the endpoints to probe at random; those in trouble come last.
+/// Chooses the endpoints to probe at random, of different services as far as there are any, as all
+/// endpoints of one may be down; those in trouble come last.
 fn choose_probed(shared: &Shared) -> Vec<(EndpointId, SocketAddr)> {
     let directory = shared.directory.borrow();
-    let ready = directory.all().filter(|e| e.is_ready());
-    let mut all: Vec<_> = ready.map(|e| (e.id.clone(), e.addr)).collect();
-    all.shuffle(&mut rand::rng());
+    let mut ready: Vec<_> = directory.all().filter(|e| e.is_ready()).collect();
+    ready.shuffle(&mut rand::rng());
     let reachability = shared.reach.reachability.borrow();
-    all.sort_by_key(|(id, _)| reachability.is_troubled(id));
-    all.truncate(PROBED_ENDPOINTS);
-    all
+    let mut counts: HashMap<(bool, &str), usize> = HashMap::new();
+    ready.sort_by_cached_key(|e| {
+        let is_troubled = reachability.is_troubled(&e.id);
+        let count = counts.entry((is_troubled, &e.service)).or_default();
+        *count += 1;
+        (is_troubled, *count)
+    });
+    let probed = ready.into_iter().take(PROBED_ENDPOINTS);
+    probed.map(|e| (e.id.clone(), e.addr)).collect()
 }
 
 /// Returns the first endpoint that accepts a connection.
