Keep the cost of placement decisions constant while many requests wait

Change: the search starts only if an endpoint that holds the model has room, ranks of endpoints are computed once per search, and more than 64 waiting requests are checked at most every 10 ms.

--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -51,6 +51,8 @@
     /// Decayed number of requests for each adapter or model.
     popularity: HashMap<ModelRef, DecayingCount>,
     waiting: WaitQueue,
+    /// When all waiting requests were last checked for those that are too late.
+    late_checked_at: Option<Instant>,
     /// Runs that were granted and have not ended.
     granted: HashMap<PlacementId, GrantedRun>,
     outputs: Vec<Output>,
@@ -136,6 +138,7 @@
             first_version: None,
             popularity: HashMap::new(),
             waiting: WaitQueue::default(),
+            late_checked_at: None,
             granted: HashMap::new(),
             outputs: Vec::new(),
             last_number: 0,
@@ -153,7 +156,9 @@
     /// Handles what is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
         self.grant_permits(now);
-        self.refuse_late(now);
+        if self.is_late_check_due(now) {
+            self.refuse_late(now);
+        }
         self.fetch_reports(now);
         self.plan_weights(now);
         self.plan_loads(now);
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -1,6 +1,6 @@
 //! Plans adapter loads: which adapter next, to which endpoint, and which one to evict for it.
 
-use std::{collections::HashSet, time::Instant};
+use std::{collections::HashSet, sync::Arc, time::Instant};
 
 use caraway_members::rendezvous_weight;
 use caraway_routes::ModelRef;
@@ -32,22 +32,42 @@
             return;
         }
         let limit = self.load_limit();
-        if self.loading_count(now) >= limit {
+        let mut models = self.loadable_models(now, limit);
+        if models.is_empty() {
             return;
         }
-        for model in self.needed_loads(now) {
-            if self.loading_count(now) >= limit {
-                break;
+        for adapter in self.needed_loads(now) {
+            if !models.contains(&adapter.model) {
+                continue;
             }
-            if let Some(target) = self.choose_target(now, &model, None) {
-                self.start_load(now, &model, &target);
+            if let Some(target) = self.choose_target(now, &adapter, None) {
+                self.start_load(now, &adapter, &target);
+                models = self.loadable_models(now, limit);
             }
         }
     }
 
+    /// Returns the models for which some endpoint has room for another adapter, none at the limit of
+    /// concurrent loads. Under overload there are mostly none, and a search for an endpoint for each
+    /// adapter that requests wait for would take longer than the time between two requests.
+    fn loadable_models(&self, now: Instant, limit: usize) -> HashSet<Arc<str>> {
+        if self.loading_count(now) >= limit {
+            return HashSet::new();
+        }
+        let is_evictable = |(m, a): (&ModelRef, &AdapterState)| {
+            a.is_ready() && a.runs == 0 && !self.waiting.contains(m)
+        };
+        let replicas = self.replicas.values();
+        let with_room = replicas.filter(|r| {
+            self.accepts_loads(now, r)
+                && (r.free_slots() > 0 || r.adapters.iter().any(is_evictable))
+        });
+        with_room.flat_map(|r| &r.models).cloned().collect()
+    }
+
     /// Plans a further copy of an adapter if all its copies have many running requests.
     pub(super) fn plan_copy(&mut self, now: Instant, model: &ModelRef) {
-        if model.adapter.is_none() || self.is_load_in_progress(now, model) {
+        if model.adapter.is_none() {
             return;
         }
         let copies = self.replicas.values().filter(|r| r.is_usable(now));
@@ -57,7 +77,10 @@
             .iter()
             .min()
             .is_some_and(|r| *r >= self.settings.copy_threshold);
-        if !is_busy || self.loading_count(now) * 2 >= self.load_limit() {
+        if !is_busy
+            || self.is_load_in_progress(now, model)
+            || self.loading_count(now) * 2 >= self.load_limit()
+        {
             return;
         }
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
@@ -165,7 +188,7 @@
         });
         let key = model.to_string();
         let mut order: Vec<(&EndpointId, &Replica)> = self.replicas.iter().collect();
-        order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
+        order.sort_by_cached_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
         let mut best: Option<(f64, &EndpointId)> = None;
         for (rank, (id, replica)) in order.into_iter().enumerate() {
             if !self.can_load(now, model, replica) || is_held && self.limiters.rate(id).is_some() {
@@ -212,10 +235,13 @@
                 adapter.is_ready() && adapter.runs == 0 && !self.is_current(model, adapter.version)
             }
         };
-        is_replaceable
-            && replica.is_usable(now)
+        is_replaceable && self.accepts_loads(now, replica) && replica.has_model(&model.model)
+    }
+
+    /// Returns whether `replica` can be sent another load.
+    fn accepts_loads(&self, now: Instant, replica: &Replica) -> bool {
+        replica.is_usable(now)
             && replica.accepted_orders.is_some()
-            && replica.has_model(&model.model)
             && replica.loading_count() < self.settings.endpoint_load_limit
     }
 
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -39,6 +39,12 @@
 /// within this time.
 const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of waiting requests up to which they may be checked at each event.
+const FEW_WAITING: usize = 64;
+/// Least time between two checks of many waiting requests. Such a check takes as long as hundreds of grants, and one
+/// for each event of a burst would keep a holder with a small processor share from everything else.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Placer {
     /// Handles a placement request: grants, queues or refuses it.
     pub fn on_request(&mut self, now: Instant, id: PlacementId, request: PlacementRequest) {
@@ -65,7 +71,8 @@
             .waiting
             .model_count()
             .saturating_sub(self.loading_count(now) + 1);
-        if self.load_done_at(now, ahead) + self.settings.min_run_time > deadline {
+        let is_late = self.load_done_at(now, ahead) + self.settings.min_run_time > deadline;
+        if is_late && self.is_late_check_due(now) {
             self.refuse_late(now);
         } else {
             self.refuse_beyond_limits(now);
@@ -193,6 +200,12 @@
         }
     }
 
+    /// Returns whether to check the waiting requests for those that are too late.
+    pub(super) fn is_late_check_due(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LATE_CHECK_INTERVAL;
+        self.waiting.len() <= FEW_WAITING || !self.late_checked_at.is_some_and(is_recent)
+    }
+
     /// Refuses the waiting requests that can't be served in time; their callers may retry once the
     /// loads ahead of them are complete.
     pub(super) fn refuse_late(&mut self, now: Instant) {
@@ -200,6 +213,7 @@
             // They are sent to the next holder.
             return;
         }
+        self.late_checked_at = Some(now);
         let shortest = self.settings.min_run_time;
         let backlog = self.backlog(now);
         let loads_done_at: HashMap<&ModelRef, Instant> = backlog
