Recognise a request that crashes engines whichever model it names

Cause: the digest of a request held the model, the adapter and the prompt's segments. Change: the digest has method, path, query, caller and body.

--- a/crates/caraway-gateway/src/digest.rs
+++ b/crates/caraway-gateway/src/digest.rs
@@ -1,22 +1,32 @@
 //! [`request_digest`]: recognises a request that its caller sends again under another id.
 
 use caraway_quarantine::RequestDigest;
-use caraway_routes::RequestHead;
 use http::{HeaderMap, Method, Uri, header};
 use sha2::{Digest, Sha256};
 
-/// Headers that tell callers apart; the deployment's own headers are in the decoded head.
+/// Headers that tell callers without accounts apart.
 const CALLER_HEADERS: [header::HeaderName; 2] = [header::HOST, header::AUTHORIZATION];
+/// First part of a caller with an account, for which callers without accounts have their host.
+const ACCOUNT_LABEL: &[u8] = b"account";
+
+/// Who sends a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Caller<'a> {
+    /// A client account by its name, whichever of its keys it uses; empty on a public route.
+    Account(&'a str),
+    /// The sender of a request with these headers, in a deployment without accounts.
+    Headers(&'a HeaderMap),
+}
 
 /// Returns the digest of what stays the same when a caller sends a request again. Ids, deadlines and
-/// the point from which a stream is resumed are not part of it.
+/// the point from which a stream is resumed are not part of it, nor are the model, the adapter and
+/// the segments of the prompt: a request that crashes engines also comes again with other models.
 ///
 /// The hash is cryptographic, so that no caller can make a request with the digest of another's.
 pub fn request_digest(
     method: &Method,
     uri: &Uri,
-    headers: &HeaderMap,
-    head: &RequestHead,
+    caller: Caller<'_>,
     body: &[u8],
 ) -> RequestDigest {
     let mut hash = Sha256::new();
@@ -28,16 +38,23 @@
     add(method.as_str().as_bytes());
     add(uri.path().as_bytes());
     add(uri.query().unwrap_or_default().as_bytes());
-    for name in &CALLER_HEADERS {
-        add(headers.get(name).map_or(&[], |v| v.as_bytes()));
-    }
-    let model = head.model.as_ref();
-    add(model.map_or(&[], |m| m.model.as_bytes()));
-    let adapter = model.and_then(|m| m.adapter.as_ref());
-    add(adapter.map_or(&[], |a| a.as_bytes()));
-    for segment in &head.prompt {
-        add(&segment.id.to_be_bytes());
+    match caller {
+        // One part more than of a caller by its headers, so that the two are never the same.
+        Caller::Account(name) => {
+            for part in [ACCOUNT_LABEL, name.as_bytes(), &[]] {
+                add(part);
+            }
+        }
+        Caller::Headers(headers) => {
+            for name in &CALLER_HEADERS {
+                add(headers.get(name).map_or(&[], |v| v.as_bytes()));
+            }
+        }
     }
+    // Former builds hash the model and the adapter here. Requests without a model keep the digest
+    // that those builds compute.
+    add(&[]);
+    add(&[]);
     add(body);
     let bytes = hash.finalize();
     let first = bytes.iter().take(size_of::<RequestDigest>());
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -46,7 +46,7 @@
 
 pub use caraway_metrics::MetricInfo;
 pub use claim_schedule::ClaimSchedule;
-pub use digest::request_digest;
+pub use digest::{Caller, request_digest};
 pub use event::Event;
 pub use fleet_size::FleetSize;
 pub use forwarding::ForwardingStatus;
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    digest::request_digest,
+    digest::{Caller, request_digest},
     event::emit,
     executor::millis,
     generate, hand_over, plain,
@@ -358,7 +358,8 @@
             }
             BodyError::Incomplete(why) => RefusalResponse::not_run(Reason::BadRequest, &why),
         })?;
-    let digest = request_digest(&parts.method, &parts.uri, &parts.headers, &head, &body);
+    let caller = Caller::Headers(&parts.headers);
+    let digest = request_digest(&parts.method, &parts.uri, caller, &body);
     Ok(Call {
         head,
         method: parts.method,
--- a/crates/caraway-gateway/tests/digest.rs
+++ b/crates/caraway-gateway/tests/digest.rs
@@ -1,8 +1,7 @@
 //! Which requests are the same request, sent again.
 
-use caraway_gateway::request_digest;
+use caraway_gateway::{Caller, request_digest};
 use caraway_quarantine::RequestDigest;
-use caraway_routes::{ModelRef, PromptSegment, RequestHead};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
 /// A request, with parts that tests change.
@@ -10,7 +9,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
-    head: RequestHead,
+    account: Option<&'static str>,
     body: &'static str,
 }
 
@@ -20,15 +19,7 @@
             method: Method::POST,
             uri: Uri::from_static("/desk/x?page=1"),
             headers: HeaderMap::new(),
-            head: RequestHead {
-                id: "r-1".into(),
-                model: Some(ModelRef {
-                    model: "base".into(),
-                    adapter: Some("a7".into()),
-                }),
-                prompt: [1, 2].map(|id| PromptSegment { id, tokens: 9 }).into(),
-                ..RequestHead::default()
-            },
+            account: None,
             body: "body",
         };
         request.set("host", "desk.example");
@@ -41,35 +32,66 @@
     }
 
     fn digest(&self) -> RequestDigest {
-        let body = self.body.as_bytes();
-        request_digest(&self.method, &self.uri, &self.headers, &self.head, body)
+        let caller = self
+            .account
+            .map_or(Caller::Headers(&self.headers), Caller::Account);
+        request_digest(&self.method, &self.uri, caller, self.body.as_bytes())
     }
 }
 
+// Guards against: a request that crashes engines is not recognised when it comes again for another
+// model or adapter, or with other segments of its prompt, and crashes as many engines once more.
 #[test]
 fn request_that_is_sent_again_keeps_its_digest() {
-    let mut again = Request::new();
-    again.head.id = "r-2".into();
-    again.head.resumes = Some("r-1".into());
-    again.head.resume_after = Some("3".into());
-    again.head.prompt[0].tokens = 10;
-    again.set("x-attempt-id", "r-2");
-    again.set("user-agent", "other");
-    assert_eq!(again.digest(), Request::new().digest());
+    let changes: [fn(&mut Request); 6] = [
+        |r| r.set("x-attempt-id", "r-2"),
+        |r| r.set("user-agent", "other"),
+        |r| r.set("x-model", "base/a8"),
+        |r| r.set("x-model", "other"),
+        |r| r.set("x-prompt-prefix", "1:9,3:9"),
+        |r| r.set("x-token-count", "20,5"),
+    ];
+    for change in changes {
+        let mut again = Request::new();
+        change(&mut again);
+        assert_eq!(again.digest(), Request::new().digest());
+    }
+}
+
+#[test]
+fn account_is_one_caller_with_all_its_keys_and_hosts() {
+    let mut request = Request::new();
+    request.account = Some("hule930");
+    let digest = request.digest();
+    request.set("authorization", "Token another");
+    request.set("host", "lab.example");
+    assert_eq!(request.digest(), digest);
+}
+
+// Guards against: two builds side by side recognise no request together, also of plain services.
+#[test]
+fn request_without_a_model_keeps_the_digest_of_former_builds() {
+    let digest = RequestDigest(0xc75f_e111_d83c_cdb0_a66f_8929_9b3e_96d2);
+    assert_eq!(Request::new().digest(), digest);
 }
 
 #[test]
 fn other_requests_have_other_digests() {
-    let changes: [fn(&mut Request); 10] = [
+    let changes: [fn(&mut Request); 11] = [
         |r| r.method = Method::PUT,
         |r| r.uri = Uri::from_static("/desk/y?page=1"),
         |r| r.uri = Uri::from_static("/desk/x?page=2"),
         |r| r.set("host", "lab.example"),
         |r| r.set("authorization", "Bearer t"),
         |r| r.body = "bod",
-        |r| r.head.model = None,
-        |r| r.head.prompt[1].id = 3,
-        |r| r.head.prompt.truncate(1),
+        |r| r.account = Some(""),
+        |r| r.account = Some("hule930"),
+        |r| r.account = Some("desk.example"),
+        // An account is another caller than a host of this name.
+        |r| {
+            r.set("host", "account");
+            r.set("authorization", "hule930");
+        },
         // The bytes are the same, but not where one part ends and the next begins.
         |r| r.uri = Uri::from_static("/desk/xpage?=1"),
     ];
--- a/crates/caraway-gateway/tests/process/deadly_prompts.rs
+++ b/crates/caraway-gateway/tests/process/deadly_prompts.rs
@@ -41,13 +41,18 @@
 
 /// Sends a request whose prompt has these segments and one of its own; returns the answer.
 fn send(gateway: &Gateway, id: &str, segments: &[u64]) -> String {
+    send_to(gateway, "base/a7", id, segments)
+}
+
+/// Sends such a request for this adapter.
+fn send_to(gateway: &Gateway, model: &str, id: &str, segments: &[u64]) -> String {
     let own = id.bytes().fold(1, |hash: u64, b| hash * 31 + u64::from(b));
     let mut prompt = String::new();
     for segment in segments {
         write!(prompt, "{segment:x}:20,").expect("a string takes any text");
     }
     let headers = format!(
-        "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: 50,5\r\n\
+        "X-Attempt-Id: {id}\r\nX-Model: {model}\r\nX-Token-Count: 50,5\r\n\
          X-Prompt-Prefix: {prompt}{own:x}:10\r\nX-Deadline-Ms: 1500\r\n"
     );
     call(gateway.front, "POST /lab/x", &headers, "prompt")
@@ -126,5 +131,7 @@
     late.wait_for("the endpoints", || has_endpoints(&late, &["l-1", "l-2"]));
     let segments = [SHARED_SEGMENT, DEADLY_SEGMENT, 1];
     assert_refused(&send(&late, "deadly-late", &segments));
+    // The segment is as deadly for other adapters.
+    assert_refused(&send_to(&late, "base/a8", "deadly-other", &segments));
     assert_eq!(deadly_runs(&platform), runs, "the late instance sent none");
 }
--- a/crates/caraway-gateway/tests/process/deadly_requests.rs
+++ b/crates/caraway-gateway/tests/process/deadly_requests.rs
@@ -44,6 +44,10 @@
     complete: "id: 4\ndata: ",
 };
 
+/// Headers of requests for another adapter, whose prompts have other segments.
+const OTHER_MODEL: &str =
+    "X-Model: base/a8\r\nX-Token-Count: 50,5\r\nX-Prompt-Prefix: 6a:20,6b:20,78:10\r\n";
+
 /// Its requests may be repeated.
 const PAIR: Target = Target {
     line: "GET /pair/x",
@@ -133,6 +137,13 @@
     late.wait_for("the endpoints", || has_endpoints(&late, &target.endpoints));
     assert_refused(&target.send(&late, "deadly-late", DEADLY_BODY));
     assert_eq!(platform.ledger.runs("deadly-late"), 0);
+    // Demand moves to another model, and the request comes again for that one.
+    let other = Target {
+        headers: OTHER_MODEL,
+        ..*target
+    };
+    assert_refused(&other.send(&gateways[0], "deadly-other", DEADLY_BODY));
+    assert_eq!(platform.ledger.runs("deadly-other"), 0);
 }
 
 fn assert_refused(answer: &str) {
