Keep all announcements of an adapter's versions, and let outdated copies make room

An idle copy that may not serve was kept as long as requests waited for its adapter, so that an engine full of such copies loaded nothing and the requests waited to their deadlines. A report that lists two versions of an adapter hid the newer one. Change: AnnouncedVersions keeps the announcements of the grace period, in the placer and in the instance, which passes them to the placer of a zone that it takes over. Copies that may not serve are evicted or unloaded. The newest of two listed versions counts. The grace period is three fifths of version_ms where it is stated.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -3,6 +3,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use caraway_placement::{AnnouncedVersion, AnnouncedVersions};
 use caraway_platform::{
     OperatorKey, Record, Topic, decode_configuration, decode_registry_entry,
     decode_version_announcement, is_versions_key, operator_key,
@@ -11,10 +12,7 @@
 use caraway_types::{EndpointId, Offset};
 
 use crate::{
-    claim, crash_records, endpoint_limits,
-    event::emit,
-    held_zone::HeldZone,
-    shared::{Announcement, Shared},
+    claim, crash_records, endpoint_limits, event::emit, held_zone::HeldZone, shared::Shared,
     topics, version_histories,
 };
 
@@ -70,9 +68,11 @@
                     .is_some_and(|r| routing.version < r.version)
             }),
             OperatorKey::Version => decode_version_announcement(value).is_ok_and(|announced| {
-                let newest = shared.newest_versions.borrow();
-                let known = newest.get(&announced.model);
-                known.is_some_and(|k| announced.version < k.version)
+                let versions = shared.announced_versions.borrow();
+                let newest = versions
+                    .get(&announced.model)
+                    .and_then(AnnouncedVersions::newest);
+                newest.is_some_and(|n| announced.version < n)
             }),
             OperatorKey::Other => false,
         },
@@ -84,13 +84,12 @@
 
 /// Passes the known adapter versions and endpoints to the placer of a zone that was just acquired.
 pub(crate) fn init_placer(shared: &Rc<Shared>, held: &Rc<HeldZone>) {
-    let newest: Vec<(ModelRef, Announcement)> = {
-        let newest = shared.newest_versions.borrow();
-        newest.iter().map(|(m, v)| (m.clone(), *v)).collect()
-    };
+    let versions = shared.announced_versions.borrow().clone();
     held.with_placer(shared, |placer, now| {
-        for (model, newest) in &newest {
-            placer.on_version(now, model, newest.version, newest.received_at);
+        for (model, versions) in &versions {
+            for announced in versions.iter() {
+                placer.on_version(now, model, announced.version, announced.since);
+            }
         }
     });
     update_engines(shared, held);
@@ -124,18 +123,13 @@
         },
         OperatorKey::Version => match decode_version_announcement(value) {
             Ok(announced) => {
-                let received_at = (source == RecordSource::Log
-                    && !topics::is_configuration_stale(shared))
-                .then(Shared::now);
-                let version = announced.version;
-                apply_version(
-                    shared,
-                    &announced.model,
-                    Announcement {
-                        version,
-                        received_at,
-                    },
-                );
+                let is_recent =
+                    source == RecordSource::Log && !topics::is_configuration_stale(shared);
+                let version = AnnouncedVersion {
+                    version: announced.version,
+                    since: is_recent.then(Shared::now),
+                };
+                apply_version(shared, &announced.model, version);
             }
             Err(findings) => emit!(shared, warn, ConfigFinding; "key" => &*record.key,
                 "offset" => record.offset, "finding" => %findings),
@@ -179,24 +173,22 @@
     });
 }
 
-fn apply_version(shared: &Rc<Shared>, model: &ModelRef, newest: Announcement) {
-    let former = shared
-        .newest_versions
-        .borrow()
-        .get(model)
-        .map_or(0, |n| n.version);
-    if newest.version <= former {
-        return;
-    }
-    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => newest.version,
-        "former" => former, "fresh" => newest.received_at.is_some());
-    shared
-        .newest_versions
-        .borrow_mut()
-        .insert(model.clone(), newest);
+fn apply_version(shared: &Rc<Shared>, model: &ModelRef, announced: AnnouncedVersion) {
+    let former = {
+        let mut versions = shared.announced_versions.borrow_mut();
+        let versions = versions.entry(model.clone()).or_default();
+        let former = versions.newest();
+        let grace = shared.placer_settings.version_grace;
+        if !versions.add(Shared::now(), announced, grace) {
+            return;
+        }
+        former
+    };
+    emit!(shared, info, VersionAnnounced; "adapter" => %model, "version" => announced.version,
+        "former" => former.unwrap_or(0), "fresh" => announced.since.is_some());
     for held in shared.held_zones() {
         held.with_placer(shared, |placer, now| {
-            placer.on_version(now, model, newest.version, newest.received_at);
+            placer.on_version(now, model, announced.version, announced.since);
         });
     }
 }
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -5,7 +5,7 @@
     cell::Cell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration,
 };
 
-use caraway_placement::{PlacementRequest, RefuseReason, RequestOutcome};
+use caraway_placement::{AnnouncedVersions, PlacementRequest, RefuseReason, RequestOutcome};
 use caraway_routes::{CallOutcome, ModelRef, TokenCount};
 use caraway_types::{EndpointId, Ticket, ZoneId};
 use tokio::{
@@ -411,8 +411,13 @@
     request: &EndpointRequest,
     exclude: &[EndpointId],
 ) -> Option<Placement> {
-    let newest = shared.newest_versions.borrow().get(&request.model).copied();
-    let newest_version = newest.map_or(0, |n| n.version);
+    let newest_version = {
+        let versions = shared.announced_versions.borrow();
+        let newest = versions
+            .get(&request.model)
+            .and_then(AnnouncedVersions::newest);
+        newest.unwrap_or(0)
+    };
     let directory = shared.directory.borrow();
     let is_resident = |e: &caraway_routes::Endpoint| match &request.model.adapter {
         None => e.has_model(&request.model.model),
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -10,7 +10,9 @@
 };
 
 use caraway_http::{MemoryBudget, Pool, PoolTimeouts};
-use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
+use caraway_placement::{
+    AnnouncedVersions, PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings,
+};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
     Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
@@ -85,14 +87,6 @@
     All,
 }
 
-/// The newest announced version of an adapter.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Announcement {
-    pub(crate) version: u64,
-    /// When this instance read the announcement; `None` unless that was soon after it was written.
-    pub(crate) received_at: Option<Instant>,
-}
-
 /// A request of this instance that runs at an endpoint which a holder granted.
 #[derive(Clone, Debug)]
 pub(crate) struct RunningRequest {
@@ -146,8 +140,9 @@
     pub(crate) catch_up: CatchUp,
     /// The number of instances of all zones, as far as it is known.
     pub(crate) fleet_size: Cell<FleetSize>,
-    /// The newest announced version of each adapter.
-    pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
+    /// The announced versions of each adapter, with the times at which this instance read them soon
+    /// after they were written.
+    pub(crate) announced_versions: RefCell<HashMap<ModelRef, AnnouncedVersions>>,
     /// Chooses endpoints for requests that no placer places.
     pub(crate) load_balancer: RefCell<LoadBalancer>,
     /// Limits the retries of this instance to its part of the deployment's budget.
@@ -220,7 +215,7 @@
             skipped_kinds: RefCell::default(),
             catch_up: CatchUp::default(),
             fleet_size: Cell::new(fleet_size),
-            newest_versions: RefCell::default(),
+            announced_versions: RefCell::default(),
             load_balancer: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
             topics: RefCell::new(Topics::new(max_delay)),
@@ -438,12 +433,22 @@
 /// Largest part by which an instance extends quarantines.
 const QUARANTINE_JITTER: f64 = 0.25;
 
+/// Part of the time by which a new version must be in force after which older ones serve no more. The
+/// rest is for the announcement to arrive and for granted requests to begin.
+const VERSION_GRACE_SHARE: f64 = 0.6;
+
 fn placer_settings(site: &InstanceSettings) -> PlacerSettings {
+    let defaults = PlacerSettings::default();
+    // Zero if the deployment states none.
+    let stated_grace = site.bounds.version_apply.mul_f64(VERSION_GRACE_SHARE);
     PlacerSettings {
+        version_grace: Some(stated_grace)
+            .filter(|g| !g.is_zero())
+            .unwrap_or(defaults.version_grace),
         load_window: site.bounds.load_window,
         load_factor: site.bounds.load_factor,
         zones: u32::try_from(site.zones.len()).unwrap_or(u32::MAX),
-        ..PlacerSettings::default()
+        ..defaults
     }
 }
 
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -4,6 +4,7 @@
 //! outcomes of their runs, and returns grants, refusals and orders. [`ZoneSelector`] tells an
 //! instance which zone's placer to send a request to.
 
+mod announced_versions;
 mod connected_share;
 mod decay;
 mod limiters;
@@ -17,6 +18,7 @@
 mod wait_queue;
 mod zone_selector;
 
+pub use announced_versions::{AnnouncedVersion, AnnouncedVersions};
 pub use connected_share::ConnectedShare;
 pub use decay::DecayingCount;
 pub use order::{Action, Order, OrderNumber, OrderOutcome, Report};
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -17,8 +17,8 @@
 use caraway_types::EndpointId;
 
 use crate::{
-    DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings, limiters::Limiters,
-    replica::Replica, wait_queue::WaitQueue,
+    AnnouncedVersions, DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings,
+    limiters::Limiters, replica::Replica, wait_queue::WaitQueue,
 };
 
 pub use limits::LOW_PRIORITY_WAIT_SHARE;
@@ -44,7 +44,7 @@
     engines: HashMap<Arc<str>, EngineConfig>,
     /// When loads of model weights were ordered, within the load window.
     recent_weight_loads: VecDeque<Instant>,
-    newest: HashMap<ModelRef, NewestVersion>,
+    versions: HashMap<ModelRef, AnnouncedVersions>,
     /// Version assumed for adapters of which none was announced: the lowest that an endpoint has
     /// named; `None` until one does.
     first_version: Option<u64>,
@@ -101,14 +101,6 @@
 /// Divisor for the pressure of a zone without usable endpoints.
 const EMPTY_ZONE_DIVISOR: f64 = 0.1;
 
-/// The newest announced version of an adapter.
-#[derive(Clone, Copy, Debug)]
-struct NewestVersion {
-    version: u64,
-    /// When it was announced; `None` if unknown.
-    since: Option<Instant>,
-}
-
 /// A granted request that has not ended.
 #[derive(Clone, Debug)]
 struct GrantedRun {
@@ -132,7 +124,7 @@
             limiters: Limiters::default(),
             engines: HashMap::new(),
             recent_weight_loads: VecDeque::new(),
-            newest: HashMap::new(),
+            versions: HashMap::new(),
             first_version: None,
             popularity: HashMap::new(),
             waiting: WaitQueue::default(),
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoint state from the registry and from reports.
 
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -160,18 +160,24 @@
             Phase::LoadQueued | Phase::UnloadQueued => true,
             _ => is_reported(model),
         });
+        // While an older version has runs, both are listed, in any order.
+        let mut held: HashMap<&ModelRef, u64> = HashMap::new();
         for (model, version) in &report.adapters {
+            let newest = held.entry(model).or_insert(*version);
+            *newest = (*newest).max(*version);
+        }
+        for (model, version) in held {
             let adapter = self
                 .adapters
                 .entry(model.clone())
-                .or_insert(AdapterState::ready(*version));
+                .or_insert(AdapterState::ready(version));
             match adapter.phase {
                 Phase::LoadQueued if adapter.replaces.is_some() => {}
                 Phase::UnloadQueued | Phase::Unloading => {}
                 _ if report.incoming.contains(model) => {}
                 _ => {
                     adapter.set_ready();
-                    adapter.version = *version;
+                    adapter.version = version;
                 }
             }
         }
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -8,7 +8,7 @@
 
 use super::Placer;
 use crate::{
-    Action,
+    Action, AnnouncedVersions,
     replica::{AdapterState, LoadTiming, Phase, QueuedOrder, Replica},
     wait_queue::Demand,
 };
@@ -41,6 +41,8 @@
             }
             if let Some(target) = self.choose_target(now, &model, None) {
                 self.start_load(now, &model, &target);
+            } else {
+                self.unload_outdated(now, &model);
             }
         }
     }
@@ -129,7 +131,7 @@
     /// Returns the adapters to load: those that requests wait for, then those with a new version.
     fn needed_loads(&self, now: Instant) -> Vec<ModelRef> {
         let mut models = self.backlog(now);
-        let outdated = self.newest.keys().filter(|m| self.needs_refresh(now, m));
+        let outdated = self.versions.keys().filter(|m| self.needs_refresh(now, m));
         models.extend(outdated.cloned());
         models
     }
@@ -229,9 +231,9 @@
         replica
             .adapters
             .iter()
-            .filter(|(m, a)| {
-                a.is_ready() && a.runs == 0 && !self.waiting.contains(m) && *m != model
-            })
+            .filter(|(m, a)| a.is_ready() && a.runs == 0 && *m != model)
+            // A copy that may not serve is of no use to the requests that wait for its adapter.
+            .filter(|(m, a)| !self.waiting.contains(m) || !self.may_serve(now, m, a.version))
             .map(|(m, a)| {
                 let current = self.is_current(m, a.version);
                 let popularity = if current {
@@ -244,6 +246,32 @@
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))
     }
 
+    /// Queues the unload of an idle copy of `model` that may not serve any more: a load takes a slot
+    /// beside the version that it replaces, and no endpoint has another slot for it.
+    fn unload_outdated(&mut self, now: Instant, model: &ModelRef) {
+        let mut replicas = self.replicas.iter();
+        let outdated = replicas.find(|(_, replica)| {
+            let adapter = replica.adapters.get(model);
+            adapter.is_some_and(|a| !self.may_serve(now, model, a.version))
+                && self.can_load(now, model, replica)
+                && replica.free_slots() == 0
+        });
+        let Some(id) = outdated.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        if let Some(replica) = self.replicas.get_mut(&id) {
+            if let Some(adapter) = replica.adapters.get_mut(model) {
+                adapter.phase = Phase::UnloadQueued;
+            }
+            replica.queue.push_back(QueuedOrder {
+                action: Action::Unload,
+                model: model.clone(),
+                retries: 0,
+            });
+        }
+        self.send_due_orders(now, &id);
+    }
+
     /// Queues a load of `model` at an endpoint, and the unload of another adapter if it has no free
     /// slot.
     fn start_load(&mut self, now: Instant, model: &ModelRef, endpoint: &EndpointId) {
@@ -257,7 +285,7 @@
             self.choose_victim(now, model, replica)
                 .map(|(m, _)| m.clone())
         };
-        let newest = self.newest.get(model).map(|n| n.version);
+        let newest = self.versions.get(model).and_then(AnnouncedVersions::newest);
         let version = newest.or(self.first_version).unwrap_or(0);
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -9,10 +9,10 @@
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
-use super::{GrantedRun, NewestVersion, Placer};
+use super::{GrantedRun, Placer};
 use crate::{
-    DecayingCount, Output, PlacementId, PlacementRequest, RefuseReason, RequestOutcome, SourceId,
-    replica::AdapterState,
+    AnnouncedVersion, AnnouncedVersions, DecayingCount, Output, PlacementId, PlacementRequest,
+    RefuseReason, RequestOutcome, SourceId, replica::AdapterState,
 };
 
 /// Why no endpoint can run a request now.
@@ -162,12 +162,11 @@
         version: u64,
         since: Option<Instant>,
     ) {
-        let newest = self.newest.get(model);
-        if newest.is_some_and(|n| n.version >= version) {
+        let announced = AnnouncedVersion { version, since };
+        let versions = self.versions.entry(model.clone()).or_default();
+        if !versions.add(now, announced, self.settings.version_grace) {
             return;
         }
-        self.newest
-            .insert(model.clone(), NewestVersion { version, since });
         for replica in self.replicas.values_mut() {
             replica.remove_cached(model);
         }
@@ -251,18 +250,16 @@
 
     /// Returns whether no newer version than this one was announced.
     pub(super) fn is_current(&self, model: &ModelRef, version: u64) -> bool {
-        self.newest.get(model).is_none_or(|n| version >= n.version)
+        let newest = self.versions.get(model).and_then(AnnouncedVersions::newest);
+        newest.is_none_or(|n| version >= n)
     }
 
     /// Returns whether copies of this version may serve: the newest may, and older ones for a while
-    /// after it was announced.
-    fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
-        self.newest.get(model).is_none_or(|n| {
-            let is_recent = n
-                .since
-                .is_some_and(|at| now < at + self.settings.version_grace);
-            version >= n.version || is_recent
-        })
+    /// after their successor was announced.
+    pub(super) fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
+        let grace = self.settings.version_grace;
+        let versions = self.versions.get(model);
+        versions.is_none_or(|v| v.may_serve(now, version, grace))
     }
 
     /// Chooses an endpoint that can run the request now.
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -232,7 +232,10 @@
                     model: model.model.clone(),
                     adapter: Some(resident.adapter.clone()),
                 };
-                adapters.insert(name, AdapterState::ready(resident.version));
+                let held = adapters
+                    .entry(name)
+                    .or_insert(AdapterState::ready(resident.version));
+                held.version = held.version.max(resident.version);
             }
         }
         Self {
--- a/crates/caraway-routes/src/endpoint.rs
+++ b/crates/caraway-routes/src/endpoint.rs
@@ -73,8 +73,9 @@
     #[must_use]
     pub fn adapter_version(&self, model: &str, adapter: &str) -> Option<u64> {
         let model = self.models.iter().find(|m| &*m.model == model)?;
-        let resident = model.adapters.iter().find(|r| &*r.adapter == adapter)?;
-        Some(resident.version)
+        // While an older version has runs, both are listed, in any order.
+        let held = model.adapters.iter().filter(|r| &*r.adapter == adapter);
+        held.map(|r| r.version).max()
     }
 
     /// Returns whether a base model is loaded on the endpoint.
