caraway-accounts: types and signatures of client accounts and quotas

RoutingConfig carries the account directory, Route the flag `public`, Bounds the quota bounds; TokenCount moves to caraway-types, as accounts compute costs from it. Bodies of the pool and of the allowances are placeholders that admit everything.

--- a/crates/caraway-routes/src/config.rs
+++ b/crates/caraway-routes/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use caraway_accounts::AccountDirectory;
 use serde::{Deserialize, Serialize};
 
 use crate::Route;
@@ -105,6 +106,9 @@
     pub version: u64,
     /// Limits on callers' requests.
     pub limits: Limits,
+    /// The client accounts; never serialized, as keys must not leave the configuration's document.
+    #[serde(skip)]
+    accounts: Arc<AccountDirectory>,
     /// Sorted by host, then by descending length of the prefix, so that the first match is the
     /// most specific one.
     routes: Vec<Arc<Route>>,
@@ -125,6 +129,7 @@
         Self {
             version,
             limits,
+            accounts: Arc::default(),
             routes: routes.into_iter().map(Arc::new).collect(),
             services: services
                 .into_iter()
@@ -133,6 +138,19 @@
         }
     }
 
+    /// Sets the client accounts; without a call, there are none.
+    #[must_use]
+    pub fn with_accounts(mut self, accounts: AccountDirectory) -> Self {
+        self.accounts = Arc::new(accounts);
+        self
+    }
+
+    /// Returns the client accounts.
+    #[must_use]
+    pub fn accounts(&self) -> &Arc<AccountDirectory> {
+        &self.accounts
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -16,6 +16,7 @@
 mod solo_limiter;
 mod store_era;
 
+pub use caraway_types::TokenCount;
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
 pub use endpoint::{Endpoint, EndpointState, LoadedModel, Resident};
@@ -24,7 +25,7 @@
 pub use outage::{OutageDetector, OutageLimits};
 pub use pauses::{PauseLimits, Pauses};
 pub use rate_limiter::RateLimiter;
-pub use request::{ModelRef, PromptSegment, RequestHead, TokenCount};
+pub use request::{ModelRef, PromptSegment, RequestHead};
 pub use request_rate::RequestRate;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Idempotency, Route, Target};
--- a/crates/caraway-routes/src/request.rs
+++ b/crates/caraway-routes/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use caraway_types::{AdapterId, RequestId};
+use caraway_types::{AdapterId, RequestId, TokenCount};
 use serde::{Deserialize, Serialize};
 
 /// A base model, optionally with one of its adapters.
@@ -23,15 +23,6 @@
     }
 }
 
-/// Size of a generation, in tokens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TokenCount {
-    /// Length of the prompt.
-    pub prompt: u32,
-    /// Maximum number of tokens to generate.
-    pub output: u32,
-}
-
 /// A segment at the beginning of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PromptSegment {
--- a/crates/caraway-routes/src/route.rs
+++ b/crates/caraway-routes/src/route.rs
@@ -55,6 +55,9 @@
     /// Largest gap between two events of a stream that is on time; `None` if no goal is set.
     #[serde(rename = "pause")]
     pub max_gap: Option<Duration>,
+    /// Whether requests need no key of a client account.
+    #[serde(default)]
+    pub public: bool,
     /// Priority among routes; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of attempts for one request.
--- a/crates/caraway-types/src/lib.rs
+++ b/crates/caraway-types/src/lib.rs
@@ -10,6 +10,7 @@
 mod millis;
 mod position;
 mod refusal;
+mod token_count;
 
 pub use adapter_ref::{AdapterRef, AdapterRefError};
 pub use class::Class;
@@ -21,3 +22,4 @@
 pub use millis::Millis;
 pub use position::Position;
 pub use refusal::{Certainty, Reason, Refusal};
+pub use token_count::TokenCount;
