gateway: check the keys of client accounts

With accounts in the configuration, a request on a route that is not public needs the key of one account. It is checked before the body is read: 401 without a key, with an unknown, withdrawn or malformed one, or with two Authorization headers. Endpoints get the account's name instead of the key, also on retries, on resumed streams and for requests that another instance serves. The name is set after hop-by-hop headers are removed, so that a caller can't hide it by listing X-Tenant in Connection. The account's priority replaces the route's.

An instance that hands a request over sends no key, but the name in X-Tenant for builds without accounts, and in caraway-account, which the other instance trusts. The latter is listed in Connection, so that builds without accounts don't forward it to endpoints.

Order of checks: without accounts as before; with accounts the key goes before the head's findings.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -338,7 +338,7 @@
             .clone()
             .unwrap_or_else(|| unreachable!("requests to model engines name a model")),
         tokens: call.head.tokens,
-        priority: call.route.priority,
+        priority: call.priority,
         goal: since + call.route.latency_goal,
         deadline: call.deadline.min(since + call.route.event_timeout()),
     }
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -215,7 +215,9 @@
     let remaining = call
         .caller_deadline
         .saturating_duration_since(Instant::now());
-    *request.headers_mut() = copy_handed_headers(&call.headers, remaining);
+    let headers = request.headers_mut();
+    *headers = copy_handed_headers(&call.headers, remaining, call.requester.name());
+    call.requester.set_handed_account(headers);
     let name = HeaderValue::from_str(&shared.site.instance);
     let name = name.unwrap_or(HeaderValue::from_static("instance"));
     request.headers_mut().insert(HANDED_BY_HEADER, name);
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod record_cache;
 mod relay;
 mod request;
+mod requester;
 mod run;
 mod serve;
 mod session;
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -163,7 +163,7 @@
         return Duration::ZERO;
     }
     let remaining = call.deadline.saturating_duration_since(Instant::now());
-    let share = if call.route.priority == 0 {
+    let share = if call.priority == 0 {
         1.0
     } else {
         LOW_PRIORITY_WAIT_SHARE
@@ -441,6 +441,7 @@
             urgency: call
                 .is_engine_service
                 .then(|| Urgency::of(call.head.tokens)),
+            account: call.requester.name(),
         },
     );
     request
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -19,6 +19,7 @@
     event::emit,
     executor::millis,
     generate, hand_over, plain,
+    requester::{self, Requester},
     shared::{LastAnswers, Shared},
 };
 
@@ -44,6 +45,9 @@
     /// Recognises the request when its caller sends it again.
     pub(crate) digest: RequestDigest,
     pub(crate) route: Arc<Route>,
+    pub(crate) requester: Requester,
+    /// Priority among requests; 0 is the most urgent.
+    pub(crate) priority: u8,
     /// The service of the route that was chosen for this request.
     pub(crate) service: Arc<str>,
     /// Whether the endpoints of `service` are model engines.
@@ -128,6 +132,7 @@
             Reason::BadRequest => StatusCode::BAD_REQUEST,
             Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::UnknownService => StatusCode::NOT_FOUND,
+            Reason::UnknownAccount => StatusCode::UNAUTHORIZED,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self {
@@ -199,7 +204,11 @@
 }
 
 /// Handles a caller's request and returns its answer.
-pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
+pub(crate) async fn handle(
+    shared: Rc<Shared>,
+    mut request: Request<Incoming>,
+) -> Response<Payload> {
+    requester::remove_handed_account(request.headers_mut());
     handle_from(shared, request, false).await
 }
 
@@ -325,13 +334,23 @@
     head: Result<RequestHead, Findings>,
     arrived_at: Instant,
 ) -> Result<Call, RefusalResponse> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let routing = shared.routing();
+    let route = routing
+        .as_ref()
+        .map(|r| find_route(r, &parts.headers, &parts.uri));
+    let requester = match (&routing, &route) {
+        (Some(routing), Some(Ok(route))) => requester::identify(routing, route, &parts.headers)?,
+        _ => Requester::default(),
+    };
+    requester.strip_headers(&mut parts.headers);
     let head = head.map_err(|f| RefusalResponse::not_run(Reason::BadRequest, &f.to_string()))?;
-    let routing = shared.routing().ok_or_else(|| {
-        RefusalResponse::not_run(Reason::NoEndpoint, "no configuration is known yet")
-            .with_retry_after(NO_CONFIG_RETRY_AFTER)
-    })?;
-    let route = find_route(&routing, &parts.headers, &parts.uri)?;
+    let (Some(routing), Some(route)) = (routing, route) else {
+        let why = "no configuration is known yet";
+        return Err(RefusalResponse::not_run(Reason::NoEndpoint, why)
+            .with_retry_after(NO_CONFIG_RETRY_AFTER));
+    };
+    let route = route?;
     let service = route
         .choose_service(Shared::random_fraction())
         .ok_or_else(|| RefusalResponse::not_run(Reason::NoEndpoint, "the route has no service"))?
@@ -366,6 +385,8 @@
         headers: parts.headers,
         body,
         digest,
+        priority: requester.priority(&route),
+        requester,
         route,
         is_engine_service: routing
             .service(&service)
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway process with a stand-in of the platform.
 
+mod accounts;
 mod builds;
 mod deadly_prompts;
 mod deadly_requests;
--- a/crates/caraway-gateway/tests/process/stranded.rs
+++ b/crates/caraway-gateway/tests/process/stranded.rs
@@ -23,7 +23,7 @@
 const REACH_CHANGED: u16 = 1140;
 
 /// Starts two gateways; the first holds the zone.
-fn start() -> (Platform, [Gateway; 2]) {
+pub(crate) fn start() -> (Platform, [Gateway; 2]) {
     let platform = Platform::start_proxied();
     let first = Gateway::start_as(platform.store_addr, "gate-1");
     first.wait_to_hold("gate-1");
@@ -38,7 +38,7 @@
 }
 
 /// Sets how the endpoints treat the connections of these gateways.
-fn set_way(platform: &Platform, gateways: &[&Gateway], mode: ProxyMode) {
+pub(crate) fn set_way(platform: &Platform, gateways: &[&Gateway], mode: ProxyMode) {
     let ids: Vec<u32> = gateways.iter().map(|g| g.child.id()).collect();
     platform.with_parts(move |parts| {
         for proxy in &parts.proxies {
@@ -48,8 +48,9 @@
 }
 
 /// Sends requests of each kind at once and returns the answers with their ids: `count` that may be
-/// repeated, as many that may not, and as many streams with an adapter.
-fn send_each_kind(gateway: &Gateway, name: &str, count: usize) -> Vec<(String, String)> {
+/// repeated, as many that may not, and as many streams with an adapter. They have a key, which only tests
+/// with accounts use.
+pub(crate) fn send_each_kind(gateway: &Gateway, name: &str, count: usize) -> Vec<(String, String)> {
     let lines = ["GET /pair/x", "POST /order/x", "POST /report/x"];
     thread::scope(|scope| {
         let calls = (0..count).flat_map(|n| lines.map(|line| (n, line)));
@@ -57,7 +58,7 @@
             let id = format!("{name}-{number}-{}", line.replace([' ', '/'], "-"));
             let headers = format!(
                 "X-Attempt-Id: {id}\r\nX-Model: base/a1\r\nX-Token-Count: 10,5\r\n\
-                 X-Deadline-Ms: 4000\r\n"
+                 X-Deadline-Ms: 4000\r\nAuthorization: Token sekret-1\r\n"
             );
             scope.spawn(move || (call(gateway.front, line, &headers, "body"), id))
         });
