caraway-accounts: quota pools and allowances

A pool grants from token buckets that start empty and may go below 0 by one request; denied draws are told different times. Allowances expire 500 ms after the draw was sent, draw in advance only for busy accounts, ask all zones before a refusal, and use an eighth of the margin without a holder.

--- a/crates/caraway-accounts/src/account.rs
+++ b/crates/caraway-accounts/src/account.rs
@@ -25,6 +25,14 @@
     pub unit: QuotaUnit,
 }
 
+impl Quota {
+    /// Returns whether `other` counts the same, so that a level of one is one of the other.
+    pub(crate) fn unit_kind_eq(&self, other: Option<Self>) -> bool {
+        let kind = std::mem::discriminant(&self.unit);
+        other.is_some_and(|o| std::mem::discriminant(&o.unit) == kind)
+    }
+}
+
 /// A client account.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Account {
--- a/crates/caraway-accounts/src/bounds.rs
+++ b/crates/caraway-accounts/src/bounds.rs
@@ -2,7 +2,14 @@
 
 use std::time::Duration;
 
-use crate::Quota;
+use crate::{Quota, lots::ALLOWANCE_LIFETIME, pool::MIN_CAPACITY};
+
+/// Part of the margin by which pools may grant more than they have.
+const OVERDRAFT_PART: f64 = 0.4;
+/// Part of the margin that instances that reach no holder may use.
+const SOLO_PART: f64 = 0.125;
+/// Shortest window, so that rates derived from it are finite.
+const MIN_WINDOW: Duration = Duration::from_millis(100);
 
 /// How far the requests that run in a window may exceed a quota, over all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -28,6 +35,37 @@
         self.nominal(quota) * self.excess + self.slack
     }
 
+    /// Returns the largest cost of a request that full pools can grant.
+    pub(crate) fn largest_cost(&self, quota: &Quota) -> f64 {
+        let least = quota.rate * MIN_CAPACITY.as_secs_f64();
+        quota.burst.max(least) + self.overdraft(quota)
+    }
+
+    /// Returns by how much the pools of all zones together may grant more than they have, so that
+    /// requests may cost more than a bucket holds. The rest of the margin is for allowances that
+    /// were granted before a window, and for instances that reach no holder.
+    pub(crate) fn overdraft(&self, quota: &Quota) -> f64 {
+        self.margin(quota) * OVERDRAFT_PART
+    }
+
+    /// Returns the rate at which one of `instances` instances may admit requests while it reaches
+    /// no holder, in units per second.
+    pub(crate) fn solo_rate(&self, quota: &Quota, instances: usize) -> f64 {
+        let window = self.window.as_secs_f64().max(MIN_WINDOW.as_secs_f64());
+        #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+        let sharers = instances.max(1) as f64;
+        self.margin(quota) * SOLO_PART / (window * sharers)
+    }
+
+    /// Returns the age up to which the cost of a request that did not run is given back. What is
+    /// given back later would add to the grants of a window in which it was not granted.
+    pub(crate) fn refund_age(&self, quota: &Quota) -> Duration {
+        let part = 1.0 - OVERDRAFT_PART - SOLO_PART;
+        let seconds = self.margin(quota) * part / quota.rate;
+        let age = Duration::try_from_secs_f64(seconds).unwrap_or(self.window);
+        age.clamp(ALLOWANCE_LIFETIME, self.window.max(ALLOWANCE_LIFETIME))
+    }
+
     fn nominal(&self, quota: &Quota) -> f64 {
         quota.rate * self.window.as_secs_f64() + quota.burst
     }
--- a/crates/caraway-accounts/src/lib.rs
+++ b/crates/caraway-accounts/src/lib.rs
@@ -2,14 +2,21 @@
 //! no I/O.
 
 mod account;
+mod allowance;
 mod allowances;
 mod bounds;
+mod bucket;
 mod directory;
 mod draw;
 mod key;
+mod lots;
 mod pool;
+mod pool_share;
+mod solo;
+mod spending;
 
 pub use account::{Account, Quota, QuotaUnit};
+pub use allowance::AllowanceStatus;
 pub use allowances::{Admission, AllowanceAction, AllowanceSettings, Allowances};
 pub use bounds::QuotaBounds;
 pub use caraway_types::AccountId;
@@ -17,3 +24,4 @@
 pub use draw::{Draw, DrawReply};
 pub use key::{KeyHash, MAX_KEY_BYTES};
 pub use pool::QuotaPool;
+pub use pool_share::PoolShare;
