Send to no endpoint that is known to have left, and end the term of rejected holders

Change: a removed incarnation gets no request, whoever granted it, and the holder is told; grants name the incarnation. Pings state when the store last answered. A holder whose reads have failed for 1 s hands over to an instance of its zone that the store serves; instances with an old registry are the last to receive a zone. Both fields have defaults. Tests: process endpoint_signals, two that failed before: 5 requests of 12 were sent to the endpoint, and no hand-over came in 30 s; both pass.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -19,7 +19,7 @@
 use crate::{
     apply,
     event::emit,
-    held_zone::HeldZone,
+    held_zone::{HeldZone, SuccessorRule},
     session::Session,
     shared::{Holder, Shared},
     succession::{HolderState, claim_rank},
@@ -32,6 +32,10 @@
 /// Number of fencing tokens of an era of the store, enough for 16 million records. The store gives
 /// offsets out again in each era, tokens have to rise.
 const TOKENS_PER_ERA: FencingToken = 1 << 32;
+/// Time for which the store has to reject a holder before it hands its zone over to an instance that the
+/// store serves: two ping intervals, in which the instances notice, read the store and say so. Until
+/// then, endpoints that leave are granted; half of the shortest time (2 s) that the deployments allow.
+const HAND_OVER_UNREAD_AFTER: Duration = Duration::from_secs(1);
 /// Delay between attempts to append the record of a zone that was handed over.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -176,9 +180,13 @@
         if held.is_closed() {
             continue;
         }
-        let mut successor = held.hand_over(true);
+        let own_zone = SuccessorRule {
+            own_zone_only: true,
+            ..SuccessorRule::default()
+        };
+        let mut successor = held.hand_over(own_zone);
         if successor.is_none() && append_record(shared, &held.zone, true).await.is_err() {
-            successor = held.hand_over(false);
+            successor = held.hand_over(SuccessorRule::default());
         }
         end_holding(shared, &held, successor, "the instance stops");
     }
@@ -186,22 +194,37 @@
 
 /// Hands held zones over to connected instances that are better holders.
 fn hand_over_to_better_holders(shared: &Rc<Shared>) {
+    let unread_since = topics::registry_unread_since(shared)
+        .filter(|since| since.elapsed() >= HAND_OVER_UNREAD_AFTER)
+        .map(tokio::time::Instant::into_std);
     for held in shared.held_zones() {
         if held.is_stopping() {
             continue;
         }
         if shared.reach.reach() != Reach::Open && held.has_reaching_peer() {
             let why = "this instance reaches no endpoint";
-            tokio::task::spawn_local(hand_over(shared.clone(), held, false, why));
+            let rule = SuccessorRule::default();
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
+        } else if unread_since.is_some_and(|since| held.has_reading_peer(since)) {
+            let why = "the store rejects this instance and serves others";
+            let rule = SuccessorRule {
+                own_zone_only: true,
+                read_since: unread_since,
+            };
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
         } else if held.is_recorded() && held.has_better_holder(shared.weakness()) {
             let why = "another instance is more suitable as the holder";
-            tokio::task::spawn_local(hand_over(shared.clone(), held, true, why));
+            let rule = SuccessorRule {
+                own_zone_only: true,
+                ..SuccessorRule::default()
+            };
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
         }
     }
 }
 
-/// Hands a zone over to a better holder, of the zone itself if `own_zone_only`.
-async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>, own_zone_only: bool, why: &'static str) {
+/// Hands a zone over to a better holder that `rule` admits.
+async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>, rule: SuccessorRule, why: &'static str) {
     stop_orders_and_wait(&shared, &held).await;
     // If this instance is stopping by now, `release_all` gives the zone up. The zone may also have
     // another holder by now.
@@ -210,7 +233,7 @@
     }
     // If the better holder has left by now, there is no successor, and this instance claims the
     // zone again.
-    let successor = held.hand_over(own_zone_only);
+    let successor = held.hand_over(rule);
     end_holding(&shared, &held, successor, why);
 }
 
--- a/crates/caraway-gateway/src/endpoint_signals.rs
+++ b/crates/caraway-gateway/src/endpoint_signals.rs
@@ -8,7 +8,7 @@
 
 use caraway_platform::{DrainState, ResponseHead, RetryAfter};
 use caraway_routes::{Change, Endpoint};
-use caraway_types::EndpointId;
+use caraway_types::{EndpointId, ZoneId};
 
 use crate::{endpoint_limits, event::emit, executor::millis, frame::ToHolder, shared::Shared};
 
@@ -84,6 +84,21 @@
     }
 }
 
+/// Reports to the holder of `zone` that an endpoint that it grants has left, which its copy of the
+/// registry does not say, as when the store rejects the holder.
+pub(crate) fn report_gone_to_holder(shared: &Shared, zone: &ZoneId, endpoint: &EndpointId) {
+    let Some(session) = shared.session(zone) else {
+        return;
+    };
+    let directory = shared.directory.borrow();
+    for born in directory.removed_incarnations(endpoint) {
+        session.send(&ToHolder::Leaving {
+            endpoint: endpoint.clone(),
+            born,
+        });
+    }
+}
+
 /// Records that an endpoint asked for a pause of `wait`.
 fn on_pause_request(shared: &Shared, incarnation: &EndpointIncarnation, wait: Duration) {
     let now = Shared::now();
@@ -100,6 +115,8 @@
 pub(crate) enum BlockReason {
     /// The endpoint is draining.
     Draining,
+    /// The endpoint has left.
+    Gone,
     /// The endpoint asked for a pause.
     Paused,
 }
@@ -109,6 +126,7 @@
     pub(crate) fn as_str(self) -> &'static str {
         match self {
             Self::Draining => "the endpoint leaves",
+            Self::Gone => "the endpoint has left",
             Self::Paused => "the endpoint asked for a pause",
         }
     }
@@ -116,9 +134,20 @@
 
 impl Shared {
     /// Returns the reason that this instance may send nothing to an endpoint, `None` if it may.
-    pub(crate) fn block_reason(&self, endpoint: &EndpointId) -> Option<BlockReason> {
+    ///
+    /// `started_ms` is the start time of the incarnation that was chosen; `None` if unknown. A holder may
+    /// grant one that this instance does not know yet, but none that it knows to have left.
+    pub(crate) fn block_reason(
+        &self,
+        endpoint: &EndpointId,
+        started_ms: Option<u64>,
+    ) -> Option<BlockReason> {
         let directory = self.directory.borrow();
-        let known = directory.get(endpoint)?;
+        let Some(known) = directory.get(endpoint) else {
+            let mut removed = directory.removed_incarnations(endpoint);
+            let is_gone = removed.any(|r| started_ms.is_none() || r == started_ms);
+            return is_gone.then_some(BlockReason::Gone);
+        };
         if !known.is_ready() {
             return Some(BlockReason::Draining);
         }
--- a/crates/caraway-gateway/src/executor.rs
+++ b/crates/caraway-gateway/src/executor.rs
@@ -127,7 +127,7 @@
             "the endpoint is not in the registry".into(),
         ));
     };
-    if shared.block_reason(endpoint) == Some(BlockReason::Paused) {
+    if shared.block_reason(endpoint, None) == Some(BlockReason::Paused) {
         return Err(CallError::NotSent(BlockReason::Paused.as_str().into()));
     }
     let incarnation = EndpointIncarnation::registered(shared, endpoint);
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -128,6 +128,10 @@
         /// requests for other instances.
         #[serde(default)]
         cut: Option<bool>,
+        /// Time since the store last answered a read of the registry by the sender; `None` if it does
+        /// not answer now, if it was not asked, and of builds that do not state it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        read: Option<Millis>,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
@@ -189,6 +193,9 @@
         waited: bool,
         /// Running and waiting requests per usable endpoint of the zone.
         pressure: f64,
+        /// Start of the endpoint's process, in milliseconds; `None` if the registry does not state it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        born: Option<u64>,
     },
     /// Refuses a request.
     Refuse {
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -23,6 +23,7 @@
     endpoint_limits::PERMIT_EXPIRED,
     endpoint_signals::{
         BlockReason, EndpointIncarnation, handle_answer_head, report_draining_to_holder,
+        report_gone_to_holder,
     },
     event::emit,
     executor::millis,
@@ -294,17 +295,21 @@
         .with_retry_after(BUSY_RETRY_AFTER)
 }
 
-/// Returns whether to skip a granted endpoint because it is draining or paused. This instance may
+/// Returns whether to skip a granted endpoint because it is draining, gone or paused. This instance may
 /// know that before the placer does.
 fn skip_blocked(shared: &Shared, placed: &Placement) -> bool {
-    let Some(reason) = shared.block_reason(&placed.endpoint) else {
+    let Some(reason) = shared.block_reason(&placed.endpoint, placed.started_ms) else {
         return false;
     };
     placed.grant.set_outcome(RequestOutcome::NotSent);
-    if reason == BlockReason::Draining
-        && let Some(endpoint) = shared.directory.borrow().get(&placed.endpoint)
-    {
-        report_draining_to_holder(shared, endpoint);
+    match (reason, &placed.zone) {
+        (BlockReason::Draining, _) => {
+            if let Some(endpoint) = shared.directory.borrow().get(&placed.endpoint) {
+                report_draining_to_holder(shared, endpoint);
+            }
+        }
+        (BlockReason::Gone, Some(zone)) => report_gone_to_holder(shared, zone, &placed.endpoint),
+        _ => {}
     }
     true
 }
@@ -552,7 +557,7 @@
     placed: &Placement,
     history: &AttemptHistory,
 ) -> Result<EndpointIncarnation, Box<Outcome>> {
-    if let Some(reason) = shared.block_reason(&placed.endpoint) {
+    if let Some(reason) = shared.block_reason(&placed.endpoint, placed.started_ms) {
         return Err(Outcome::NotRun(reason.as_str()).into());
     }
     if !history.fits(shared, call, &placed.endpoint) {
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -99,10 +99,32 @@
     pub(crate) leaving: bool,
     /// Whether it reaches no endpoint; `None` before it says so, and if its build does not know.
     pub(crate) cut: Option<bool>,
+    /// Whether its copy of the registry is not current.
+    pub(crate) has_old_registry: bool,
+    /// When the store last answered a read of the registry by this instance, if it does so now.
+    pub(crate) read_at: Option<Instant>,
+}
+
+/// Which connected instances may become the next holder of a zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SuccessorRule {
+    /// Only instances of the zone itself.
+    pub(crate) own_zone_only: bool,
+    /// Only instances that the store has answered since then.
+    pub(crate) read_since: Option<Instant>,
+}
+
+impl SuccessorRule {
+    fn admits(&self, zone: &ZoneId, peer: &Peer) -> bool {
+        let has_read = |since| peer.state.read_at.is_some_and(|at| at >= since);
+        !peer.state.leaving
+            && (peer.zone == *zone || !self.own_zone_only)
+            && self.read_since.is_none_or(has_read)
+    }
 }
 
 impl PeerState {
-    fn is_cut(self) -> bool {
+    pub(crate) fn is_cut(self) -> bool {
         self.cut == Some(true)
     }
 
@@ -200,26 +222,40 @@
         self.peers.borrow().values().any(is_better)
     }
 
-    /// Hands the zone over to a connected instance and sends the name of the new holder to all
-    /// connected instances; returns the new holder, or `None` if there is no candidate.
+    /// Returns whether the store has answered a connected instance of the zone that reaches endpoints
+    /// since `since`.
+    pub(crate) fn has_reading_peer(&self, since: Instant) -> bool {
+        let rule = SuccessorRule {
+            own_zone_only: true,
+            read_since: Some(since),
+        };
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .any(|p| rule.admits(&self.zone, p) && !p.state.is_cut())
+    }
+
+    /// Hands the zone over to a connected instance that `rule` admits and sends the name of the new
+    /// holder to all connected instances; returns the new holder, or `None` if there is no candidate.
     ///
-    /// Instances that reach endpoints come first, then those of the zone itself, then those with the
+    /// Instances that reach endpoints come first, then those with a current copy of the registry, as a
+    /// holder grants what its copy lists, then those of the zone itself, then those with the
     /// least weakness, then those of another build, as in a roll they have been replaced already, then
-    /// those that hold no zone. `own_zone_only` excludes instances of other zones.
-    pub(crate) fn hand_over(&self, own_zone_only: bool) -> Option<Holder> {
+    /// those that hold no zone.
+    pub(crate) fn hand_over(&self, rule: SuccessorRule) -> Option<Holder> {
         let peers = self.peers.borrow();
-        let is_candidate = |p: &&Peer| !p.state.leaving && (p.zone == self.zone || !own_zone_only);
-        let candidates = peers.values().filter(is_candidate);
+        let candidates = peers.values().filter(|p| rule.admits(&self.zone, p));
         let is_other_zone = |p: &Peer| p.zone != self.zone;
         let is_own_build = |p: &Peer| p.build.as_deref() == Some(BUILD);
         let next = candidates.min_by(|a, b| {
             let by_reach = a.state.is_cut().cmp(&b.state.is_cut());
+            let by_registry = a.state.has_old_registry.cmp(&b.state.has_old_registry);
             let by_zone = is_other_zone(a).cmp(&is_other_zone(b));
             let by_weakness = a.weakness.total_cmp(&b.weakness);
             let by_build = is_own_build(a).cmp(&is_own_build(b));
             let by_holding = a.state.holds.cmp(&b.state.holds);
             let by_name = a.holder.instance.cmp(&b.holder.instance);
-            let by_place = by_reach.then(by_zone);
+            let by_place = by_reach.then(by_registry).then(by_zone);
             let by_host = by_weakness.then(by_build).then(by_holding);
             by_place.then(by_host).then(by_name)
         })?;
@@ -519,8 +555,8 @@
                 endpoint,
                 has_waited,
             } => {
-                let addr = shared.directory.borrow().get(&endpoint).map(|e| e.addr);
-                let Some(addr) = addr else {
+                let known = shared.directory.borrow().get(&endpoint).cloned();
+                let Some(known) = known else {
                     // The endpoint was removed from the registry in the meantime.
                     self.deliver(request, Decision::Lost);
                     return;
@@ -530,7 +566,8 @@
                     request,
                     Decision::Granted {
                         endpoint,
-                        addr,
+                        addr: known.addr,
+                        started_ms: known.started_ms,
                         waited,
                     },
                 );
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -39,6 +39,8 @@
         endpoint: EndpointId,
         /// The endpoint's address.
         addr: SocketAddr,
+        /// Start time of the endpoint's incarnation; `None` if unknown.
+        started_ms: Option<u64>,
         /// Whether the request waited for a load or a slot.
         waited: bool,
     },
@@ -74,6 +76,8 @@
 pub(crate) struct Placement {
     pub(crate) endpoint: EndpointId,
     pub(crate) addr: SocketAddr,
+    /// Start time of the endpoint's incarnation; `None` if unknown.
+    pub(crate) started_ms: Option<u64>,
     /// Whether the request waited for a load or a slot.
     pub(crate) waited: bool,
     /// The zone whose placer granted the endpoint; `None` if this instance chose it without a
@@ -172,6 +176,7 @@
             Self::Granted {
                 endpoint,
                 addr,
+                started_ms,
                 waited,
             } => FromHolder::Grant {
                 ticket,
@@ -179,6 +184,7 @@
                 addr,
                 waited,
                 pressure,
+                born: started_ms,
             },
             Self::Refused {
                 reason,
@@ -360,6 +366,7 @@
         Decision::Granted {
             endpoint,
             addr,
+            started_ms,
             waited,
         } => {
             let running = RunningRequest {
@@ -370,6 +377,7 @@
             Ok(Placement {
                 endpoint,
                 addr,
+                started_ms,
                 waited,
                 zone: Some(zone.clone()),
                 given_at: Instant::now(),
@@ -438,6 +446,7 @@
     Some(Placement {
         endpoint: endpoint.id.clone(),
         addr: endpoint.addr,
+        started_ms: endpoint.started_ms,
         waited: false,
         zone: None,
         given_at: Instant::now(),
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -288,7 +288,7 @@
         }
     };
     // The endpoint may have started draining or pausing while the connection was made.
-    if let Some(reason) = shared.block_reason(&endpoint.id) {
+    if let Some(reason) = shared.block_reason(&endpoint.id, endpoint.started_ms) {
         return (Outcome::NotRun(reason.as_str()), CallOutcome::Unrelated);
     }
     if let Some(quarantine) = shared.crash_watch.quarantine(call) {
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -368,6 +368,7 @@
             sent,
             limits: endpoint_limits::frames(shared, &self.zone),
             cut: Some(shared.reach.reach() != Reach::Open),
+            read: topics::registry_read_age(shared).map(Into::into),
         })
     }
 
@@ -427,11 +428,13 @@
                 addr,
                 waited,
                 pressure,
+                born,
             } => {
                 self.pressure.set(pressure);
                 let granted = Decision::Granted {
                     endpoint,
                     addr,
+                    started_ms: born,
                     waited,
                 };
                 self.deliver(ticket, granted);
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -208,14 +208,16 @@
                 sent,
                 limits,
                 cut,
+                read,
             } => {
                 let state = PeerState {
                     holds,
                     leaving,
                     cut,
+                    has_old_registry: !served,
+                    read_at: read.and_then(|age| Shared::now().checked_sub(age.get())),
                 };
-                held.set_peer_state(source, state);
-                self.on_ping(zone, sent, served, &limits, cut == Some(true));
+                self.on_ping(source, zone, sent, &limits, state);
             }
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
@@ -241,22 +243,23 @@
     /// Answers a ping of an instance of `zone`.
     fn on_ping(
         &self,
+        source: SourceId,
         zone: &ZoneId,
         sent: Millis,
-        is_registry_current: bool,
         limits: &[LimitFrame],
-        is_cut: bool,
+        state: PeerState,
     ) {
         let shared = &self.shared;
+        self.held.set_peer_state(source, state);
         for limit in limits {
             endpoint_limits::on_frame(shared, limit, LimitSource::Instance);
         }
-        if is_registry_current {
+        if !state.has_old_registry {
             topics::on_peer_registry_read(shared);
         }
         let mut pong = self.held.pong(shared, zone, Some(sent));
         if let FromHolder::Pong { helpers, .. } = &mut pong
-            && is_cut
+            && state.is_cut()
         {
             *helpers = self.held.helpers_with(shared);
         }
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -90,6 +90,8 @@
     last_read: Option<Instant>,
     /// Whether the last read from the store failed, and no holder has had all records since.
     failing: bool,
+    /// When the first of the failing reads failed; of no meaning unless reads fail.
+    failing_since: Option<Instant>,
     forwarding: ForwardingStatus,
     cache: RecordCache,
     /// Interrupts a wait, so that the topic is read at once.
@@ -562,6 +564,23 @@
     !state.failing && state.next.is_some() && missing_policy == MissingPolicy::Remove
 }
 
+/// Returns since when the store has not answered this instance's reads of the registry; `None` if the
+/// last one was answered or the registry is forwarded to this instance.
+pub(crate) fn registry_unread_since(shared: &Shared) -> Option<Instant> {
+    let mut topics = shared.topics.borrow_mut();
+    let state = topics.state(Topic::Endpoints);
+    state.failing_since.filter(|_| state.failing)
+}
+
+/// Returns the time since the store last answered a read of the registry by this instance; `None` if it
+/// does not answer now or was not asked yet.
+pub(crate) fn registry_read_age(shared: &Shared) -> Option<Duration> {
+    let mut topics = shared.topics.borrow_mut();
+    let state = topics.state(Topic::Endpoints);
+    let last_read = state.last_read.filter(|_| !state.failing)?;
+    Some(last_read.elapsed())
+}
+
 /// Sends the records that an instance has missed, which has read the topics up to the offsets in
 /// `known`, of the store's era `era`.
 pub(crate) fn send_missed(
@@ -758,7 +777,11 @@
     let first = {
         let mut topics = shared.topics.borrow_mut();
         let state = topics.state(topic);
-        !std::mem::replace(&mut state.failing, true)
+        let first = !std::mem::replace(&mut state.failing, true);
+        if first {
+            state.failing_since = Some(Instant::now());
+        }
+        first
     };
     if first {
         // Instances that receive forwarded records have to read the store themselves from now on.
--- a/crates/caraway-gateway/tests/process/endpoint_signals.rs
+++ b/crates/caraway-gateway/tests/process/endpoint_signals.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::harness::{Gateway, Platform, WAIT_LIMIT, call, has_endpoints};
-use caraway_platform_standin::Behavior;
+use caraway_platform_standin::{Behavior, ProxyMode};
 
 /// Number of requests in a row; each may be balanced to either of two endpoints.
 const REQUESTS: usize = 12;
@@ -137,3 +137,46 @@
         gateway.has_line(1123, "unreadable", "soon")
     });
 }
+
+/// Starts a holder that the store does not serve any more, and another instance that it serves.
+fn start_rejected_holder() -> (Platform, [Gateway; 2]) {
+    let platform = Platform::start();
+    let holder = Gateway::start_as(platform.store_proxy_addr, "gate-1");
+    holder.wait_to_hold("gate-1");
+    let other = Gateway::start_as(platform.store_addr, "gate-2");
+    for gateway in [&holder, &other] {
+        gateway.wait_for("the engines", || has_endpoints(gateway, &["l-1", "l-2"]));
+    }
+    other.wait_for("a session", || other.has_event(1210));
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Reset));
+    (platform, [holder, other])
+}
+
+// Guards against: an instance sends to an endpoint that it knows to have left, as a holder grants it that
+// the store rejects.
+#[test]
+fn endpoint_that_has_left_gets_no_request_whoever_grants_it() {
+    let (platform, [_holder, other]) = start_rejected_holder();
+    platform.with_parts(|parts| parts.store.remove("keyed.servers", "l-1"));
+    other.wait_for("the departure", || other.has_line(1120, "change", "Gone"));
+    for number in 0..REQUESTS {
+        let headers = format!(
+            "X-Attempt-Id: r{number}\r\nX-Model: base/a{}\r\nX-Token-Count: 10,5\r\n\
+             X-Deadline-Ms: 2000\r\n",
+            number % 2
+        );
+        let answer = call(other.front, "POST /lab/x", &headers, "prompt");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    let is_granted = other.has_line(1400, "endpoint", "l-1");
+    assert!(!is_granted, "it was granted and not skipped");
+}
+
+// Guards against: a holder that the store rejects keeps its zone, and grants what its old copy of the
+// registry lists, though the store serves another instance of the zone.
+#[test]
+fn holder_that_the_store_rejects_hands_its_zone_over() {
+    let (_platform, [holder, other]) = start_rejected_holder();
+    other.wait_to_hold("gate-2");
+    holder.wait_for("the end", || holder.has_line(1202, "successor", "gate-2"));
+}
--- a/crates/caraway-routes/src/directory.rs
+++ b/crates/caraway-routes/src/directory.rs
@@ -139,6 +139,17 @@
         true
     }
 
+    /// Returns the start times of the incarnations of an endpoint that were removed; none while an entry
+    /// of it is known.
+    pub fn removed_incarnations(&self, id: &str) -> impl Iterator<Item = Option<u64>> {
+        let is_known = self.endpoints.contains_key(id);
+        let removed = self
+            .removed
+            .keys()
+            .filter(move |(i, _)| !is_known && **i == *id);
+        removed.map(|(_, started_ms)| *started_ms)
+    }
+
     /// Returns whether an entry of an older copy of the registry says less than is known: the
     /// incarnation was removed since, or another one has started since.
     #[must_use]
