gateway: quotas of client accounts over all instances

Each zone's holder has a quota pool (zone_quotas.rs). Instances draw allowance from it with the new frames Draw and Allowance and admit requests before their bodies are read.

The cost of a request that certainly did not run is refunded, also if the instance that took it over says so (caraway-not-run). Requests that are taken over from another instance are not charged again.

Metrics by account (32 series by name), events 1150 and 1151 for changes and 1409 for at most 10 refused requests a second, which caraway-explain shows with the quota's state.

caraway-accounts: a refund also takes back the recent spending. An instance drew in advance for requests that did not run, and what it drew expired: 3,000 units drawn for 40 requests of 100 units of which none ran, now at most 200 (test in allowances.rs, which failed before).

--- a/crates/caraway-accounts/src/allowance.rs
+++ b/crates/caraway-accounts/src/allowance.rs
@@ -298,6 +298,7 @@
         is_silent: impl Fn(&ZoneId) -> bool,
     ) -> Option<AllowanceAction> {
         self.expire(now);
+        self.spending.take_back(now, cost);
         self.refunds.add(cost, now + ALLOWANCE_LIFETIME);
         if self
             .returned_at
--- a/crates/caraway-accounts/src/spending.rs
+++ b/crates/caraway-accounts/src/spending.rs
@@ -28,6 +28,15 @@
         self.current += units;
     }
 
+    /// Takes back units of a request that did not run, so that nothing is drawn in advance for such
+    /// requests.
+    pub(crate) fn take_back(&mut self, now: Instant, units: f64) {
+        self.advance(now);
+        let left = (units - self.current).max(0.0);
+        self.current = (self.current - units).max(0.0);
+        self.previous = (self.previous - left).max(0.0);
+    }
+
     /// Returns the units spent in the last period.
     pub(crate) fn recent(&mut self, now: Instant) -> f64 {
         self.advance(now);
--- a/crates/caraway-accounts/tests/allowances.rs
+++ b/crates/caraway-accounts/tests/allowances.rs
@@ -247,3 +247,26 @@
     i.account.quota = None;
     assert_eq!(i.admit(1e9), Admission::Admitted, "no limit");
 }
+
+/// Fails if allowance is drawn in advance, and expires unused, for requests that do not run.
+#[test]
+fn nothing_is_drawn_in_advance_for_requests_that_did_not_run() {
+    let mut i = Instance::new(18_000.0, &["east"]);
+    let mut drawn = 0.0;
+    let mut grant = |i: &mut Instance| {
+        for AllowanceAction::Draw { zone, draw } in i.allowances.take_actions() {
+            drawn += draw.amount - draw.returned;
+            i.reply(&zone, draw.amount, Duration::ZERO);
+        }
+    };
+    for _ in 0..40 {
+        i.now += MS * 5;
+        while i.admit(100.0) == Admission::Pending {
+            grant(&mut i);
+        }
+        grant(&mut i);
+        i.allowances.refund(i.now, &"a".into(), 100.0, i.now);
+        grant(&mut i);
+    }
+    assert!(drawn <= 200.0, "{drawn} for one request at a time");
+}
--- a/crates/caraway-explain/src/explanation.rs
+++ b/crates/caraway-explain/src/explanation.rs
@@ -70,6 +70,7 @@
             explanation.add_endpoint_changes(&lines, first, last);
             explanation.add_zone_context(logs, &lines, first, last);
             explanation.add_quarantine(logs, &lines, last);
+            explanation.add_quota(&lines, last);
         }
         let crashes = logs.lines().iter();
         let crashes = crashes.filter(|l| l.event == Event::EndpointCrashed.code());
@@ -179,6 +180,18 @@
         }
     }
 
+    /// Adds what an instance that refused the request for its account's quota knew of the quota.
+    fn add_quota(&mut self, lines: &[&'a Line], last: OffsetDateTime) {
+        for account in self.field_values("account") {
+            let quota = last_before(lines, last, |l| {
+                l.event == Event::QuotaExhausted.code() && l.has_value("account", &account)
+            });
+            self.add(&format!("the quota of {account}"), quota);
+            let pools = last_before(lines, last, |l| l.event == Event::QuotaPoolsLost.code());
+            self.add("its way to the quota pools", pools);
+        }
+    }
+
     /// Adds a line unless it is `None` or has already been added.
     fn add(&mut self, label: &str, line: Option<&'a Line>) {
         let Some(line) = line else {
--- a/crates/caraway-explain/tests/explanation.rs
+++ b/crates/caraway-explain/tests/explanation.rs
@@ -137,3 +137,41 @@
         "{crashed}"
     );
 }
+
+/// Log of an instance that refused requests for their key or for their account's quota.
+const DENIED_LOG: &str = r#"
+{"msg":"configuration applied","ts":"2026-12-06T05:40:13.286000000Z","instance":"gate-2","version":4,"event":1100}
+{"msg":"quota exhausted","ts":"2026-12-06T05:40:13.409761653Z","instance":"gate-2","account":"few","exhausted":true,"rate":10.0,"event":1150}
+{"msg":"quota exhausted","ts":"2026-12-06T05:40:13.500000000Z","instance":"gate-2","account":"many","exhausted":true,"rate":99.0,"event":1150}
+{"msg":"request denied","ts":"2026-12-06T05:40:16.421262128Z","instance":"gate-2","status":429,"account":"few","spent":15.0,"allowance_age_ms":32,"config_age_ms":3134,"request":"r7","event":1409}
+{"msg":"request denied","ts":"2026-12-06T05:40:16.500000000Z","instance":"gate-2","status":401,"detail":"the request has no key","version":4,"config_age_ms":3213,"request":"r8","event":1409}
+"#;
+
+#[test]
+fn a_request_that_was_denied_is_explained_by_the_quota_and_the_configuration() {
+    let mut logs = Logs::default();
+    logs.read(DENIED_LOG.as_bytes())
+        .expect("memory can be read");
+    let text = |id| {
+        let explanation = Explanation::of_request(&logs, id);
+        explanation.expect("the request is named").to_string()
+    };
+    let (quota, key) = (text("r7"), text("r8"));
+    for part in [
+        "the quota of few: quota exhausted (1150)",
+        "rate=10.0",
+        "spent=15.0",
+        "allowance_age_ms=32",
+        "config_age_ms=3134",
+    ] {
+        assert!(quota.contains(part), "{part} is missing in\n{quota}");
+    }
+    assert!(!quota.contains("many"), "{quota}");
+    for part in [
+        "the request has no key",
+        "configuration applied (1100) version=4",
+    ] {
+        assert!(key.contains(part), "{part} is missing in\n{key}");
+    }
+    assert!(!key.contains("1150"), "{key}");
+}
--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -151,8 +151,12 @@
     }
     emit!(shared, info, ConfigApplied; "version" => routing.version, "former" => former,
         "offset" => offset, "routes" => routing.routes().len());
+    shared.quotas.set_accounts(routing.accounts());
+    shared.config_applied_at.set(Some(Shared::now()));
+    let accounts = routing.accounts().clone();
     *shared.routing.borrow_mut() = Some(Arc::new(routing));
     for held in shared.held_zones() {
+        held.set_accounts(&accounts);
         update_engines(shared, &held);
     }
 }
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -89,6 +89,10 @@
     OriginsLost = 1131, "origins of streams not stored", 20;
     /// This instance has lost its way to all endpoints, or found it again.
     ReachChanged = 1140, "reach of endpoints changed", 20;
+    /// A client account has used up its quota at this instance, or has allowance again.
+    QuotaExhausted = 1150, "quota exhausted", 20;
+    /// This instance reaches no holder that has allowance for client accounts, or does again.
+    QuotaPoolsLost = 1151, "quota pools out of reach", 10;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
@@ -129,6 +133,8 @@
     StreamTakenUp = 1407, "stream taken up", 50;
     /// A request was handed over to an instance that reaches endpoints.
     RequestHandedOver = 1408, "request handed over", 50;
+    /// A request was refused for its key or for its account's quota; callers may send many.
+    RequestDenied = 1409, "request denied", 10;
 }
 
 /// Logs an [`Event`] with its number and the key-value pairs after the semicolon, unless the event
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -19,7 +19,10 @@
     de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
 };
 
-use crate::shared::Holder;
+use crate::{
+    quota_frame::{AllowanceFrame, DrawFrame},
+    shared::Holder,
+};
 
 /// Size of the length that precedes a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -129,6 +132,11 @@
         #[serde(default)]
         cut: Option<bool>,
     },
+    /// Draws allowance from the zone's quota pool. Draws are answered in order.
+    Draw {
+        /// One draw for each account.
+        draws: Vec<DrawFrame>,
+    },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
 }
@@ -177,6 +185,11 @@
         /// Time after which to ask again.
         after: Millis,
     },
+    /// Answers draws.
+    Allowance {
+        /// The replies, in the order of the draws.
+        replies: Vec<AllowanceFrame>,
+    },
     /// Grants an endpoint to a request.
     Grant {
         /// Identifies the request.
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -34,6 +34,8 @@
 const HANDED_BY_HEADER: HeaderName = HeaderName::from_static("caraway-handed-by");
 /// Header of the answer of an instance that does not take a request over.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("caraway-declined");
+/// Header of the answer of an instance that has taken a request over which certainly did not run.
+const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("caraway-not-run");
 /// Number of instances to which a request is offered.
 const MAX_HELPERS_TRIED: usize = 3;
 /// Longest wait for the first list of instances that help: several round trips between zones.
@@ -72,6 +74,12 @@
     response
 }
 
+/// States in the answer to a request that was taken over that it certainly did not run.
+pub(crate) fn set_not_run(response: &mut Response<Payload>) {
+    let headers = response.headers_mut();
+    headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+}
+
 /// Counts a request that is served for another instance until its answer begins.
 struct TakenGuard(Rc<Shared>);
 
@@ -178,7 +186,7 @@
     };
     let end = call.caller_deadline + DEADLINE_GRACE;
     let request = handed_request(shared, call);
-    call.was_sent.set(true);
+    call.on_sent();
     emit!(shared, info, RequestHandedOver; "request" => &*call.head.id, "to" => %helper.addr,
         "ms" => millis(call.arrived_at.elapsed()));
     let offer = match timeout_at(end, pooled.connection.send(request)).await {
@@ -230,6 +238,9 @@
     let mut response = Response::new(Payload::Stream(chunks));
     *response.status_mut() = answer.response.status();
     *response.headers_mut() = copy_response_headers(answer.response.headers());
+    if response.headers_mut().remove(NOT_RUN_HEADER).is_some() {
+        call.set_may_have_run(false);
+    }
     let end = call.caller_deadline + DEADLINE_GRACE;
     tokio::task::spawn_local(async move {
         forward(answer, &out, end).await;
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use caraway_accounts::{AccountDirectory, Draw, DrawReply};
 use caraway_placement::{
     ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
     SourceId,
@@ -30,6 +31,7 @@
     shared::{Holder, Shared},
     succession::should_hand_over,
     topics,
+    zone_quotas::ZoneQuotas,
 };
 
 /// Source of this instance's own requests, which use no session.
@@ -66,6 +68,7 @@
     connected: RefCell<ConnectedShare>,
     /// The share that the placer was told last.
     limit_share: Cell<f64>,
+    quotas: RefCell<ZoneQuotas>,
     /// Notified when the next timer of the placer may have changed.
     wake: Notify,
     /// Whether the zone was given up.
@@ -148,6 +151,7 @@
         let mut placer = Placer::new(shared.placer_settings.clone(), start);
         placer.set_limit_share(Shared::now(), limit_share);
         Self {
+            quotas: RefCell::new(ZoneQuotas::new(shared, &zone)),
             zone,
             token: Cell::new(token),
             is_recorded: Cell::new(is_recorded),
@@ -313,6 +317,10 @@
         self.connected
             .borrow_mut()
             .on_connected(&peer.holder.instance);
+        let in_zone = peer.zone == self.zone;
+        self.quotas
+            .borrow_mut()
+            .on_connected(Shared::now(), &peer.holder.instance, in_zone);
         self.peers.borrow_mut().insert(id, peer);
         self.update_limit_share(shared);
         id
@@ -360,11 +368,14 @@
         if let Some(lost) = lost {
             let name = &lost.holder.instance;
             let is_back = |p: &Peer| p.holder.instance == *name;
-            let mut connected = self.connected.borrow_mut();
+            let (mut connected, now) = (self.connected.borrow_mut(), Shared::now());
+            let mut quotas = self.quotas.borrow_mut();
             if lost.state.leaving {
                 connected.on_stopped(name);
+                quotas.on_stopped(now, name);
             } else if !self.peers.borrow().values().any(is_back) {
-                connected.on_lost(Shared::now(), name);
+                connected.on_lost(now, name);
+                quotas.on_lost(now, name);
             }
         }
         self.with_placer(shared, |placer, now| placer.on_source_lost(now, source));
@@ -379,6 +390,7 @@
     /// Passes the part of all instances that is connected to the placer, which gives away as much
     /// of each endpoint's request limit.
     pub(crate) fn update_limit_share(self: &Rc<Self>, shared: &Rc<Shared>) {
+        self.quotas.borrow_mut().update_share(Shared::now());
         let share = self.connected.borrow().share(Shared::now());
         if self.limit_share.replace(share).to_bits() != share.to_bits() {
             self.with_placer(shared, |placer, now| placer.set_limit_share(now, share));
@@ -401,6 +413,21 @@
         permit
     }
 
+    /// Applies the accounts of a new configuration to the zone's quota pool.
+    pub(crate) fn set_accounts(&self, accounts: &AccountDirectory) {
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.set_accounts(Shared::now(), accounts);
+    }
+
+    /// Draws from the zone's quota pool; returns no replies once the zone is given up.
+    pub(crate) fn draw(&self, draws: &[Draw]) -> Vec<DrawReply> {
+        if self.closed.get() {
+            return Vec::new();
+        }
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.draw(Shared::now(), draws.iter())
+    }
+
     /// Returns the number of connected instances of `zone`, plus one if `zone` is this held zone.
     pub(crate) fn instance_count(&self, zone: &str) -> usize {
         let peers = self.peers.borrow();
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -27,6 +27,9 @@
 mod monitoring;
 mod placement;
 mod plain;
+mod quota_frame;
+mod quota_view;
+mod quotas;
 mod reach;
 mod record_cache;
 mod relay;
@@ -44,6 +47,7 @@
 mod succession;
 mod topics;
 mod version_histories;
+mod zone_quotas;
 
 pub use caraway_metrics::MetricInfo;
 pub use claim_schedule::ClaimSchedule;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -3,8 +3,9 @@
 //! Labels hold kinds of request, outcomes, reasons and topics only, so that the number of series
 //! does not grow with adapters or endpoints.
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::HashSet, time::Duration};
 
+use caraway_accounts::AccountId;
 use caraway_metrics::{Exporter, MetricInfo};
 use opentelemetry::{
     KeyValue,
@@ -16,6 +17,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 12.0,
 ];
 
+/// Number of client accounts that have series of their own.
+const MAX_NAMED_ACCOUNTS: usize = 32;
+
 /// Every metric of the daemon with its unit and labels.
 pub const METRICS: &[MetricInfo] = &[
     MetricInfo::new(
@@ -54,6 +58,18 @@
     MetricInfo::new("caraway_gateway_quarantines", "quarantines", &[]),
     MetricInfo::new("caraway_gateway_quarantined_total", "requests", &[]),
     MetricInfo::new("caraway_gateway_frames_skipped_total", "frames", &[]),
+    MetricInfo::new(
+        "caraway_gateway_account_requests_total",
+        "requests",
+        &["account", "result"],
+    ),
+    MetricInfo::new(
+        "caraway_gateway_quota_units_total",
+        "units",
+        &["account", "result"],
+    ),
+    MetricInfo::new("caraway_gateway_keys_refused_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_accounts_exhausted", "accounts", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -80,6 +96,12 @@
     quarantines: Gauge<u64>,
     quarantined: Counter<u64>,
     skipped_frames: Counter<u64>,
+    account_requests: Counter<u64>,
+    quota_units: Counter<f64>,
+    refused_keys: Counter<u64>,
+    exhausted_accounts: Gauge<u64>,
+    /// The accounts that have series of their own.
+    named_accounts: RefCell<HashSet<AccountId>>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
@@ -101,6 +123,8 @@
     pub(crate) held_back: u64,
     /// Quarantines of prompts in force.
     pub(crate) quarantines: u64,
+    /// Client accounts that have used up their quota.
+    pub(crate) exhausted_accounts: u64,
 }
 
 impl Metrics {
@@ -137,6 +161,11 @@
             quarantines: gauge("caraway_gateway_quarantines"),
             quarantined: counter("caraway_gateway_quarantined"),
             skipped_frames: counter("caraway_gateway_frames_skipped"),
+            account_requests: counter("caraway_gateway_account_requests"),
+            quota_units: meter.f64_counter("caraway_gateway_quota_units").build(),
+            refused_keys: counter("caraway_gateway_keys_refused"),
+            exhausted_accounts: gauge("caraway_gateway_accounts_exhausted"),
+            named_accounts: RefCell::default(),
             exporter,
         })
     }
@@ -155,6 +184,8 @@
         self.endpoint_limits.record(gauges.endpoint_limits, &[]);
         self.held_back.record(gauges.held_back, &[]);
         self.quarantines.record(gauges.quarantines, &[]);
+        self.exhausted_accounts
+            .record(gauges.exhausted_accounts, &[]);
         self.exporter.text()
     }
 
@@ -208,6 +239,37 @@
         self.skipped_frames.add(1, &[]);
     }
 
+    /// Counts a request that has no valid key.
+    pub(crate) fn record_refused_key(&self) {
+        self.refused_keys.add(1, &[]);
+    }
+
+    /// Counts a request of a client account by its result.
+    pub(crate) fn record_account(&self, account: &AccountId, result: &'static str) {
+        let labels = [self.account_label(account), KeyValue::new("result", result)];
+        self.account_requests.add(1, &labels);
+    }
+
+    /// Counts units of a client account's quota.
+    pub(crate) fn record_quota(&self, account: &AccountId, result: &'static str, units: f64) {
+        let labels = [self.account_label(account), KeyValue::new("result", result)];
+        self.quota_units.add(units, &labels);
+    }
+
+    /// Returns the label of an account: its name, or `other` once enough accounts have series of
+    /// their own.
+    fn account_label(&self, account: &AccountId) -> KeyValue {
+        let mut named = self.named_accounts.borrow_mut();
+        if named.contains(account) {
+            return KeyValue::new("account", account.clone());
+        }
+        if named.len() < MAX_NAMED_ACCOUNTS {
+            named.insert(account.clone());
+            return KeyValue::new("account", account.clone());
+        }
+        KeyValue::new("account", "other")
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -450,7 +450,7 @@
 /// Records that a request is sent, and counts it towards its service's retry budget the first time; `sent`
 /// is the number of earlier sends.
 pub(crate) fn record_first_send(shared: &Shared, call: &Call, sent: u32) {
-    call.was_sent.set(true);
+    call.on_sent();
     if sent == 0 {
         let mut budget = shared.retry_budget.borrow_mut();
         budget.on_request(Shared::now(), &call.service);
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use caraway_http::{BodyError, Payload, read_body_within};
-use caraway_platform::{decode_request_head, refusal_response};
+use caraway_platform::{decode_request_head, has_token_count, refusal_response};
 use caraway_quarantine::RequestDigest;
 use caraway_reach::Reach;
 use caraway_routes::{Limits, RequestHead, Route, RoutingConfig};
@@ -19,6 +19,7 @@
     event::emit,
     executor::millis,
     generate, hand_over, plain,
+    quotas::{self, Charge},
     requester::{self, Requester},
     shared::{LastAnswers, Shared},
 };
@@ -58,6 +59,8 @@
     pub(crate) is_taken: bool,
     /// Whether the request was sent, so that it may run.
     pub(crate) was_sent: Cell<bool>,
+    /// What the request was charged; `None` if its account has no quota.
+    pub(crate) charge: Option<Charge>,
     pub(crate) arrived_at: Instant,
     /// Time by which the caller gets a final answer: the earlier of its own deadline and the
     /// route's timeout.
@@ -72,6 +75,26 @@
         Instant::now() + min_time <= self.deadline
     }
 
+    /// Records that the request is sent, so that it may run.
+    pub(crate) fn on_sent(&self) {
+        self.was_sent.set(true);
+        self.set_may_have_run(true);
+    }
+
+    /// Records whether the request may have run; if it certainly has not, its charge is refunded.
+    pub(crate) fn set_may_have_run(&self, may_have_run: bool) {
+        if let Some(charge) = &self.charge {
+            charge.set_may_have_run(may_have_run);
+        }
+    }
+
+    /// Counts the request's result for its account, unless the instance that handed it over does.
+    fn record_account(&self, shared: &Shared, result: &'static str) {
+        if let Some(account) = self.requester.account().filter(|_| !self.is_taken) {
+            shared.metrics.record_account(&account.name, result);
+        }
+    }
+
     /// Returns the refusal of a request that no endpoint has run. Its reason is the deadline when less
     /// time is left than `min_time`, which another attempt would have needed.
     pub(crate) fn not_run(&self, why: &str, min_time: Duration) -> RefusalResponse {
@@ -133,6 +156,7 @@
             Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::UnknownService => StatusCode::NOT_FOUND,
             Reason::UnknownAccount => StatusCode::UNAUTHORIZED,
+            Reason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self {
@@ -268,13 +292,24 @@
     };
     match result {
         Ok(response) => {
+            call.record_account(shared, "served");
             shared.metrics.record_request(kind, "answered");
             shared.metrics.record_answer(kind, arrived_at.elapsed());
             emit!(shared, info, RequestAnswered; "request" => id, "kind" => kind,
                 "status" => response.status().as_u16(), "ms" => millis(arrived_at.elapsed()));
             response
         }
-        Err(refused) => refuse(shared, kind, id, arrived_at, &refused),
+        Err(refused) => {
+            call.record_account(shared, "refused");
+            if refused.is_not_run() {
+                call.set_may_have_run(false);
+            }
+            let mut response = refuse(shared, kind, id, arrived_at, &refused);
+            if is_taken && refused.is_not_run() {
+                hand_over::set_not_run(&mut response);
+            }
+            response
+        }
     }
 }
 
@@ -359,6 +394,14 @@
     let caller_deadline = arrived_at + timeout;
     let deadline = arrived_at + timeout.min(route.timeout);
     check_head(&parts.headers, &parts.uri, &routing.limits)?;
+    let charge = match requester.account() {
+        Some(account) => {
+            let tokens = has_token_count(&parts.headers).then_some(head.tokens);
+            let cost = account.cost(tokens);
+            quotas::admit(shared, account, cost, &head.id, deadline).await?
+        }
+        None => None,
+    };
     let body = read_body_within(body, routing.limits.body_bytes, &shared.body_budget);
     let body = timeout_at(deadline, body)
         .await
@@ -395,6 +438,7 @@
         config_version: routing.version,
         is_taken: false,
         was_sent: Cell::new(false),
+        charge,
         arrived_at,
         deadline,
         caller_deadline,
@@ -445,10 +489,22 @@
     } = refused;
     shared.metrics.record_request(kind, "refused");
     let version = shared.routing().map_or(0, |r| r.version);
-    emit!(shared, warn, RequestFailed; "request" => id, "kind" => kind, "status" => status.as_u16(),
+    match details.reason {
+        // It is logged where the state of the quota is known.
+        Reason::OverLimit => {}
+        Reason::UnknownAccount => {
+            shared.metrics.record_refused_key();
+            emit!(shared, info, RequestDenied; "request" => id, "status" => status.as_u16(),
+                "detail" => &*details.detail, "version" => version,
+                "config_age_ms" => shared.config_age().map(millis));
+        }
+        _ => {
+            emit!(shared, warn, RequestFailed; "request" => id, "kind" => kind, "status" => status.as_u16(),
         "reason" => format!("{:?}", details.reason), "certainty" => format!("{:?}", details.certainty),
         "detail" => &*details.detail, "version" => version,
         "retry_after_ms" => details.retry_after.map_or(0, |r| millis(r.get())),
         "ms" => millis(arrived_at.elapsed()));
+        }
+    }
     refusal_response(*status, id, details)
 }
--- a/crates/caraway-gateway/src/requester.rs
+++ b/crates/caraway-gateway/src/requester.rs
@@ -49,8 +49,9 @@
 
     /// Removes the headers that only name an account to this instance.
     pub(crate) fn strip_headers(&self, headers: &mut HeaderMap) {
-        remove_handed_account(headers);
+        // Without accounts, `identify` has found no header of another instance.
         if *self != Self::Unchecked {
+            remove_handed_account(headers);
             remove_account_headers(headers);
         }
     }
@@ -109,18 +110,15 @@
 /// Returns the requester that another instance has found; `None` if it has not said.
 fn handed_requester(accounts: &AccountDirectory, headers: &HeaderMap) -> Option<Requester> {
     let name = headers.get(ACCOUNT_HEADER)?;
-    let name = std::str::from_utf8(name.as_bytes()).ok()?;
+    let name = String::from_utf8_lossy(name.as_bytes());
     if name.is_empty() {
         return Some(Requester::Public);
     }
-    // The other instance may know a newer configuration.
-    let unknown = || {
-        Arc::new(Account {
-            name: name.into(),
-            priority: None,
-            quota: None,
-        })
+    // The other instance may know a newer configuration. It has charged the quota.
+    let account = Account {
+        priority: accounts.get(&name).and_then(|a| a.priority),
+        name: name.into(),
+        quota: None,
     };
-    let account = accounts.get(name).cloned().unwrap_or_else(unknown);
-    Some(Requester::Account(account))
+    Some(Requester::Account(Arc::new(account)))
 }
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -174,6 +174,7 @@
             shared.helper_pool.sweep();
             shared.update_retry_limits();
             log_placer_stats(&shared);
+            shared.quotas.view.update(&shared);
             for (event, lines) in shared.line_rates.take_suppressed() {
                 emit!(shared, info, LinesSuppressed; "of" => event, "lines" => lines);
             }
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -29,6 +29,7 @@
     frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
     held_zone,
     placement::Decision,
+    quotas,
     session_server::{self, SESSION_PATH},
     shared::{Holder, Shared},
     topics,
@@ -453,6 +454,10 @@
             FromHolder::NoPermit { ticket, after } => {
                 self.deliver_permit(ticket, Err(after.get()));
             }
+            FromHolder::Allowance { replies } => {
+                let replies: Vec<_> = replies.into_iter().map(Into::into).collect();
+                quotas::on_replies(shared, &self.zone, &replies);
+            }
             FromHolder::Successor { holder, token } => {
                 claim::on_successor(shared, &self.zone, &Holder { token, ..holder });
                 return Some(SessionEnd::Stopped);
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use caraway_accounts::Draw;
 use caraway_http::Payload;
 use caraway_placement::{PlacementId, PlacementRequest, SourceId};
 use caraway_types::{EndpointId, Incarnation, Millis, Ticket, ZoneId};
@@ -21,6 +22,7 @@
     event::emit,
     frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
     held_zone::{self, HeldZone, Peer, PeerState},
+    quota_frame::DrawFrame,
     session::{HEARTBEAT_TIMEOUT, Outgoing},
     shared::{Holder, Shared},
     topics,
@@ -217,6 +219,7 @@
                 held.set_peer_state(source, state);
                 self.on_ping(zone, sent, served, &limits, cut == Some(true));
             }
+            ToHolder::Draw { draws } => self.reply_to_draws(draws),
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
     }
@@ -238,6 +241,20 @@
         self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
     }
 
+    /// Replies to draws from the zone's quota pool.
+    fn reply_to_draws(&self, draws: Vec<DrawFrame>) {
+        let draws: Vec<Draw> = draws.into_iter().map(Into::into).collect();
+        let replies = self.held.draw(&draws);
+        if replies.is_empty() {
+            return;
+        }
+        let reply = FromHolder::Allowance {
+            replies: replies.into_iter().map(Into::into).collect(),
+        };
+        // If the queue is full, the instance takes the holder for unreachable.
+        self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
+    }
+
     /// Answers a ping of an instance of `zone`.
     fn on_ping(
         &self,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use caraway_accounts::AllowanceSettings;
 use caraway_http::{MemoryBudget, Pool, PoolTimeouts};
 use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
@@ -34,6 +35,7 @@
     held_zone::HeldZone,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
+    quotas::QuotaState,
     reach::ReachState,
     session::Session,
     stream_origins::StreamState,
@@ -134,6 +136,10 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
     pub(crate) limits: LimitState,
+    /// What this instance may admit for client accounts.
+    pub(crate) quotas: QuotaState,
+    /// When the configuration in force was applied.
+    pub(crate) config_applied_at: Cell<Option<Instant>>,
     /// What is known of prompts that crash engines.
     pub(crate) crash_watch: CrashWatch,
     /// What is known of the software versions of services.
@@ -190,6 +196,13 @@
     ) -> Self {
         let body_budget = body_budget(site.memory_mb);
         let fleet_size = FleetSize::new(site.zones.len());
+        let quotas = QuotaState::new(
+            site.zone.clone(),
+            AllowanceSettings {
+                bounds: site.bounds.quota,
+                turn_offset: Self::random_fraction(),
+            },
+        );
         let max_delay = site.bounds.config_apply.min(site.bounds.drain);
         Self {
             store: StoreClient::new(site.store.clone()),
@@ -214,6 +227,8 @@
             directory: RefCell::default(),
             pauses: RefCell::default(),
             limits: LimitState::default(),
+            quotas,
+            config_applied_at: Cell::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
             versions: VersionState::default(),
             streams: StreamState::default(),
@@ -255,6 +270,12 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns for how long the configuration in force has been applied; `None` if there is none.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        let applied_at = self.config_applied_at.get()?;
+        Some(Self::now().saturating_duration_since(applied_at))
+    }
+
     /// Returns whether the daemon is stopping.
     pub(crate) fn is_draining(&self) -> bool {
         *self.draining.borrow()
@@ -426,6 +447,7 @@
             held_back: held_zones.values().map(|d| d.stats().held_back).sum(),
             held_zones: count(held_zones.len()),
             lines_dropped: self.log_queue.dropped(),
+            exhausted_accounts: count(self.quotas.view.exhausted()),
             endpoint_limits: count(self.limits.count()),
             quarantines: {
                 let evidence = self.crash_watch.evidence.borrow();
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod faulty;
 mod harness;
 mod limits;
+mod quotas;
 mod software_versions;
 mod stop;
 mod store_era;
