--- a/crates/caraway-accounts/src/allowance.rs
+++ b/crates/caraway-accounts/src/allowance.rs
@@ -28,7 +28,7 @@
 const RETURN_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of requests per period from which allowance is drawn in advance. With fewer, most of it
 /// would expire.
-const ADVANCE_REQUESTS: f64 = 2.0;
+const ADVANCE_REQUESTS: f64 = 4.0;
 
 /// State of an account at an instance, for metrics and logs.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -215,7 +215,7 @@
         for zone in zones {
             let denial = self.denials.iter().find(|d| d.zone == *zone);
             let Some(denial) = denial.filter(|d| d.holds(now)) else {
-                let ahead = self.advance(now, cost).unwrap_or(0.0);
+                let ahead = self.advance(now).unwrap_or(0.0);
                 self.covered = std::mem::take(&mut self.waiting);
                 let amount = ahead.max(need + self.covered);
                 let draw = self.draw(now, zone, amount, need);
@@ -346,7 +346,7 @@
         if self.open.is_some() {
             return None;
         }
-        let amount = self.advance(now, cost)?;
+        let amount = self.advance(now)?;
         if self.lots.available() >= amount / 2.0 {
             return None;
         }
@@ -358,13 +358,13 @@
 
     /// Returns what to draw in advance; `None` if the account is used too little at this instance,
     /// or its pools are scarce.
-    fn advance(&mut self, now: Instant, cost: f64) -> Option<f64> {
+    fn advance(&mut self, now: Instant) -> Option<f64> {
         let is_scarce = |d: &Denial| now < d.denied_at + SCARCE_TIME;
         if self.denials.iter().any(is_scarce) {
             return None;
         }
         let recent = self.spending.recent(now);
-        (recent >= ADVANCE_REQUESTS * cost).then_some(recent)
+        (recent.requests >= ADVANCE_REQUESTS).then_some(recent.units)
     }
 
     fn draw(&mut self, now: Instant, zone: &ZoneId, amount: f64, least: f64) -> AllowanceAction {
--- a/crates/caraway-accounts/src/spending.rs
+++ b/crates/caraway-accounts/src/spending.rs
@@ -6,34 +6,46 @@
 /// next draw is made, so that allowance is used within its lifetime of 500 ms.
 const PERIOD: Duration = Duration::from_millis(250);
 
-/// Units spent in the last 250 ms, by a sliding window over two periods.
+/// Number of requests and their cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Spent {
+    pub(crate) requests: f64,
+    pub(crate) units: f64,
+}
+
+/// Requests and units of the last 250 ms, by a sliding window over two periods.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Spending {
     started_at: Instant,
-    current: f64,
-    previous: f64,
+    current: Spent,
+    previous: Spent,
 }
 
 impl Spending {
     pub(crate) fn new(now: Instant) -> Self {
         Self {
             started_at: now,
-            current: 0.0,
-            previous: 0.0,
+            current: Spent::default(),
+            previous: Spent::default(),
         }
     }
 
     pub(crate) fn record(&mut self, now: Instant, units: f64) {
         self.advance(now);
-        self.current += units;
+        self.current.requests += 1.0;
+        self.current.units += units;
     }
 
-    /// Returns the units spent in the last period.
-    pub(crate) fn recent(&mut self, now: Instant) -> f64 {
+    /// Returns what was spent in the last period.
+    pub(crate) fn recent(&mut self, now: Instant) -> Spent {
         self.advance(now);
         let elapsed = now.saturating_duration_since(self.started_at);
         let part = elapsed.as_secs_f64() / PERIOD.as_secs_f64();
-        self.current + self.previous * (1.0 - part)
+        let former = |previous: f64| previous * (1.0 - part);
+        Spent {
+            requests: self.current.requests + former(self.previous.requests),
+            units: self.current.units + former(self.previous.units),
+        }
     }
 
     fn advance(&mut self, now: Instant) {
@@ -42,7 +54,7 @@
             *self = Self::new(now);
         } else if elapsed >= PERIOD {
             self.previous = self.current;
-            self.current = 0.0;
+            self.current = Spent::default();
             self.started_at += PERIOD;
         }
     }
--- /dev/null
+++ b/crates/caraway-accounts/tests/quotas.rs
@@ -0,0 +1,163 @@
+//! Quotas over a whole fleet in virtual time, with faults: no window exceeds its bound, and requests
+//! within a quota are admitted.
+
+mod common;
+mod fleet;
+
+use fleet::{Fault, Fleet, load::Load};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const ACCOUNTS: i32 = 16;
+/// Length of a run, in seconds: more than two windows.
+const TIME: f64 = 18.0;
+
+/// What the seeds of a case showed.
+struct Case {
+    most: f64,
+    worst: f64,
+    least: f64,
+    hot: f64,
+    rate: f64,
+}
+
+/// Runs a case with several seeds and prints what it showed.
+fn run(name: &str, instances: usize, seeds: u64, set_up: impl Fn(&mut Fleet)) -> Case {
+    let zones = if instances > 100 { 7 } else { 3 };
+    let mut case = Case {
+        most: 0.0,
+        worst: 1.0,
+        least: 1.0,
+        hot: f64::INFINITY,
+        rate: 0.0,
+    };
+    let mut timed_out = 0;
+    let mut asked = 0;
+    let began = std::time::Instant::now();
+    for seed in 0..seeds {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let load = Load::new(instances, zones, ACCOUNTS);
+        let mut fleet = Fleet::new(rng, instances, zones as usize, load);
+        set_up(&mut fleet);
+        fleet.run(TIME);
+        let (worst, all) = fleet.outcome.fractions(100_000.0);
+        let bound = fleet.outcome.use_of_bound(&fleet.load);
+        assert!(bound <= 1.0, "{name}, seed {seed}: {bound} of the bound");
+        case.most = case.most.max(bound);
+        case.worst = case.worst.min(worst);
+        case.least = case.least.min(all);
+        if let Some(hot) = fleet.load.hot {
+            case.hot = case.hot.min(fleet.outcome.fraction(hot));
+        }
+        case.rate = case.rate.max(fleet.outcome.draw_rate());
+        timed_out += fleet.outcome.timed_out;
+        asked += fleet.outcome.asked;
+    }
+    println!(
+        "{name}, {instances} instances, {seeds} seeds: bound {:.3}, worst account {:.3}, all {:.3}, \
+         hot {:.3}, {:.2} draws/s per instance, {timed_out} of {asked} timed out, {:.1} s",
+        case.most,
+        case.worst,
+        case.least,
+        case.hot,
+        case.rate,
+        began.elapsed().as_secs_f64()
+    );
+    case
+}
+
+#[test]
+fn even_load_is_admitted() {
+    for (instances, seeds) in [(8, 60), (61, 50), (83, 50), (385, 4)] {
+        let case = run("even", instances, seeds, |_| {});
+        assert!(case.worst >= 0.97, "{}", case.worst);
+    }
+}
+
+#[test]
+fn load_at_one_instance_is_admitted() {
+    for (instances, seeds) in [(8, 60), (61, 50), (83, 50), (385, 4)] {
+        let case = run("uneven", instances, seeds, |f| f.load.is_uneven = true);
+        assert!(case.worst >= 0.95, "{}", case.worst);
+    }
+}
+
+#[test]
+fn a_hot_account_gets_its_quota() {
+    for (instances, seeds) in [(8, 60), (61, 40), (83, 40), (385, 4)] {
+        let case = run("hot", instances, seeds, |f| {
+            f.load.hot = Some(f.rng.random_range(0..ACCOUNTS as usize));
+        });
+        assert!(case.hot >= 0.97, "{}", case.hot);
+        assert!(case.worst >= 0.97, "{}", case.worst);
+    }
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_admitted() {
+    for (instances, seeds) in [(8, 60), (61, 40), (83, 40), (385, 4)] {
+        let case = run("cut", instances, seeds, |f| {
+            let zone = f.rng.random_range(0..3);
+            let fault = Fault::CutZone {
+                zone,
+                time: f.rng.random_range(4.0..14.0),
+                claims: f.rng.random(),
+            };
+            let at = f.rng.random_range(1.0..4.0);
+            f.fault(at, fault);
+            if f.rng.random_bool(0.5) {
+                f.load.hot = Some(f.rng.random_range(0..ACCOUNTS as usize));
+            }
+        });
+        assert!(case.worst >= 0.90, "{}", case.worst);
+    }
+}
+
+/// Holders that die or freeze, frozen instances, lost replies, refunds, a hot account, and a quota
+/// that is changed, in any combination.
+#[test]
+fn no_fault_exceeds_the_bound() {
+    for (instances, seeds) in [(8, 120), (61, 80), (83, 80), (385, 4)] {
+        run("faults", instances, seeds, |f| {
+            if f.rng.random_bool(0.7) {
+                f.load.hot = Some(f.rng.random_range(0..ACCOUNTS as usize));
+            }
+            f.load.is_uneven = f.rng.random_bool(0.3);
+            f.loss = if f.rng.random() { 0.05 } else { 0.0 };
+            f.refunds = if f.rng.random() { 0.1 } else { 0.0 };
+            if f.rng.random_bool(0.5) {
+                let factor = if f.rng.random() { 0.4 } else { 2.0 };
+                let at = f.rng.random_range(1.0..5.0);
+                f.change_quotas(at, factor);
+            }
+            for _ in 0..f.rng.random_range(1..5) {
+                let at = f.rng.random_range(0.5..14.0);
+                let zone = f.rng.random_range(0..3);
+                let time = f.rng.random_range(0.3..8.0);
+                let instance = f.rng.random_range(0..instances);
+                let fault = match f.rng.random_range(0..3) {
+                    0 => Fault::KillHolder {
+                        zone,
+                        vacancy: time,
+                    },
+                    1 => Fault::FreezeHolder { zone, time },
+                    _ => Fault::FreezeInstance { instance, time },
+                };
+                f.fault(at, fault);
+            }
+        });
+    }
+}
+
+#[test]
+fn instances_without_any_holder_keep_the_bound() {
+    for (instances, seeds) in [(8, 40), (61, 30), (83, 26), (385, 4)] {
+        let zones = if instances > 100 { 7 } else { 3 };
+        run("no holder", instances, seeds, |f| {
+            f.load.hot = Some(f.rng.random_range(0..ACCOUNTS as usize));
+            for zone in 0..zones {
+                f.fault(3.0, Fault::KillHolder { zone, vacancy: 9.0 });
+            }
+        });
+    }
+}
