--- a/crates/caraway-accounts/src/allowance.rs
+++ b/crates/caraway-accounts/src/allowance.rs
@@ -15,7 +15,7 @@
     spending::Spending,
 };
 
-/// Time for which a pool that denied a draw counts as scarce: nothing is drawn in advance, as
+/// Time for which a pool that denied a draw counts as scarce: nothing is drawn from it in advance, as
 /// unused allowance would be lost to the other instances.
 const SCARCE_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which an instance relies on a denial. A pool may fill earlier than it stated if
@@ -215,9 +215,9 @@
         for zone in zones {
             let denial = self.denials.iter().find(|d| d.zone == *zone);
             let Some(denial) = denial.filter(|d| d.holds(now)) else {
-                let ahead = self.advance(now).unwrap_or(0.0);
+                let ahead = self.advance(now).filter(|_| !self.is_scarce(now, zone));
                 self.covered = std::mem::take(&mut self.waiting);
-                let amount = ahead.max(need + self.covered);
+                let amount = ahead.unwrap_or(0.0).max(need + self.covered);
                 let draw = self.draw(now, zone, amount, need);
                 return Decision::Pending { draw: Some(draw) };
             };
@@ -350,23 +350,22 @@
         if self.lots.available() >= amount / 2.0 {
             return None;
         }
-        let denials = &self.denials;
-        let is_denied = |z: &ZoneId| denials.iter().any(|d| d.zone == *z && d.holds(now));
-        let zone = zones.find(|z| !is_denied(z))?;
+        let zone = zones.find(|z| !self.is_scarce(now, z))?;
         Some(self.draw(now, zone, amount, cost))
     }
 
-    /// Returns what to draw in advance; `None` if the account is used too little at this instance,
-    /// or its pools are scarce.
+    /// Returns what to draw in advance; `None` if the account is used too little at this instance.
     fn advance(&mut self, now: Instant) -> Option<f64> {
-        let is_scarce = |d: &Denial| now < d.denied_at + SCARCE_TIME;
-        if self.denials.iter().any(is_scarce) {
-            return None;
-        }
         let recent = self.spending.recent(now);
         (recent.requests >= ADVANCE_REQUESTS).then_some(recent.units)
     }
 
+    /// Returns whether the pool of a zone denied a draw lately.
+    fn is_scarce(&self, now: Instant, zone: &ZoneId) -> bool {
+        let mut denials = self.denials.iter();
+        denials.any(|d| d.zone == *zone && now < d.denied_at + SCARCE_TIME)
+    }
+
     fn draw(&mut self, now: Instant, zone: &ZoneId, amount: f64, least: f64) -> AllowanceAction {
         self.push_sent(now, zone, false);
         self.open = Some(zone.clone());
