gateway: recognise requests by the account of their caller

The digest of a request took the Authorization header for its caller, which is removed where accounts are configured, so that requests of all accounts were taken for those of one caller. It takes the account's name now, whichever key was used.

Test: process::accounts::requests_are_recognised_by_their_account.

--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -420,7 +420,10 @@
             }
             BodyError::Incomplete(why) => RefusalResponse::not_run(Reason::BadRequest, &why),
         })?;
-    let caller = Caller::Headers(&parts.headers);
+    let caller = match &requester {
+        Requester::Unchecked => Caller::Headers(&parts.headers),
+        known => Caller::Account(known.name().unwrap_or_default()),
+    };
     let digest = request_digest(&parts.method, &parts.uri, caller, &body);
     Ok(Call {
         head,
--- a/crates/caraway-gateway/tests/process/accounts.rs
+++ b/crates/caraway-gateway/tests/process/accounts.rs
@@ -282,3 +282,30 @@
         check_account(&platform, id, Some(name).filter(|n| !n.is_empty()));
     }
 }
+
+// Guards against: a caller whose requests crash engines uses another key of its account to get around the
+// quarantine, or two accounts are taken for one.
+#[test]
+fn requests_are_recognised_by_their_account() {
+    let accounts = json!([
+        account("one", &["sekret-1", "sekret-2"]),
+        account("two", &["sekret-3"])
+    ]);
+    let (_platform, gateway) = start(&accounts);
+    let digest = |id: &str, key: &str| {
+        // One of the endpoints drops requests.
+        call_with_key(gateway.front, "/flaky/x", id, key);
+        let mut digest = Value::Null;
+        gateway.wait_for("a failed attempt", || {
+            let lines = gateway.lines.lock().expect("no panic holds it");
+            let mut failed = lines.iter().filter(|l| l["event"] == 1403);
+            let line = failed.find(|l| l["request"] == id);
+            digest = line.map_or(Value::Null, |l| l["digest"].clone());
+            !digest.is_null()
+        });
+        digest
+    };
+    let first = digest("a", "sekret-1");
+    assert_eq!(digest("b", "sekret-2"), first);
+    assert_ne!(digest("c", "sekret-3"), first);
+}
