--- a/crates/caraway-accounts/src/allowance.rs
+++ b/crates/caraway-accounts/src/allowance.rs
@@ -15,7 +15,7 @@
     spending::Spending,
 };
 
-/// Time for which a pool that denied a draw counts as scarce: nothing is drawn in advance, as
+/// Time for which a pool that denied a draw counts as scarce: nothing is drawn from it in advance, as
 /// unused allowance would be lost to the other instances.
 const SCARCE_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which an instance relies on a denial. A pool may fill earlier than it stated if
@@ -28,7 +28,7 @@
 const RETURN_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of requests per period from which allowance is drawn in advance. With fewer, most of it
 /// would expire.
-const ADVANCE_REQUESTS: f64 = 2.0;
+const ADVANCE_REQUESTS: f64 = 4.0;
 
 /// State of an account at an instance, for metrics and logs.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -215,9 +215,9 @@
         for zone in zones {
             let denial = self.denials.iter().find(|d| d.zone == *zone);
             let Some(denial) = denial.filter(|d| d.holds(now)) else {
-                let ahead = self.advance(now, cost).unwrap_or(0.0);
+                let ahead = self.advance(now).filter(|_| !self.is_scarce(now, zone));
                 self.covered = std::mem::take(&mut self.waiting);
-                let amount = ahead.max(need + self.covered);
+                let amount = ahead.unwrap_or(0.0).max(need + self.covered);
                 let draw = self.draw(now, zone, amount, need);
                 return Decision::Pending { draw: Some(draw) };
             };
@@ -298,6 +298,7 @@
         is_silent: impl Fn(&ZoneId) -> bool,
     ) -> Option<AllowanceAction> {
         self.expire(now);
+        self.spending.take_back(now, cost);
         self.refunds.add(cost, now + ALLOWANCE_LIFETIME);
         if self
             .returned_at
@@ -346,25 +347,24 @@
         if self.open.is_some() {
             return None;
         }
-        let amount = self.advance(now, cost)?;
+        let amount = self.advance(now)?;
         if self.lots.available() >= amount / 2.0 {
             return None;
         }
-        let denials = &self.denials;
-        let is_denied = |z: &ZoneId| denials.iter().any(|d| d.zone == *z && d.holds(now));
-        let zone = zones.find(|z| !is_denied(z))?;
+        let zone = zones.find(|z| !self.is_scarce(now, z))?;
         Some(self.draw(now, zone, amount, cost))
     }
 
-    /// Returns what to draw in advance; `None` if the account is used too little at this instance,
-    /// or its pools are scarce.
-    fn advance(&mut self, now: Instant, cost: f64) -> Option<f64> {
-        let is_scarce = |d: &Denial| now < d.denied_at + SCARCE_TIME;
-        if self.denials.iter().any(is_scarce) {
-            return None;
-        }
+    /// Returns what to draw in advance; `None` if the account is used too little at this instance.
+    fn advance(&mut self, now: Instant) -> Option<f64> {
         let recent = self.spending.recent(now);
-        (recent >= ADVANCE_REQUESTS * cost).then_some(recent)
+        (recent.requests >= ADVANCE_REQUESTS).then_some(recent.units)
+    }
+
+    /// Returns whether the pool of a zone denied a draw lately.
+    fn is_scarce(&self, now: Instant, zone: &ZoneId) -> bool {
+        let mut denials = self.denials.iter();
+        denials.any(|d| d.zone == *zone && now < d.denied_at + SCARCE_TIME)
     }
 
     fn draw(&mut self, now: Instant, zone: &ZoneId, amount: f64, least: f64) -> AllowanceAction {
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -19,7 +19,10 @@
     de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
 };
 
-use crate::shared::Holder;
+use crate::{
+    quota_frame::{AllowanceFrame, DrawFrame},
+    shared::Holder,
+};
 
 /// Size of the length that precedes a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -133,6 +136,11 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         read: Option<Millis>,
     },
+    /// Draws allowance from the zone's quota pool. Draws are answered in order.
+    Draw {
+        /// One draw for each account.
+        draws: Vec<DrawFrame>,
+    },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
 }
@@ -181,6 +189,11 @@
         /// Time after which to ask again.
         after: Millis,
     },
+    /// Answers draws.
+    Allowance {
+        /// The replies, in the order of the draws.
+        replies: Vec<AllowanceFrame>,
+    },
     /// Grants an endpoint to a request.
     Grant {
         /// Identifies the request.
