placement: serve requests that can be on time first, refuse hopeless ones

Cause: waiting requests were granted in the order of arrival per adapter, and the adapter with the earliest deadline took every slot that became free. Under overload nearly every answer was late. Nothing refused a request because of the requests before it. The check of the deadlines was due 50 ms after the last call of the placer, so it never ran while requests kept arriving.

Change: requests that can be on time precede late ones, then the priority and the goal decide, over all adapters of the endpoint whose slot is free. The rate of grants (runs divided by their average time) gives a lower bound of the wait. The time to retry follows from that rate, and each refused caller gets its own. The check of the deadlines keeps its time.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -355,6 +355,7 @@
         RefuseReason::NoEndpoint => "no endpoint of the service takes work",
         RefuseReason::Deadline => "the adapter can't be there in time",
         RefuseReason::Limited => "the endpoints' request limits leave no room",
+        RefuseReason::Overloaded => "the requests before it take all endpoints for too long",
     };
     let mut detail = not_placed.last_zone.as_ref().map_or_else(
         || why.to_owned(),
@@ -373,7 +374,9 @@
     }
     let reason = match not_placed.reason {
         RefuseReason::Deadline => Reason::Deadline,
-        RefuseReason::NoEndpoint | RefuseReason::Limited => Reason::NoEndpoint,
+        RefuseReason::NoEndpoint | RefuseReason::Limited | RefuseReason::Overloaded => {
+            Reason::NoEndpoint
+        }
     };
     RefusalResponse::not_run(reason, &detail).with_retry_after(not_placed.retry_after)
 }
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -12,6 +12,7 @@
 mod placer;
 mod replica;
 mod request;
+mod service_rate;
 mod settings;
 mod urgency;
 mod wait_queue;
--- a/crates/caraway-placement/src/output.rs
+++ b/crates/caraway-placement/src/output.rs
@@ -17,6 +17,8 @@
     Deadline,
     /// The rate limits of all endpoints of the service leave no room for it before its goal.
     Limited,
+    /// The requests before it take all endpoints of the service until after its deadline.
+    Overloaded,
 }
 
 /// An action that the placer's caller has to carry out.
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -1,5 +1,6 @@
 //! [`Placer`]: manages the engine endpoints of one availability zone.
 
+mod admission;
 mod endpoints;
 mod limits;
 mod orders;
@@ -18,7 +19,7 @@
 
 use crate::{
     DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings, limiters::Limiters,
-    replica::Replica, wait_queue::WaitQueue,
+    replica::Replica, service_rate::ServiceRate, wait_queue::WaitQueue,
 };
 
 pub use limits::LOW_PRIORITY_WAIT_SHARE;
@@ -51,6 +52,10 @@
     /// Decayed number of requests for each adapter or model.
     popularity: HashMap<ModelRef, DecayingCount>,
     waiting: WaitQueue,
+    /// How fast each service serves waiting requests.
+    rates: HashMap<Arc<str>, ServiceRate>,
+    /// When waiting requests are next checked against their deadline; `None` if none waits.
+    deadline_check: Option<Instant>,
     /// Runs that were granted and have not ended.
     granted: HashMap<PlacementId, GrantedRun>,
     outputs: Vec<Output>,
@@ -114,6 +119,8 @@
 struct GrantedRun {
     endpoint: EndpointId,
     model: ModelRef,
+    /// When it was granted; `None` if an earlier holder granted it.
+    granted_at: Option<Instant>,
 }
 
 impl Placer {
@@ -136,6 +143,8 @@
             first_version: None,
             popularity: HashMap::new(),
             waiting: WaitQueue::default(),
+            rates: HashMap::new(),
+            deadline_check: None,
             granted: HashMap::new(),
             outputs: Vec::new(),
             last_number: 0,
@@ -153,19 +162,32 @@
     /// Handles what is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
         self.grant_permits(now);
+        self.waiting.advance(now);
         self.refuse_late(now);
+        self.schedule_deadline_check(now);
         self.fetch_reports(now);
         self.plan_weights(now);
         self.plan_loads(now);
         self.send_all_due(now);
     }
 
+    /// Sets the next check of the deadlines, which doesn't move when the placer is called earlier.
+    fn schedule_deadline_check(&mut self, now: Instant) {
+        if self.waiting.len() == 0 {
+            self.deadline_check = None;
+        } else if self.deadline_check.is_none_or(|at| at <= now) {
+            self.deadline_check = Some(now + DEADLINE_CHECK_INTERVAL);
+        }
+    }
+
     /// Returns when [`Self::on_tick`] is due, or `None` if nothing is scheduled.
     #[must_use]
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
-        let waits = (self.waiting.len() > 0).then(|| now + DEADLINE_CHECK_INTERVAL);
         let replicas = self.replicas.values().filter_map(Replica::next_wake);
-        let others = waits.into_iter().chain(self.next_weights_load());
+        let others = self
+            .deadline_check
+            .into_iter()
+            .chain(self.next_weights_load());
         replicas.chain(others).chain(self.next_permit(now)).min()
     }
 
--- a/crates/caraway-placement/src/placer/endpoints.rs
+++ b/crates/caraway-placement/src/placer/endpoints.rs
@@ -49,7 +49,7 @@
                 }
             }
             _ => {
-                self.granted.retain(|_, g| g.endpoint != endpoint.id);
+                self.forget_runs(&endpoint.id);
                 let report_at = now.max(self.first_order_at);
                 let replica = Replica::new(report_at, endpoint.clone(), adapter_slots);
                 self.replicas.insert(endpoint.id.clone(), replica);
@@ -62,7 +62,7 @@
 
     /// Removes an endpoint that has left the registry.
     pub fn on_endpoint_gone(&mut self, now: Instant, endpoint: &EndpointId) {
-        self.granted.retain(|_, g| g.endpoint != *endpoint);
+        self.forget_runs(endpoint);
         self.limiters.set(now, endpoint, None);
         if self.replicas.remove(endpoint).is_some() {
             self.clamp_load_limit();
--- a/crates/caraway-placement/src/placer/limits.rs
+++ b/crates/caraway-placement/src/placer/limits.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Returns the models ready at an endpoint that requests wait for, those with the most
-    /// important and most urgent request first.
+    /// Returns the models ready at an endpoint that requests wait for, those with the first request
+    /// first.
     pub(super) fn waiting_models(&self, endpoint: &EndpointId) -> Vec<ModelRef> {
         let Some(replica) = self.replicas.get(endpoint) else {
             return Vec::new();
@@ -94,10 +94,7 @@
         });
         let models = adapters.map(|(m, _)| m.clone()).chain(bases);
         let mut models: Vec<_> = models
-            .filter_map(|m| {
-                let (_, request) = self.waiting.first(&m)?;
-                Some(((request.priority, request.deadline), m))
-            })
+            .filter_map(|m| Some((self.waiting.first_position(&m)?, m)))
             .collect();
         models.sort();
         models.into_iter().map(|(_, model)| model).collect()
@@ -124,8 +121,8 @@
                 continue;
             };
             let interval = Duration::from_secs_f64(1.0 / rate.per_second());
-            let of_service = |r: &&(PlacementId, PlacementRequest)| r.1.service == service;
-            let mut queue: Vec<_> = self.waiting.iter().filter(of_service).collect();
+            let all = self.waiting.iter().map(|w| (w.id, &w.request));
+            let mut queue: Vec<_> = all.filter(|(_, r)| r.service == service).collect();
             queue.sort_by_key(|(id, r)| (r.priority, r.deadline, *id));
             let mut start_at = now;
             let mut turn = now;
@@ -135,7 +132,7 @@
                     start_at = next_start;
                 } else {
                     turn = turn.max(next_start) + interval;
-                    beyond.push((*id, turn - now));
+                    beyond.push((id, turn - now));
                 }
             }
         }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -9,10 +9,10 @@
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
-use super::{GrantedRun, NewestVersion, Placer};
+use super::{DEADLINE_CHECK_INTERVAL, GrantedRun, NewestVersion, Placer};
 use crate::{
     DecayingCount, Output, PlacementId, PlacementRequest, RefuseReason, RequestOutcome, SourceId,
-    replica::AdapterState,
+    replica::{AdapterState, Replica},
 };
 
 /// Why no endpoint can run a request now.
@@ -43,6 +43,10 @@
     /// Handles a placement request: grants, queues or refuses it.
     pub fn on_request(&mut self, now: Instant, id: PlacementId, request: PlacementRequest) {
         self.record_popularity(now, &request.model);
+        if request.goal > now {
+            let rate = self.rates.entry(request.service.clone()).or_default();
+            rate.on_arrival(now);
+        }
         match self.choose_endpoint(now, &request) {
             Ok(endpoint) => {
                 self.grant(now, &endpoint, id, &request, false);
@@ -56,8 +60,14 @@
             self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETRY_DELAY);
             return;
         }
+        let Some(punctuality) = self.admit(now, &request) else {
+            self.refuse_overloaded(now, id, &request.service);
+            return;
+        };
         let deadline = request.deadline;
-        self.waiting.add(id, request);
+        self.waiting.add(id, request, punctuality);
+        self.deadline_check
+            .get_or_insert(now + DEADLINE_CHECK_INTERVAL);
         self.plan_loads(now);
         // Checking all waiting requests costs most when many wait, so it is done here only if this
         // one may be too late; the check at each tick finds the others.
@@ -74,7 +84,7 @@
 
     /// Registers a run that an earlier holder granted.
     pub fn register_run(&mut self, id: PlacementId, endpoint: &EndpointId, model: &ModelRef) {
-        self.add_run(endpoint, id, model);
+        self.add_run(endpoint, id, model, None);
     }
 
     /// Handles the end of a request, or of its wait when its caller has disconnected.
@@ -83,7 +93,15 @@
             self.waiting.remove_if(|i, _| *i == id);
             return;
         };
-        let GrantedRun { endpoint, model } = granted;
+        let GrantedRun {
+            endpoint,
+            model,
+            granted_at,
+        } = granted;
+        let elapsed = granted_at
+            .filter(|_| outcome == RequestOutcome::Done)
+            .map(|at| now.saturating_duration_since(at));
+        self.record_end(&endpoint, elapsed);
         let Some(replica) = self.replicas.get_mut(&endpoint) else {
             return;
         };
@@ -174,23 +192,50 @@
         self.plan_loads(now);
     }
 
-    /// Grants the waiting requests that the endpoint can run.
+    /// Grants the waiting requests that the endpoint can run, the first of all adapters first.
     pub(super) fn grant_for_endpoint(&mut self, now: Instant, endpoint: &EndpointId) {
-        for model in self.waiting_models(endpoint) {
-            self.grant_for_model(now, &model);
+        self.waiting.advance(now);
+        while self.has_free_slot(endpoint) {
+            let models = self.waiting_models(endpoint);
+            if !models.iter().any(|m| self.grant_next(now, m)) {
+                return;
+            }
         }
     }
 
     /// Grants requests that wait for `model`, as far as endpoints have free slots.
     pub(super) fn grant_for_model(&mut self, now: Instant, model: &ModelRef) {
-        while let Some((_, request)) = self.waiting.first(model) {
-            let Ok(endpoint) = self.choose_endpoint(now, request) else {
-                return;
-            };
-            if let Some((id, request)) = self.waiting.pop(model) {
-                self.grant(now, &endpoint, id, &request, true);
+        self.waiting.advance(now);
+        while self.grant_next(now, model) {}
+    }
+
+    /// Grants the first request for `model` that an endpoint can run now. Returns whether there was
+    /// one.
+    fn grant_next(&mut self, now: Instant, model: &ModelRef) -> bool {
+        let mut found = None;
+        for (position, waiting) in self.waiting.of_model(model) {
+            if let Ok(endpoint) = self.choose_endpoint(now, &waiting.request) {
+                found = Some((position, endpoint));
+                break;
+            }
+            // The requests behind differ only in the endpoints that they exclude.
+            if waiting.request.exclude.is_empty() {
+                break;
             }
         }
+        let Some((position, endpoint)) = found else {
+            return false;
+        };
+        let Some(waiting) = self.waiting.take(model, position) else {
+            return false;
+        };
+        self.grant(now, &endpoint, waiting.id, &waiting.request, true);
+        true
+    }
+
+    fn has_free_slot(&self, endpoint: &EndpointId) -> bool {
+        let replica = self.replicas.get(endpoint);
+        replica.is_some_and(Replica::has_free_slot)
     }
 
     /// Refuses the waiting requests that can't be served in time; their callers may retry once the
@@ -219,9 +264,10 @@
             start_at + shortest > request.deadline
         });
         let retry_after = self.load_done_at(now, backlog.len()) - now;
-        for id in late {
-            self.refuse(id, RefuseReason::Deadline, retry_after);
+        for waiting in late {
+            self.refuse(waiting.id, RefuseReason::Deadline, retry_after);
         }
+        self.refuse_hopeless(now);
         self.refuse_beyond_limits(now);
     }
 
@@ -326,7 +372,7 @@
         request: &PlacementRequest,
         has_waited: bool,
     ) {
-        self.add_run(endpoint, id, &request.model);
+        self.add_run(endpoint, id, &request.model, Some(now));
         let permit = self.limiters.acquire(now, endpoint, Duration::ZERO);
         debug_assert!(permit.is_ok(), "only endpoints with a permit are chosen");
         let speed = self.settings.prompt_speed;
@@ -341,7 +387,13 @@
     }
 
     /// Counts a run on its endpoint and adapter, which is not evicted until the run ends.
-    fn add_run(&mut self, endpoint: &EndpointId, id: PlacementId, model: &ModelRef) {
+    fn add_run(
+        &mut self,
+        endpoint: &EndpointId,
+        id: PlacementId,
+        model: &ModelRef,
+        granted_at: Option<Instant>,
+    ) {
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
         };
@@ -352,8 +404,12 @@
         let granted = GrantedRun {
             endpoint: endpoint.clone(),
             model: model.clone(),
+            granted_at,
         };
-        self.granted.insert(id, granted);
+        let service = replica.endpoint.service.clone();
+        if self.granted.insert(id, granted).is_none() {
+            self.rates.entry(service).or_default().on_grant();
+        }
     }
 
     fn record_popularity(&mut self, now: Instant, model: &ModelRef) {
