caraway-soak: keys and quotas of client accounts

Runs have two accounts. Callers of `steady` must never be refused for a key or a quota while faults replace another of its keys; at the end, every instance must refuse the key that the last configuration withdraws and take the one that it adds (KEY). One caller per instance belongs to `hot`, whose quota faults change: no more of its requests may run in 8 s than its quota allows (QUOTA), and none that was refused with 429. `--without-accounts` is for builds before accounts.

--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -7,12 +7,12 @@
     time::{Duration, Instant},
 };
 
-use caraway_http::{ConnectTimeouts, Connection};
+use caraway_http::{ConnectTimeouts, Connection, Payload};
 use caraway_platform_standin::{
-    Ledger, RequestKind, build_request, build_route_request, check_response, set_prompt,
-    set_resumption,
+    Ledger, RequestKind, build_request, build_route_request, check_response, set_account,
+    set_prompt, set_resumption,
 };
-use http::StatusCode;
+use http::{Request, StatusCode};
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::testbed::DEADLY_SEGMENT;
+use crate::{accounts::Account, testbed::DEADLY_SEGMENT};
 
 /// Time that a caller waits for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
@@ -62,6 +62,8 @@
     /// Id of the request.
     pub(crate) request: String,
     pub(crate) kind: RequestKind,
+    /// The account of its caller.
+    pub(crate) account: Option<Account>,
     pub(crate) outcome: Outcome,
     /// When it was sent.
     pub(crate) sent_at: Instant,
@@ -91,6 +93,8 @@
     pub(crate) front_addr: SocketAddr,
     /// Record of violations.
     pub(crate) ledger: Ledger,
+    /// The account that it belongs to; `None` if requests need no keys.
+    pub(crate) account: Option<Account>,
     connection: Option<Connection>,
     sent_count: u64,
     /// Shared segments of the prompt of its next draft.
@@ -104,11 +108,17 @@
 }
 
 impl Caller {
-    pub(crate) fn new(name: String, front_addr: SocketAddr, ledger: Ledger) -> Self {
+    pub(crate) fn new(
+        name: String,
+        front_addr: SocketAddr,
+        ledger: Ledger,
+        account: Option<Account>,
+    ) -> Self {
         Self {
             name,
             front_addr,
             ledger,
+            account,
             connection: None,
             sent_count: 0,
             prompt: vec![SHARED_SEGMENT],
@@ -180,6 +190,7 @@
         Some(RequestResult {
             request,
             kind,
+            account: self.account,
             outcome,
             sent_at,
             is_deadly: kind.is_stream() && self.prompt.contains(&DEADLY_SEGMENT),
@@ -195,6 +206,9 @@
             return Outcome::Incomplete;
         };
         let mut message = build_request(kind, adapter, request, RESPONSE_TIMEOUT);
+        if let Some(account) = self.account {
+            account.sign(&mut message);
+        }
         if kind.is_stream() {
             set_prompt(&mut message, &self.prompt, request);
         }
@@ -237,6 +251,9 @@
             let request = format!("c{other}-{}-{}", self.name, self.sent_count);
             let mut message =
                 build_request(RequestKind::Digest, adapter, &request, RESPONSE_TIMEOUT);
+            if let Some(account) = self.account {
+                account.sign(&mut message);
+            }
             set_prompt(&mut message, &self.prompt, first);
             set_resumption(&mut message, first, last_event);
             let sent = timeout(RESPONSE_TIMEOUT, connection.send(message)).await;
@@ -282,12 +299,34 @@
 }
 
 /// Returns whether an instance serves the route `name`, which a newer configuration adds.
-pub(crate) async fn has_route(front_addr: SocketAddr, name: &str, request: &str) -> bool {
-    let Ok(mut connection) = Connection::connect(front_addr, &ConnectTimeouts::default()).await
-    else {
-        return false;
-    };
-    let message = build_route_request(name, request, RESPONSE_TIMEOUT);
+pub(crate) async fn has_route(
+    front_addr: SocketAddr,
+    name: &str,
+    request: &str,
+    account: Option<Account>,
+) -> bool {
+    let mut message = build_route_request(name, request, RESPONSE_TIMEOUT);
+    if let Some(account) = account {
+        account.sign(&mut message);
+    }
+    send_alone(front_addr, message).await == Some(StatusCode::OK)
+}
+
+/// Returns the status with which an instance answers a request with this key.
+pub(crate) async fn status_of_key(
+    front_addr: SocketAddr,
+    key: &str,
+    request: &str,
+) -> Option<StatusCode> {
+    let mut message = build_route_request("status", request, RESPONSE_TIMEOUT);
+    set_account(&mut message, key, Account::Steady.name());
+    send_alone(front_addr, message).await
+}
+
+/// Sends a request on a connection of its own and returns the status of its answer.
+async fn send_alone(front_addr: SocketAddr, message: Request<Payload>) -> Option<StatusCode> {
+    let connection = Connection::connect(front_addr, &ConnectTimeouts::default()).await;
+    let mut connection = connection.ok()?;
     let response = timeout(RESPONSE_TIMEOUT, connection.send(message)).await;
-    matches!(response, Ok(Ok(response)) if response.status() == StatusCode::OK)
+    Some(response.ok()?.ok()?.status())
 }
--- a/crates/caraway-soak/src/faults.rs
+++ b/crates/caraway-soak/src/faults.rs
@@ -57,6 +57,8 @@
     StoreReturn,
     /// Makes operators and endpoints write again what the store may have lost.
     StoreRewrite,
+    /// Publishes a configuration that replaces a key of an account and changes a quota.
+    Accounts,
 }
 
 /// A fault with its start and duration.
@@ -93,6 +95,9 @@
     faults.extend(schedule_signals(plan));
     faults.push(schedule_deadly_prompts(plan));
     faults.extend(schedule_releases(plan));
+    if plan.has_accounts {
+        faults.extend(schedule_account_changes(plan));
+    }
     if !plan.keeps_store {
         faults.extend(schedule_store_return(plan));
     }
@@ -191,6 +196,24 @@
         .collect()
 }
 
+/// Added to the seed of the draws of changes of accounts.
+const ACCOUNT_SEED: u64 = 1 << 38;
+/// Number of changes of accounts in a run.
+const ACCOUNT_CHANGES: std::ops::RangeInclusive<usize> = 2..=4;
+
+/// Draws when keys and quotas of accounts change.
+fn schedule_account_changes(plan: &Plan) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(plan.seed + ACCOUNT_SEED);
+    let count = rng.random_range(ACCOUNT_CHANGES);
+    (0..count)
+        .map(|_| Timed {
+            at: plan.fault_period.mul_f64(rng.random_range(0.0..1.0)),
+            lasts: Duration::ZERO,
+            fault: Fault::Accounts,
+        })
+        .collect()
+}
+
 /// Added to the seed of the draws of replaced gateways.
 const REPLACE_SEED: u64 = 1 << 37;
 
--- a/crates/caraway-soak/src/lib.rs
+++ b/crates/caraway-soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runs real gateway processes under injected faults and checks that the guarantees of the gateway
 //! hold throughout.
 
+mod accounts;
 mod caller;
 mod faults;
 mod gateway;
--- a/crates/caraway-soak/src/main.rs
+++ b/crates/caraway-soak/src/main.rs
@@ -27,6 +27,8 @@
             optional --former former: PathBuf
             /// Leave out the store's returns from an older copy, for builds that do not know of them.
             optional --keep-store
+            /// Configure no client accounts, for builds that do not know of them.
+            optional --without-accounts
             /// Print the faults of the seeds without running them.
             optional --list
         }
@@ -58,6 +60,7 @@
             program: program.clone(),
             former: flags.former.clone(),
             keeps_store: flags.keep_store,
+            has_accounts: !flags.without_accounts,
             seed,
             fault_period: flags
                 .seconds
--- a/crates/caraway-soak/src/plan.rs
+++ b/crates/caraway-soak/src/plan.rs
@@ -12,6 +12,8 @@
     pub former: Option<PathBuf>,
     /// Whether the store never returns from an older copy, which builds before 0.2 may not know of.
     pub keeps_store: bool,
+    /// Whether requests need keys of client accounts, which builds before the accounts do not check.
+    pub has_accounts: bool,
     /// Seed of the faults and of the requests that callers choose.
     pub seed: u64,
     /// Period in which faults start.
@@ -37,6 +39,7 @@
             program: "caraway-gateway".into(),
             former: None,
             keeps_store: false,
+            has_accounts: true,
             seed: 1,
             fault_period: Duration::from_secs(8),
             // With two zones of two instances, each zone has a holder of its own, and one can fail
--- a/crates/caraway-soak/src/run.rs
+++ b/crates/caraway-soak/src/run.rs
@@ -1,9 +1,13 @@
 //! [`run`]: runs a plan and checks the guarantees of the gateway.
 
-use std::{cell::RefCell, collections::HashMap, fmt, path::PathBuf, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::HashMap, fmt, net::SocketAddr, path::PathBuf, rc::Rc,
+    time::Duration,
+};
 
 use anyhow::{Context, Result};
 use caraway_platform_standin::{RequestKind, Senders};
+use http::StatusCode;
 use tokio::{
     sync::watch,
     task::LocalSet,
@@ -12,7 +16,8 @@
 
 use crate::{
     Plan, Timed,
-    caller::{Caller, Outcome, RequestResult, ResultLog, has_route},
+    accounts::Account,
+    caller::{Caller, Outcome, RequestResult, ResultLog, has_route, status_of_key},
     gateway::{Gateway, GatewayFiles},
     schedule,
     testbed::{RESTART_INTERVAL, Testbed},
@@ -47,6 +52,8 @@
     pub served: usize,
     /// Number of requests that were refused with status 503.
     pub refused: usize,
+    /// Number of requests that were refused for a quota.
+    pub over_quota: usize,
     /// Number of sessions between instances that were lost because one did not understand the other.
     pub invalid_frames: usize,
     /// Violations of the guarantees, each starting with the name of the check; empty if all hold.
@@ -64,8 +71,15 @@
         };
         write!(
             f,
-            "seed {}: {verdict}; {} faults; {} requests, {} served, {} refused; {} invalid frames",
-            self.seed, self.faults, self.sent, self.served, self.refused, self.invalid_frames
+            "seed {}: {verdict}; {} faults; {} requests, {} served, {} refused, {} over a quota; {} invalid \
+             frames",
+            self.seed,
+            self.faults,
+            self.sent,
+            self.served,
+            self.refused,
+            self.over_quota,
+            self.invalid_frames
         )?;
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
@@ -109,13 +123,15 @@
 
 /// Starts everything, runs callers and faults, and checks the results.
 async fn run_testbed(plan: &Plan, files: &GatewayFiles) -> Result<Report> {
+    let steady = plan.has_accounts.then_some(Account::Steady);
     let testbed = Testbed::start(plan, files).await?;
     let ledger = testbed.ledger.clone();
     let front_addrs: Vec<_> = testbed.gateways.iter().map(|g| g.front_addr).collect();
     let testbed = Rc::new(RefCell::new(testbed));
     let restart_task = tokio::task::spawn_local(restart_exited(testbed.clone()));
     for (number, front_addr) in front_addrs.iter().enumerate() {
-        let caller = Caller::new(format!("start{number}"), *front_addr, ledger.clone());
+        let name = format!("start{number}");
+        let caller = Caller::new(name, *front_addr, ledger.clone(), steady);
         if !recovers_within(caller, START_TIMEOUT).await {
             anyhow::bail!(
                 "instance {number} does not serve every kind of request after its start: see {}",
@@ -124,13 +140,16 @@
         }
     }
     let result_log = ResultLog::default();
+    let hot = plan.has_accounts.then_some(Account::Hot);
+    let accounts = std::iter::repeat_n(steady, plan.callers).chain(hot.map(Some));
+    let accounts: Vec<Option<Account>> = accounts.collect();
     let stop = watch::Sender::new(false);
     let mut callers = Vec::new();
     for (number, front_addr) in front_addrs.iter().enumerate() {
-        for caller_number in 0..plan.callers {
+        for (caller_number, account) in accounts.iter().enumerate() {
             let name = format!("c{number}-{caller_number}");
-            let seed = plan.seed * 1000 + (number * plan.callers + caller_number) as u64;
-            let mut caller = Caller::new(name, *front_addr, ledger.clone());
+            let seed = plan.seed * 1000 + (number * accounts.len() + caller_number) as u64;
+            let mut caller = Caller::new(name, *front_addr, ledger.clone(), *account);
             caller.others.clone_from(&front_addrs);
             let deadly_prompts = testbed.borrow().deadly_prompts.clone();
             let run = caller.run(seed, result_log.clone(), deadly_prompts, stop.subscribe());
@@ -143,13 +162,17 @@
     let faults = schedule(plan);
     inject(&testbed, &faults).await?;
     testbed.borrow_mut().end_all_faults()?;
-    testbed.borrow_mut().publish_configuration(Some("last"));
+    testbed.borrow_mut().change_accounts(Some("last"));
     let mut violations = Vec::new();
     let faults_ended = Instant::now();
     for (number, front_addr) in front_addrs.iter().enumerate() {
         let time_left = || plan.recovery.saturating_sub(faults_ended.elapsed());
         let mut attempts = 0;
-        while !has_route(*front_addr, "last", &format!("last{number}-{attempts}")).await {
+        loop {
+            let request = format!("last{number}-{attempts}");
+            if has_route(*front_addr, "last", &request, steady).await {
+                break;
+            }
             attempts += 1;
             if time_left().is_zero() {
                 violations.push(format!(
@@ -159,12 +182,14 @@
             }
             sleep(CHECK_INTERVAL).await;
         }
-        let caller = Caller::new(format!("end{number}"), *front_addr, ledger.clone());
+        let name = format!("end{number}");
+        let caller = Caller::new(name, *front_addr, ledger.clone(), steady);
         if !recovers_within(caller, time_left()).await {
             violations.push(format!(
                 "RECOVER: instance {number} does not serve every kind"
             ));
         }
+        violations.extend(key_violation(&testbed, number, *front_addr).await);
     }
     play_engine_faults(&testbed).await;
     stop.send_replace(true);
@@ -185,12 +210,37 @@
         sent: results.len(),
         served: count(Outcome::Served),
         refused: count(Outcome::Status(503)),
+        over_quota: count(Outcome::Status(429)),
         invalid_frames,
         violations,
         logs: None,
     })
 }
 
+/// Returns a violation if an instance, which has the last configuration, takes the key that it withdraws
+/// or refuses the one that it adds.
+async fn key_violation(
+    testbed: &Rc<RefCell<Testbed>>,
+    number: usize,
+    front_addr: SocketAddr,
+) -> Option<String> {
+    let keys = {
+        let testbed = testbed.borrow();
+        let accounts = testbed.accounts.as_ref()?;
+        [accounts.withdrawn_key(), accounts.changing_key()]
+    };
+    for (key, is_valid) in keys.into_iter().zip([false, true]) {
+        let status = status_of_key(front_addr, &key, &format!("{key}-{number}")).await;
+        let is_refused = status == Some(StatusCode::UNAUTHORIZED);
+        if is_refused == is_valid {
+            return Some(format!(
+                "KEY: instance {number} answers the key {key} with {status:?}"
+            ));
+        }
+    }
+    None
+}
+
 /// Lets deadly prompts come and engines of two software versions restart, while nothing disturbs the
 /// gateways.
 async fn play_engine_faults(testbed: &Rc<RefCell<Testbed>>) {
@@ -225,6 +275,11 @@
     if joined.len() > MAX_JOINED_STREAMS {
         violations.extend(joined.iter().map(|j| format!("ORDER: {j}")));
     }
+    if let Some(accounts) = &testbed.accounts {
+        let hot = results.iter().filter(|r| r.account == Some(Account::Hot));
+        let runs = hot.filter_map(|r| ledger.first_run(&r.request));
+        violations.extend(accounts.quota_violation(runs.collect()));
+    }
     violations.extend(
         results
             .iter()
@@ -263,6 +318,12 @@
             "LOST: {request} is sound, and was refused for its prompt"
         ));
     }
+    if outcome == Outcome::Status(429) && (runs > 0 || result.account != Some(Account::Hot)) {
+        let account = result.account.map(Account::name);
+        return Some(format!(
+            "QUOTA: {request} of {account:?} was refused and ran {runs} times"
+        ));
+    }
     if runs > 1 && !result.kind.is_idempotent() {
         return Some(format!("TWICE: {request} ran {runs} times"));
     }
--- a/crates/caraway-soak/src/testbed.rs
+++ b/crates/caraway-soak/src/testbed.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     Fault, Plan,
+    accounts::Accounts,
     gateway::{Gateway, GatewayFiles},
 };
 
@@ -100,6 +101,8 @@
     pub(crate) deadly_prompts: Rc<Cell<bool>>,
     /// Version of the newest configuration.
     version: u64,
+    /// The client accounts; `None` if requests need no keys.
+    pub(crate) accounts: Option<Accounts>,
     /// Names of the routes that faults and the end of the run have added.
     extra_routes: Vec<String>,
     /// For each gateway, whether it is restarted as soon as it has exited.
@@ -126,6 +129,7 @@
             crashes: Vec::new(),
             deadly_prompts: Rc::default(),
             version: 0,
+            accounts: plan.has_accounts.then(Accounts::default),
             extra_routes: Vec::new(),
             keep_running: Vec::new(),
         };
@@ -225,7 +229,7 @@
     }
 
     /// Publishes the newest configuration and all registry entries again.
-    fn rewrite(&self) {
+    fn rewrite(&mut self) {
         self.write_configuration();
         for endpoint in &self.endpoints {
             self.register(endpoint);
@@ -239,8 +243,19 @@
         self.write_configuration();
     }
 
-    fn write_configuration(&self) {
-        let configuration = configuration(self.version, ADAPTER_SLOTS, &self.extra_routes);
+    /// Publishes a configuration that replaces a key and changes a quota.
+    pub(crate) fn change_accounts(&mut self, route: Option<&str>) {
+        if let Some(accounts) = &mut self.accounts {
+            accounts.change();
+        }
+        self.publish_configuration(route);
+    }
+
+    fn write_configuration(&mut self) {
+        let mut configuration = configuration(self.version, ADAPTER_SLOTS, &self.extra_routes);
+        if let Some(accounts) = &mut self.accounts {
+            configuration["Tenants"] = accounts.document();
+        }
         self.store.publish_configuration(&configuration);
     }
 
@@ -303,6 +318,7 @@
             Fault::DeadlyPrompts => self.deadly_prompts.set(true),
             Fault::StoreReturn => self.store_copy = Some(self.store.copy()),
             Fault::StoreRewrite => self.rewrite(),
+            Fault::Accounts => self.change_accounts(None),
             Fault::Release(number, software) => {
                 self.endpoints[number].software = software;
                 self.restart_endpoint(number);
@@ -342,6 +358,7 @@
             Fault::Stop(_)
             | Fault::Replace(_)
             | Fault::StoreRewrite
+            | Fault::Accounts
             | Fault::Reload(_)
             | Fault::Restart(_)
             | Fault::Release(..)
