caraway-routing: drop refilled buckets by their own limit

Each bucket now keeps its limit and is dropped once it is full. bucket_is_kept_until_it_has_refilled_at_its_own_limit failed before (admitted) and passes now.

--- a/crates/caraway-routing/src/rate_limiter.rs
+++ b/crates/caraway-routing/src/rate_limiter.rs
@@ -20,6 +20,10 @@
 }
 
 /// A rate limiter with one token bucket per client account.
+///
+/// It counts the requests of one instance, and each caller passes the limit. The quota pools of
+/// `caraway-accounts` hold a quota over all instances together, count tokens if the quota does, and
+/// take their limits from the configuration; use them where an account calls several instances.
 #[derive(Clone, Debug, Default)]
 pub struct RateLimiter {
     buckets: HashMap<AccountId, Bucket>,
@@ -29,6 +33,22 @@
 struct Bucket {
     tokens: f64,
     refilled_at: Instant,
+    /// The limit at the last request.
+    limit: RateLimit,
+}
+
+impl Bucket {
+    /// Fills the bucket at its limit.
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let added = elapsed.as_secs_f64() * self.limit.rate;
+        self.tokens = (self.tokens + added).min(self.limit.burst);
+        self.refilled_at = now;
+    }
+
+    fn is_full(&self) -> bool {
+        self.tokens >= self.limit.burst
+    }
 }
 
 impl RateLimiter {
@@ -43,16 +63,14 @@
         account: &AccountId,
         limit: RateLimit,
     ) -> Result<(), Duration> {
-        self.sweep(now, limit);
+        self.sweep(now);
         let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
             tokens: limit.burst,
             refilled_at: now,
+            limit,
         });
-        let elapsed = now
-            .saturating_duration_since(bucket.refilled_at)
-            .as_secs_f64();
-        bucket.tokens = (bucket.tokens + elapsed * limit.rate).min(limit.burst);
-        bucket.refilled_at = now;
+        bucket.limit = limit;
+        bucket.refill(now);
         if bucket.tokens >= 1.0 {
             bucket.tokens -= 1.0;
             return Ok(());
@@ -61,14 +79,14 @@
         Err(Duration::try_from_secs_f64(wait_seconds).unwrap_or(Duration::MAX))
     }
 
-    /// Drops the buckets that had the time to refill at the rate and burst of `limit`.
-    fn sweep(&mut self, now: Instant, limit: RateLimit) {
+    /// Drops the buckets that have refilled, each at its own limit: a new one is equal to them.
+    fn sweep(&mut self, now: Instant) {
         if self.buckets.len() < SWEEP_THRESHOLD {
             return;
         }
-        let refill_seconds = limit.burst / limit.rate.max(0.001);
-        self.buckets.retain(|_, b| {
-            now.saturating_duration_since(b.refilled_at).as_secs_f64() < refill_seconds
+        self.buckets.retain(|_, bucket| {
+            bucket.refill(now);
+            !bucket.is_full()
         });
     }
 }
--- a/crates/caraway-routing/tests/routing.rs
+++ b/crates/caraway-routing/tests/routing.rs
@@ -54,6 +54,35 @@
     limits.admit(now, &"other".into(), limit).unwrap();
 }
 
+/// Fails if refilled buckets are found by the limit of the caller that happens to ask: an account
+/// with a slower limit lost its bucket and got a second burst.
+#[test]
+fn bucket_is_kept_until_it_has_refilled_at_its_own_limit() {
+    let now = Instant::now();
+    let mut limits = RateLimiter::default();
+    let slow = RateLimit {
+        rate: 0.5,
+        burst: 5.0,
+    };
+    let fast = RateLimit {
+        rate: 100.0,
+        burst: 10.0,
+    };
+    let account = "slow".into();
+    for _ in 0..5 {
+        limits.admit(now, &account, slow).unwrap();
+    }
+    let later = now + Duration::from_secs(1);
+    for i in 0..2000 {
+        limits
+            .admit(later, &format!("account {i}").into(), fast)
+            .unwrap();
+    }
+    let wait = limits.admit(later, &account, slow).unwrap_err();
+    assert_eq!(wait, Duration::from_secs(1));
+    assert_eq!(limits.admit(later + wait, &account, slow), Ok(()));
+}
+
 fn request(ticket: u64, account: &str, class: Class, since: Instant) -> PendingRequest {
     PendingRequest {
         ticket,
