--- a/crates/caraway-accounts/src/lib.rs
+++ b/crates/caraway-accounts/src/lib.rs
@@ -25,3 +25,8 @@
 pub use key::{KeyHash, MAX_KEY_BYTES};
 pub use pool::QuotaPool;
 pub use pool_share::PoolShare;
+
+/// Compiles and runs the example of the README.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
