--- a/crates/caraway-gateway/tests/process/accounts.rs
+++ b/crates/caraway-gateway/tests/process/accounts.rs
@@ -309,3 +309,38 @@
     assert_eq!(digest("b", "sekret-2"), first);
     assert_ne!(digest("c", "sekret-3"), first);
 }
+
+// Guards against: requests wait by the priority of their route, though their account has its own.
+#[test]
+fn priority_of_the_account_replaces_that_of_the_route() {
+    let mut urgent = account("urgent", &["sekret-1"]);
+    let mut late = account("late", &["sekret-2"]);
+    (urgent["Priority"], late["Priority"]) = (json!(0), json!(2));
+    let (platform, gateway) = start(&json!([]));
+    let mut configuration = with_accounts(FIRST_VERSION + 2, &json!([urgent, late]));
+    // The engine of the service `lm` runs one stream at a time, and all are on time.
+    configuration["Services"][0]["Engine"]["Slots"] = json!(1);
+    for route in configuration["Routes"].as_array_mut().expect("a list") {
+        route["GoalMs"] = json!(5000);
+        route["Priority"] = json!(1);
+    }
+    platform.publish("keyed.op", "config", configuration);
+    gateway.wait_for("the configuration", || {
+        gateway.has_line(CONFIG_APPLIED, "version", FIRST_VERSION + 2)
+    });
+    platform.with_parts(|p| p.engine.set_event_interval(Duration::from_millis(150)));
+    std::thread::scope(|scope| {
+        let front = gateway.front;
+        let mut send = |id: &'static str, key: &'static str| {
+            scope.spawn(move || call_with_key(front, "/report/x", id, key));
+            std::thread::sleep(Duration::from_millis(60));
+        };
+        send("first", "sekret-2");
+        gateway.wait_for("the first stream", || platform.ledger.runs("first") > 0);
+        send("late1", "sekret-2");
+        send("late2", "sekret-2");
+        send("urgent", "sekret-1");
+    });
+    let began = |id: &str| platform.ledger.first_run(id).expect("a run");
+    assert!(began("urgent") < began("late1") && began("urgent") < began("late2"));
+}
