gateway: tests of accounts' priority and of a holder that answers no draws

The first fails if the route's priority is used, the second guards the path without a holder that knows quotas: at most 6 requests of 3 s wait, the rest is decided at once by the instance's own share.

--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -10,7 +10,7 @@
 use caraway_accounts::Draw;
 use caraway_http::Payload;
 use caraway_placement::{PlacementId, PlacementRequest, SourceId};
-use caraway_types::{EndpointId, Incarnation, Millis, Ticket, ZoneId};
+use caraway_types::{Incarnation, Millis, Ticket, ZoneId};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -185,10 +185,9 @@
                 held.with_placer(shared, |placer, now| placer.on_stall(now, id(ticket)));
             }
             ToHolder::Leaving { endpoint, born } => {
-                let started_ms = born;
                 let incarnation = EndpointIncarnation {
                     endpoint,
-                    started_ms,
+                    started_ms: born,
                 };
                 on_draining(shared, &incarnation);
             }
@@ -199,10 +198,7 @@
                 ticket,
                 limit,
                 max_wait,
-            } => {
-                endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
-                self.reply_with_permit(ticket, &limit.endpoint, max_wait.get());
-            }
+            } => self.reply_with_permit(ticket, &limit, max_wait.get()),
             ToHolder::Ping {
                 served,
                 holds,
@@ -236,7 +232,9 @@
     }
 
     /// Replies to a request for a permit.
-    fn reply_with_permit(&self, ticket: Ticket, endpoint: &EndpointId, max_wait: Duration) {
+    fn reply_with_permit(&self, ticket: Ticket, limit: &LimitFrame, max_wait: Duration) {
+        endpoint_limits::on_frame(&self.shared, limit, LimitSource::Instance);
+        let endpoint = &limit.endpoint;
         let permit = self.held.acquire_permit(&self.shared, endpoint, max_wait);
         let reply = FromHolder::permit_reply(ticket, permit);
         // If the queue is full, the request uses the instance's own share.
--- a/crates/caraway-gateway/tests/process/accounts.rs
+++ b/crates/caraway-gateway/tests/process/accounts.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use caraway_platform_standin::ProxyMode;
+use caraway_platform_standin::{ProxyMode, held_models, registry_entry};
 use serde_json::{Value, json};
 
 use crate::{
@@ -318,8 +318,6 @@
     (urgent["Priority"], late["Priority"]) = (json!(0), json!(2));
     let (platform, gateway) = start(&json!([]));
     let mut configuration = with_accounts(FIRST_VERSION + 2, &json!([urgent, late]));
-    // The engine of the service `lm` runs one stream at a time, and all are on time.
-    configuration["Services"][0]["Engine"]["Slots"] = json!(1);
     for route in configuration["Routes"].as_array_mut().expect("a list") {
         route["GoalMs"] = json!(5000);
         route["Priority"] = json!(1);
@@ -328,10 +326,18 @@
     gateway.wait_for("the configuration", || {
         gateway.has_line(CONFIG_APPLIED, "version", FIRST_VERSION + 2)
     });
-    platform.with_parts(|p| p.engine.set_event_interval(Duration::from_millis(150)));
+    // The engine runs one stream at a time, and all are on time.
+    let addr = platform.with_parts(|p| {
+        p.engine.set_event_interval(Duration::from_millis(150));
+        p.engine_addr
+    });
+    let mut entry = registry_entry("lm", "z1", addr, 1, Some(held_models(true)));
+    entry["Slots"] = json!(1);
+    platform.publish("keyed.servers", "e-1", entry);
+    std::thread::sleep(Duration::from_millis(300));
     std::thread::scope(|scope| {
         let front = gateway.front;
-        let mut send = |id: &'static str, key: &'static str| {
+        let send = |id: &'static str, key: &'static str| {
             scope.spawn(move || call_with_key(front, "/report/x", id, key));
             std::thread::sleep(Duration::from_millis(60));
         };
--- a/crates/caraway-gateway/tests/process/quotas.rs
+++ b/crates/caraway-gateway/tests/process/quotas.rs
@@ -201,15 +201,14 @@
         for mut stream in listener.incoming().map_while(Result::ok) {
             thread::spawn(move || {
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-                stream.write_all(head.as_bytes()).ok()?;
                 let pong = json!({"Pong": {"asked": null, "peers": 1, "pressure": 0.0,
                     "served": true, "next": []}});
-                loop {
-                    stream.write_all(&builds::chunk(&pong)).ok()?;
+                let pong = builds::chunk(&pong);
+                let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+                while is_open {
+                    is_open = stream.write_all(&pong).is_ok();
                     thread::sleep(Duration::from_millis(200));
                 }
-                #[expect(unreachable_code, reason = "it gives the closure its type")]
-                Some(())
             });
         }
     });
