--- a/crates/caraway-gateway/tests/process/builds.rs
+++ b/crates/caraway-gateway/tests/process/builds.rs
@@ -22,7 +22,7 @@
 const SESSION_LOST: u16 = 1211;
 
 /// Encodes a frame as a later build may, as a chunk of a body.
-fn chunk(frame: &Value) -> Vec<u8> {
+pub(crate) fn chunk(frame: &Value) -> Vec<u8> {
     let body = rmp_serde::to_vec_named(frame).expect("plain data");
     chunk_of(&body)
 }
--- a/crates/caraway-gateway/tests/process/quotas.rs
+++ b/crates/caraway-gateway/tests/process/quotas.rs
@@ -1,7 +1,8 @@
 //! Quotas of client accounts, which hold over all instances together.
 
 use std::{
-    net::SocketAddr,
+    io::Write,
+    net::{SocketAddr, TcpListener},
     thread,
     time::{Duration, Instant},
 };
@@ -11,11 +12,14 @@
 
 use crate::{
     accounts::publish,
+    builds,
     harness::{FIRST_VERSION, Gateway, Platform, call},
 };
 
 /// Event of an account that is exhausted or has allowance again.
 const QUOTA_EXHAUSTED: u16 = 1150;
+/// Event of an instance that reaches no holder with allowance, or does again.
+const POOLS_LOST: u16 = 1151;
 /// Event of a request that was refused for its account.
 const REQUEST_DENIED: u16 = 1409;
 /// Time for which callers send requests.
@@ -188,3 +192,58 @@
     let answers: Vec<String> = answers.collect();
     assert!((1..=10).contains(&count_served(&answers)), "{answers:?}");
 }
+
+/// Starts a holder of a build without quotas: it answers sessions and pings, and skips draws.
+fn start_former_holder() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("an address");
+    let addr = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || {
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                let pong = json!({"Pong": {"asked": null, "peers": 1, "pressure": 0.0,
+                    "served": true, "next": []}});
+                let pong = builds::chunk(&pong);
+                let mut is_open = stream.write_all(head.as_bytes()).is_ok();
+                while is_open {
+                    is_open = stream.write_all(&pong).is_ok();
+                    thread::sleep(Duration::from_millis(200));
+                }
+            });
+        }
+    });
+    addr
+}
+
+// Guards against: requests wait for draws that a holder of an older build never answers, each of them
+// anew; or nothing limits them then.
+#[test]
+fn holder_that_does_not_answer_draws_is_not_asked_for_a_while() {
+    let platform = Platform::start();
+    let holder = json!({"instance": "gate-9", "incarnation": 1,
+        "addr": start_former_holder().to_string(), "released": false, "era": 0});
+    platform.publish("keyed.caraway", "holder/z1", holder);
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("a session", || gateway.has_event(1210));
+    let accounts = json!([account("few", "request", 1000.0, 1000.0)]);
+    publish(&platform, &[&gateway], FIRST_VERSION + 1, &accounts);
+    let (mut answers, mut slow) = (Vec::new(), 0);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        let sent_at = Instant::now();
+        let id = format!("r{}", answers.len());
+        answers.push(send(gateway.front, "few", "/status/x", &id, ""));
+        slow += usize::from(sent_at.elapsed() > Duration::from_millis(90));
+        thread::sleep(Duration::from_millis(10));
+    }
+    assert!(slow <= 6, "{slow} of {} waited", answers.len());
+    let served = count_served(&answers);
+    // The instance has a part of what the bound leaves beyond the quota.
+    assert!((2..=60).contains(&served), "{served} of {}", answers.len());
+    for answer in answers.iter().filter(|a| !a.starts_with("HTTP/1.1 200")) {
+        refused_delay(answer);
+    }
+    gateway.wait_for("an event", || {
+        gateway.has_line(POOLS_LOST, "reachable", false)
+    });
+}
