caraway-accounts: a caller that returns at the stated time finds allowance

Cause: a denied draw was told the time at which the level reaches 0, but a bucket grants above 0 only, so a lone caller that came back on time was refused again (119 ms in the test). The time now is a millisecond later. a_caller_that_returns_at_the_stated_time_is_admitted failed before.

--- a/crates/caraway-accounts/src/bucket.rs
+++ b/crates/caraway-accounts/src/bucket.rs
@@ -87,7 +87,7 @@
             let time = Duration::try_from_secs_f64(units / filling.rate);
             time.unwrap_or(MAX_WAIT).min(MAX_WAIT)
         };
-        let positive_at = now + seconds(-self.level).max(MIN_WAIT);
+        let positive_at = now + seconds(-self.level) + MIN_WAIT;
         let after_last = self.last_turn.map_or(now, |at| at + seconds(least));
         let latest = positive_at + seconds(filling.capacity * TURN_PART);
         let turn = positive_at.max(after_last).min(latest);
@@ -96,7 +96,8 @@
     }
 }
 
-/// Shortest time that a denied draw is told; that of a message between instances.
+/// Time after the level has reached 0 from which a bucket grants: that of a message between
+/// instances, and more than a rounding error.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Longest time that a denied draw is told. A bucket that doesn't fill has no time of its own.
 const MAX_WAIT: Duration = Duration::from_hours(1);
