caraway-accounts: refund requests that are refused late

Cause: refunds were accepted up to 0.5 s after the charge for the largest account; a request that an overloaded placer refuses later was charged though it did not run, so an account within its quota could be refused. The age is now that at which the rate uses up the margin (1.1 s for the largest account of label printing, 5 s for the smallest).

--- a/crates/caraway-accounts/src/bounds.rs
+++ b/crates/caraway-accounts/src/bounds.rs
@@ -57,11 +57,12 @@
         self.margin(quota) * SOLO_PART / (window * sharers)
     }
 
-    /// Returns the age up to which the cost of a request that did not run is given back. What is
-    /// given back later would add to the grants of a window in which it was not granted.
+    /// Returns the age up to which the cost of a request that did not run is given back. What was
+    /// granted before a window and is given back in it adds to the window, at most the rate times
+    /// this age: the margin. The other parts of the margin are hardly ever used at the same time, and
+    /// a shorter age would charge accounts for requests that an overloaded service refuses late.
     pub(crate) fn refund_age(&self, quota: &Quota) -> Duration {
-        let part = 1.0 - OVERDRAFT_PART - SOLO_PART;
-        let seconds = self.margin(quota) * part / quota.rate;
+        let seconds = self.margin(quota) / quota.rate;
         let age = Duration::try_from_secs_f64(seconds).unwrap_or(self.window);
         age.clamp(ALLOWANCE_LIFETIME, self.window.max(ALLOWANCE_LIFETIME))
     }
