Let no third holder order within the lease after a zone was handed over

Change: HolderTurns keeps the last hand-over of each zone. A holder that hands a zone on within the lease states how long the next one must not order, by its own last order; the instance that takes the zone obeys, and waits for the lease if nothing is stated or the holder has exited. The field of the frame has a default; event 1200 has the wait.

--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -19,6 +19,7 @@
 use crate::{
     apply,
     event::emit,
+    executor::millis,
     held_zone::{HeldZone, SuccessorRule},
     session::Session,
     shared::{Holder, Shared},
@@ -98,7 +99,7 @@
         era: holder.era,
         offset: record.offset,
     });
-    set_holder(shared, zone, &holder);
+    set_holder(shared, zone, &holder, None);
 }
 
 /// Returns the first fencing token of the record at a position.
@@ -106,30 +107,41 @@
     position.era * TOKENS_PER_ERA + position.offset * TOKENS_PER_RECORD
 }
 
-/// Handles a hand-over of a zone to another holder, as announced by the current one.
-pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
+/// Handles a hand-over of a zone to another holder, as announced by the current one, which states that
+/// the next one must not order for the time `wait`.
+pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, wait: Duration) {
     let former = shared.holders.borrow().get(zone).cloned();
     if let Some(mut former) = former
         && former.token < holder.token
     {
-        // The former holder gives no more orders, so the next one need not wait.
+        // The former holder gives no more orders, so the next one need not wait for it.
         former.released = true;
         shared.holders.borrow_mut().insert(zone.clone(), former);
     }
-    set_holder(shared, zone, holder);
+    set_holder(shared, zone, holder, Some(wait));
 }
 
-fn set_holder(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
+/// Sets the holder of a zone. `stated_wait` is for how long the former holder states that it must not
+/// order; `None` if that one has not handed the zone over.
+fn set_holder(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, stated_wait: Option<Duration>) {
     let former = shared.holders.borrow().get(zone).cloned();
     if former.as_ref().is_some_and(|f| f.token >= holder.token) {
         return;
     }
     let bounds = &shared.site.bounds;
     let wait = holder_state(shared, zone).first_order_delay(bounds.lease, bounds.checks_fencing);
-    let start = Shared::now() + wait;
+    let is_other = former
+        .as_ref()
+        .is_some_and(|f| f.instance != holder.instance);
+    let turn_wait = if is_other {
+        pass_turn(shared, zone, stated_wait)
+    } else {
+        Duration::ZERO
+    };
+    let start = Shared::now() + wait.max(turn_wait);
     emit!(shared, info, HolderChanged; "held_zone" => &**zone, "holder" => &*holder.instance,
         "incarnation" => holder.incarnation, "token" => holder.token,
-        "released" => holder.released,
+        "released" => holder.released, "first_order_ms" => millis(wait.max(turn_wait)),
         "former" => former.as_ref().map_or("", |f| &*f.instance));
     shared
         .holders
@@ -157,6 +169,26 @@
     update_session(shared, zone);
 }
 
+/// Records that a zone passes to another instance, and returns how long that one must not order.
+fn pass_turn(shared: &Shared, zone: &ZoneId, stated_wait: Option<Duration>) -> Duration {
+    let (now, lease) = (Shared::now(), shared.site.bounds.lease);
+    let mut turns = shared.turns.borrow_mut();
+    let turns = turns.entry(zone.clone()).or_default();
+    match stated_wait {
+        Some(stated) => turns.on_hand_over(now, lease, stated),
+        None => turns.on_claim(now, lease),
+    }
+}
+
+/// Returns how long the next holder of a held zone must not order.
+fn next_wait(shared: &Shared, held: &HeldZone) -> Duration {
+    let turns = shared.turns.borrow().get(&held.zone).copied();
+    let lease = shared.site.bounds.lease;
+    turns.map_or(Duration::ZERO, |t| {
+        t.next_wait(Shared::now(), lease, held.last_order())
+    })
+}
+
 /// Gives up a zone after one of its endpoints has received a later fencing token.
 pub(crate) fn on_superseded(shared: &Rc<Shared>, held: &Rc<HeldZone>) {
     close_zone(shared, held);
@@ -184,11 +216,13 @@
             own_zone_only: true,
             ..SuccessorRule::default()
         };
-        let mut successor = held.hand_over(own_zone);
+        let wait = next_wait(shared, &held);
+        let mut successor = held.hand_over(own_zone, wait);
         if successor.is_none() && append_record(shared, &held.zone, true).await.is_err() {
-            successor = held.hand_over(SuccessorRule::default());
+            successor = held.hand_over(SuccessorRule::default(), wait);
         }
-        end_holding(shared, &held, successor, "the instance stops");
+        let next = successor.map(|s| (s, wait));
+        end_holding(shared, &held, next, "the instance stops");
     }
 }
 
@@ -233,8 +267,9 @@
     }
     // If the better holder has left by now, there is no successor, and this instance claims the
     // zone again.
-    let successor = held.hand_over(rule);
-    end_holding(&shared, &held, successor, why);
+    let wait = next_wait(&shared, &held);
+    let next = held.hand_over(rule, wait).map(|s| (s, wait));
+    end_holding(&shared, &held, next, why);
 }
 
 /// Stops the placer's orders, and waits a limited time for the outcomes of those in flight.
@@ -247,12 +282,19 @@
     }
 }
 
-fn end_holding(shared: &Rc<Shared>, held: &Rc<HeldZone>, successor: Option<Holder>, why: &str) {
+/// Ends the holding of a zone; `next` is the next holder, if there is one, and how long it must not
+/// order.
+fn end_holding(
+    shared: &Rc<Shared>,
+    held: &Rc<HeldZone>,
+    next: Option<(Holder, Duration)>,
+    why: &str,
+) {
     close_zone(shared, held);
     emit!(shared, info, HoldingEnded; "held_zone" => &*held.zone, "token" => held.token(),
-        "why" => why, "successor" => successor.as_ref().map_or("", |s| &*s.instance));
-    if let Some(successor) = successor {
-        on_successor(shared, &held.zone, &successor);
+        "why" => why, "successor" => next.as_ref().map_or("", |(s, _)| &*s.instance));
+    if let Some((successor, wait)) = next {
+        on_successor(shared, &held.zone, &successor, wait);
     }
 }
 
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -216,6 +216,10 @@
         holder: Holder,
         /// The fencing token of the next holder's orders.
         token: FencingToken,
+        /// Time for which the next holder must not order, as the sender received the zone itself
+        /// shortly before; zero also of builds that do not state it.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        wait: Millis,
     },
     /// The sender does not hold the zone.
     NotHolder,
@@ -291,6 +295,10 @@
     }
 }
 
+fn is_zero(time: &Millis) -> bool {
+    time.get().is_zero()
+}
+
 /// Decodes the name of a value, or returns the default if it is not known.
 fn known_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -66,6 +66,8 @@
     connected: RefCell<ConnectedShare>,
     /// The share that the placer was told last.
     limit_share: Cell<f64>,
+    /// When the last order was sent.
+    last_order: Cell<Option<Instant>>,
     /// Notified when the next timer of the placer may have changed.
     wake: Notify,
     /// Whether the zone was given up.
@@ -179,6 +181,7 @@
             last_source: Cell::new(LOCAL_SOURCE),
             connected: RefCell::new(connected),
             limit_share: Cell::new(limit_share),
+            last_order: Cell::new(None),
             wake: Notify::new(),
             closed: Cell::new(false),
         }
@@ -242,7 +245,9 @@
     /// holder grants what its copy lists, then those of the zone itself, then those with the
     /// least weakness, then those of another build, as in a roll they have been replaced already, then
     /// those that hold no zone.
-    pub(crate) fn hand_over(&self, rule: SuccessorRule) -> Option<Holder> {
+    ///
+    /// The new holder must not order for the time `wait`.
+    pub(crate) fn hand_over(&self, rule: SuccessorRule, wait: Duration) -> Option<Holder> {
         let peers = self.peers.borrow();
         let candidates = peers.values().filter(|p| rule.admits(&self.zone, p));
         let is_other_zone = |p: &Peer| p.zone != self.zone;
@@ -267,6 +272,7 @@
         let frame = frame::encode(&FromHolder::Successor {
             holder: holder.clone(),
             token,
+            wait: wait.into(),
         });
         for peer in peers.values() {
             // A peer that misses the frame learns that this instance is not the holder, and reads
@@ -505,6 +511,11 @@
         self.placer.borrow().pressure(Shared::now())
     }
 
+    /// Returns when the last order was sent, `None` if none was.
+    pub(crate) fn last_order(&self) -> Option<Instant> {
+        self.last_order.get()
+    }
+
     /// Returns whether an order was sent whose outcome is not known yet.
     pub(crate) fn has_order_in_flight(&self) -> bool {
         self.placer.borrow().has_order_in_flight()
@@ -585,6 +596,7 @@
                 self.deliver(request, refused);
             }
             Output::Order(order) => {
+                self.last_order.set(Some(Shared::now()));
                 let (held, shared) = (self.clone(), shared.clone());
                 tokio::task::spawn_local(executor::send_order(shared, held, order));
             }
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 mod stream_origins;
 mod succession;
 mod topics;
+mod turns;
 mod version_histories;
 
 pub use caraway_metrics::MetricInfo;
@@ -58,3 +59,4 @@
 pub use sse::EventSplitter;
 pub use store_backoff::StoreBackoff;
 pub use succession::{HolderState, claim_rank, should_hand_over, weakness};
+pub use turns::HolderTurns;
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -456,8 +456,13 @@
             FromHolder::NoPermit { ticket, after } => {
                 self.deliver_permit(ticket, Err(after.get()));
             }
-            FromHolder::Successor { holder, token } => {
-                claim::on_successor(shared, &self.zone, &Holder { token, ..holder });
+            FromHolder::Successor {
+                holder,
+                token,
+                wait,
+            } => {
+                let holder = Holder { token, ..holder };
+                claim::on_successor(shared, &self.zone, &holder, wait.get());
                 return Some(SessionEnd::Stopped);
             }
             FromHolder::NotHolder => return Some(SessionEnd::NotHolder),
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -41,6 +41,7 @@
     stream_origins::StreamState,
     succession::weakness,
     topics::Topics,
+    turns::HolderTurns,
     version_histories::VersionState,
 };
 
@@ -153,6 +154,8 @@
     pub(crate) topics: RefCell<Topics>,
     /// The current holder of each zone, as far as it is known.
     pub(crate) holders: RefCell<HashMap<ZoneId, Holder>>,
+    /// The last hand-over of each zone.
+    pub(crate) turns: RefCell<HashMap<ZoneId, HolderTurns>>,
     /// The zones that this instance holds.
     pub(crate) held_zones: RefCell<HashMap<ZoneId, Rc<HeldZone>>>,
     /// The sessions to the holders of zones that other instances hold, open or not.
@@ -220,6 +223,7 @@
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
             topics: RefCell::new(Topics::new(max_delay)),
             holders: RefCell::default(),
+            turns: RefCell::default(),
             held_zones: RefCell::default(),
             sessions: RefCell::default(),
             holder_reachable: Notify::new(),
--- a/crates/caraway-gateway/tests/process/stranded.rs
+++ b/crates/caraway-gateway/tests/process/stranded.rs
@@ -3,7 +3,7 @@
 use std::{
     net::{SocketAddr, TcpStream},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use caraway_platform_standin::ProxyMode;
@@ -21,6 +21,12 @@
 const HANDED_OVER: u16 = 1408;
 /// Event of an instance that has lost its way to all endpoints, or found it again.
 const REACH_CHANGED: u16 = 1140;
+/// Event of a zone that has another holder.
+const HOLDER_CHANGED: u16 = 1200;
+/// Event of the outcome of an order.
+const ORDER_ENDED: u16 = 1300;
+/// The lease in the settings of the gateways.
+const LEASE: Duration = Duration::from_secs(3);
 
 /// Starts two gateways; the first holds the zone.
 fn start() -> (Platform, [Gateway; 2]) {
@@ -185,6 +191,79 @@
     assert!(!first.has_event(REACH_CHANGED));
 }
 
+/// Returns the orders that an instance has sent to an endpoint: when each ended, in milliseconds of the
+/// day, and the instance.
+fn orders<'a>(gateway: &Gateway, name: &'a str, endpoint: &str) -> Vec<(u64, &'a str)> {
+    let lines = gateway.lines.lock().expect("no panic holds it");
+    let sent = lines.iter().filter(|l| {
+        let (event, end) = (&l["event"], &l["end"]);
+        *event == ORDER_ENDED && l["endpoint"] == endpoint && *end != "not sent"
+    });
+    let times = sent.filter_map(|l| {
+        let time = l["ts"].as_str()?.split_once('T')?.1.trim_end_matches('Z');
+        let (hms, fraction) = time.split_once('.').unwrap_or((time, "0"));
+        let mut seconds = hms.split(':').map(str::parse::<u64>);
+        let seconds = seconds.try_fold(0, |sum, part| Some(sum * 60 + part.ok()?))?;
+        let millis: u64 = format!("{fraction:0<3}")[..3].parse().ok()?;
+        Some((seconds * 1000 + millis, name))
+    });
+    times.collect()
+}
+
+// Guards against: a zone that was handed over as its holder reached no endpoint is handed back within the
+// lease, and its engines get orders of the two in turns.
+#[test]
+fn zone_that_is_handed_back_gets_no_orders_within_the_lease() {
+    let (platform, [first, second]) = start();
+    let mut tries = 0;
+    let mut send_to = |gateway: &Gateway| {
+        tries += 1;
+        // Each request needs an adapter that is not loaded.
+        for (number, line) in ["POST /report/x", "POST /lab/x"].into_iter().enumerate() {
+            let headers = format!(
+                "X-Attempt-Id: t{tries}-{number}\r\nX-Model: base/t{tries}\r\n\
+                 X-Token-Count: 10,5\r\nX-Deadline-Ms: 400\r\n"
+            );
+            call(gateway.front, line, &headers, "body");
+        }
+    };
+    send_to(&first);
+    set_way(&platform, &[&first], ProxyMode::Reset);
+    first.wait_for("the knowledge of the cut", || {
+        send_to(&first);
+        first.has_event(REACH_CHANGED)
+    });
+    second.wait_to_hold("gate-2");
+    set_way(&platform, &[], ProxyMode::Pass);
+    first.wait_for("the way back", || {
+        send_to(&second);
+        first.has_line(REACH_CHANGED, "reach", "Open")
+    });
+    set_way(&platform, &[&second], ProxyMode::Reset);
+    let terms = first.count(HOLDER_CHANGED);
+    first.wait_for("the zone", || {
+        send_to(&second);
+        first.count(HOLDER_CHANGED) > terms
+    });
+    let back_at = Instant::now();
+    while back_at.elapsed() < LEASE * 2 {
+        send_to(&first);
+    }
+    for endpoint in ["e-1", "l-1", "l-2"] {
+        let mut all = orders(&first, "gate-1", endpoint);
+        all.extend(orders(&second, "gate-2", endpoint));
+        all.sort_unstable();
+        let last_of_second = all.iter().rposition(|(_, name)| *name == "gate-2");
+        let Some(last) = last_of_second.filter(|last| last + 1 < all.len()) else {
+            continue;
+        };
+        let pause = Duration::from_millis(all[last + 1].0 - all[last].0);
+        assert!(pause >= LEASE, "{endpoint}: {pause:?}");
+    }
+    assert!(orders(&second, "gate-2", "e-1").len() > 1, "it has ordered");
+    assert_eq!(platform.ledger.violations(), [""; 0]);
+}
+
 /// Returns an address where connections hang while they are established, and the sockets that cause it.
 fn start_hanging_listener() -> (SocketAddr, Socket, Vec<TcpStream>) {
     let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
