--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod stream_origins;
 mod succession;
 mod topics;
+mod turns;
 mod version_histories;
 mod zone_quotas;
 
@@ -63,3 +64,4 @@
 pub use sse::EventSplitter;
 pub use store_backoff::StoreBackoff;
 pub use succession::{HolderState, claim_rank, should_hand_over, weakness};
+pub use turns::HolderTurns;
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -461,8 +461,13 @@
                 let replies: Vec<_> = replies.into_iter().map(Into::into).collect();
                 quotas::on_replies(shared, &self.zone, &replies);
             }
-            FromHolder::Successor { holder, token } => {
-                claim::on_successor(shared, &self.zone, &Holder { token, ..holder });
+            FromHolder::Successor {
+                holder,
+                token,
+                wait,
+            } => {
+                let holder = Holder { token, ..holder };
+                claim::on_successor(shared, &self.zone, &holder, wait.get());
                 return Some(SessionEnd::Stopped);
             }
             FromHolder::NotHolder => return Some(SessionEnd::NotHolder),
