gateway: refuse requests early while short of processor time

Change: the lateness of the timer of the periodic checks, the lesser of two successive ones, shows the shortage. LoadShedder, without I/O, raises the refused part of the requests until the lateness is back at the limit from which requests would miss the goals of the routes. A refused request costs no placement, no budget and no log line beyond five a second, and is answered 503 as not run with a Retry-After of 25 ms, so that its caller tries another instance. Requests that other instances hand over are declined likewise. Event 1141 and three metrics report the state.

Handing over was weighed and not taken: it costs an instance about as much processor time as serving the request, as it relays each event.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -151,6 +151,9 @@
     }
     emit!(shared, info, ConfigApplied; "version" => routing.version, "former" => former,
         "offset" => offset, "routes" => routing.routes().len());
+    let mut load_shedder = shared.load_shedder.get();
+    load_shedder.set_routes(routing.routes().iter().map(|r| &**r));
+    shared.load_shedder.set(load_shedder);
     *shared.routing.borrow_mut() = Some(Arc::new(routing));
     for held in shared.held_zones() {
         update_engines(shared, &held);
--- a/crates/caraway-gateway/src/event.rs
+++ b/crates/caraway-gateway/src/event.rs
@@ -89,6 +89,8 @@
     OriginsLost = 1131, "origins of streams not stored", 20;
     /// This instance has lost its way to all endpoints, or found it again.
     ReachChanged = 1140, "reach of endpoints changed", 20;
+    /// This instance has become short of processor time, or has enough again.
+    ProcessorTimeChanged = 1141, "processor time changed", 10;
     /// An instance became the holder of an availability zone's endpoints.
     HolderChanged = 1200, "holder changed", 20;
     /// This instance tried to become a zone's holder.
@@ -129,6 +131,8 @@
     StreamTakenUp = 1407, "stream taken up", 50;
     /// A request was handed over to an instance that reaches endpoints.
     RequestHandedOver = 1408, "request handed over", 50;
+    /// A request was refused as this instance is short of processor time, which more lines would use up.
+    RequestShed = 1409, "request shed", 5;
 }
 
 /// Logs an [`Event`] with its number and the key-value pairs after the semicolon, unless the event
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -25,7 +25,7 @@
     generate::MIN_ATTEMPT_TIME,
     plain::try_acquire_retry,
     reach::CUT_OFF,
-    request::{self, Call, InFlightGuard, RefusalResponse},
+    request::{self, Call, InFlightGuard, RefusalResponse, SHORT_OF_TIME},
     session_server::incarnation_of,
     shared::Shared,
 };
@@ -59,6 +59,8 @@
         CUT_OFF
     } else if shared.is_draining() {
         "this instance stops"
+    } else if shared.must_shed() {
+        SHORT_OF_TIME
     } else if shared.taken.get() >= MAX_TAKEN {
         "this instance serves too many requests for others"
     } else {
@@ -183,7 +185,7 @@
         "ms" => millis(call.arrived_at.elapsed()));
     let offer = match timeout_at(end, pooled.connection.send(request)).await {
         Ok(Ok(response)) if response.headers().contains_key(DECLINED_HEADER) => {
-            Offer::NotTaken("the instance that was to help reaches no endpoint either")
+            Offer::NotTaken("the instance that was to help can't take the request over")
         }
         // A build that takes no requests over answers as to a session that it does not accept.
         Ok(Ok(response)) if incarnation_of(response.headers()).is_some() => {
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -54,6 +54,9 @@
     MetricInfo::new("caraway_gateway_quarantines", "quarantines", &[]),
     MetricInfo::new("caraway_gateway_quarantined_total", "requests", &[]),
     MetricInfo::new("caraway_gateway_frames_skipped_total", "frames", &[]),
+    MetricInfo::new("caraway_gateway_requests_shed_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_shed_share", "share", &[]),
+    MetricInfo::new("caraway_gateway_timer_lateness_seconds", "seconds", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -80,10 +83,13 @@
     quarantines: Gauge<u64>,
     quarantined: Counter<u64>,
     skipped_frames: Counter<u64>,
+    shed_requests: Counter<u64>,
+    shed_share: Gauge<f64>,
+    timer_lateness: Gauge<f64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct GaugeValues {
     /// Version of the configuration in force; 0 when there is none.
     pub(crate) config_version: u64,
@@ -101,6 +107,10 @@
     pub(crate) held_back: u64,
     /// Quarantines of prompts in force.
     pub(crate) quarantines: u64,
+    /// Part of the requests that is refused for lack of processor time.
+    pub(crate) shed_share: f64,
+    /// By how much timers are late.
+    pub(crate) timer_lateness: Duration,
 }
 
 impl Metrics {
@@ -114,6 +124,7 @@
         let meter = &exporter.meter;
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let fraction = |name: &'static str| meter.f64_gauge(name).build();
         let histogram =
             |name: &'static str| exporter.duration_histogram(name, &DURATION_BUCKETS_SECONDS);
         Ok(Self {
@@ -137,6 +148,9 @@
             quarantines: gauge("caraway_gateway_quarantines"),
             quarantined: counter("caraway_gateway_quarantined"),
             skipped_frames: counter("caraway_gateway_frames_skipped"),
+            shed_requests: counter("caraway_gateway_requests_shed"),
+            shed_share: fraction("caraway_gateway_shed_share"),
+            timer_lateness: fraction("caraway_gateway_timer_lateness_seconds"),
             exporter,
         })
     }
@@ -155,6 +169,9 @@
         self.endpoint_limits.record(gauges.endpoint_limits, &[]);
         self.held_back.record(gauges.held_back, &[]);
         self.quarantines.record(gauges.quarantines, &[]);
+        self.shed_share.record(gauges.shed_share, &[]);
+        let lateness = gauges.timer_lateness.as_secs_f64();
+        self.timer_lateness.record(lateness, &[]);
         self.exporter.text()
     }
 
@@ -208,6 +225,11 @@
         self.skipped_frames.add(1, &[]);
     }
 
+    /// Counts a request that was refused for lack of processor time.
+    pub(crate) fn record_shed(&self) {
+        self.shed_requests.add(1, &[]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -11,8 +11,9 @@
 use caraway_routes::{Limits, RequestHead, Route, RoutingConfig};
 use caraway_types::{Certainty, EndpointId, Findings, Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     digest::request_digest,
@@ -29,7 +30,11 @@
 /// `Retry-After` of a request whose body exceeds the memory budget; long bodies take about 100 ms
 /// to read.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
-
+/// `Retry-After` of a request to an instance that is short of processor time; others take it at once,
+/// as most have more.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(25);
+/// Why such a request is refused.
+pub(crate) const SHORT_OF_TIME: &str = "this instance is short of processor time";
 /// `Retry-After` of a request to an instance that exits; other instances take it at once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -242,6 +247,10 @@
 ) -> Response<Payload> {
     let id = head.as_ref().map_or_else(|_| "".into(), |h| h.id.clone());
     let id = &*id;
+    // Of those that other instances hand over, `hand_over` has refused some already.
+    if !is_taken && shared.must_shed() {
+        return shed(shared, request, id, arrived_at).await;
+    }
     let call = match prepare(shared, request, head, arrived_at).await {
         Ok(call) => Call { is_taken, ..call },
         Err(refused) => return refuse(shared, "unrouted", id, arrived_at, &refused),
@@ -269,6 +278,27 @@
     }
 }
 
+/// Refuses a request with as little work as possible, so that its caller tries another instance.
+async fn shed(
+    shared: &Shared,
+    request: Request<Incoming>,
+    id: &str,
+    arrived_at: Instant,
+) -> Response<Payload> {
+    // A connection that is closed before its body is read may be reset before its caller has the
+    // answer.
+    let mut body = request.into_body();
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The refusal is the same after a body that does not end.
+    timeout(DEFAULT_TIMEOUT, read).await.ok();
+    shared.metrics.record_shed();
+    shared.metrics.record_request("unrouted", "refused");
+    emit!(shared, info, RequestShed; "request" => id, "ms" => millis(arrived_at.elapsed()));
+    let refused = RefusalResponse::not_run(Reason::NoEndpoint, SHORT_OF_TIME)
+        .with_retry_after(SHED_RETRY_AFTER);
+    refusal_response(refused.status, id, &refused.refusal)
+}
+
 /// Waits until a request has to be answered because this instance exits.
 async fn last_answer_due(shared: &Shared, call: &Call) {
     let mut last_answers = shared.last_answers.subscribe();
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -13,7 +13,7 @@
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
     task::LocalSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use crate::{
@@ -160,7 +160,9 @@
 async fn run_periodic_checks(shared: Rc<Shared>) {
     let mut rounds = 0;
     loop {
-        sleep(CHECK_INTERVAL).await;
+        let due = Instant::now() + CHECK_INTERVAL;
+        sleep_until(due).await;
+        update_load_shedder(&shared, due.elapsed());
         apply::expire_endpoints(&shared);
         claim::check_zones(&shared);
         crash_watch::draw_conclusions(&shared);
@@ -181,6 +183,17 @@
     }
 }
 
+/// Passes the lateness of a timer to the load shedder.
+fn update_load_shedder(shared: &Shared, late: Duration) {
+    let mut load_shedder = shared.load_shedder.get();
+    let change = load_shedder.on_timer(late);
+    shared.load_shedder.set(load_shedder);
+    if let Some(is_short) = change {
+        emit!(shared, warn, ProcessorTimeChanged; "short" => is_short,
+            "late_ms" => millis(load_shedder.lateness()), "in_flight" => shared.in_flight.get());
+    }
+}
+
 /// Logs the statistics of this instance's placers.
 fn log_placer_stats(shared: &Rc<Shared>) {
     for held in shared.held_zones() {
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -32,6 +32,7 @@
     fleet_size::FleetSize,
     frame::SkippedFrame,
     held_zone::HeldZone,
+    load_shedder::LoadShedder,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
     reach::ReachState,
@@ -122,6 +123,8 @@
     pub(crate) reach: ReachState,
     /// Number of requests that this instance is serving for others.
     pub(crate) taken: Cell<usize>,
+    /// Which part of the requests is refused while this instance is short of processor time.
+    pub(crate) load_shedder: Cell<LoadShedder>,
     /// Memory for long bodies that are buffered whole.
     pub(crate) body_budget: MemoryBudget,
     pub(crate) store: StoreClient,
@@ -209,6 +212,7 @@
             helper_pool: Pool::new(PoolTimeouts::default()),
             reach: ReachState::default(),
             taken: Cell::new(0),
+            load_shedder: Cell::default(),
             body_budget,
             routing: RefCell::default(),
             directory: RefCell::default(),
@@ -410,6 +414,13 @@
         now.map_or(0, millis)
     }
 
+    /// Returns whether to refuse a request as this instance is short of processor time.
+    pub(crate) fn must_shed(&self) -> bool {
+        let shedder = self.load_shedder.get();
+        shedder.refused_share() > 0.0
+            && shedder.refuses(self.in_flight.get(), Self::random_fraction())
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction() -> f64 {
         rand::rng().random::<f64>()
@@ -431,6 +442,8 @@
                 let evidence = self.crash_watch.evidence.borrow();
                 count(evidence.quarantines(Self::now()).count())
             },
+            shed_share: self.load_shedder.get().refused_share(),
+            timer_lateness: self.load_shedder.get().lateness(),
         }
     }
 }
