routes, gateway: compare the endpoints of a plain service by all instances' calls

Cause: an instance makes about four calls per second to plain services, so by its own results it takes many seconds to notice that one of three endpoints fails part of its answers; the threshold was a constant that a service which fails 14 in 100 calls when healthy comes close to, and the time of answers counted for nothing.

Change: instances report the results of their calls with each ping to the holder of the endpoint's zone, which adds them up (weight lost with 0.6 s) and states the sums in its pongs, at once if an endpoint has become worse than the others of its service. An endpoint is worse if its failure rate exceeds another's by three standard errors and 0.1, or if its answers take four times as long; one in 64 choices probes it. Builds without the new fields are served as before, and frames without results are encoded as before.

Tests: 72 simulated instances send less than 5 in 100 calls to an endpoint that fails half of its calls or takes 7.5 times as long one second after it changed, and a third of them to one that is as good or half as fast; without the shared results the first test fails. A process test has one gateway learn from the calls of another.

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -239,6 +239,7 @@
         version_histories::on_endpoint_started(shared, &endpoint);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
+        shared.call_results.borrow_mut().remove(&id);
         shared.reach.forget(&id);
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
             "change" => format!("{change:?}"), "service" => &*endpoint.service,
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -19,7 +19,7 @@
     de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
 };
 
-use crate::shared::Holder;
+use crate::{call_results::ResultFrame, shared::Holder};
 
 /// Size of the length that precedes a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -128,6 +128,10 @@
         /// requests for other instances.
         #[serde(default)]
         cut: Option<bool>,
+        /// The results of the sender's calls to the zone's endpoints of plain services since its last
+        /// ping.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
@@ -162,6 +166,9 @@
         /// Addresses of instances that reach endpoints, for a receiver that reaches none.
         #[serde(default)]
         helpers: Vec<SocketAddr>,
+        /// The results of all instances' calls to the zone's endpoints of plain services.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
     },
     /// Grants a permit.
     Permit {
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    claim, endpoint_limits,
+    call_results, claim, endpoint_limits,
     event::emit,
     executor,
     frame::{self, FromHolder},
@@ -436,6 +436,7 @@
             instances: self.known_instances(),
             era: shared.store.era(),
             helpers: Vec::new(),
+            results: call_results::summed(shared, Shared::now(), &self.zone),
         }
     }
 
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! on a request's path would cost a wake-up. Only log lines are written by a thread of their own.
 
 mod apply;
+mod call_results;
 mod catch_up;
 mod claim;
 mod claim_schedule;
--- a/crates/caraway-gateway/src/run.rs
+++ b/crates/caraway-gateway/src/run.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    apply, claim, crash_watch,
+    apply, call_results, claim, crash_watch,
     event::emit,
     executor::millis,
     hand_over,
@@ -167,6 +167,7 @@
         claim::check_zones(&shared);
         crash_watch::draw_conclusions(&shared);
         reach::probe_if_due(&shared);
+        call_results::update_held(&shared);
         rounds += 1;
         if shared.versions.is_outdated.get() || rounds % CHECKS_PER_SWEEP == 0 {
             version_histories::update_histories(&shared);
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -23,7 +23,7 @@
 };
 
 use crate::{
-    claim,
+    call_results, claim,
     endpoint_limits::{self, LimitSource},
     event::emit,
     frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
@@ -368,6 +368,7 @@
             sent,
             limits: endpoint_limits::frames(shared, &self.zone),
             cut: Some(shared.reach.reach() != Reach::Open),
+            results: call_results::take_own(shared, &self.zone),
         })
     }
 
@@ -396,7 +397,9 @@
                 instances,
                 era,
                 helpers,
+                results,
             } => {
+                call_results::on_summed(shared, Shared::now(), &results);
                 if !helpers.is_empty() {
                     shared.on_helpers(&self.zone, helpers);
                 }
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    call_results,
     endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
@@ -208,7 +209,9 @@
                 sent,
                 limits,
                 cut,
+                results,
             } => {
+                call_results::on_reported(shared, Shared::now(), &results);
                 let state = PeerState {
                     holds,
                     leaving,
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
-    Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
+    CallTally, Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
 };
 use caraway_types::{
     EndpointId, FencingToken, Incarnation, InstanceId, SoftwareVersion, StoreEra, Ticket, ZoneId,
@@ -153,6 +153,8 @@
     pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
     /// Chooses endpoints for requests that no placer places.
     pub(crate) load_balancer: RefCell<LoadBalancer>,
+    /// The results of all instances' calls to plain services in the zones that this one holds.
+    pub(crate) call_results: RefCell<HashMap<EndpointId, CallTally>>,
     /// Limits the retries of this instance to its part of the deployment's budget.
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// Selects the zone whose placer receives a request.
@@ -225,7 +227,8 @@
             catch_up: CatchUp::default(),
             fleet_size: Cell::new(fleet_size),
             newest_versions: RefCell::default(),
-            load_balancer: RefCell::default(),
+            load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
+            call_results: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
             topics: RefCell::new(Topics::new(max_delay)),
             holders: RefCell::default(),
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod faulty;
 mod harness;
 mod limits;
+mod plain_results;
 mod processor_time;
 mod software_versions;
 mod stop;
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routes and services as the operators configure them, endpoints as the registry lists them, and
 //! the choice of an endpoint for a request to a plain service. This crate does no I/O.
 
+mod call_tally;
 mod config;
 mod directory;
 mod endpoint;
@@ -16,6 +17,7 @@
 mod solo_limiter;
 mod store_era;
 
+pub use call_tally::CallTally;
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
 pub use endpoint::{Endpoint, EndpointState, LoadedModel, Resident};
