http, gateway: use no connection that has ended, and make no attempt that can't be answered

Cause: a pooled connection whose engine has left is known as closed only once the runtime has polled it, which an instance without processor time does late. A request written to it is in doubt, and ends with 502 as it may not be repeated, though no engine has it. Attempts were made with 40 ms left also for prompts that take engines longer to read.

Change: the pool looks at the socket (a peek without waiting) before it gives out an idle connection; an ended one is replaced, and where the engine has left, the refused connection lets the request go on elsewhere. An attempt needs 40 ms and 11 microseconds for each token of the prompt's own segment, also the first one after a wait at the placer.

Tests: connection_that_ended_while_the_runtime_was_busy_is_not_reused failed before (the closed connection was given out); request_that_no_engine_can_answer_in_time_is_not_sent is new.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -49,6 +49,17 @@
 /// 30 ms for a first event.
 pub(crate) const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(40);
 
+/// Time that an engine needs for each token of the prompt that no other request shares: twice as fast
+/// engines as those of the deployments read 92 tokens per millisecond. Shared segments may have been
+/// read before.
+const MIN_TIME_PER_TOKEN: Duration = Duration::from_micros(11);
+
+/// Returns the least time in which an engine may answer a request; with less time left, none is asked.
+fn min_attempt_time(call: &Call) -> Duration {
+    let own_tokens = call.head.prompt.last().map(|segment| segment.tokens);
+    MIN_ATTEMPT_TIME + MIN_TIME_PER_TOKEN * own_tokens.unwrap_or(call.head.tokens.prompt)
+}
+
 /// An event stream whose first bytes have arrived.
 #[derive(Debug)]
 pub(crate) struct OpenStream {
@@ -210,14 +221,13 @@
                 }
             }
         };
-        if !history.fits(shared, call, &placed.endpoint) {
-            placed.grant.set_outcome(RequestOutcome::NotSent);
+        if skip_unfit(shared, call, history, &placed) {
             history.exclude.push(placed.endpoint.clone());
             continue;
         }
-        if skip_blocked(shared, &placed) {
-            history.exclude.push(placed.endpoint.clone());
-            continue;
+        if !call.has_time_for(min_attempt_time(call)) {
+            placed.grant.set_outcome(RequestOutcome::NotSent);
+            break;
         }
         shared.metrics.record_placement(call.arrived_at.elapsed());
         emit!(shared, info, EndpointGranted; "request" => &*call.head.id, "adapter" => %placement.model,
@@ -255,13 +265,13 @@
             }
             Outcome::InDoubt(why) => {
                 if !try_acquire_rerun(shared, call, history) {
-                    return Err(call.in_doubt(why, MIN_ATTEMPT_TIME));
+                    return Err(call.in_doubt(why, min_attempt_time(call)));
                 }
                 why
             }
         };
         history.exclude.push(endpoint);
-        if !call.has_time_for(MIN_ATTEMPT_TIME) {
+        if !call.has_time_for(min_attempt_time(call)) {
             break;
         }
         shared.metrics.record_retry("stream");
@@ -288,15 +298,19 @@
 /// Returns the refusal of a request after its last attempt, which has not run it, for the reason `why`.
 fn unsent_refusal(call: &Call, history: &AttemptHistory, why: &str) -> RefusalResponse {
     if history.possible_runs > 0 {
-        return call.in_doubt(why, MIN_ATTEMPT_TIME);
+        return call.in_doubt(why, min_attempt_time(call));
     }
-    call.not_run(why, MIN_ATTEMPT_TIME)
+    call.not_run(why, min_attempt_time(call))
         .with_retry_after(BUSY_RETRY_AFTER)
 }
 
-/// Returns whether to skip a granted endpoint because it is draining or paused. This instance may
-/// know that before the placer does.
-fn skip_blocked(shared: &Shared, placed: &Placement) -> bool {
+/// Returns whether to skip a granted endpoint because it may not go on with the stream, or because it
+/// is draining or paused. This instance may know that before the placer does.
+fn skip_unfit(shared: &Shared, call: &Call, history: &AttemptHistory, placed: &Placement) -> bool {
+    if !history.fits(shared, call, &placed.endpoint) {
+        placed.grant.set_outcome(RequestOutcome::NotSent);
+        return true;
+    }
     let Some(reason) = shared.block_reason(&placed.endpoint) else {
         return false;
     };
@@ -323,7 +337,7 @@
 pub(crate) fn try_acquire_rerun(shared: &Shared, call: &Call, history: &AttemptHistory) -> bool {
     call.route.may_rerun()
         && history.possible_runs < call.route.max_attempts
-        && call.has_time_for(MIN_ATTEMPT_TIME)
+        && call.has_time_for(min_attempt_time(call))
         && try_acquire_retry(shared, call)
 }
 
--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -453,3 +453,27 @@
     writer.join().expect("it ends");
     assert!(call(gateway.ready, "GET /v1/readyz", "", "").starts_with("HTTP/1.1 200"));
 }
+
+// Guards against: an engine spends its time on a prompt that it can't have read before its caller leaves.
+#[test]
+fn request_that_no_engine_can_answer_in_time_is_not_sent() {
+    let platform = Platform::start();
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the zone's holder", || gateway.has_event(1200));
+    let send = |id: &str, own_tokens: u32| {
+        let headers = format!(
+            "X-Attempt-Id: {id}\r\nX-Model: base/a7\r\nX-Token-Count: {},5\r\n\
+             X-Prompt-Prefix: a1:6300,b2:{own_tokens}\r\nX-Deadline-Ms: 4000\r\n",
+            6300 + own_tokens
+        );
+        call(gateway.front, "POST /report/x", &headers, "prompt")
+    };
+    let answer = send("r1", 2890);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    for (id, own_tokens) in [("r2", 400_000), ("r3", u32::MAX - 6300)] {
+        let answer = send(id, own_tokens);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"not_run\""), "{answer}");
+        assert_eq!(platform.ledger.runs(id), 0);
+    }
+}
--- a/crates/caraway-http/src/connection.rs
+++ b/crates/caraway-http/src/connection.rs
@@ -1,12 +1,12 @@
 //! [`Connection`]: an HTTP/1.1 client connection that is owned by the call that uses it.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::ErrorKind, mem::MaybeUninit, net::SocketAddr, sync::Arc, time::Duration};
 
 use caraway_wire::CallError;
 use http::{Request, Response};
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::{
     net::TcpStream,
     time::{Instant, timeout},
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Payload>,
+    /// The socket, to look at what has arrived without reading it.
+    socket: Socket,
     opened_at: Instant,
 }
 
@@ -66,6 +68,7 @@
             .map_err(|_| CallError::NotSent("connect: timed out".into()))?
             .map_err(not_sent)?;
         set_socket_options(&stream, timeouts).map_err(not_sent)?;
+        let socket = SockRef::from(&stream).try_clone().map_err(not_sent)?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -77,6 +80,7 @@
         });
         Ok(Self {
             sender,
+            socket,
             opened_at: Instant::now(),
         })
     }
@@ -93,6 +97,15 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the other end has closed or reset the connection, or has sent something without a
+    /// request. [`Self::is_ready`] learns of it only once the runtime has polled the connection, which
+    /// takes long where processor time is short.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let peeked = self.socket.peek(&mut [MaybeUninit::uninit()]);
+        !peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Waits until the connection can send a request. Returns false if it was closed.
     pub async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
--- a/crates/caraway-http/src/pool.rs
+++ b/crates/caraway-http/src/pool.rs
@@ -58,6 +58,15 @@
     addr: SocketAddr,
 }
 
+impl IdleConnection {
+    /// Returns whether a request to `addr` can be sent on it. On a connection that has ended, it would be
+    /// in doubt and might not be repeated.
+    fn is_usable(&self, addr: SocketAddr, now: Instant) -> bool {
+        let is_valid = self.addr == addr && self.expires_at > now;
+        is_valid && self.connection.is_ready() && !self.connection.has_ended()
+    }
+}
+
 impl Pool {
     /// Creates an empty pool.
     #[must_use]
@@ -93,10 +102,8 @@
     pub fn has_idle(&self, endpoint: &EndpointId, addr: SocketAddr) -> bool {
         let all = self.idle.borrow();
         let now = Instant::now();
-        let is_usable =
-            |i: &IdleConnection| i.addr == addr && i.expires_at > now && i.connection.is_ready();
         all.get(endpoint)
-            .is_some_and(|list| list.iter().any(is_usable))
+            .is_some_and(|list| list.iter().any(|idle| idle.is_usable(addr, now)))
     }
 
     /// Opens a new connection, even if one is idle.
@@ -167,7 +174,7 @@
         let list = all.get_mut(endpoint)?;
         let now = Instant::now();
         while let Some(idle) = list.pop() {
-            if idle.addr == addr && idle.expires_at > now && idle.connection.is_ready() {
+            if idle.is_usable(addr, now) {
                 return Some(idle.connection);
             }
         }
--- a/crates/caraway-http/tests/connection.rs
+++ b/crates/caraway-http/tests/connection.rs
@@ -134,3 +134,34 @@
         "the connection expires after 0.8 of the announced timeout"
     );
 }
+
+// Guards against: a request is written to a connection whose server has left, and is then in doubt, as the
+// runtime has been too short of processor time to poll the connection.
+#[tokio::test]
+async fn connection_that_ended_while_the_runtime_was_busy_is_not_reused() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    let (leave, left) = std::sync::mpsc::channel::<()>();
+    let server = std::thread::spawn(move || {
+        use std::io::{Read, Write};
+        let (mut stream, _) = listener.accept().expect("a connection");
+        drop(listener);
+        let read = stream.read(&mut [0; 4096]).expect("a request");
+        assert!(read > 0);
+        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        stream.write_all(answer).expect("it is sent");
+        left.recv().expect("the test leaves");
+    });
+    let pool = Pool::new(PoolTimeouts::default());
+    let mut pooled = pool.open(addr).await.expect("the server accepts");
+    let answer = pooled.connection.send(request()).await.expect("a response");
+    let body = read_body(answer.into_body(), LIMIT_BYTES).await;
+    assert_eq!(body.expect("a complete body"), "ok");
+    assert!(pooled.connection.ready().await);
+    pool.put(&endpoint(), pooled, None);
+    leave.send(()).expect("the server runs");
+    // The runtime is not polled meanwhile.
+    server.join().expect("it ends");
+    let taken = pool.take(&endpoint(), addr).await;
+    assert!(matches!(taken, Err(CallError::NotSent(_))), "{taken:?}");
+}
