placement, gateway: choose the zone by the load that holders state

Cause: a request left its zone only once its pressure was 10 (or, for rare adapters, 24) requests per endpoint and 1.4 (2) times the lowest of any zone. With 16 slots per engine, a wave has then filled the zone, and requests wait while other zones have free slots.

Change: holders state the expected wait (requests that wait by the rate of grants of the last second) and their free slots in Pong, Grant and Refuse. ZoneSelector compares the zones by the taken part of their slots, the wait and the round trip: above 0.6 of the slots (0.8 for rare adapters) a part of the requests leaves a zone that is busier than the mean of all, for those with room; rare adapters leave one by one by their hash. The values are ignored after 2 s, and with any zone whose holder states none the former rule applies. A zone whose holder has sent nothing for 0.8 s gets no work while others answer, before its session ends after 1.5 s.

--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -169,6 +169,12 @@
         /// The results of all instances' calls to the zone's endpoints of plain services.
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         results: Vec<ResultFrame>,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Grants a permit.
     Permit {
@@ -196,6 +202,12 @@
         waited: bool,
         /// Running and waiting requests per usable endpoint of the zone.
         pressure: f64,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Refuses a request.
     Refuse {
@@ -209,6 +221,12 @@
         /// Number of requests that wait at the placer.
         #[serde(default)]
         waiting: usize,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// The sender gives no more orders and hands the zone over.
     Successor {
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -11,8 +11,8 @@
 };
 
 use caraway_placement::{
-    ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
-    SourceId,
+    ConnectedShare, GrantMeter, Output, PlacementId, PlacementRequest, Placer, PlacerStats,
+    RequestOutcome, SourceId, ZoneLoad,
 };
 use caraway_reach::Reach;
 use caraway_types::{EndpointId, FencingToken, Millis, Ticket, ZoneId};
@@ -62,6 +62,8 @@
     /// The instances that are connected, by the source of their requests.
     peers: RefCell<HashMap<SourceId, Peer>>,
     last_source: Cell<SourceId>,
+    /// Measures how long requests wait at the placer.
+    grants: Cell<GrantMeter>,
     /// The part of all instances that is connected.
     connected: RefCell<ConnectedShare>,
     /// The share that the placer was told last.
@@ -155,6 +157,7 @@
             local_requests: RefCell::default(),
             peers: RefCell::default(),
             last_source: Cell::new(LOCAL_SOURCE),
+            grants: Cell::new(GrantMeter::new(Shared::now())),
             connected: RefCell::new(connected),
             limit_share: Cell::new(limit_share),
             wake: Notify::new(),
@@ -437,6 +440,8 @@
             era: shared.store.era(),
             helpers: Vec::new(),
             results: call_results::summed(shared, Shared::now(), &self.zone),
+            wait: Some(self.load().expected_wait.into()),
+            free: Some(self.load().free_slots),
         }
     }
 
@@ -470,6 +475,16 @@
         self.placer.borrow().pressure(Shared::now())
     }
 
+    /// Returns how busy the zone is.
+    pub(crate) fn load(&self) -> ZoneLoad {
+        let now = Shared::now();
+        let placer = self.placer.borrow();
+        ZoneLoad {
+            expected_wait: self.grants.get().expected_wait(now, placer.waiting()),
+            free_slots: placer.free_slots(now),
+        }
+    }
+
     /// Returns whether an order was sent whose outcome is not known yet.
     pub(crate) fn has_order_in_flight(&self) -> bool {
         self.placer.borrow().has_order_in_flight()
@@ -568,6 +583,11 @@
 
     /// Delivers a decision to the requester, on this instance or through its session.
     fn deliver(&self, request: PlacementId, decision: Decision) {
+        if matches!(decision, Decision::Granted { .. }) {
+            let mut grants = self.grants.get();
+            grants.on_grant(Shared::now());
+            self.grants.set(grants);
+        }
         if request.source == LOCAL_SOURCE {
             if let Some(decision_tx) = self.local_requests.borrow_mut().remove(&request.ticket) {
                 // The requester may have left, and then reports the end of the request.
@@ -578,7 +598,7 @@
         let peers = self.peers.borrow();
         if let Some(peer) = peers.get(&request.source) {
             let pressure = self.pressure();
-            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure));
+            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure, self.load()));
             // If the queue is full, the peer ends the session, and with it the grant.
             peer.frames.try_send(Ok(bytes)).ok();
         }
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -5,7 +5,7 @@
     cell::Cell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration,
 };
 
-use caraway_placement::{PlacementRequest, RefuseReason, RequestOutcome};
+use caraway_placement::{PlacementRequest, RefuseReason, RequestOutcome, ZoneLoad};
 use caraway_routes::{CallOutcome, ModelRef, TokenCount};
 use caraway_types::{EndpointId, Ticket, ZoneId};
 use tokio::{
@@ -167,7 +167,8 @@
 
 impl Decision {
     /// Converts the decision into the frame that is sent to the requesting instance.
-    pub(crate) fn into_frame(self, ticket: Ticket, pressure: f64) -> FromHolder {
+    pub(crate) fn into_frame(self, ticket: Ticket, pressure: f64, load: ZoneLoad) -> FromHolder {
+        let (wait, free) = (Some(load.expected_wait.into()), Some(load.free_slots));
         match self {
             Self::Granted {
                 endpoint,
@@ -179,6 +180,8 @@
                 addr,
                 waited,
                 pressure,
+                wait,
+                free,
             },
             Self::Refused {
                 reason,
@@ -189,12 +192,16 @@
                 reason,
                 after: retry_after.into(),
                 waiting,
+                wait,
+                free,
             },
             Self::Lost => FromHolder::Refuse {
                 ticket,
                 reason: RefuseReason::NoEndpoint,
                 after: NO_ENDPOINT_RETRY_AFTER.into(),
                 waiting: 0,
+                wait,
+                free,
             },
         }
     }
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -10,9 +10,10 @@
 
 use bytes::Bytes;
 use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload};
+use caraway_placement::ZoneLoad;
 use caraway_platform::Topic;
 use caraway_reach::Reach;
-use caraway_types::{Ticket, ZoneId};
+use caraway_types::{Millis, Ticket, ZoneId};
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::BodyExt;
@@ -41,6 +42,11 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without any frame after which a session counts as lost: three ping intervals.
 pub(crate) const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time without any frame after which other zones are preferred: a ping interval and the time in which a
+/// holder that has used up its processor time answers, with a margin.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a stated load is used: four pings.
+const LOAD_VALIDITY: Duration = Duration::from_secs(2);
 /// Timeout for the holder's response to a new session.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Delay before a lost session is opened again.
@@ -75,6 +81,12 @@
     instance_count: Cell<usize>,
     /// Running and waiting requests per usable endpoint of the zone.
     pressure: Cell<f64>,
+    /// How busy the zone is, and when the holder stated it.
+    load: Cell<Option<(Instant, ZoneLoad)>>,
+    /// Time from the last ping to its pong.
+    round_trip: Cell<Duration>,
+    /// When a frame of the holder arrived last.
+    last_received: Cell<Instant>,
     /// Topics that the holder does not read, as of its last pong.
     holder_unread_topics: RefCell<Vec<Topic>>,
     opened_at: Cell<Instant>,
@@ -115,6 +127,9 @@
             permits: RefCell::default(),
             instance_count: Cell::new(0),
             pressure: Cell::new(0.0),
+            load: Cell::new(None),
+            round_trip: Cell::new(Duration::ZERO),
+            last_received: Cell::new(Instant::now()),
             holder_unread_topics: RefCell::default(),
             opened_at: Cell::new(Instant::now()),
             down_since: Cell::new(Some(Instant::now())),
@@ -152,6 +167,30 @@
         self.pressure.get()
     }
 
+    /// Returns how busy the zone is; `None` if the holder has not stated it lately.
+    pub(crate) fn load(&self) -> Option<ZoneLoad> {
+        let (at, load) = self.load.get()?;
+        (at.elapsed() < LOAD_VALIDITY).then_some(load)
+    }
+
+    /// Returns the time from the last ping to its pong.
+    pub(crate) fn round_trip(&self) -> Duration {
+        self.round_trip.get()
+    }
+
+    /// Returns whether the holder has not answered the last ping, so that it may be cut off.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.last_received.get().elapsed() > SILENCE_TIMEOUT
+    }
+
+    fn set_load(&self, wait: Option<Millis>, free: Option<usize>) {
+        let load = wait.zip(free).map(|(wait, free_slots)| ZoneLoad {
+            expected_wait: wait.get(),
+            free_slots,
+        });
+        self.load.set(load.map(|load| (Instant::now(), load)));
+    }
+
     /// Returns whether the holder does not read a topic, as of its last pong.
     pub(crate) fn is_unread_by_holder(&self, topic: Topic) -> bool {
         self.holder_unread_topics.borrow().contains(&topic)
@@ -274,6 +313,7 @@
                 () = self.stop.notified() => return SessionEnd::Stopped,
             };
             last_received = Instant::now();
+            self.last_received.set(last_received);
             reader.feed(&chunk);
             loop {
                 match reader.next() {
@@ -347,6 +387,7 @@
         *self.outgoing.borrow_mut() = Some(outgoing);
         self.down_since.set(None);
         self.opened_at.set(Instant::now());
+        self.last_received.set(Instant::now());
         self.ping(shared);
         shared.holder_reachable.notify_waiters();
         emit!(shared, info, SessionOpened; "held_zone" => &*self.zone,
@@ -398,7 +439,14 @@
                 era,
                 helpers,
                 results,
+                wait,
+                free,
             } => {
+                self.set_load(wait, free);
+                if let Some(sent) = asked {
+                    let elapsed = self.opened_at.get().elapsed();
+                    self.round_trip.set(elapsed.saturating_sub(sent.get()));
+                }
                 call_results::on_summed(shared, Shared::now(), &results);
                 if !helpers.is_empty() {
                     shared.on_helpers(&self.zone, helpers);
@@ -430,8 +478,11 @@
                 addr,
                 waited,
                 pressure,
+                wait,
+                free,
             } => {
                 self.pressure.set(pressure);
+                self.set_load(wait, free);
                 let granted = Decision::Granted {
                     endpoint,
                     addr,
@@ -444,7 +495,10 @@
                 reason,
                 after,
                 waiting,
+                wait,
+                free,
             } => {
+                self.set_load(wait, free);
                 let refused = Decision::Refused {
                     reason,
                     retry_after: after.get(),
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -350,20 +350,31 @@
         for endpoint in directory.of_service(service).filter(|e| e.is_ready()) {
             *counts.entry(&endpoint.zone).or_default() += 1;
         }
-        let pressure = |zone: &ZoneId| {
-            let held = self.held_zone(zone).map(|d| d.pressure());
-            held.or_else(|| self.session(zone).map(|s| s.pressure()))
-        };
-        counts
-            .into_iter()
-            .filter_map(|(zone, endpoints)| {
-                Some(ZoneCandidate {
+        let candidates = counts.into_iter().filter_map(|(zone, endpoints)| {
+            if let Some(held) = self.held_zone(zone) {
+                let candidate = ZoneCandidate {
                     zone: zone.clone(),
                     endpoints,
-                    pressure: pressure(zone)?,
-                })
-            })
-            .collect()
+                    pressure: held.pressure(),
+                    load: Some(held.load()),
+                    crossing: Duration::ZERO,
+                };
+                return Some((candidate, false));
+            }
+            let session = self.session(zone)?;
+            let candidate = ZoneCandidate {
+                zone: zone.clone(),
+                endpoints,
+                pressure: session.pressure(),
+                load: session.load(),
+                crossing: session.round_trip(),
+            };
+            Some((candidate, session.is_silent()))
+        });
+        let (silent, others): (Vec<_>, Vec<_>) = candidates.partition(|(_, is_silent)| *is_silent);
+        // A zone that is cut off gets no work, unless no zone answers.
+        let used = if others.is_empty() { silent } else { others };
+        used.into_iter().map(|(candidate, _)| candidate).collect()
     }
 
     /// Returns the known number of instances of this instance's zone, itself included; at least 1.
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -15,6 +15,7 @@
 mod settings;
 mod urgency;
 mod wait_queue;
+mod zone_load;
 mod zone_selector;
 
 pub use connected_share::ConnectedShare;
@@ -25,4 +26,7 @@
 pub use request::{PlacementId, PlacementRequest, RequestOutcome, SourceId};
 pub use settings::PlacerSettings;
 pub use urgency::Urgency;
-pub use zone_selector::{PressureLimit, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
+pub use zone_load::{GrantMeter, ZoneLoad};
+pub use zone_selector::{
+    LoadBalance, PressureLimit, ZoneCandidate, ZoneSelector, ZoneSelectorSettings,
+};
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -6,6 +6,7 @@
 mod plan;
 mod requests;
 mod weights;
+mod zone_load;
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
--- a/crates/caraway-placement/tests/zone_selector.rs
+++ b/crates/caraway-placement/tests/zone_selector.rs
@@ -1,9 +1,12 @@
 //! Zone selection: rare adapters share one zone, popular ones stay in the caller's zone, and
 //! overloaded zones are excluded.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
-use caraway_placement::{ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
+use caraway_placement::{ZoneCandidate, ZoneLoad, ZoneSelector, ZoneSelectorSettings};
 use caraway_routes::ModelRef;
 use caraway_types::ZoneId;
 
@@ -23,6 +26,8 @@
             zone: name.into(),
             endpoints: 3,
             pressure,
+            load: None,
+            crossing: Duration::ZERO,
         })
         .collect()
 }
@@ -104,3 +109,67 @@
         "no other zone is usable"
     );
 }
+
+/// Returns zones of 48 slots whose holders state that these many are taken.
+fn loaded(taken: [u32; 3]) -> Vec<ZoneCandidate> {
+    let mut zones = zones(taken.map(|taken| f64::from(taken) / 3.0));
+    for (zone, taken) in zones.iter_mut().zip(taken) {
+        zone.load = Some(ZoneLoad {
+            expected_wait: Duration::ZERO,
+            free_slots: 48 - taken as usize,
+        });
+        zone.crossing = Duration::from_millis(3);
+    }
+    zones
+}
+
+// Guards against: the load that holders state moves requests although every zone has free slots, or where
+// a holder of another build states none.
+#[test]
+fn zones_with_free_slots_or_an_unknown_load_are_chosen_as_before() {
+    let now = Instant::now();
+    let calm = loaded([24, 5, 0]);
+    let mut partly = loaded([48, 0, 0]);
+    partly[2].load = None;
+    for stated in [calm, partly] {
+        let mut unstated = stated.clone();
+        for zone in &mut unstated {
+            zone.load = None;
+        }
+        let mut first = ZoneSelector::new(ZoneSelectorSettings::default());
+        let mut second = ZoneSelector::new(ZoneSelectorSettings::default());
+        for number in (0..300).chain([1; 30]) {
+            let zone = choose(&mut first, now, number, &stated);
+            assert_eq!(
+                zone,
+                choose(&mut second, now, number, &unstated),
+                "{number}"
+            );
+        }
+    }
+}
+
+// Guards against: requests wait in a full zone while others have free slots, or all requests of a full
+// zone go to one other at once.
+#[test]
+fn requests_leave_a_full_zone_for_all_that_have_room() {
+    let mut full = loaded([48, 0, 0]);
+    full[0].load = Some(ZoneLoad {
+        expected_wait: Duration::from_millis(400),
+        free_slots: 0,
+    });
+    let mut selector = ZoneSelector::new(ZoneSelectorSettings::default());
+    let now = Instant::now();
+    let popular = ModelRef {
+        model: "m".into(),
+        adapter: None,
+    };
+    let mut counts = HashMap::new();
+    for _ in 0..300 {
+        let zone = selector.choose(now, &popular, &own(), 2, &full);
+        *counts.entry(zone.expect("a zone").to_string()).or_insert(0) += 1;
+    }
+    assert!(counts["b"] > 100 && counts["c"] > 100, "{counts:?}");
+    let only_own = [full.remove(0)];
+    assert_eq!(choose(&mut selector, now, 1, &only_own), "a");
+}
