http, gateway: go on reading streams whose callers are slow, within byte limits

Cause: a stream was read from its engine only as far as four chunks ahead of its caller. A caller that does not read left the rest unread at the engine, which cuts such responses off, and the chunks were limited in number and not in bytes.

Change: StreamBuffer lets a stream go on while at most 64 KB of it, and a sixteenth of the instance's memory of all streams, wait for callers; one chunk of each stream may always wait. A chunk counts until it is written.

Test: stream_goes_on_without_its_reader_up_to_its_limit_and_that_of_all (the former queue took four chunks of any size).

--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use caraway_http::{Aborted, Payload, PooledConnection};
+use caraway_http::{Payload, PooledConnection, StreamBuffer};
 use caraway_platform::{copy_handed_headers, copy_response_headers, refusal_response};
 use caraway_reach::Reach;
 use caraway_types::{Reason, Refusal};
@@ -14,10 +14,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     event::emit,
@@ -44,8 +41,6 @@
 const CUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the caller's deadline in which an answer may still end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
-/// Chunks of an answer that are buffered for a slow caller.
-const CHUNK_QUEUE_LEN: usize = 4;
 
 /// Returns whether a request comes from an instance that hands it over.
 pub(crate) fn is_handed<T>(request: &Request<T>) -> bool {
@@ -226,8 +221,8 @@
 
 /// Returns the answer to the caller, whose body follows the helper's.
 fn relay(call: &Call, answer: HandedAnswer, in_flight: InFlightGuard) -> Response<Payload> {
-    let (out, chunks) = mpsc::channel(CHUNK_QUEUE_LEN);
-    let mut response = Response::new(Payload::Stream(chunks));
+    let (out, body) = StreamBuffer::new(&answer.helper.shared.stream_budget);
+    let mut response = Response::new(body);
     *response.status_mut() = answer.response.status();
     *response.headers_mut() = copy_response_headers(answer.response.headers());
     let end = call.caller_deadline + DEADLINE_GRACE;
@@ -238,11 +233,7 @@
     response
 }
 
-async fn forward(
-    answer: HandedAnswer,
-    out: &mpsc::Sender<Result<bytes::Bytes, Aborted>>,
-    end: Instant,
-) {
+async fn forward(answer: HandedAnswer, out: &StreamBuffer, end: Instant) {
     let HandedAnswer {
         response,
         pooled,
@@ -256,11 +247,10 @@
             () = out.closed() => return,
         };
         let sent = match frame {
-            Ok(Some(Ok(frame))) => out.send(Ok(frame.into_data().unwrap_or_default())).await,
+            Ok(Some(Ok(frame))) => out.send(frame.into_data().unwrap_or_default()).await,
             Ok(None) => break,
             Ok(Some(Err(_))) | Err(_) => {
-                // The caller may have disconnected.
-                out.send(Err(Aborted)).await.ok();
+                out.abort().await;
                 return;
             }
         };
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -4,16 +4,13 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use caraway_http::{Aborted, Payload};
+use caraway_http::{Payload, StreamBuffer};
 use caraway_placement::RequestOutcome;
 use caraway_types::EndpointId;
 use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep_until, timeout_at},
-};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
     crash_watch::{self, PROGRESS_EVENTS},
@@ -31,8 +28,6 @@
     stream_origins::{self, StreamStart},
 };
 
-/// Chunks that are buffered for a slow caller.
-const CHUNK_QUEUE_LEN: usize = 4;
 /// Time after the caller's deadline in which a stream may still end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
 
@@ -148,7 +143,7 @@
 
     /// Forwards the stream, resuming it at other endpoints, until it is complete, its caller has
     /// disconnected or it can't be resumed.
-    async fn run(mut self, mut stream: OpenStream, out: mpsc::Sender<Result<Bytes, Aborted>>) {
+    async fn run(mut self, mut stream: OpenStream, out: StreamBuffer) {
         loop {
             let endpoint = stream.placed.endpoint.clone();
             let mut takeover = None;
@@ -181,8 +176,7 @@
                     "certainty" => "InDoubt", "events" => self.splitter.event_count(),
                     "version" => self.call.config_version,
                     "ms" => millis(self.call.arrived_at.elapsed()));
-                // The caller may have disconnected.
-                out.send(Err(Aborted)).await.ok();
+                out.abort().await;
                 return;
             };
             stream = resumed;
@@ -225,11 +219,7 @@
     }
 
     /// Forwards the events of one endpoint until its stream ends or another endpoint takes it over.
-    async fn forward(
-        &mut self,
-        stream: OpenStream,
-        out: &mpsc::Sender<Result<Bytes, Aborted>>,
-    ) -> ForwardEnd {
+    async fn forward(&mut self, stream: OpenStream, out: &StreamBuffer) -> ForwardEnd {
         let OpenStream {
             placed,
             pooled,
@@ -264,7 +254,7 @@
                 if progress.on_events(&self.splitter) {
                     crash_watch::on_progress(&self.shared, &self.call);
                 }
-                if out.send(Ok(events)).await.is_err() {
+                if out.send(events).await.is_err() {
                     return ForwardEnd::CallerDisconnected;
                 }
                 last_event_at = Instant::now();
@@ -366,7 +356,7 @@
 
 /// Starts forwarding a stream; returns the body that the caller reads.
 pub(crate) fn start(relay: Relay, stream: OpenStream) -> Payload {
-    let (out, events) = mpsc::channel(CHUNK_QUEUE_LEN);
+    let (out, body) = StreamBuffer::new(&relay.shared.stream_budget);
     tokio::task::spawn_local(relay.run(stream, out));
-    Payload::Stream(events)
+    body
 }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use caraway_http::{MemoryBudget, Pool, PoolTimeouts};
+use caraway_http::{MemoryBudget, Pool, PoolTimeouts, StreamBudget};
 use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
@@ -127,6 +127,8 @@
     pub(crate) load_shedder: Cell<LoadShedder>,
     /// Memory for long bodies that are buffered whole.
     pub(crate) body_budget: MemoryBudget,
+    /// Memory for the parts of streams that wait for slow callers.
+    pub(crate) stream_budget: StreamBudget,
     pub(crate) store: StoreClient,
     pub(crate) placer_settings: PlacerSettings,
     /// The configuration in force; `None` until one was read.
@@ -193,7 +195,8 @@
         metrics: Metrics,
         incarnation: Incarnation,
     ) -> Self {
-        let body_budget = body_budget(site.memory_mb);
+        let body_budget = MemoryBudget::new(memory_share(site.memory_mb, BODY_MEMORY_SHARE));
+        let stream_bytes = memory_share(site.memory_mb, STREAM_MEMORY_SHARE);
         let fleet_size = FleetSize::new(site.zones.len());
         let max_delay = site.bounds.config_apply.min(site.bounds.drain);
         Self {
@@ -216,6 +219,7 @@
             taken: Cell::new(0),
             load_shedder: Cell::default(),
             body_budget,
+            stream_budget: StreamBudget::new(stream_bytes),
             routing: RefCell::default(),
             directory: RefCell::default(),
             pauses: RefCell::default(),
@@ -478,14 +482,18 @@
 /// overhead of the allocator they use about two thirds at most.
 const BODY_MEMORY_SHARE: f64 = 0.125;
 
-fn body_budget(memory_mb: f64) -> MemoryBudget {
+/// Fraction of an instance's memory for the parts of streams that wait for slow callers.
+const STREAM_MEMORY_SHARE: f64 = 0.0625;
+
+/// Returns a share of an instance's memory in bytes.
+fn memory_share(memory_mb: f64, share: f64) -> usize {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "the size is not negative, and a saturated size means no limit"
     )]
-    let bytes = (memory_mb.max(0.0) * BODY_MEMORY_SHARE * f64::from(1 << 20)) as usize;
-    MemoryBudget::new(bytes)
+    let bytes = (memory_mb.max(0.0) * share * f64::from(1 << 20)) as usize;
+    bytes
 }
 
 fn retry_limits(bounds: &Bounds, instances: usize) -> RetryLimits {
--- a/crates/caraway-http/src/lib.rs
+++ b/crates/caraway-http/src/lib.rs
@@ -10,6 +10,7 @@
 mod memory_budget;
 mod payload;
 mod pool;
+mod stream_buffer;
 
 pub use acceptance::{Acceptance, check_acceptance};
 pub use body::{BodyError, read_body, read_body_within};
@@ -17,3 +18,4 @@
 pub use memory_budget::MemoryBudget;
 pub use payload::{Aborted, Payload};
 pub use pool::{Pool, PoolTimeouts, PooledConnection};
+pub use stream_buffer::{ReaderGone, StreamBudget, StreamBuffer};
