--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -148,6 +148,9 @@
     shared.quotas.set_accounts(routing.accounts());
     shared.config_applied_at.set(Some(Shared::now()));
     let accounts = routing.accounts().clone();
+    let mut load_shedder = shared.load_shedder.get();
+    load_shedder.set_routes(routing.routes().iter().map(|r| &**r));
+    shared.load_shedder.set(load_shedder);
     *shared.routing.borrow_mut() = Some(Arc::new(routing));
     for held in shared.held_zones() {
         held.set_accounts(&accounts);
@@ -232,6 +235,7 @@
         version_histories::on_endpoint_started(shared, &endpoint);
         shared.pool.forget(&id);
         shared.load_balancer.borrow_mut().forget(&id);
+        shared.call_results.borrow_mut().remove(&id);
         shared.reach.forget(&id);
         emit!(shared, info, EndpointChanged; "endpoint" => &*id,
             "change" => format!("{change:?}"), "service" => &*endpoint.service,
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! on a request's path would cost a wake-up. Only log lines are written by a thread of their own.
 
 mod apply;
+mod call_results;
 mod catch_up;
 mod claim;
 mod claim_schedule;
@@ -21,6 +22,7 @@
 mod generate;
 mod hand_over;
 mod held_zone;
+mod load_shedder;
 mod log;
 mod message;
 mod metrics;
@@ -56,6 +58,7 @@
 pub use event::Event;
 pub use fleet_size::FleetSize;
 pub use forwarding::ForwardingStatus;
+pub use load_shedder::LoadShedder;
 pub use log::{LogLimits, LogQueue, json_logger};
 pub use message::{DecodedMessage, MessageKind};
 pub use metrics::METRICS;
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -70,6 +70,9 @@
     ),
     MetricInfo::new("caraway_gateway_keys_refused_total", "requests", &[]),
     MetricInfo::new("caraway_gateway_accounts_exhausted", "accounts", &[]),
+    MetricInfo::new("caraway_gateway_requests_shed_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_shed_share", "share", &[]),
+    MetricInfo::new("caraway_gateway_timer_lateness_seconds", "seconds", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -102,10 +105,13 @@
     exhausted_accounts: Gauge<u64>,
     /// The accounts that have series of their own.
     named_accounts: RefCell<HashSet<AccountId>>,
+    shed_requests: Counter<u64>,
+    shed_share: Gauge<f64>,
+    timer_lateness: Gauge<f64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct GaugeValues {
     /// Version of the configuration in force; 0 when there is none.
     pub(crate) config_version: u64,
@@ -125,6 +131,10 @@
     pub(crate) quarantines: u64,
     /// Client accounts that have used up their quota.
     pub(crate) exhausted_accounts: u64,
+    /// Part of the requests that is refused for lack of processor time.
+    pub(crate) shed_share: f64,
+    /// By how much timers are late.
+    pub(crate) timer_lateness: Duration,
 }
 
 impl Metrics {
@@ -138,6 +148,7 @@
         let meter = &exporter.meter;
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let fraction = |name: &'static str| meter.f64_gauge(name).build();
         let histogram =
             |name: &'static str| exporter.duration_histogram(name, &DURATION_BUCKETS_SECONDS);
         Ok(Self {
@@ -166,6 +177,9 @@
             refused_keys: counter("caraway_gateway_keys_refused"),
             exhausted_accounts: gauge("caraway_gateway_accounts_exhausted"),
             named_accounts: RefCell::default(),
+            shed_requests: counter("caraway_gateway_requests_shed"),
+            shed_share: fraction("caraway_gateway_shed_share"),
+            timer_lateness: fraction("caraway_gateway_timer_lateness_seconds"),
             exporter,
         })
     }
@@ -186,6 +200,9 @@
         self.quarantines.record(gauges.quarantines, &[]);
         self.exhausted_accounts
             .record(gauges.exhausted_accounts, &[]);
+        self.shed_share.record(gauges.shed_share, &[]);
+        let lateness = gauges.timer_lateness.as_secs_f64();
+        self.timer_lateness.record(lateness, &[]);
         self.exporter.text()
     }
 
@@ -270,6 +287,11 @@
         KeyValue::new("account", "other")
     }
 
+    /// Counts a request that was refused for lack of processor time.
+    pub(crate) fn record_shed(&self) {
+        self.shed_requests.add(1, &[]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -8,6 +8,8 @@
 mod faulty;
 mod harness;
 mod limits;
+mod plain_results;
+mod processor_time;
 mod quotas;
 mod software_versions;
 mod stop;
