--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -5,7 +5,9 @@
 mod limits;
 mod orders;
 mod plan;
+mod reading;
 mod requests;
+mod speeds;
 mod weights;
 mod zone_load;
 
@@ -20,7 +22,8 @@
 
 use crate::{
     AnnouncedVersions, DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings,
-    limiters::Limiters, replica::Replica, service_rate::ServiceRate, wait_queue::WaitQueue,
+    limiters::Limiters, replica::Replica, run_work::RunWork, service_rate::ServiceRate,
+    wait_queue::WaitQueue,
 };
 
 pub use limits::LOW_PRIORITY_WAIT_SHARE;
@@ -57,6 +60,8 @@
     late_checked_at: Option<Instant>,
     /// How fast each service serves waiting requests.
     rates: HashMap<Arc<str>, ServiceRate>,
+    /// When the speeds of the endpoints were last compared.
+    speeds_compared: Option<Instant>,
     /// When waiting requests are next checked against their deadline; `None` if none waits.
     deadline_check: Option<Instant>,
     /// Runs that were granted and have not ended.
@@ -104,6 +109,14 @@
     /// Number of requests so far that found an endpoint with their adapter and a free slot, but
     /// without a permit.
     pub held_back: u64,
+    /// Number of endpoints that are slower than the others of their service.
+    pub slow: usize,
+    /// Number of endpoints that are so slow that they get no requests.
+    pub faulty: usize,
+    /// Age of the oldest estimate of an endpoint's speed.
+    pub speed_age: Duration,
+    /// Largest standard error of an endpoint's speed, in thousandths of the speed.
+    pub speed_error: u32,
 }
 
 /// Divisor for the pressure of a zone without usable endpoints.
@@ -114,8 +127,8 @@
 struct GrantedRun {
     endpoint: EndpointId,
     model: ModelRef,
-    /// When it was granted; `None` if an earlier holder granted it.
-    granted_at: Option<Instant>,
+    /// What the endpoint does for it; `None` if an earlier holder granted it.
+    work: Option<RunWork>,
 }
 
 impl Placer {
@@ -140,6 +153,7 @@
             waiting: WaitQueue::default(),
             late_checked_at: None,
             rates: HashMap::new(),
+            speeds_compared: None,
             deadline_check: None,
             granted: HashMap::new(),
             outputs: Vec::new(),
@@ -157,8 +171,10 @@
 
     /// Handles what is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
+        self.update_speeds(now);
         self.grant_permits(now);
         self.waiting.advance(now);
+        self.grant_read(now);
         if self.is_late_check_due(now) {
             self.refuse_late(now);
         }
@@ -186,7 +202,12 @@
             .deadline_check
             .into_iter()
             .chain(self.next_weights_load());
-        replicas.chain(others).chain(self.next_permit(now)).min()
+        let permits = self.next_permit(now).into_iter();
+        replicas
+            .chain(others)
+            .chain(permits)
+            .chain(self.next_read(now))
+            .min()
     }
 
     /// Stops sending orders. Waiting requests stay queued until they are sent to the next holder.
@@ -227,6 +248,7 @@
             load_time: self.load_time,
             limited: self.limiters.next_permits(now).count(),
             held_back: self.held_back,
+            ..self.speed_stats(now)
         }
     }
 
