Send missed records also of topics that the holder can't read itself

Cause: a holder that the store rejects has the records of other zones' holders, but sent an instance that opened a session nothing of topics whose own reads failed. An instance that the store rejects too and that had missed a record then took none of the later ones either, as each left a gap. Change: send_missed has all known topics for an instance that states an offset. Tests: process, configuration_that_was_missed_reaches_instances_of_a_rejected_holder: not in 30 s before, passes now.

--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -583,6 +583,10 @@
 
 /// Sends the records that an instance has missed, which has read the topics up to the offsets in
 /// `known`, of the store's era `era`.
+///
+/// Topics that this instance can't read itself are included: it may have records of another zone's
+/// holder, and the store may reject the other instance too. One that starts, and so knows nothing, reads
+/// the store rather than take a copy that may be old.
 pub(crate) fn send_missed(
     shared: &Rc<Shared>,
     outgoing: &Outgoing,
@@ -593,10 +597,12 @@
     check_era(shared);
     let own_era = shared.store.era();
     let known = if era == own_era { known } else { &[] };
-    for (label, next) in readable_offsets(shared) {
+    let readable = readable_offsets(shared);
+    for (label, next) in known_offsets(shared) {
+        let is_readable = || readable.iter().any(|(l, _)| *l == label);
         let from = known.iter().find(|(l, _)| *l == label).map(|(_, n)| *n);
         let topic = Topic::FOLLOWED.into_iter().find(|t| t.label() == &*label);
-        let Some(topic) = topic.filter(|_| from.is_none_or(|f| f < next)) else {
+        let Some(topic) = topic.filter(|_| from.map_or_else(is_readable, |f| f < next)) else {
             continue;
         };
         let missed = shared
--- a/crates/caraway-gateway/tests/process/harness/mod.rs
+++ b/crates/caraway-gateway/tests/process/harness/mod.rs
@@ -315,6 +315,14 @@
         Self::start_with(store, instance, |_| {})
     }
 
+    /// Starts a gateway in one of the zones `z1` and `z2`.
+    pub(crate) fn start_in(store: SocketAddr, instance: &str, zone: &str) -> Self {
+        Self::start_with(store, instance, |settings| {
+            settings["Zone"] = json!(zone);
+            settings["Zones"] = json!({"z1": "r", "z2": "r"});
+        })
+    }
+
     /// Starts a gateway whose settings give it a twelfth of a core and a link of 10 Mbit/s.
     pub(crate) fn start_weak(store: SocketAddr, instance: &str) -> Self {
         Self::start_with(store, instance, limit_resources)
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -294,6 +294,38 @@
     }
 }
 
+// Guards against: an instance that the store rejects and that opens a session to a holder which the store
+// rejects too gets no configuration that it has missed, though the holder has it from another zone.
+#[test]
+fn configuration_that_was_missed_reaches_instances_of_a_rejected_holder() {
+    let platform = Platform::start();
+    let holder = Gateway::start_in(platform.store_proxy_addr, "gate-1", "z1");
+    holder.wait_to_hold("gate-1");
+    let other = Gateway::start_in(platform.store_proxy_addr, "gate-2", "z1");
+    let reader = Gateway::start_in(platform.store_addr, "gate-3", "z2");
+    for (gateway, zone) in [(&other, "z1"), (&reader, "z1"), (&holder, "z2")] {
+        gateway.wait_for("a session", || gateway.has_line(1210, "held_zone", zone));
+    }
+    platform.with_parts(|parts| parts.store_proxy.set_mode(ProxyMode::Reset));
+    for gateway in [&holder, &other] {
+        gateway.wait_for("the loss of the store", || gateway.has_event(1110));
+    }
+    other.pause();
+    // The holder ends the session of an instance that has sent nothing for 3 s.
+    std::thread::sleep(Duration::from_secs(4));
+    let config = serde_json::json!({"Version": 9, "Routes": [
+        {"Name": "moved", "Host": "h.example", "PathPrefix": "/moved/", "Kind": "idempotent",
+         "TimeoutMs": 2000, "Service": "desk"}], "Services": [{"Name": "desk"}]});
+    platform.publish("keyed.op", "config", config);
+    let has_moved = |gateway: &Gateway| {
+        let answer = call(gateway.front, "GET /moved/lot", "X-Attempt-Id: r1\r\n", "");
+        answer.starts_with("HTTP/1.1 200")
+    };
+    holder.wait_for("the new route", || has_moved(&holder));
+    other.resume();
+    other.wait_for("the new route", || has_moved(&other));
+}
+
 /// An engine has accepted an order of another holder with a later token, so that it rejects those of
 /// this holder. The instance must release its zone, claim it again and use the new record's token.
 #[test]
