--- a/crates/caraway-soak/src/accounts.rs
+++ b/crates/caraway-soak/src/accounts.rs
@@ -11,7 +11,7 @@
 
 /// Quotas of the hot account, in requests per second, which its callers exceed several times. The first
 /// is in force at the start.
-const RATES: [f64; 2] = [20.0, 10.0];
+const RATES: [f64; 2] = [10.0, 5.0];
 /// Window of quotas and their allowed excess, as in the settings of the gateways.
 const WINDOW: Duration = Duration::from_secs(8);
 const EXCESS: f64 = 0.1;
