--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -20,6 +20,7 @@
 };
 
 use crate::{
+    call_results::ResultFrame,
     quota_frame::{AllowanceFrame, DrawFrame},
     shared::Holder,
 };
@@ -135,6 +136,10 @@
         /// not answer now, if it was not asked, and of builds that do not state it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         read: Option<Millis>,
+        /// The results of the sender's calls to the zone's endpoints of plain services since its last
+        /// ping.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
     },
     /// Draws allowance from the zone's quota pool. Draws are answered in order.
     Draw {
@@ -174,6 +179,15 @@
         /// Addresses of instances that reach endpoints, for a receiver that reaches none.
         #[serde(default)]
         helpers: Vec<SocketAddr>,
+        /// The results of all instances' calls to the zone's endpoints of plain services.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Grants a permit.
     Permit {
@@ -209,6 +223,12 @@
         /// Start of the endpoint's process, in milliseconds; `None` if the registry does not state it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         born: Option<u64>,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Refuses a request.
     Refuse {
@@ -222,6 +242,12 @@
         /// Number of requests that wait at the placer.
         #[serde(default)]
         waiting: usize,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// The sender gives no more orders and hands the zone over.
     Successor {
@@ -229,6 +255,10 @@
         holder: Holder,
         /// The fencing token of the next holder's orders.
         token: FencingToken,
+        /// Time for which the next holder must not order, as the sender received the zone itself
+        /// shortly before; zero also of builds that do not state it.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        wait: Millis,
     },
     /// The sender does not hold the zone.
     NotHolder,
@@ -304,6 +334,10 @@
     }
 }
 
+fn is_zero(time: &Millis) -> bool {
+    time.get().is_zero()
+}
+
 /// Decodes the name of a value, or returns the default if it is not known.
 fn known_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -12,8 +12,8 @@
 
 use caraway_accounts::{AccountDirectory, Draw, DrawReply};
 use caraway_placement::{
-    ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
-    SourceId,
+    ConnectedShare, GrantMeter, Output, PlacementId, PlacementRequest, Placer, PlacerStats,
+    RequestOutcome, SourceId, ZoneLoad,
 };
 use caraway_reach::Reach;
 use caraway_types::{EndpointId, FencingToken, Millis, Ticket, ZoneId};
@@ -21,7 +21,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    claim, endpoint_limits,
+    call_results, claim, endpoint_limits,
     event::emit,
     executor,
     frame::{self, FromHolder},
@@ -64,11 +64,15 @@
     /// The instances that are connected, by the source of their requests.
     peers: RefCell<HashMap<SourceId, Peer>>,
     last_source: Cell<SourceId>,
+    /// Measures how long requests wait at the placer.
+    grants: Cell<GrantMeter>,
     /// The part of all instances that is connected.
     connected: RefCell<ConnectedShare>,
     /// The share that the placer was told last.
     limit_share: Cell<f64>,
     quotas: RefCell<ZoneQuotas>,
+    /// When the last order was sent.
+    last_order: Cell<Option<Instant>>,
     /// Notified when the next timer of the placer may have changed.
     wake: Notify,
     /// Whether the zone was given up.
@@ -181,8 +185,10 @@
             local_requests: RefCell::default(),
             peers: RefCell::default(),
             last_source: Cell::new(LOCAL_SOURCE),
+            grants: Cell::new(GrantMeter::new(Shared::now())),
             connected: RefCell::new(connected),
             limit_share: Cell::new(limit_share),
+            last_order: Cell::new(None),
             wake: Notify::new(),
             closed: Cell::new(false),
         }
@@ -246,7 +252,9 @@
     /// holder grants what its copy lists, then those of the zone itself, then those with the
     /// least weakness, then those of another build, as in a roll they have been replaced already, then
     /// those that hold no zone.
-    pub(crate) fn hand_over(&self, rule: SuccessorRule) -> Option<Holder> {
+    ///
+    /// The new holder must not order for the time `wait`.
+    pub(crate) fn hand_over(&self, rule: SuccessorRule, wait: Duration) -> Option<Holder> {
         let peers = self.peers.borrow();
         let candidates = peers.values().filter(|p| rule.admits(&self.zone, p));
         let is_other_zone = |p: &Peer| p.zone != self.zone;
@@ -271,6 +279,7 @@
         let frame = frame::encode(&FromHolder::Successor {
             holder: holder.clone(),
             token,
+            wait: wait.into(),
         });
         for peer in peers.values() {
             // A peer that misses the frame learns that this instance is not the holder, and reads
@@ -499,6 +508,9 @@
             instances: self.known_instances(),
             era: shared.store.era(),
             helpers: Vec::new(),
+            results: call_results::summed(shared, Shared::now(), &self.zone),
+            wait: Some(self.load().expected_wait.into()),
+            free: Some(self.load().free_slots),
         }
     }
 
@@ -532,6 +544,21 @@
         self.placer.borrow().pressure(Shared::now())
     }
 
+    /// Returns when the last order was sent, `None` if none was.
+    pub(crate) fn last_order(&self) -> Option<Instant> {
+        self.last_order.get()
+    }
+
+    /// Returns how busy the zone is.
+    pub(crate) fn load(&self) -> ZoneLoad {
+        let now = Shared::now();
+        let placer = self.placer.borrow();
+        ZoneLoad {
+            expected_wait: self.grants.get().expected_wait(now, placer.waiting()),
+            free_slots: placer.free_slots(now),
+        }
+    }
+
     /// Returns whether an order was sent whose outcome is not known yet.
     pub(crate) fn has_order_in_flight(&self) -> bool {
         self.placer.borrow().has_order_in_flight()
@@ -612,6 +639,7 @@
                 self.deliver(request, refused);
             }
             Output::Order(order) => {
+                self.last_order.set(Some(Shared::now()));
                 let (held, shared) = (self.clone(), shared.clone());
                 tokio::task::spawn_local(executor::send_order(shared, held, order));
             }
@@ -631,6 +659,11 @@
 
     /// Delivers a decision to the requester, on this instance or through its session.
     fn deliver(&self, request: PlacementId, decision: Decision) {
+        if matches!(decision, Decision::Granted { .. }) {
+            let mut grants = self.grants.get();
+            grants.on_grant(Shared::now());
+            self.grants.set(grants);
+        }
         if request.source == LOCAL_SOURCE {
             if let Some(decision_tx) = self.local_requests.borrow_mut().remove(&request.ticket) {
                 // The requester may have left, and then reports the end of the request.
@@ -641,7 +674,7 @@
         let peers = self.peers.borrow();
         if let Some(peer) = peers.get(&request.source) {
             let pressure = self.pressure();
-            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure));
+            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure, self.load()));
             // If the queue is full, the peer ends the session, and with it the grant.
             peer.frames.try_send(Ok(bytes)).ok();
         }
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! on a request's path would cost a wake-up. Only log lines are written by a thread of their own.
 
 mod apply;
+mod call_results;
 mod catch_up;
 mod claim;
 mod claim_schedule;
@@ -21,6 +22,7 @@
 mod generate;
 mod hand_over;
 mod held_zone;
+mod load_shedder;
 mod log;
 mod message;
 mod metrics;
@@ -46,6 +48,7 @@
 mod stream_origins;
 mod succession;
 mod topics;
+mod turns;
 mod version_histories;
 mod zone_quotas;
 
@@ -55,6 +58,7 @@
 pub use event::Event;
 pub use fleet_size::FleetSize;
 pub use forwarding::ForwardingStatus;
+pub use load_shedder::LoadShedder;
 pub use log::{LogLimits, LogQueue, json_logger};
 pub use message::{DecodedMessage, MessageKind};
 pub use metrics::METRICS;
@@ -63,3 +67,4 @@
 pub use sse::EventSplitter;
 pub use store_backoff::StoreBackoff;
 pub use succession::{HolderState, claim_rank, should_hand_over, weakness};
+pub use turns::HolderTurns;
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    call_results,
     endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
@@ -207,7 +208,9 @@
                 limits,
                 cut,
                 read,
+                results,
             } => {
+                call_results::on_reported(shared, Shared::now(), &results);
                 let state = PeerState {
                     holds,
                     leaving,
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -1,11 +1,15 @@
 //! [`Placer`]: manages the engine endpoints of one availability zone.
 
+mod admission;
 mod endpoints;
 mod limits;
 mod orders;
 mod plan;
+mod reading;
 mod requests;
+mod speeds;
 mod weights;
+mod zone_load;
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -18,7 +22,8 @@
 
 use crate::{
     AnnouncedVersions, DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings,
-    limiters::Limiters, replica::Replica, wait_queue::WaitQueue,
+    limiters::Limiters, replica::Replica, run_work::RunWork, service_rate::ServiceRate,
+    wait_queue::WaitQueue,
 };
 
 pub use limits::LOW_PRIORITY_WAIT_SHARE;
@@ -53,6 +58,12 @@
     waiting: WaitQueue,
     /// When all waiting requests were last checked for those that are too late.
     late_checked_at: Option<Instant>,
+    /// How fast each service serves waiting requests.
+    rates: HashMap<Arc<str>, ServiceRate>,
+    /// When the speeds of the endpoints were last compared.
+    speeds_compared: Option<Instant>,
+    /// When waiting requests are next checked against their deadline; `None` if none waits.
+    deadline_check: Option<Instant>,
     /// Runs that were granted and have not ended.
     granted: HashMap<PlacementId, GrantedRun>,
     outputs: Vec<Output>,
@@ -98,6 +109,14 @@
     /// Number of requests so far that found an endpoint with their adapter and a free slot, but
     /// without a permit.
     pub held_back: u64,
+    /// Number of endpoints that are slower than the others of their service.
+    pub slow: usize,
+    /// Number of endpoints that are so slow that they get no requests.
+    pub faulty: usize,
+    /// Age of the oldest estimate of an endpoint's speed.
+    pub speed_age: Duration,
+    /// Largest standard error of an endpoint's speed, in thousandths of the speed.
+    pub speed_error: u32,
 }
 
 /// Divisor for the pressure of a zone without usable endpoints.
@@ -108,6 +127,8 @@
 struct GrantedRun {
     endpoint: EndpointId,
     model: ModelRef,
+    /// What the endpoint does for it; `None` if an earlier holder granted it.
+    work: Option<RunWork>,
 }
 
 impl Placer {
@@ -131,6 +152,9 @@
             popularity: HashMap::new(),
             waiting: WaitQueue::default(),
             late_checked_at: None,
+            rates: HashMap::new(),
+            speeds_compared: None,
+            deadline_check: None,
             granted: HashMap::new(),
             outputs: Vec::new(),
             last_number: 0,
@@ -147,23 +171,43 @@
 
     /// Handles what is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
+        self.update_speeds(now);
         self.grant_permits(now);
+        self.waiting.advance(now);
+        self.grant_read(now);
         if self.is_late_check_due(now) {
             self.refuse_late(now);
         }
+        self.schedule_deadline_check(now);
         self.fetch_reports(now);
         self.plan_weights(now);
         self.plan_loads(now);
         self.send_all_due(now);
     }
 
+    /// Sets the next check of the deadlines, which doesn't move when the placer is called earlier.
+    fn schedule_deadline_check(&mut self, now: Instant) {
+        if self.waiting.len() == 0 {
+            self.deadline_check = None;
+        } else if self.deadline_check.is_none_or(|at| at <= now) {
+            self.deadline_check = Some(now + DEADLINE_CHECK_INTERVAL);
+        }
+    }
+
     /// Returns when [`Self::on_tick`] is due, or `None` if nothing is scheduled.
     #[must_use]
     pub fn next_wake(&self, now: Instant) -> Option<Instant> {
-        let waits = (self.waiting.len() > 0).then(|| now + DEADLINE_CHECK_INTERVAL);
         let replicas = self.replicas.values().filter_map(Replica::next_wake);
-        let others = waits.into_iter().chain(self.next_weights_load());
-        replicas.chain(others).chain(self.next_permit(now)).min()
+        let others = self
+            .deadline_check
+            .into_iter()
+            .chain(self.next_weights_load());
+        let permits = self.next_permit(now).into_iter();
+        replicas
+            .chain(others)
+            .chain(permits)
+            .chain(self.next_read(now))
+            .min()
     }
 
     /// Stops sending orders. Waiting requests stay queued until they are sent to the next holder.
@@ -204,6 +248,7 @@
             load_time: self.load_time,
             limited: self.limiters.next_permits(now).count(),
             held_back: self.held_back,
+            ..self.speed_stats(now)
         }
     }
 
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -9,10 +9,12 @@
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
-use super::{GrantedRun, Placer};
+use super::{DEADLINE_CHECK_INTERVAL, GrantedRun, Placer};
 use crate::{
     AnnouncedVersion, AnnouncedVersions, DecayingCount, Output, PlacementId, PlacementRequest,
-    RefuseReason, RequestOutcome, SourceId, replica::AdapterState,
+    RefuseReason, RequestOutcome, SourceId,
+    replica::{AdapterState, Replica},
+    run_work::RunWork,
 };
 
 /// Why no endpoint can run a request now.
@@ -49,7 +51,19 @@
     /// Handles a placement request: grants, queues or refuses it.
     pub fn on_request(&mut self, now: Instant, id: PlacementId, request: PlacementRequest) {
         self.record_popularity(now, &request.model);
-        match self.choose_endpoint(now, &request) {
+        if request.goal > now {
+            let rate = self.rates.entry(request.service.clone()).or_default();
+            rate.on_arrival(now, request.goal.saturating_duration_since(now));
+        }
+        let mut choice = self.choose_endpoint(now, &request);
+        if let Ok(endpoint) = &choice
+            && self.waiting.len() > 0
+        {
+            // Those that waited for the endpoint go first.
+            self.grant_for_endpoint(now, &endpoint.clone());
+            choice = self.choose_endpoint(now, &request);
+        }
+        match choice {
             Ok(endpoint) => {
                 self.grant(now, &endpoint, id, &request, false);
                 self.plan_copy(now, &request.model);
@@ -62,8 +76,14 @@
             self.refuse(id, RefuseReason::NoEndpoint, NO_ENDPOINT_RETRY_DELAY);
             return;
         }
+        let Some(punctuality) = self.admit(now, &request) else {
+            self.refuse_overloaded(now, id, &request.service);
+            return;
+        };
         let deadline = request.deadline;
-        self.waiting.add(id, request);
+        self.waiting.add(id, request, punctuality);
+        self.deadline_check
+            .get_or_insert(now + DEADLINE_CHECK_INTERVAL);
         self.plan_loads(now);
         // Checking all waiting requests costs most when many wait, so it is done here only if this
         // one may be too late; the check at each tick finds the others.
@@ -81,7 +101,7 @@
 
     /// Registers a run that an earlier holder granted.
     pub fn register_run(&mut self, id: PlacementId, endpoint: &EndpointId, model: &ModelRef) {
-        self.add_run(endpoint, id, model);
+        self.add_run(endpoint, id, model, None);
     }
 
     /// Handles the end of a request, or of its wait when its caller has disconnected.
@@ -90,11 +110,20 @@
             self.waiting.remove_if(|i, _| *i == id);
             return;
         };
-        let GrantedRun { endpoint, model } = granted;
+        let GrantedRun {
+            endpoint,
+            model,
+            work,
+        } = granted;
+        let done = work.filter(|_| outcome == RequestOutcome::Done);
+        let elapsed = done.map(|w| now.saturating_duration_since(w.granted_at));
+        self.record_end(&endpoint, elapsed);
+        self.update_speeds(now);
         let Some(replica) = self.replicas.get_mut(&endpoint) else {
             return;
         };
         replica.running = replica.running.saturating_sub(1);
+        replica.release_tokens(work.map(|w| w.tokens));
         if let Some(adapter) = replica.adapters.get_mut(&model) {
             adapter.runs = adapter.runs.saturating_sub(1);
         }
@@ -103,6 +132,9 @@
                 replica.failures = 0;
                 replica.stalls = 0;
                 replica.last_completed = Some(now);
+                if let Some(work) = done {
+                    replica.record_run(now, &work, &self.settings);
+                }
             }
             RequestOutcome::NotHeld => {
                 if replica
@@ -180,23 +212,50 @@
         self.plan_loads(now);
     }
 
-    /// Grants the waiting requests that the endpoint can run.
+    /// Grants the waiting requests that the endpoint can run, the first of all adapters first.
     pub(super) fn grant_for_endpoint(&mut self, now: Instant, endpoint: &EndpointId) {
-        for model in self.waiting_models(endpoint) {
-            self.grant_for_model(now, &model);
+        self.waiting.advance(now);
+        while self.has_free_slot(endpoint) {
+            let models = self.waiting_models(endpoint);
+            if !models.iter().any(|m| self.grant_next(now, m)) {
+                return;
+            }
         }
     }
 
     /// Grants requests that wait for `model`, as far as endpoints have free slots.
     pub(super) fn grant_for_model(&mut self, now: Instant, model: &ModelRef) {
-        while let Some((_, request)) = self.waiting.first(model) {
-            let Ok(endpoint) = self.choose_endpoint(now, request) else {
-                return;
-            };
-            if let Some((id, request)) = self.waiting.pop(model) {
-                self.grant(now, &endpoint, id, &request, true);
+        self.waiting.advance(now);
+        while self.grant_next(now, model) {}
+    }
+
+    /// Grants the first request for `model` that an endpoint can run now. Returns whether there was
+    /// one.
+    fn grant_next(&mut self, now: Instant, model: &ModelRef) -> bool {
+        let mut found = None;
+        for (position, waiting) in self.waiting.of_model(model) {
+            if let Ok(endpoint) = self.choose_endpoint(now, &waiting.request) {
+                found = Some((position, endpoint));
+                break;
+            }
+            // The requests behind differ only in the endpoints that they exclude.
+            if waiting.request.exclude.is_empty() {
+                break;
             }
         }
+        let Some((position, endpoint)) = found else {
+            return false;
+        };
+        let Some(waiting) = self.waiting.take(model, position) else {
+            return false;
+        };
+        self.grant(now, &endpoint, waiting.id, &waiting.request, true);
+        true
+    }
+
+    fn has_free_slot(&self, endpoint: &EndpointId) -> bool {
+        let replica = self.replicas.get(endpoint);
+        replica.is_some_and(Replica::has_free_slot)
     }
 
     /// Returns whether to check the waiting requests for those that are too late.
@@ -232,9 +291,10 @@
             start_at + shortest > request.deadline
         });
         let retry_after = self.load_done_at(now, backlog.len()) - now;
-        for id in late {
-            self.refuse(id, RefuseReason::Deadline, retry_after);
+        for waiting in late {
+            self.refuse(waiting.id, RefuseReason::Deadline, retry_after);
         }
+        self.refuse_hopeless(now);
         self.refuse_beyond_limits(now);
     }
 
@@ -284,11 +344,14 @@
     ) -> Result<EndpointId, Unavailable> {
         let mut best: Option<((bool, bool), f64, &EndpointId)> = None;
         let mut unavailable = Unavailable::Busy;
+        let own_ms = self.settings.min_run_time.as_secs_f64() * 1000.0;
+        let may_read_long = self.may_read_long(now, request);
         for (id, replica) in &self.replicas {
             if !replica.endpoint.is_ready()
                 || !replica.has_free_slot()
                 || replica.endpoint.service != request.service
                 || request.exclude.contains(id)
+                || !self.has_room(now, request, replica, may_read_long)
             {
                 continue;
             }
@@ -309,8 +372,9 @@
                 continue;
             }
             // If every copy is on a paused endpoint, trying one is better than waiting.
-            let rank = (replica.is_paused(now), !current);
-            let delay = replica.delay_ms(now);
+            let rank = (replica.is_paused(now) || replica.is_faulty(now), !current);
+            let own = f64::from(request.tokens.prompt) / self.settings.prompt_speed + own_ms;
+            let delay = replica.delay_ms(now) + replica.slowness_ms(now, own);
             if best.is_none_or(|(c, d, _)| rank < c || rank == c && delay < d) {
                 best = Some((rank, delay, id));
             }
@@ -337,13 +401,15 @@
         request: &PlacementRequest,
         has_waited: bool,
     ) {
-        self.add_run(endpoint, id, &request.model);
-        let permit = self.limiters.acquire(now, endpoint, Duration::ZERO);
-        debug_assert!(permit.is_ok(), "only endpoints with a permit are chosen");
         let speed = self.settings.prompt_speed;
-        if let Some(replica) = self.replicas.get_mut(endpoint) {
+        let work = self.replicas.get_mut(endpoint).map(|replica| {
             replica.add_prompt(now, request.tokens.prompt, speed);
-        }
+            replica.work_of(now, request, speed)
+        });
+        self.add_run(endpoint, id, &request.model, work);
+        self.add_prompt(now, endpoint, request);
+        let permit = self.limiters.acquire(now, endpoint, Duration::ZERO);
+        debug_assert!(permit.is_ok(), "only endpoints with a permit are chosen");
         self.outputs.push(Output::Grant {
             request: id,
             endpoint: endpoint.clone(),
@@ -352,7 +418,13 @@
     }
 
     /// Counts a run on its endpoint and adapter, which is not evicted until the run ends.
-    fn add_run(&mut self, endpoint: &EndpointId, id: PlacementId, model: &ModelRef) {
+    fn add_run(
+        &mut self,
+        endpoint: &EndpointId,
+        id: PlacementId,
+        model: &ModelRef,
+        work: Option<RunWork>,
+    ) {
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
         };
@@ -363,8 +435,12 @@
         let granted = GrantedRun {
             endpoint: endpoint.clone(),
             model: model.clone(),
+            work,
         };
-        self.granted.insert(id, granted);
+        let service = replica.endpoint.service.clone();
+        if self.granted.insert(id, granted).is_none() {
+            self.rates.entry(service).or_default().on_grant();
+        }
     }
 
     fn record_popularity(&mut self, now: Instant, model: &ModelRef) {
--- a/crates/caraway-placement/tests/versions.rs
+++ b/crates/caraway-placement/tests/versions.rs
@@ -44,6 +44,7 @@
 fn placer(start: Instant, adapter_slots: u32) -> Placer {
     let engine = EngineConfig {
         slots: 8,
+        token_capacity: None,
         adapter_slots,
         memory_mb: 100.0,
         models: vec![Model {
