--- a/crates/caraway-gateway/src/quotas.rs
+++ b/crates/caraway-gateway/src/quotas.rs
@@ -20,7 +20,10 @@
 };
 
 use crate::{
-    frame::ToHolder, quota_frame::round_up, quota_view::QuotaView, request::RefusalResponse,
+    frame::ToHolder,
+    quota_frame::{AllowanceFrame, round_up},
+    quota_view::QuotaView,
+    request::RefusalResponse,
     shared::Shared,
 };
 
@@ -260,8 +263,14 @@
     }
 }
 
+/// Applies the replies of a zone's holder on another instance.
+pub(crate) fn on_frame(shared: &Shared, zone: &ZoneId, replies: Vec<AllowanceFrame>) {
+    let replies: Vec<DrawReply> = replies.into_iter().map(Into::into).collect();
+    on_replies(shared, zone, &replies);
+}
+
 /// Applies the replies of a zone's holder.
-pub(crate) fn on_replies(shared: &Shared, zone: &ZoneId, replies: &[DrawReply]) {
+fn on_replies(shared: &Shared, zone: &ZoneId, replies: &[DrawReply]) {
     for reply in replies {
         {
             let mut allowances = shared.quotas.allowances.borrow_mut();
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -514,10 +514,7 @@
             FromHolder::NoPermit { ticket, after } => {
                 self.deliver_permit(ticket, Err(after.get()));
             }
-            FromHolder::Allowance { replies } => {
-                let replies: Vec<_> = replies.into_iter().map(Into::into).collect();
-                quotas::on_replies(shared, &self.zone, &replies);
-            }
+            FromHolder::Allowance { replies } => quotas::on_frame(shared, &self.zone, replies),
             FromHolder::Successor {
                 holder,
                 token,
