placement: share scarce capacity between accounts, spread starts

Cause: waiting requests were ordered by goal alone, so an account that asks for several times its usual load made the requests of all others late.

Change: among requests of one priority that can be on time, the account that was served the fewest tokens goes first; an account that did not wait starts at the level of the others. `PlacementRequest` and the frame `Ask` have the account (serde default). Without accounts the order is by goal, as before. While requests wait, an endpoint that is at least half full starts runs at a distance, as runs that start together end together and free no slot in between. The estimate of waits uses the slots instead of the runs: short requests were refused while one of 32 slots was taken and a long prompt was read. The first event of a run is planned with a tenth of the run. A request whose prompt exceeds `KvCapacity` is refused at once.

--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -13,7 +13,9 @@
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::Record;
 use caraway_routes::{ModelRef, RequestRate, TokenCount};
-use caraway_types::{EndpointId, FencingToken, Millis, Offset, StoreEra, Ticket, ZoneId};
+use caraway_types::{
+    AccountId, EndpointId, FencingToken, Millis, Offset, StoreEra, Ticket, ZoneId,
+};
 use serde::{
     Deserialize, Deserializer, Serialize,
     de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
@@ -67,6 +69,9 @@
         /// Endpoints that must not be chosen.
         #[serde(default)]
         avoid: Vec<EndpointId>,
+        /// The client account that sent the request; `None` if it has none.
+        #[serde(default)]
+        account: Option<AccountId>,
     },
     /// A request that an earlier holder granted is still running.
     Running {
--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -332,6 +332,7 @@
 pub(crate) fn placement_request(call: &Call, since: Instant) -> EndpointRequest {
     EndpointRequest {
         service: call.service.clone(),
+        account: None,
         model: call
             .head
             .model
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -7,7 +7,7 @@
 
 use caraway_placement::{PlacementRequest, RefuseReason, RequestOutcome};
 use caraway_routes::{CallOutcome, ModelRef, TokenCount};
-use caraway_types::{EndpointId, Ticket, ZoneId};
+use caraway_types::{AccountId, EndpointId, Ticket, ZoneId};
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -60,6 +60,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointRequest {
     pub(crate) service: Arc<str>,
+    pub(crate) account: Option<AccountId>,
     pub(crate) model: ModelRef,
     pub(crate) tokens: TokenCount,
     pub(crate) priority: u8,
@@ -325,6 +326,7 @@
     let decision_rx = if let Some(held) = shared.held_zone(zone) {
         let placement_request = PlacementRequest {
             service: request.service.clone(),
+            account: request.account.clone(),
             model: request.model.clone(),
             tokens: request.tokens,
             priority: request.priority,
@@ -344,6 +346,7 @@
             goal: request.goal.saturating_duration_since(now).into(),
             deadline: request.deadline.saturating_duration_since(now).into(),
             avoid: exclude.to_vec(),
+            account: request.account.clone(),
         };
         session.request_placement(ticket, &frame)
     } else {
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -151,10 +151,12 @@
                 goal,
                 deadline,
                 avoid,
+                account,
             } => {
                 held.with_placer(shared, |placer, now: Instant| {
                     let request = PlacementRequest {
                         service,
+                        account,
                         model,
                         tokens,
                         priority,
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -17,6 +17,7 @@
 mod run_work;
 mod service_rate;
 mod settings;
+mod shares;
 mod urgency;
 mod wait_queue;
 mod zone_selector;
--- a/crates/caraway-placement/src/placer/admission.rs
+++ b/crates/caraway-placement/src/placer/admission.rs
@@ -8,12 +8,16 @@
 
 use caraway_types::EndpointId;
 
-use super::Placer;
-use crate::{PlacementId, PlacementRequest, RefuseReason, wait_queue::Punctuality};
+use super::{Placer, reading::UNREAD_SHARE};
+use crate::{
+    PlacementId, PlacementRequest, RefuseReason, service_rate::ServiceRate, wait_queue::Punctuality,
+};
 
-/// Part of the time until its goal that a request needs at a busy endpoint for its first event, in
-/// addition to its own prompt: the prompts of others, and decoding steps.
-const FIRST_EVENT_SHARE: f64 = 0.25;
+/// Part of a run until its first event, without its prompt; the deployments' answers have 7 to 17
+/// events.
+const FIRST_EVENT_PART: f64 = 0.1;
+/// Longest time that is planned for a prompt.
+const MAX_PROMPT_TIME: Duration = Duration::from_mins(1);
 
 impl Placer {
     /// Returns whether a request that has to wait can still be on time, or `None` if the requests
@@ -25,9 +29,7 @@
         };
         let free = self.free_slots(now, &request.service);
         let ahead = |is_late| {
-            let ahead = self
-                .waiting
-                .ahead_of_new(&request.service, is_late, request.priority);
+            let ahead = self.waiting.ahead_of_new(request, is_late);
             ahead.saturating_sub(free)
         };
         if now + rate.least_wait(ahead(false)) < late_at {
@@ -42,8 +44,18 @@
     fn latest_grant(&self, now: Instant, request: &PlacementRequest) -> Instant {
         let remaining = request.goal.saturating_duration_since(now);
         let prompt = f64::from(request.tokens.prompt) / self.settings.prompt_speed / 1000.0;
-        let prompt = Duration::try_from_secs_f64(prompt).unwrap_or(Duration::ZERO);
-        let needed = remaining.mul_f64(FIRST_EVENT_SHARE) + prompt;
+        let prompt = Duration::try_from_secs_f64(prompt).unwrap_or(MAX_PROMPT_TIME);
+        let rate = self.rates.get(&request.service);
+        let run_time = rate.map_or(Duration::ZERO, ServiceRate::run_time);
+        let first_event = prompt.saturating_add(run_time.mul_f64(FIRST_EVENT_PART));
+        // The requests of an account that waits little are granted early, at an endpoint that has
+        // read most of its prompts; the others are granted at the last moment.
+        let unread = if self.waiting.waits_little(request) {
+            Duration::ZERO
+        } else {
+            remaining.mul_f64(UNREAD_SHARE)
+        };
+        let needed = unread.saturating_add(first_event);
         now + remaining.saturating_sub(needed)
     }
 
--- a/crates/caraway-placement/src/placer/limits.rs
+++ b/crates/caraway-placement/src/placer/limits.rs
@@ -94,7 +94,7 @@
         });
         let models = adapters.map(|(m, _)| m.clone()).chain(bases);
         let mut models: Vec<_> = models
-            .filter_map(|m| Some((self.waiting.first_position(&m)?, m)))
+            .filter_map(|m| Some((self.waiting.first_rank(&m)?, m)))
             .collect();
         models.sort();
         models.into_iter().map(|(_, model)| model).collect()
--- a/crates/caraway-placement/src/placer/reading.rs
+++ b/crates/caraway-placement/src/placer/reading.rs
@@ -13,38 +13,57 @@
 /// Part of the usual goal of a service's requests that the unread prompts at an endpoint may take
 /// when another one is sent there, and from which a single prompt is long. What is not sent yet can
 /// still be ordered.
-const UNREAD_SHARE: f64 = 0.25;
+pub(super) const UNREAD_SHARE: f64 = 0.25;
 /// Part of a service's endpoints that may read long prompts at once, so that short ones need not wait
 /// for them.
 const LONG_SHARE: f64 = 0.5;
+/// Least time between two starts at an endpoint, as a multiple of the average time between two ends.
+const START_INTERVAL: f64 = 0.6;
 /// Longest time that is planned for reading a prompt.
 const MAX_READING: Duration = Duration::from_mins(1);
 
 impl Placer {
     /// Returns whether the unread prompts and the memory of an endpoint leave room for a request.
-    /// `may_read_long` tells whether it may be sent a long prompt.
     pub(super) fn has_room(
         &self,
         now: Instant,
         request: &PlacementRequest,
         replica: &Replica,
-        may_read_long: bool,
     ) -> bool {
-        let slots = replica.endpoint.slots;
-        let held = held_tokens(request.tokens, replica.token_capacity, slots);
-        if !replica.prompts.fits(held, replica.token_capacity) {
+        if !Self::fits(request, replica) || self.next_start(replica).is_some_and(|at| at > now) {
             return false;
         }
-        if replica.prompts.unread(now).is_zero() || request.tokens.prompt == 0 {
-            return may_read_long || !self.is_long(request, replica);
+        let limit = self.max_unread(&request.service);
+        if request.tokens.prompt > 0 && replica.prompts.unread(now) > limit {
+            return false;
         }
-        let is_long = self.is_long(request, replica);
-        let is_blocked = is_long && (!may_read_long || replica.prompts.has_unread_long(now));
-        !is_blocked && replica.prompts.unread(now) <= self.max_unread(&request.service)
+        let is_long = self.reading_time(request.tokens.prompt, replica) > limit;
+        !is_long || !replica.prompts.has_unread_long(now) && self.may_read_long(now, request)
+    }
+
+    fn fits(request: &PlacementRequest, replica: &Replica) -> bool {
+        let capacity = replica.token_capacity;
+        let held = held_tokens(request.tokens, capacity, replica.endpoint.slots);
+        replica.prompts.fits(held, capacity)
+    }
+
+    /// Returns when an endpoint may start another run while requests wait; `None` if that does not
+    /// matter.
+    ///
+    /// Runs that start together end together, and until then no slot becomes free for requests that
+    /// are more important or whose account waits less.
+    fn next_start(&self, replica: &Replica) -> Option<Instant> {
+        let slots = replica.endpoint.slots;
+        if self.waiting.len() == 0 || replica.running < slots / 2 {
+            return None;
+        }
+        let run_time = self.rates.get(&replica.endpoint.service)?.run_time();
+        let part = START_INTERVAL / f64::from(slots.max(1)) / replica.speed.relative();
+        Some(replica.prompts.last_start()? + run_time.mul_f64(part))
     }
 
     /// Returns whether another endpoint of the request's service may be sent a long prompt.
-    pub(super) fn may_read_long(&self, now: Instant, request: &PlacementRequest) -> bool {
+    fn may_read_long(&self, now: Instant, request: &PlacementRequest) -> bool {
         let replicas = self.replicas.values();
         let usable = replicas.filter(|r| r.is_usable(now) && r.endpoint.service == request.service);
         let (mut endpoints, mut reading) = (0_u32, 0_u32);
@@ -55,10 +74,6 @@
         reading == 0 || f64::from(reading) < f64::from(endpoints) * LONG_SHARE
     }
 
-    fn is_long(&self, request: &PlacementRequest, replica: &Replica) -> bool {
-        self.reading_time(request.tokens.prompt, replica) > self.max_unread(&request.service)
-    }
-
     /// Returns the time that an endpoint needs to read a prompt.
     pub(super) fn reading_time(&self, tokens: u32, replica: &Replica) -> Duration {
         let per_ms = self.settings.prompt_speed * replica.speed.absolute();
@@ -78,6 +93,7 @@
     /// Returns whether an endpoint can be sent a short prompt now.
     pub(super) fn is_open(&self, now: Instant, replica: &Replica) -> bool {
         replica.has_free_slot()
+            && self.next_start(replica).is_none_or(|at| at <= now)
             && replica.prompts.unread(now) <= self.max_unread(&replica.endpoint.service)
     }
 
@@ -86,10 +102,11 @@
         let Some(replica) = self.replicas.get(id) else {
             return;
         };
-        let is_long = self.is_long(request, replica);
-        // Others are not held back for longer by a request that states a huge prompt.
         let goal = self.usual_goal(&request.service);
-        let reading = self.reading_time(request.tokens.prompt, replica).min(goal);
+        let reading = self.reading_time(request.tokens.prompt, replica);
+        let is_long = reading > goal.mul_f64(UNREAD_SHARE);
+        // Others are not held back for longer by a request that states a huge prompt.
+        let reading = reading.min(goal);
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.prompts.add(now, reading, is_long);
             let slots = replica.endpoint.slots;
@@ -106,7 +123,8 @@
             adapter.is_some_and(|a| self.is_current(model, a.version))
                 && r.is_usable(now)
                 && r.has_free_slot()
-                && !r.prompts.unread(now).is_zero()
+                && (!r.prompts.unread(now).is_zero()
+                    || self.next_start(r).is_some_and(|at| at > now))
                 && self.limiters.rate(id).is_none()
         })
     }
@@ -129,7 +147,10 @@
             return None;
         }
         let free = self.replicas.values().filter(|r| r.has_free_slot());
-        let times = free.flat_map(|r| r.prompts.read_times(self.max_unread(&r.endpoint.service)));
+        let times = free.flat_map(|r| {
+            let read = r.prompts.read_times(self.max_unread(&r.endpoint.service));
+            read.chain(self.next_start(r))
+        });
         times.filter(|at| *at > now).min()
     }
 }
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -225,21 +225,15 @@
     /// Grants the first request for `model` that an endpoint can run now. Returns whether there was
     /// one.
     fn grant_next(&mut self, now: Instant, model: &ModelRef) -> bool {
-        let mut found = None;
-        for (position, waiting) in self.waiting.of_model(model) {
-            if let Ok(endpoint) = self.choose_endpoint(now, &waiting.request) {
-                found = Some((position, endpoint));
-                break;
-            }
-            // The requests behind differ only in the endpoints that they exclude.
-            if waiting.request.exclude.is_empty() {
-                break;
-            }
-        }
-        let Some((position, endpoint)) = found else {
+        let next = self.waiting.next_of(model).into_iter();
+        let mut choices = next.filter_map(|(position, waiting)| {
+            let endpoint = self.choose_endpoint(now, &waiting.request).ok()?;
+            Some((waiting.request.account.clone(), position, endpoint))
+        });
+        let Some((account, position, endpoint)) = choices.next() else {
             return false;
         };
-        let Some(waiting) = self.waiting.take(model, position) else {
+        let Some(waiting) = self.waiting.take(model, account.as_ref(), position) else {
             return false;
         };
         self.grant(now, &endpoint, waiting.id, &waiting.request, true);
@@ -333,13 +327,11 @@
         let mut best: Option<((bool, bool), f64, &EndpointId)> = None;
         let mut unavailable = Unavailable::Busy;
         let own_ms = self.settings.min_run_time.as_secs_f64() * 1000.0;
-        let may_read_long = self.may_read_long(now, request);
         for (id, replica) in &self.replicas {
             if !replica.endpoint.is_ready()
                 || !replica.has_free_slot()
                 || replica.endpoint.service != request.service
                 || request.exclude.contains(id)
-                || !self.has_room(now, request, replica, may_read_long)
             {
                 continue;
             }
@@ -355,6 +347,9 @@
             let Some(current) = current else {
                 continue;
             };
+            if !self.has_room(now, request, replica) {
+                continue;
+            }
             if !self.limiters.has_permit(now, id) {
                 unavailable = Unavailable::Limited;
                 continue;
@@ -376,6 +371,7 @@
             r.endpoint.is_ready()
                 && r.endpoint.service == request.service
                 && !request.exclude.contains(&r.endpoint.id)
+                && r.token_capacity.is_none_or(|c| request.tokens.prompt <= c)
                 && (r.has_model(&request.model.model)
                     || r.models.is_empty() && self.supports(&request.service, &request.model.model))
         })
@@ -389,6 +385,7 @@
         request: &PlacementRequest,
         has_waited: bool,
     ) {
+        self.waiting.charge(request);
         let speed = self.settings.prompt_speed;
         let work = self.replicas.get_mut(endpoint).map(|replica| {
             replica.add_prompt(now, request.tokens.prompt, speed);
--- a/crates/caraway-placement/src/placer/speeds.rs
+++ b/crates/caraway-placement/src/placer/speeds.rs
@@ -34,6 +34,11 @@
         for service in speeds.values_mut() {
             service.sort_unstable_by(f64::total_cmp);
         }
+        for (service, rate) in &mut self.rates {
+            let replicas = self.replicas.values();
+            let usable = replicas.filter(|r| r.is_usable(now) && r.endpoint.service == *service);
+            rate.set_slots(usable.map(|r| r.endpoint.slots).sum());
+        }
         for replica in self.replicas.values_mut() {
             let service = speeds.get(&replica.endpoint.service);
             if let Some(median) = service.and_then(|s| s.get(s.len() / 2)) {
--- a/crates/caraway-placement/src/prompt_load.rs
+++ b/crates/caraway-placement/src/prompt_load.rs
@@ -11,6 +11,8 @@
     read_at: Option<Instant>,
     /// Estimated time at which it has read the last long one.
     long_read_at: Option<Instant>,
+    /// When a prompt was last sent there.
+    last_start: Option<Instant>,
     /// Tokens of the runs that have not ended.
     held: u64,
 }
@@ -18,6 +20,7 @@
 impl PromptLoad {
     /// Accounts for a prompt that takes `reading` to read.
     pub(crate) fn add(&mut self, now: Instant, reading: Duration, is_long: bool) {
+        self.last_start = Some(now);
         let read_at = self.read_at.map_or(now, |at| at.max(now)) + reading;
         self.read_at = Some(read_at);
         if is_long {
@@ -46,6 +49,11 @@
         read_at.unwrap_or_default()
     }
 
+    /// Returns when a prompt was last sent there.
+    pub(crate) fn last_start(&self) -> Option<Instant> {
+        self.last_start
+    }
+
     /// Returns whether it has a long prompt to read.
     pub(crate) fn has_unread_long(&self, now: Instant) -> bool {
         self.long_read_at.is_some_and(|at| at > now)
--- a/crates/caraway-placement/src/replica.rs
+++ b/crates/caraway-placement/src/replica.rs
@@ -372,6 +372,10 @@
             let held = held_tokens(tokens, self.token_capacity, self.endpoint.slots);
             self.prompts.release(held);
         }
+        if self.running == 0 {
+            // The capacity may have changed since the tokens were counted.
+            self.prompts.release(u64::MAX);
+        }
     }
 
     /// Learns its speed from a run that has ended.
--- a/crates/caraway-placement/src/request.rs
+++ b/crates/caraway-placement/src/request.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use caraway_routes::{ModelRef, TokenCount};
-use caraway_types::{EndpointId, Ticket};
+use caraway_types::{AccountId, EndpointId, Ticket};
 use serde::{Deserialize, Serialize};
 
 /// Identifies one connection from an instance that sends placement requests.
@@ -23,6 +23,8 @@
 pub struct PlacementRequest {
     /// The service whose endpoints may run it.
     pub service: Arc<str>,
+    /// The client account that sent it; `None` if it has none.
+    pub account: Option<AccountId>,
     /// The model and adapter that it needs.
     pub model: ModelRef,
     /// Prompt and output sizes, in tokens.
--- a/crates/caraway-placement/src/service_rate.rs
+++ b/crates/caraway-placement/src/service_rate.rs
@@ -27,6 +27,8 @@
 pub(crate) struct ServiceRate {
     /// Runs that were granted and have not ended.
     running: u32,
+    /// Slots of the usable endpoints.
+    slots: u32,
     /// Moving average of the time of a run in seconds; `None` until one has ended.
     run_time: Option<f64>,
     /// Time given to the last caller that was refused.
@@ -53,6 +55,11 @@
         self.usual_goal
     }
 
+    /// Sets the number of slots of the usable endpoints.
+    pub(crate) fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     /// Records that a run was granted.
     pub(crate) fn on_grant(&mut self) {
         self.running += 1;
@@ -71,8 +78,9 @@
     /// Returns the least time until `ahead` waiting requests have been granted; zero if it is not
     /// known.
     ///
-    /// The rate of grants equals the number of runs divided by their time. The estimate is a lower
-    /// bound for a request that only some of the endpoints can run.
+    /// The rate of grants is at most the number of slots divided by the time of a run; while requests
+    /// wait for prompts to be read, some slots are free. The estimate is a lower bound, also for a
+    /// request that only some of the endpoints can run.
     pub(crate) fn least_wait(&self, ahead: usize) -> Duration {
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
         let ahead = ahead as f64;
@@ -104,8 +112,9 @@
 
     /// Returns the average time between two grants; `None` if it is not known.
     fn interval(&self) -> Option<Duration> {
-        let run_time = self.run_time.filter(|_| self.running > 0)?;
-        Duration::try_from_secs_f64(run_time / f64::from(self.running)).ok()
+        let runs = self.running.max(self.slots);
+        let run_time = self.run_time.filter(|_| runs > 0)?;
+        Duration::try_from_secs_f64(run_time / f64::from(runs)).ok()
     }
 
     /// Returns the time after which a caller that is refused now may return: once the requests that
--- a/crates/caraway-placement/src/wait_queue.rs
+++ b/crates/caraway-placement/src/wait_queue.rs
@@ -8,12 +8,20 @@
 };
 
 use caraway_routes::ModelRef;
+use caraway_types::AccountId;
 
-use crate::{PlacementId, PlacementRequest};
+use crate::{
+    PlacementId, PlacementRequest,
+    shares::{ServedTokens, ServiceShares, Shares, cost},
+};
 
 /// Value of a late response relative to one on time; the deployments set 0.3.
 const LATE_VALUE: f64 = 0.3;
 
+/// Requests of one account and adapter that are looked at to find one that can begin while those
+/// before it can't.
+const MAX_PASSED: usize = 32;
+
 /// How valuable and how urgent a load is to the requests that wait for it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Demand {
@@ -24,8 +32,8 @@
 }
 
 impl Demand {
-    fn of(queue: &BTreeMap<Position, WaitingRequest>, ready: Instant) -> Self {
-        let requests = || queue.values().map(|w| &w.request);
+    fn of(queue: &ModelQueue, ready: Instant) -> Self {
+        let requests = || queue.values().flatten().map(|(_, w)| &w.request);
         let on_time = requests().filter(|a| a.goal >= ready);
         let late = requests().filter(|a| a.goal < ready);
         let goal = on_time.clone().map(|a| a.goal).min();
@@ -44,7 +52,7 @@
 }
 
 /// Whether the first event of a waiting request can still be on time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Punctuality {
     /// It can, if the request gets an endpoint before this time.
     OnTimeUntil(Instant),
@@ -52,7 +60,7 @@
     Late,
 }
 
-/// Rank of a waiting request among those of all adapters and models; the lowest is served first.
+/// Place of a waiting request among those of the same account, adapter or model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Position {
     is_late: bool,
@@ -63,6 +71,18 @@
     sequence: u64,
 }
 
+/// Rank of a waiting request among those of all accounts, adapters and models; the lowest is served
+/// first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    is_late: bool,
+    priority: u8,
+    /// Tokens that its account was served.
+    served: ServedTokens,
+    due: Instant,
+    sequence: u64,
+}
+
 /// A request that waits.
 #[derive(Debug)]
 pub(crate) struct WaitingRequest {
@@ -70,21 +90,28 @@
     pub(crate) request: PlacementRequest,
 }
 
-/// The requests of a service that wait with the same rank of priority.
+/// The requests that wait for one adapter or model, by their account.
+type ModelQueue = HashMap<Option<AccountId>, BTreeMap<Position, WaitingRequest>>;
+
+/// Whether requests are late, and their priority.
 type Class = (bool, u8);
 
+/// Number of waiting requests of each account.
+type AccountCounts = HashMap<Option<AccountId>, usize>;
+
 /// Waiting requests, by the adapter or model that they wait for.
 ///
-/// Requests that can still be on time precede late ones, then the priority decides, then the goal;
-/// late ones of the same priority are ordered by their deadline.
+/// Requests that can still be on time precede late ones, then the priority decides, then what the
+/// accounts were served, then the goal; late ones are ordered by their deadline instead.
 #[derive(Debug, Default)]
 pub(crate) struct WaitQueue {
-    queues: HashMap<ModelRef, BTreeMap<Position, WaitingRequest>>,
+    queues: HashMap<ModelRef, ModelQueue>,
     /// Requests on time by when they become late. Entries of requests that were removed stay until
     /// that time.
-    late_at: BTreeMap<(Instant, Position), ModelRef>,
-    /// Number of requests of each service and class.
-    classes: HashMap<Arc<str>, BTreeMap<Class, usize>>,
+    late_at: BTreeMap<(Instant, Position), (ModelRef, Option<AccountId>)>,
+    /// Number of requests of each service, class and account.
+    classes: HashMap<Arc<str>, BTreeMap<Class, AccountCounts>>,
+    shares: ServiceShares,
     count: usize,
     last_sequence: u64,
 }
@@ -110,7 +137,10 @@
             sequence: self.last_sequence,
         };
         if let Punctuality::OnTimeUntil(at) = punctuality {
-            self.late_at.insert((at, position), request.model.clone());
+            let key = (request.model.clone(), request.account.clone());
+            self.late_at.insert((at, position), key);
+            let shares = self.shares.entry(request.service.clone()).or_default();
+            shares.on_waiting(request.account.as_ref());
         }
         self.insert(position, WaitingRequest { id, request });
     }
@@ -119,8 +149,10 @@
         self.count += 1;
         let request = &waiting.request;
         let classes = self.classes.entry(request.service.clone()).or_default();
-        *classes.entry(position.class()).or_default() += 1;
-        let queue = self.queues.entry(request.model.clone()).or_default();
+        let accounts = classes.entry(position.class()).or_default();
+        *accounts.entry(request.account.clone()).or_default() += 1;
+        let queues = self.queues.entry(request.model.clone()).or_default();
+        let queue = queues.entry(request.account.clone()).or_default();
         queue.insert(position, waiting);
     }
 
@@ -131,8 +163,8 @@
             if at > now {
                 return;
             }
-            let model = entry.remove();
-            let Some(waiting) = self.take(&model, position) else {
+            let (model, account) = entry.remove();
+            let Some(waiting) = self.take(&model, account.as_ref(), position) else {
                 continue;
             };
             let late = Position {
@@ -144,43 +176,102 @@
         }
     }
 
-    /// Returns the position of the first request that waits for `model`.
-    pub(crate) fn first_position(&self, model: &ModelRef) -> Option<Position> {
-        let (position, _) = self.queues.get(model)?.first_key_value()?;
-        Some(*position)
+    /// Returns the rank of the first request that waits for `model`.
+    pub(crate) fn first_rank(&self, model: &ModelRef) -> Option<Rank> {
+        let queues = self.queues.get(model)?.values();
+        let firsts = queues.filter_map(BTreeMap::first_key_value);
+        firsts.map(|(position, w)| self.rank(*position, w)).min()
     }
 
-    /// Returns the requests that wait for `model`, in order.
-    pub(crate) fn of_model(
-        &self,
-        model: &ModelRef,
-    ) -> impl Iterator<Item = (Position, &WaitingRequest)> {
-        let queue = self.queues.get(model).into_iter().flatten();
-        queue.map(|(position, waiting)| (*position, waiting))
+    /// Returns the requests that wait for `model` and may be served next, in order. Those that are
+    /// left out need what the ones before them need: they exclude no other endpoints, and their
+    /// prompts are not much shorter.
+    pub(crate) fn next_of(&self, model: &ModelRef) -> Vec<(Position, &WaitingRequest)> {
+        let queues = self.queues.get(model).into_iter().flatten();
+        let mut ranked: Vec<_> = queues
+            .filter_map(|(_, queue)| {
+                let (position, first) = queue.first_key_value()?;
+                Some((self.rank(*position, first), queue))
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let mut next = Vec::new();
+        for (_, queue) in ranked {
+            let mut shortest = None;
+            for (position, waiting) in queue.iter().take(MAX_PASSED) {
+                let prompt = waiting.request.tokens.prompt;
+                if shortest.is_none_or(|s| prompt < s / 2) {
+                    next.push((*position, waiting));
+                    if waiting.request.exclude.is_empty() {
+                        shortest = Some(prompt);
+                    }
+                }
+            }
+        }
+        next
+    }
+
+    fn rank(&self, position: Position, waiting: &WaitingRequest) -> Rank {
+        let request = &waiting.request;
+        let shares = self.shares.get(&request.service);
+        Rank {
+            is_late: position.is_late,
+            priority: position.priority,
+            served: shares.map_or(0, |s| s.served(request.account.as_ref())),
+            due: position.due,
+            sequence: position.sequence,
+        }
     }
 
-    /// Removes and returns the request that waits for `model` at this position.
-    pub(crate) fn take(&mut self, model: &ModelRef, position: Position) -> Option<WaitingRequest> {
-        let queue = self.queues.get_mut(model)?;
+    /// Charges the account of a request that is granted.
+    pub(crate) fn charge(&mut self, request: &PlacementRequest) {
+        let shares = self.shares.entry(request.service.clone()).or_default();
+        shares.charge(request.account.as_ref(), request.tokens);
+    }
+
+    /// Removes and returns the request of `account` that waits for `model` at this position.
+    pub(crate) fn take(
+        &mut self,
+        model: &ModelRef,
+        account: Option<&AccountId>,
+        position: Position,
+    ) -> Option<WaitingRequest> {
+        let queues = self.queues.get_mut(model)?;
+        let key = account.cloned();
+        let queue = queues.get_mut(&key)?;
         let waiting = queue.remove(&position)?;
         if queue.is_empty() {
+            queues.remove(&key);
+        }
+        if queues.is_empty() {
             self.queues.remove(model);
         }
-        self.count_removed(&waiting.request.service, position.class());
+        self.count_removed(&waiting.request, position.class());
+        if !position.is_late
+            && let Some(shares) = self.shares.get_mut(&waiting.request.service)
+        {
+            shares.on_left(account);
+        }
         Some(waiting)
     }
 
-    fn count_removed(&mut self, service: &Arc<str>, class: Class) {
+    fn count_removed(&mut self, request: &PlacementRequest, class: Class) {
         self.count -= 1;
-        if let Some(classes) = self.classes.get_mut(service) {
-            if let Some(count) = classes.get_mut(&class) {
-                *count -= 1;
-            }
-            classes.retain(|_, count| *count > 0);
-            if classes.is_empty() {
-                self.classes.remove(service);
+        let Some(classes) = self.classes.get_mut(&request.service) else {
+            return;
+        };
+        if let Some(accounts) = classes.get_mut(&class)
+            && let Some(count) = accounts.get_mut(&request.account)
+        {
+            *count -= 1;
+            if *count == 0 {
+                accounts.remove(&request.account);
             }
         }
+        classes.retain(|_, accounts| !accounts.is_empty());
+        if classes.is_empty() {
+            self.classes.remove(&request.service);
+        }
     }
 
     /// Removes the requests for which `matches` holds and returns them.
@@ -188,25 +279,50 @@
         &mut self,
         mut matches: impl FnMut(&PlacementId, &PlacementRequest) -> bool,
     ) -> Vec<WaitingRequest> {
-        let all = self.queues.iter();
-        let all = all.flat_map(|(model, queue)| queue.iter().map(move |(p, w)| (model, *p, w)));
-        let found = all.filter(|(.., w)| matches(&w.id, &w.request));
-        let found: Vec<(ModelRef, Position)> = found.map(|(m, p, _)| (m.clone(), p)).collect();
-        let taken = found.into_iter().filter_map(|(m, p)| self.take(&m, p));
-        taken.collect()
+        let found = self.all().filter(|(_, w)| matches(&w.id, &w.request));
+        let found: Vec<(Position, ModelRef, Option<AccountId>)> = found
+            .map(|(p, w)| (*p, w.request.model.clone(), w.request.account.clone()))
+            .collect();
+        let taken = found.into_iter();
+        taken
+            .filter_map(|(position, model, account)| self.take(&model, account.as_ref(), position))
+            .collect()
+    }
+
+    /// Returns the number of waiting requests that are served before a new request.
+    ///
+    /// Of the requests of its own class, each account is served as many as the request's own account.
+    pub(crate) fn ahead_of_new(&self, request: &PlacementRequest, is_late: bool) -> usize {
+        let own = (is_late, request.priority);
+        let classes = self.classes.get(&request.service).into_iter().flatten();
+        let ahead = classes.filter(|(class, _)| **class <= own);
+        let ahead = ahead.map(|(class, accounts)| {
+            let limit = if *class == own {
+                accounts.get(&request.account).copied().unwrap_or(0) + 1
+            } else {
+                usize::MAX
+            };
+            accounts.values().map(|n| (*n).min(limit)).sum::<usize>()
+        });
+        ahead.sum()
     }
 
-    /// Returns the number of requests for `service` that precede a new request of this priority.
-    pub(crate) fn ahead_of_new(&self, service: &Arc<str>, is_late: bool, priority: u8) -> usize {
-        let classes = self.classes.get(service).into_iter().flatten();
-        let ahead = classes.filter(|(class, _)| **class <= (is_late, priority));
-        ahead.map(|(_, count)| count).sum()
+    /// Returns whether a request's account has less than half as many requests on time waiting as the
+    /// average of the accounts that wait with the same priority.
+    pub(crate) fn waits_little(&self, request: &PlacementRequest) -> bool {
+        let classes = self.classes.get(&request.service);
+        let accounts = classes.and_then(|c| c.get(&(false, request.priority)));
+        accounts.is_some_and(|accounts| {
+            let own = accounts.get(&request.account).copied().unwrap_or(0) + 1;
+            own * 2 * accounts.len() < accounts.values().sum()
+        })
     }
 
     /// Returns the number of waiting requests for `service`.
     pub(crate) fn count_of(&self, service: &Arc<str>) -> usize {
         let classes = self.classes.get(service).into_iter();
-        classes.flat_map(BTreeMap::values).sum()
+        let accounts = classes.flat_map(BTreeMap::values);
+        accounts.flat_map(HashMap::values).sum()
     }
 
     /// Returns the demand for each adapter or model, if its load completes at `ready`.
@@ -218,17 +334,39 @@
 
     /// Returns all waiting requests.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &WaitingRequest> {
-        self.queues.values().flat_map(BTreeMap::values)
+        self.all().map(|(_, waiting)| waiting)
     }
 
-    /// Returns the requests that wait for an endpoint of `service`, in order, and whether each is late.
+    fn all(&self) -> impl Iterator<Item = (&Position, &WaitingRequest)> {
+        let queues = self.queues.values().flat_map(HashMap::values);
+        queues.flatten()
+    }
+
+    /// Returns the requests that wait for an endpoint of `service`, in the order in which they will
+    /// be served, and whether each is late.
     pub(crate) fn in_order(&self, service: &str) -> Vec<(bool, &WaitingRequest)> {
-        let all = self.queues.values().flatten();
-        let mut queue: Vec<_> = all
-            .filter(|(_, w)| *w.request.service == *service)
+        let of_service = self.all().filter(|(_, w)| *w.request.service == *service);
+        let mut queue: Vec<(Rank, &WaitingRequest)> = of_service
+            .map(|(position, w)| (self.rank(*position, w), w))
             .collect();
-        queue.sort_unstable_by_key(|(position, _)| **position);
-        queue.into_iter().map(|(p, w)| (p.is_late, w)).collect()
+        queue.sort_unstable_by_key(|(rank, _)| *rank);
+        if self.shares.get(service).is_some_and(Shares::has_accounts) {
+            // What an account will have been served when the turn of each of its requests comes.
+            let mut ahead: HashMap<(bool, u8, Option<&AccountId>), ServedTokens> = HashMap::new();
+            for (rank, waiting) in &mut queue {
+                let key = (
+                    rank.is_late,
+                    rank.priority,
+                    waiting.request.account.as_ref(),
+                );
+                let ahead = ahead.entry(key).or_default();
+                rank.served = rank.served.saturating_add(*ahead);
+                *ahead = ahead.saturating_add(cost(waiting.request.tokens));
+            }
+            queue.sort_unstable_by_key(|(rank, _)| *rank);
+        }
+        let queue = queue.into_iter();
+        queue.map(|(rank, w)| (rank.is_late, w)).collect()
     }
 
     /// Returns the services that requests wait for.
--- a/crates/caraway-placement/tests/competing_load.rs
+++ b/crates/caraway-placement/tests/competing_load.rs
@@ -28,6 +28,7 @@
         output: 68,
         goal: SECOND,
         timeout: 8 * SECOND,
+        account: None,
     }
 }
 
--- a/crates/caraway-placement/tests/fleet/mod.rs
+++ b/crates/caraway-placement/tests/fleet/mod.rs
@@ -37,6 +37,7 @@
     pub(crate) output: u32,
     pub(crate) goal: Duration,
     pub(crate) timeout: Duration,
+    pub(crate) account: Option<u32>,
 }
 
 impl Kind {
@@ -291,6 +292,7 @@
                 let kind = self.kinds[request.kind];
                 let placement = PlacementRequest {
                     service: SERVICE.into(),
+                    account: kind.account.map(|n| format!("account{n}").into()),
                     model: request.model.clone(),
                     tokens: TokenCount {
                         prompt: kind.prompt,
--- a/crates/caraway-placement/tests/former_holder.rs
+++ b/crates/caraway-placement/tests/former_holder.rs
@@ -34,6 +34,7 @@
 fn request(now: Instant, number: usize) -> PlacementRequest {
     PlacementRequest {
         service: SERVICE.into(),
+        account: None,
         model: adapter(number),
         tokens: TokenCount::default(),
         priority: 0,
--- a/crates/caraway-placement/tests/long_prompts.rs
+++ b/crates/caraway-placement/tests/long_prompts.rs
@@ -24,6 +24,7 @@
     output: 68,
     goal: SECOND,
     timeout: Duration::from_secs(8),
+    account: None,
 };
 
 /// As job-digest.
@@ -33,6 +34,7 @@
     output: 52,
     goal: Duration::from_secs(2),
     timeout: Duration::from_secs(8),
+    account: None,
 };
 
 fn new_fleet(engines: usize, seed: u64) -> Fleet {
@@ -68,6 +70,13 @@
     }
     let served = fleet.requests.values().filter(|r| r.ended).count();
     assert_eq!(served, 12);
+    fleet.set_token_capacity(LONG.prompt - 1);
+    let ticket = fleet.request_at(21 * SECOND, 1, 0);
+    fleet.run_until(21 * SECOND);
+    assert!(
+        fleet.requests[&ticket].refused.is_some(),
+        "it can never run"
+    );
 }
 
 /// Guards against a burst of long prompts that makes short ones late, and against long ones that wait
@@ -93,3 +102,30 @@
     );
     assert!(long >= 0.95, "{long:.3} of the long prompts");
 }
+
+/// Guards against a long prompt that waits until an engine may read it and holds up the short ones
+/// behind it, and against short ones that are refused because few of many slots are taken.
+#[test]
+fn short_prompts_pass_a_more_important_long_one_that_can_not_begin() {
+    let long = Kind {
+        priority: 0,
+        goal: 4 * SECOND,
+        ..LONG
+    };
+    let short = Kind {
+        priority: 1,
+        ..SHORT
+    };
+    let mut fleet = Fleet::new(&[ENGINE], SLOTS, |_| Vec::new(), vec![short, long], 4);
+    // Most requests are short.
+    fleet.schedule(0, 8.0, Duration::ZERO, 18 * SECOND, |_| 0);
+    for number in 0..4 {
+        fleet.request_at(20 * SECOND + Duration::from_millis(number), 1, 0);
+    }
+    let at = |n: u64| 20 * SECOND + Duration::from_millis(10 + 100 * n);
+    let tickets: Vec<u64> = (0..5).map(|n| fleet.request_at(at(n), 0, 0)).collect();
+    fleet.run_until(30 * SECOND);
+    let on_time = tickets.iter().map(|ticket| &fleet.requests[ticket]);
+    let on_time = on_time.filter(|r| fleet.is_on_time(r)).count();
+    assert_eq!(on_time, 5);
+}
--- a/crates/caraway-placement/tests/simulation/mod.rs
+++ b/crates/caraway-placement/tests/simulation/mod.rs
@@ -398,6 +398,7 @@
         let (requested_at, deadline) = self.waiting[&ticket];
         let request = PlacementRequest {
             service: SERVICE.into(),
+            account: None,
             model: self.models[&ticket].clone(),
             tokens: TokenCount::default(),
             priority: self.priorities.get(&ticket).copied().unwrap_or(0),
--- a/crates/caraway-placement/tests/uneven_engines.rs
+++ b/crates/caraway-placement/tests/uneven_engines.rs
@@ -29,6 +29,7 @@
         output: 72,
         goal: Duration::from_millis(600),
         timeout: 5 * SECOND,
+        account: None,
     }
 }
 
