placement: load no copies of resident adapters to busy endpoints

Cause: each adapter that a request waited for was loaded to a further endpoint, also when all slots there were taken. The copy served no request sooner and evicted an adapter that was needed soon after.

Change: an endpoint without a free slot gets no further copy of an adapter that a usable endpoint holds.

--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -173,6 +173,10 @@
             if !self.can_load(now, model, replica) || is_held && self.limiters.rate(id).is_some() {
                 continue;
             }
+            // A further copy at a busy endpoint would serve no request sooner.
+            if is_held && !replica.has_free_slot() {
+                continue;
+            }
             let evict_cost = if replica.free_slots() > 0 {
                 0.0
             } else if let Some((_, popularity)) = self.choose_victim(now, model, replica) {
--- a/crates/caraway-placement/tests/overload.rs
+++ b/crates/caraway-placement/tests/overload.rs
@@ -181,3 +181,35 @@
         quick.count()
     );
 }
+
+/// All endpoints are busy, and the adapters that requests wait for are resident. Further copies would
+/// only evict other adapters, as they serve no request sooner.
+#[test]
+fn busy_endpoints_load_no_copies_of_resident_adapters() {
+    let sim_settings = SimSettings {
+        endpoints: 6,
+        slots: 4,
+        adapter_slots: 8,
+        cached_adapters: 0,
+        ..SimSettings::default()
+    };
+    let placer_settings = PlacerSettings {
+        cached_adapters: 0,
+        ..PlacerSettings::default()
+    };
+    let mut sim = Simulation::new(sim_settings, placer_settings, 0);
+    let workload = SkewedWorkload {
+        per_second: 80.0,
+        adapters: 36,
+        skew: 0.8,
+        timeout: 4 * SECOND,
+        shift: 0,
+    };
+    workload.schedule(&mut sim, SECOND, 11 * SECOND, 1);
+    sim.run_until(16 * SECOND);
+    let fetched = sim.counters.fetched;
+    let on_time = sim.counters.waits.iter().filter(|w| **w <= GOAL).count();
+    // The endpoints complete 53 requests per second.
+    assert!(fetched <= 160, "{fetched} adapters fetched");
+    assert!(on_time >= 500, "{on_time} on time");
+}
