--- a/crates/caraway-gateway/src/claim.rs
+++ b/crates/caraway-gateway/src/claim.rs
@@ -19,7 +19,8 @@
 use crate::{
     apply,
     event::emit,
-    held_zone::HeldZone,
+    executor::millis,
+    held_zone::{HeldZone, SuccessorRule},
     session::Session,
     shared::{Holder, Shared},
     succession::{HolderState, claim_rank},
@@ -32,6 +33,10 @@
 /// Number of fencing tokens of an era of the store, enough for 16 million records. The store gives
 /// offsets out again in each era, tokens have to rise.
 const TOKENS_PER_ERA: FencingToken = 1 << 32;
+/// Time for which the store has to reject a holder before it hands its zone over to an instance that the
+/// store serves: two ping intervals, in which the instances notice, read the store and say so. Until
+/// then, endpoints that leave are granted; half of the shortest time (2 s) that the deployments allow.
+const HAND_OVER_UNREAD_AFTER: Duration = Duration::from_secs(1);
 /// Delay between attempts to append the record of a zone that was handed over.
 const RECORD_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -94,7 +99,7 @@
         era: holder.era,
         offset: record.offset,
     });
-    set_holder(shared, zone, &holder);
+    set_holder(shared, zone, &holder, None);
 }
 
 /// Returns the first fencing token of the record at a position.
@@ -102,30 +107,41 @@
     position.era * TOKENS_PER_ERA + position.offset * TOKENS_PER_RECORD
 }
 
-/// Handles a hand-over of a zone to another holder, as announced by the current one.
-pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
+/// Handles a hand-over of a zone to another holder, as announced by the current one, which states that
+/// the next one must not order for the time `wait`.
+pub(crate) fn on_successor(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, wait: Duration) {
     let former = shared.holders.borrow().get(zone).cloned();
     if let Some(mut former) = former
         && former.token < holder.token
     {
-        // The former holder gives no more orders, so the next one need not wait.
+        // The former holder gives no more orders, so the next one need not wait for it.
         former.released = true;
         shared.holders.borrow_mut().insert(zone.clone(), former);
     }
-    set_holder(shared, zone, holder);
+    set_holder(shared, zone, holder, Some(wait));
 }
 
-fn set_holder(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder) {
+/// Sets the holder of a zone. `stated_wait` is for how long the former holder states that it must not
+/// order; `None` if that one has not handed the zone over.
+fn set_holder(shared: &Rc<Shared>, zone: &ZoneId, holder: &Holder, stated_wait: Option<Duration>) {
     let former = shared.holders.borrow().get(zone).cloned();
     if former.as_ref().is_some_and(|f| f.token >= holder.token) {
         return;
     }
     let bounds = &shared.site.bounds;
     let wait = holder_state(shared, zone).first_order_delay(bounds.lease, bounds.checks_fencing);
-    let start = Shared::now() + wait;
+    let is_other = former
+        .as_ref()
+        .is_some_and(|f| f.instance != holder.instance);
+    let turn_wait = if is_other {
+        pass_turn(shared, zone, stated_wait)
+    } else {
+        Duration::ZERO
+    };
+    let start = Shared::now() + wait.max(turn_wait);
     emit!(shared, info, HolderChanged; "held_zone" => &**zone, "holder" => &*holder.instance,
         "incarnation" => holder.incarnation, "token" => holder.token,
-        "released" => holder.released,
+        "released" => holder.released, "first_order_ms" => millis(wait.max(turn_wait)),
         "former" => former.as_ref().map_or("", |f| &*f.instance));
     shared
         .holders
@@ -153,6 +169,26 @@
     update_session(shared, zone);
 }
 
+/// Records that a zone passes to another instance, and returns how long that one must not order.
+fn pass_turn(shared: &Shared, zone: &ZoneId, stated_wait: Option<Duration>) -> Duration {
+    let (now, lease) = (Shared::now(), shared.site.bounds.lease);
+    let mut turns = shared.turns.borrow_mut();
+    let turns = turns.entry(zone.clone()).or_default();
+    match stated_wait {
+        Some(stated) => turns.on_hand_over(now, lease, stated),
+        None => turns.on_claim(now, lease),
+    }
+}
+
+/// Returns how long the next holder of a held zone must not order.
+fn next_wait(shared: &Shared, held: &HeldZone) -> Duration {
+    let turns = shared.turns.borrow().get(&held.zone).copied();
+    let lease = shared.site.bounds.lease;
+    turns.map_or(Duration::ZERO, |t| {
+        t.next_wait(Shared::now(), lease, held.last_order())
+    })
+}
+
 /// Gives up a zone after one of its endpoints has received a later fencing token.
 pub(crate) fn on_superseded(shared: &Rc<Shared>, held: &Rc<HeldZone>) {
     close_zone(shared, held);
@@ -176,32 +212,53 @@
         if held.is_closed() {
             continue;
         }
-        let mut successor = held.hand_over(true);
+        let own_zone = SuccessorRule {
+            own_zone_only: true,
+            ..SuccessorRule::default()
+        };
+        let wait = next_wait(shared, &held);
+        let mut successor = held.hand_over(own_zone, wait);
         if successor.is_none() && append_record(shared, &held.zone, true).await.is_err() {
-            successor = held.hand_over(false);
+            successor = held.hand_over(SuccessorRule::default(), wait);
         }
-        end_holding(shared, &held, successor, "the instance stops");
+        let next = successor.map(|s| (s, wait));
+        end_holding(shared, &held, next, "the instance stops");
     }
 }
 
 /// Hands held zones over to connected instances that are better holders.
 fn hand_over_to_better_holders(shared: &Rc<Shared>) {
+    let unread_since = topics::registry_unread_since(shared)
+        .filter(|since| since.elapsed() >= HAND_OVER_UNREAD_AFTER)
+        .map(tokio::time::Instant::into_std);
     for held in shared.held_zones() {
         if held.is_stopping() {
             continue;
         }
         if shared.reach.reach() != Reach::Open && held.has_reaching_peer() {
             let why = "this instance reaches no endpoint";
-            tokio::task::spawn_local(hand_over(shared.clone(), held, false, why));
+            let rule = SuccessorRule::default();
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
+        } else if unread_since.is_some_and(|since| held.has_reading_peer(since)) {
+            let why = "the store rejects this instance and serves others";
+            let rule = SuccessorRule {
+                own_zone_only: true,
+                read_since: unread_since,
+            };
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
         } else if held.is_recorded() && held.has_better_holder(shared.weakness()) {
             let why = "another instance is more suitable as the holder";
-            tokio::task::spawn_local(hand_over(shared.clone(), held, true, why));
+            let rule = SuccessorRule {
+                own_zone_only: true,
+                ..SuccessorRule::default()
+            };
+            tokio::task::spawn_local(hand_over(shared.clone(), held, rule, why));
         }
     }
 }
 
-/// Hands a zone over to a better holder, of the zone itself if `own_zone_only`.
-async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>, own_zone_only: bool, why: &'static str) {
+/// Hands a zone over to a better holder that `rule` admits.
+async fn hand_over(shared: Rc<Shared>, held: Rc<HeldZone>, rule: SuccessorRule, why: &'static str) {
     stop_orders_and_wait(&shared, &held).await;
     // If this instance is stopping by now, `release_all` gives the zone up. The zone may also have
     // another holder by now.
@@ -210,8 +267,9 @@
     }
     // If the better holder has left by now, there is no successor, and this instance claims the
     // zone again.
-    let successor = held.hand_over(own_zone_only);
-    end_holding(&shared, &held, successor, why);
+    let wait = next_wait(&shared, &held);
+    let next = held.hand_over(rule, wait).map(|s| (s, wait));
+    end_holding(&shared, &held, next, why);
 }
 
 /// Stops the placer's orders, and waits a limited time for the outcomes of those in flight.
@@ -224,12 +282,19 @@
     }
 }
 
-fn end_holding(shared: &Rc<Shared>, held: &Rc<HeldZone>, successor: Option<Holder>, why: &str) {
+/// Ends the holding of a zone; `next` is the next holder, if there is one, and how long it must not
+/// order.
+fn end_holding(
+    shared: &Rc<Shared>,
+    held: &Rc<HeldZone>,
+    next: Option<(Holder, Duration)>,
+    why: &str,
+) {
     close_zone(shared, held);
     emit!(shared, info, HoldingEnded; "held_zone" => &*held.zone, "token" => held.token(),
-        "why" => why, "successor" => successor.as_ref().map_or("", |s| &*s.instance));
-    if let Some(successor) = successor {
-        on_successor(shared, &held.zone, &successor);
+        "why" => why, "successor" => next.as_ref().map_or("", |(s, _)| &*s.instance));
+    if let Some((successor, wait)) = next {
+        on_successor(shared, &held.zone, &successor, wait);
     }
 }
 
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -21,7 +21,11 @@
     de::{DeserializeOwned, Error, IntoDeserializer, MapAccess, Visitor, value},
 };
 
-use crate::shared::Holder;
+use crate::{
+    call_results::ResultFrame,
+    quota_frame::{AllowanceFrame, DrawFrame},
+    shared::Holder,
+};
 
 /// Size of the length that precedes a frame, in bytes.
 const LENGTH_BYTES: usize = 4;
@@ -133,6 +137,19 @@
         /// requests for other instances.
         #[serde(default)]
         cut: Option<bool>,
+        /// Time since the store last answered a read of the registry by the sender; `None` if it does
+        /// not answer now, if it was not asked, and of builds that do not state it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        read: Option<Millis>,
+        /// The results of the sender's calls to the zone's endpoints of plain services since its last
+        /// ping.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
+    },
+    /// Draws allowance from the zone's quota pool. Draws are answered in order.
+    Draw {
+        /// One draw for each account.
+        draws: Vec<DrawFrame>,
     },
     /// Forwards records of the platform's store.
     Records(RecordsFrame),
@@ -167,6 +184,15 @@
         /// Addresses of instances that reach endpoints, for a receiver that reaches none.
         #[serde(default)]
         helpers: Vec<SocketAddr>,
+        /// The results of all instances' calls to the zone's endpoints of plain services.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        results: Vec<ResultFrame>,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Grants a permit.
     Permit {
@@ -182,6 +208,11 @@
         /// Time after which to ask again.
         after: Millis,
     },
+    /// Answers draws.
+    Allowance {
+        /// The replies, in the order of the draws.
+        replies: Vec<AllowanceFrame>,
+    },
     /// Grants an endpoint to a request.
     Grant {
         /// Identifies the request.
@@ -194,6 +225,15 @@
         waited: bool,
         /// Running and waiting requests per usable endpoint of the zone.
         pressure: f64,
+        /// Start of the endpoint's process, in milliseconds; `None` if the registry does not state it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        born: Option<u64>,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// Refuses a request.
     Refuse {
@@ -207,6 +247,12 @@
         /// Number of requests that wait at the placer.
         #[serde(default)]
         waiting: usize,
+        /// Time that a request which arrives now is expected to wait at the placer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        wait: Option<Millis>,
+        /// Number of requests that the zone's endpoints can take at once in addition.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        free: Option<usize>,
     },
     /// The sender gives no more orders and hands the zone over.
     Successor {
@@ -214,6 +260,10 @@
         holder: Holder,
         /// The fencing token of the next holder's orders.
         token: FencingToken,
+        /// Time for which the next holder must not order, as the sender received the zone itself
+        /// shortly before; zero also of builds that do not state it.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        wait: Millis,
     },
     /// The sender does not hold the zone.
     NotHolder,
@@ -289,6 +339,10 @@
     }
 }
 
+fn is_zero(time: &Millis) -> bool {
+    time.get().is_zero()
+}
+
 /// Decodes the name of a value, or returns the default if it is not known.
 fn known_or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use caraway_http::{Aborted, Payload, PooledConnection};
+use caraway_http::{Payload, PooledConnection, StreamBuffer};
 use caraway_platform::{copy_handed_headers, copy_response_headers, refusal_response};
 use caraway_reach::Reach;
 use caraway_types::{Reason, Refusal};
@@ -14,10 +14,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout_at},
-};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     event::emit,
@@ -25,7 +22,7 @@
     generate::MIN_ATTEMPT_TIME,
     plain::try_acquire_retry,
     reach::CUT_OFF,
-    request::{self, Call, InFlightGuard, RefusalResponse},
+    request::{self, Call, InFlightGuard, RefusalResponse, SHORT_OF_TIME},
     session_server::incarnation_of,
     shared::Shared,
 };
@@ -34,6 +31,8 @@
 const HANDED_BY_HEADER: HeaderName = HeaderName::from_static("caraway-handed-by");
 /// Header of the answer of an instance that does not take a request over.
 const DECLINED_HEADER: HeaderName = HeaderName::from_static("caraway-declined");
+/// Header of the answer of an instance that has taken a request over which certainly did not run.
+const NOT_RUN_HEADER: HeaderName = HeaderName::from_static("caraway-not-run");
 /// Number of instances to which a request is offered.
 const MAX_HELPERS_TRIED: usize = 3;
 /// Longest wait for the first list of instances that help: several round trips between zones.
@@ -44,8 +43,6 @@
 const CUT_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Time after the caller's deadline in which an answer may still end.
 const DEADLINE_GRACE: Duration = Duration::from_millis(500);
-/// Chunks of an answer that are buffered for a slow caller.
-const CHUNK_QUEUE_LEN: usize = 4;
 
 /// Returns whether a request comes from an instance that hands it over.
 pub(crate) fn is_handed<T>(request: &Request<T>) -> bool {
@@ -59,6 +56,8 @@
         CUT_OFF
     } else if shared.is_draining() {
         "this instance stops"
+    } else if shared.must_shed() {
+        SHORT_OF_TIME
     } else if shared.taken.get() >= MAX_TAKEN {
         "this instance serves too many requests for others"
     } else {
@@ -72,6 +71,12 @@
     response
 }
 
+/// States in the answer to a request that was taken over that it certainly did not run.
+pub(crate) fn set_not_run(response: &mut Response<Payload>) {
+    let headers = response.headers_mut();
+    headers.insert(NOT_RUN_HEADER, HeaderValue::from_static("1"));
+}
+
 /// Counts a request that is served for another instance until its answer begins.
 struct TakenGuard(Rc<Shared>);
 
@@ -178,12 +183,12 @@
     };
     let end = call.caller_deadline + DEADLINE_GRACE;
     let request = handed_request(shared, call);
-    call.was_sent.set(true);
+    call.on_sent();
     emit!(shared, info, RequestHandedOver; "request" => &*call.head.id, "to" => %helper.addr,
         "ms" => millis(call.arrived_at.elapsed()));
     let offer = match timeout_at(end, pooled.connection.send(request)).await {
         Ok(Ok(response)) if response.headers().contains_key(DECLINED_HEADER) => {
-            Offer::NotTaken("the instance that was to help reaches no endpoint either")
+            Offer::NotTaken("the instance that was to help can't take the request over")
         }
         // A build that takes no requests over answers as to a session that it does not accept.
         Ok(Ok(response)) if incarnation_of(response.headers()).is_some() => {
@@ -215,7 +220,9 @@
     let remaining = call
         .caller_deadline
         .saturating_duration_since(Instant::now());
-    *request.headers_mut() = copy_handed_headers(&call.headers, remaining);
+    let headers = request.headers_mut();
+    *headers = copy_handed_headers(&call.headers, remaining, call.requester.name());
+    call.requester.set_handed_account(headers);
     let name = HeaderValue::from_str(&shared.site.instance);
     let name = name.unwrap_or(HeaderValue::from_static("instance"));
     request.headers_mut().insert(HANDED_BY_HEADER, name);
@@ -224,10 +231,13 @@
 
 /// Returns the answer to the caller, whose body follows the helper's.
 fn relay(call: &Call, answer: HandedAnswer, in_flight: InFlightGuard) -> Response<Payload> {
-    let (out, chunks) = mpsc::channel(CHUNK_QUEUE_LEN);
-    let mut response = Response::new(Payload::Stream(chunks));
+    let (out, body) = StreamBuffer::new(&answer.helper.shared.stream_budget);
+    let mut response = Response::new(body);
     *response.status_mut() = answer.response.status();
     *response.headers_mut() = copy_response_headers(answer.response.headers());
+    if response.headers_mut().remove(NOT_RUN_HEADER).is_some() {
+        call.set_may_have_run(false);
+    }
     let end = call.caller_deadline + DEADLINE_GRACE;
     tokio::task::spawn_local(async move {
         forward(answer, &out, end).await;
@@ -236,11 +246,7 @@
     response
 }
 
-async fn forward(
-    answer: HandedAnswer,
-    out: &mpsc::Sender<Result<bytes::Bytes, Aborted>>,
-    end: Instant,
-) {
+async fn forward(answer: HandedAnswer, out: &StreamBuffer, end: Instant) {
     let HandedAnswer {
         response,
         pooled,
@@ -254,11 +260,10 @@
             () = out.closed() => return,
         };
         let sent = match frame {
-            Ok(Some(Ok(frame))) => out.send(Ok(frame.into_data().unwrap_or_default())).await,
+            Ok(Some(Ok(frame))) => out.send(frame.into_data().unwrap_or_default()).await,
             Ok(None) => break,
             Ok(Some(Err(_))) | Err(_) => {
-                // The caller may have disconnected.
-                out.send(Err(Aborted)).await.ok();
+                out.abort().await;
                 return;
             }
         };
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -10,9 +10,10 @@
     time::{Duration, Instant},
 };
 
+use caraway_accounts::{AccountDirectory, Draw, DrawReply};
 use caraway_placement::{
-    ConnectedShare, Output, PlacementId, PlacementRequest, Placer, PlacerStats, RequestOutcome,
-    SourceId,
+    ConnectedShare, GrantMeter, Output, PlacementId, PlacementRequest, Placer, PlacerStats,
+    RequestOutcome, SourceId, ZoneLoad,
 };
 use caraway_reach::Reach;
 use caraway_types::{EndpointId, FencingToken, Millis, Ticket, ZoneId};
@@ -20,7 +21,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::{
-    claim, endpoint_limits,
+    call_results, claim, endpoint_limits,
     event::emit,
     executor,
     frame::{self, FromHolder},
@@ -30,6 +31,7 @@
     shared::{Holder, Shared},
     succession::should_hand_over,
     topics,
+    zone_quotas::ZoneQuotas,
 };
 
 /// Source of this instance's own requests, which use no session.
@@ -62,10 +64,15 @@
     /// The instances that are connected, by the source of their requests.
     peers: RefCell<HashMap<SourceId, Peer>>,
     last_source: Cell<SourceId>,
+    /// Measures how long requests wait at the placer.
+    grants: Cell<GrantMeter>,
     /// The part of all instances that is connected.
     connected: RefCell<ConnectedShare>,
     /// The share that the placer was told last.
     limit_share: Cell<f64>,
+    quotas: RefCell<ZoneQuotas>,
+    /// When the last order was sent.
+    last_order: Cell<Option<Instant>>,
     /// Notified when the next timer of the placer may have changed.
     wake: Notify,
     /// Whether the zone was given up.
@@ -99,10 +106,32 @@
     pub(crate) leaving: bool,
     /// Whether it reaches no endpoint; `None` before it says so, and if its build does not know.
     pub(crate) cut: Option<bool>,
+    /// Whether its copy of the registry is not current.
+    pub(crate) has_old_registry: bool,
+    /// When the store last answered a read of the registry by this instance, if it does so now.
+    pub(crate) read_at: Option<Instant>,
+}
+
+/// Which connected instances may become the next holder of a zone.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SuccessorRule {
+    /// Only instances of the zone itself.
+    pub(crate) own_zone_only: bool,
+    /// Only instances that the store has answered since then.
+    pub(crate) read_since: Option<Instant>,
+}
+
+impl SuccessorRule {
+    fn admits(&self, zone: &ZoneId, peer: &Peer) -> bool {
+        let has_read = |since| peer.state.read_at.is_some_and(|at| at >= since);
+        !peer.state.leaving
+            && (peer.zone == *zone || !self.own_zone_only)
+            && self.read_since.is_none_or(has_read)
+    }
 }
 
 impl PeerState {
-    fn is_cut(self) -> bool {
+    pub(crate) fn is_cut(self) -> bool {
         self.cut == Some(true)
     }
 
@@ -148,6 +177,7 @@
         let mut placer = Placer::new(shared.placer_settings.clone(), start);
         placer.set_limit_share(Shared::now(), limit_share);
         Self {
+            quotas: RefCell::new(ZoneQuotas::new(shared, &zone)),
             zone,
             token: Cell::new(token),
             is_recorded: Cell::new(is_recorded),
@@ -155,8 +185,10 @@
             local_requests: RefCell::default(),
             peers: RefCell::default(),
             last_source: Cell::new(LOCAL_SOURCE),
+            grants: Cell::new(GrantMeter::new(Shared::now())),
             connected: RefCell::new(connected),
             limit_share: Cell::new(limit_share),
+            last_order: Cell::new(None),
             wake: Notify::new(),
             closed: Cell::new(false),
         }
@@ -200,26 +232,42 @@
         self.peers.borrow().values().any(is_better)
     }
 
-    /// Hands the zone over to a connected instance and sends the name of the new holder to all
-    /// connected instances; returns the new holder, or `None` if there is no candidate.
+    /// Returns whether the store has answered a connected instance of the zone that reaches endpoints
+    /// since `since`.
+    pub(crate) fn has_reading_peer(&self, since: Instant) -> bool {
+        let rule = SuccessorRule {
+            own_zone_only: true,
+            read_since: Some(since),
+        };
+        let peers = self.peers.borrow();
+        peers
+            .values()
+            .any(|p| rule.admits(&self.zone, p) && !p.state.is_cut())
+    }
+
+    /// Hands the zone over to a connected instance that `rule` admits and sends the name of the new
+    /// holder to all connected instances; returns the new holder, or `None` if there is no candidate.
     ///
-    /// Instances that reach endpoints come first, then those of the zone itself, then those with the
+    /// Instances that reach endpoints come first, then those with a current copy of the registry, as a
+    /// holder grants what its copy lists, then those of the zone itself, then those with the
     /// least weakness, then those of another build, as in a roll they have been replaced already, then
-    /// those that hold no zone. `own_zone_only` excludes instances of other zones.
-    pub(crate) fn hand_over(&self, own_zone_only: bool) -> Option<Holder> {
+    /// those that hold no zone.
+    ///
+    /// The new holder must not order for the time `wait`.
+    pub(crate) fn hand_over(&self, rule: SuccessorRule, wait: Duration) -> Option<Holder> {
         let peers = self.peers.borrow();
-        let is_candidate = |p: &&Peer| !p.state.leaving && (p.zone == self.zone || !own_zone_only);
-        let candidates = peers.values().filter(is_candidate);
+        let candidates = peers.values().filter(|p| rule.admits(&self.zone, p));
         let is_other_zone = |p: &Peer| p.zone != self.zone;
         let is_own_build = |p: &Peer| p.build.as_deref() == Some(BUILD);
         let next = candidates.min_by(|a, b| {
             let by_reach = a.state.is_cut().cmp(&b.state.is_cut());
+            let by_registry = a.state.has_old_registry.cmp(&b.state.has_old_registry);
             let by_zone = is_other_zone(a).cmp(&is_other_zone(b));
             let by_weakness = a.weakness.total_cmp(&b.weakness);
             let by_build = is_own_build(a).cmp(&is_own_build(b));
             let by_holding = a.state.holds.cmp(&b.state.holds);
             let by_name = a.holder.instance.cmp(&b.holder.instance);
-            let by_place = by_reach.then(by_zone);
+            let by_place = by_reach.then(by_registry).then(by_zone);
             let by_host = by_weakness.then(by_build).then(by_holding);
             by_place.then(by_host).then(by_name)
         })?;
@@ -231,6 +279,7 @@
         let frame = frame::encode(&FromHolder::Successor {
             holder: holder.clone(),
             token,
+            wait: wait.into(),
         });
         for peer in peers.values() {
             // A peer that misses the frame learns that this instance is not the holder, and reads
@@ -313,6 +362,10 @@
         self.connected
             .borrow_mut()
             .on_connected(&peer.holder.instance);
+        let in_zone = peer.zone == self.zone;
+        self.quotas
+            .borrow_mut()
+            .on_connected(Shared::now(), &peer.holder.instance, in_zone);
         self.peers.borrow_mut().insert(id, peer);
         self.update_limit_share(shared);
         id
@@ -360,11 +413,14 @@
         if let Some(lost) = lost {
             let name = &lost.holder.instance;
             let is_back = |p: &Peer| p.holder.instance == *name;
-            let mut connected = self.connected.borrow_mut();
+            let (mut connected, now) = (self.connected.borrow_mut(), Shared::now());
+            let mut quotas = self.quotas.borrow_mut();
             if lost.state.leaving {
                 connected.on_stopped(name);
+                quotas.on_stopped(now, name);
             } else if !self.peers.borrow().values().any(is_back) {
-                connected.on_lost(Shared::now(), name);
+                connected.on_lost(now, name);
+                quotas.on_lost(now, name);
             }
         }
         self.with_placer(shared, |placer, now| placer.on_source_lost(now, source));
@@ -379,6 +435,7 @@
     /// Passes the part of all instances that is connected to the placer, which gives away as much
     /// of each endpoint's request limit.
     pub(crate) fn update_limit_share(self: &Rc<Self>, shared: &Rc<Shared>) {
+        self.quotas.borrow_mut().update_share(Shared::now());
         let share = self.connected.borrow().share(Shared::now());
         if self.limit_share.replace(share).to_bits() != share.to_bits() {
             self.with_placer(shared, |placer, now| placer.set_limit_share(now, share));
@@ -401,6 +458,21 @@
         permit
     }
 
+    /// Applies the accounts of a new configuration to the zone's quota pool.
+    pub(crate) fn set_accounts(&self, accounts: &AccountDirectory) {
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.set_accounts(Shared::now(), accounts);
+    }
+
+    /// Draws from the zone's quota pool; returns no replies once the zone is given up.
+    pub(crate) fn draw(&self, draws: &[Draw]) -> Vec<DrawReply> {
+        if self.closed.get() {
+            return Vec::new();
+        }
+        let mut quotas = self.quotas.borrow_mut();
+        quotas.draw(Shared::now(), draws.iter())
+    }
+
     /// Returns the number of connected instances of `zone`, plus one if `zone` is this held zone.
     pub(crate) fn instance_count(&self, zone: &str) -> usize {
         let peers = self.peers.borrow();
@@ -436,6 +508,9 @@
             instances: self.known_instances(),
             era: shared.store.era(),
             helpers: Vec::new(),
+            results: call_results::summed(shared, Shared::now(), &self.zone),
+            wait: Some(self.load().expected_wait.into()),
+            free: Some(self.load().free_slots),
         }
     }
 
@@ -469,6 +544,21 @@
         self.placer.borrow().pressure(Shared::now())
     }
 
+    /// Returns when the last order was sent, `None` if none was.
+    pub(crate) fn last_order(&self) -> Option<Instant> {
+        self.last_order.get()
+    }
+
+    /// Returns how busy the zone is.
+    pub(crate) fn load(&self) -> ZoneLoad {
+        let now = Shared::now();
+        let placer = self.placer.borrow();
+        ZoneLoad {
+            expected_wait: self.grants.get().expected_wait(now, placer.waiting()),
+            free_slots: placer.free_slots(now),
+        }
+    }
+
     /// Returns whether an order was sent whose outcome is not known yet.
     pub(crate) fn has_order_in_flight(&self) -> bool {
         self.placer.borrow().has_order_in_flight()
@@ -519,8 +609,8 @@
                 endpoint,
                 has_waited,
             } => {
-                let addr = shared.directory.borrow().get(&endpoint).map(|e| e.addr);
-                let Some(addr) = addr else {
+                let known = shared.directory.borrow().get(&endpoint).cloned();
+                let Some(known) = known else {
                     // The endpoint was removed from the registry in the meantime.
                     self.deliver(request, Decision::Lost);
                     return;
@@ -530,7 +620,8 @@
                     request,
                     Decision::Granted {
                         endpoint,
-                        addr,
+                        addr: known.addr,
+                        started_ms: known.started_ms,
                         waited,
                     },
                 );
@@ -548,6 +639,7 @@
                 self.deliver(request, refused);
             }
             Output::Order(order) => {
+                self.last_order.set(Some(Shared::now()));
                 let (held, shared) = (self.clone(), shared.clone());
                 tokio::task::spawn_local(executor::send_order(shared, held, order));
             }
@@ -567,6 +659,11 @@
 
     /// Delivers a decision to the requester, on this instance or through its session.
     fn deliver(&self, request: PlacementId, decision: Decision) {
+        if matches!(decision, Decision::Granted { .. }) {
+            let mut grants = self.grants.get();
+            grants.on_grant(Shared::now());
+            self.grants.set(grants);
+        }
         if request.source == LOCAL_SOURCE {
             if let Some(decision_tx) = self.local_requests.borrow_mut().remove(&request.ticket) {
                 // The requester may have left, and then reports the end of the request.
@@ -577,7 +674,7 @@
         let peers = self.peers.borrow();
         if let Some(peer) = peers.get(&request.source) {
             let pressure = self.pressure();
-            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure));
+            let bytes = frame::encode(&decision.into_frame(request.ticket, pressure, self.load()));
             // If the queue is full, the peer ends the session, and with it the grant.
             peer.frames.try_send(Ok(bytes)).ok();
         }
--- a/crates/caraway-gateway/src/metrics.rs
+++ b/crates/caraway-gateway/src/metrics.rs
@@ -3,8 +3,9 @@
 //! Labels hold kinds of request, outcomes, reasons and topics only, so that the number of series
 //! does not grow with adapters or endpoints.
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::HashSet, time::Duration};
 
+use caraway_accounts::AccountId;
 use caraway_metrics::{Exporter, MetricInfo};
 use opentelemetry::{
     KeyValue,
@@ -16,6 +17,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 2.0, 5.0, 12.0,
 ];
 
+/// Number of client accounts that have series of their own.
+const MAX_NAMED_ACCOUNTS: usize = 32;
+
 /// Every metric of the daemon with its unit and labels.
 pub const METRICS: &[MetricInfo] = &[
     MetricInfo::new(
@@ -54,6 +58,21 @@
     MetricInfo::new("caraway_gateway_quarantines", "quarantines", &[]),
     MetricInfo::new("caraway_gateway_quarantined_total", "requests", &[]),
     MetricInfo::new("caraway_gateway_frames_skipped_total", "frames", &[]),
+    MetricInfo::new(
+        "caraway_gateway_account_requests_total",
+        "requests",
+        &["account", "result"],
+    ),
+    MetricInfo::new(
+        "caraway_gateway_quota_units_total",
+        "units",
+        &["account", "result"],
+    ),
+    MetricInfo::new("caraway_gateway_keys_refused_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_accounts_exhausted", "accounts", &[]),
+    MetricInfo::new("caraway_gateway_requests_shed_total", "requests", &[]),
+    MetricInfo::new("caraway_gateway_shed_share", "share", &[]),
+    MetricInfo::new("caraway_gateway_timer_lateness_seconds", "seconds", &[]),
 ];
 
 /// The instruments of the daemon.
@@ -80,10 +99,19 @@
     quarantines: Gauge<u64>,
     quarantined: Counter<u64>,
     skipped_frames: Counter<u64>,
+    account_requests: Counter<u64>,
+    quota_units: Counter<f64>,
+    refused_keys: Counter<u64>,
+    exhausted_accounts: Gauge<u64>,
+    /// The accounts that have series of their own.
+    named_accounts: RefCell<HashSet<AccountId>>,
+    shed_requests: Counter<u64>,
+    shed_share: Gauge<f64>,
+    timer_lateness: Gauge<f64>,
 }
 
 /// Values of the gauges, which are read when the metrics are scraped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(crate) struct GaugeValues {
     /// Version of the configuration in force; 0 when there is none.
     pub(crate) config_version: u64,
@@ -101,6 +129,12 @@
     pub(crate) held_back: u64,
     /// Quarantines of prompts in force.
     pub(crate) quarantines: u64,
+    /// Client accounts that have used up their quota.
+    pub(crate) exhausted_accounts: u64,
+    /// Part of the requests that is refused for lack of processor time.
+    pub(crate) shed_share: f64,
+    /// By how much timers are late.
+    pub(crate) timer_lateness: Duration,
 }
 
 impl Metrics {
@@ -114,6 +148,7 @@
         let meter = &exporter.meter;
         let counter = |name: &'static str| meter.u64_counter(name).build();
         let gauge = |name: &'static str| meter.u64_gauge(name).build();
+        let fraction = |name: &'static str| meter.f64_gauge(name).build();
         let histogram =
             |name: &'static str| exporter.duration_histogram(name, &DURATION_BUCKETS_SECONDS);
         Ok(Self {
@@ -137,6 +172,14 @@
             quarantines: gauge("caraway_gateway_quarantines"),
             quarantined: counter("caraway_gateway_quarantined"),
             skipped_frames: counter("caraway_gateway_frames_skipped"),
+            account_requests: counter("caraway_gateway_account_requests"),
+            quota_units: meter.f64_counter("caraway_gateway_quota_units").build(),
+            refused_keys: counter("caraway_gateway_keys_refused"),
+            exhausted_accounts: gauge("caraway_gateway_accounts_exhausted"),
+            named_accounts: RefCell::default(),
+            shed_requests: counter("caraway_gateway_requests_shed"),
+            shed_share: fraction("caraway_gateway_shed_share"),
+            timer_lateness: fraction("caraway_gateway_timer_lateness_seconds"),
             exporter,
         })
     }
@@ -155,6 +198,11 @@
         self.endpoint_limits.record(gauges.endpoint_limits, &[]);
         self.held_back.record(gauges.held_back, &[]);
         self.quarantines.record(gauges.quarantines, &[]);
+        self.exhausted_accounts
+            .record(gauges.exhausted_accounts, &[]);
+        self.shed_share.record(gauges.shed_share, &[]);
+        let lateness = gauges.timer_lateness.as_secs_f64();
+        self.timer_lateness.record(lateness, &[]);
         self.exporter.text()
     }
 
@@ -208,6 +256,42 @@
         self.skipped_frames.add(1, &[]);
     }
 
+    /// Counts a request that has no valid key.
+    pub(crate) fn record_refused_key(&self) {
+        self.refused_keys.add(1, &[]);
+    }
+
+    /// Counts a request of a client account by its result.
+    pub(crate) fn record_account(&self, account: &AccountId, result: &'static str) {
+        let labels = [self.account_label(account), KeyValue::new("result", result)];
+        self.account_requests.add(1, &labels);
+    }
+
+    /// Counts units of a client account's quota.
+    pub(crate) fn record_quota(&self, account: &AccountId, result: &'static str, units: f64) {
+        let labels = [self.account_label(account), KeyValue::new("result", result)];
+        self.quota_units.add(units, &labels);
+    }
+
+    /// Returns the label of an account: its name, or `other` once enough accounts have series of
+    /// their own.
+    fn account_label(&self, account: &AccountId) -> KeyValue {
+        let mut named = self.named_accounts.borrow_mut();
+        if named.contains(account) {
+            return KeyValue::new("account", account.clone());
+        }
+        if named.len() < MAX_NAMED_ACCOUNTS {
+            named.insert(account.clone());
+            return KeyValue::new("account", account.clone());
+        }
+        KeyValue::new("account", "other")
+    }
+
+    /// Counts a request that was refused for lack of processor time.
+    pub(crate) fn record_shed(&self) {
+        self.shed_requests.add(1, &[]);
+    }
+
     /// Counts an order by its outcome.
     pub(crate) fn record_order(&self, order: &'static str, end: &'static str) {
         let labels = [KeyValue::new("order", order), KeyValue::new("end", end)];
--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -5,7 +5,9 @@
     cell::Cell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, sync::Arc, time::Duration,
 };
 
-use caraway_placement::{PlacementRequest, RefuseReason, RequestOutcome};
+use caraway_placement::{
+    AnnouncedVersions, PlacementRequest, RefuseReason, RequestOutcome, ZoneLoad,
+};
 use caraway_routes::{CallOutcome, ModelRef, TokenCount};
 use caraway_types::{AccountId, EndpointId, Ticket, ZoneId};
 use tokio::{
@@ -39,6 +41,8 @@
         endpoint: EndpointId,
         /// The endpoint's address.
         addr: SocketAddr,
+        /// Start time of the endpoint's incarnation; `None` if unknown.
+        started_ms: Option<u64>,
         /// Whether the request waited for a load or a slot.
         waited: bool,
     },
@@ -75,6 +79,8 @@
 pub(crate) struct Placement {
     pub(crate) endpoint: EndpointId,
     pub(crate) addr: SocketAddr,
+    /// Start time of the endpoint's incarnation; `None` if unknown.
+    pub(crate) started_ms: Option<u64>,
     /// Whether the request waited for a load or a slot.
     pub(crate) waited: bool,
     /// The zone whose placer granted the endpoint; `None` if this instance chose it without a
@@ -168,11 +174,13 @@
 
 impl Decision {
     /// Converts the decision into the frame that is sent to the requesting instance.
-    pub(crate) fn into_frame(self, ticket: Ticket, pressure: f64) -> FromHolder {
+    pub(crate) fn into_frame(self, ticket: Ticket, pressure: f64, load: ZoneLoad) -> FromHolder {
+        let (wait, free) = (Some(load.expected_wait.into()), Some(load.free_slots));
         match self {
             Self::Granted {
                 endpoint,
                 addr,
+                started_ms,
                 waited,
             } => FromHolder::Grant {
                 ticket,
@@ -180,6 +188,9 @@
                 addr,
                 waited,
                 pressure,
+                born: started_ms,
+                wait,
+                free,
             },
             Self::Refused {
                 reason,
@@ -190,12 +201,16 @@
                 reason,
                 after: retry_after.into(),
                 waiting,
+                wait,
+                free,
             },
             Self::Lost => FromHolder::Refuse {
                 ticket,
                 reason: RefuseReason::NoEndpoint,
                 after: NO_ENDPOINT_RETRY_AFTER.into(),
                 waiting: 0,
+                wait,
+                free,
             },
         }
     }
@@ -363,6 +378,7 @@
         Decision::Granted {
             endpoint,
             addr,
+            started_ms,
             waited,
         } => {
             let running = RunningRequest {
@@ -373,6 +389,7 @@
             Ok(Placement {
                 endpoint,
                 addr,
+                started_ms,
                 waited,
                 zone: Some(zone.clone()),
                 given_at: Instant::now(),
@@ -414,8 +431,13 @@
     request: &EndpointRequest,
     exclude: &[EndpointId],
 ) -> Option<Placement> {
-    let newest = shared.newest_versions.borrow().get(&request.model).copied();
-    let newest_version = newest.map_or(0, |n| n.version);
+    let newest_version = {
+        let versions = shared.announced_versions.borrow();
+        let newest = versions
+            .get(&request.model)
+            .and_then(AnnouncedVersions::newest);
+        newest.unwrap_or(0)
+    };
     let directory = shared.directory.borrow();
     let is_resident = |e: &caraway_routes::Endpoint| match &request.model.adapter {
         None => e.has_model(&request.model.model),
@@ -436,6 +458,7 @@
     Some(Placement {
         endpoint: endpoint.id.clone(),
         addr: endpoint.addr,
+        started_ms: endpoint.started_ms,
         waited: false,
         zone: None,
         given_at: Instant::now(),
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -163,7 +163,7 @@
         return Duration::ZERO;
     }
     let remaining = call.deadline.saturating_duration_since(Instant::now());
-    let share = if call.route.priority == 0 {
+    let share = if call.priority == 0 {
         1.0
     } else {
         LOW_PRIORITY_WAIT_SHARE
@@ -288,7 +288,7 @@
         }
     };
     // The endpoint may have started draining or pausing while the connection was made.
-    if let Some(reason) = shared.block_reason(&endpoint.id) {
+    if let Some(reason) = shared.block_reason(&endpoint.id, endpoint.started_ms) {
         return (Outcome::NotRun(reason.as_str()), CallOutcome::Unrelated);
     }
     if let Some(quarantine) = shared.crash_watch.quarantine(call) {
@@ -441,6 +441,7 @@
             urgency: call
                 .is_engine_service
                 .then(|| Urgency::of(call.head.tokens)),
+            account: call.requester.name(),
         },
     );
     request
@@ -449,7 +450,7 @@
 /// Records that a request is sent, and counts it towards its service's retry budget the first time; `sent`
 /// is the number of earlier sends.
 pub(crate) fn record_first_send(shared: &Shared, call: &Call, sent: u32) {
-    call.was_sent.set(true);
+    call.on_sent();
     if sent == 0 {
         let mut budget = shared.retry_budget.borrow_mut();
         budget.on_request(Shared::now(), &call.service);
--- a/crates/caraway-gateway/src/request.rs
+++ b/crates/caraway-gateway/src/request.rs
@@ -5,20 +5,23 @@
 
 use bytes::Bytes;
 use caraway_http::{BodyError, Payload, read_body_within};
-use caraway_platform::{decode_request_head, refusal_response};
+use caraway_platform::{decode_request_head, has_token_count, refusal_response};
 use caraway_quarantine::RequestDigest;
 use caraway_reach::Reach;
 use caraway_routes::{Limits, RequestHead, Route, RoutingConfig};
 use caraway_types::{Certainty, EndpointId, Findings, Reason, Refusal};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
-    digest::request_digest,
+    digest::{Caller, request_digest},
     event::emit,
     executor::millis,
     generate, hand_over, plain,
+    quotas::{self, Charge},
+    requester::{self, Requester},
     shared::{LastAnswers, Shared},
 };
 
@@ -29,7 +32,11 @@
 /// `Retry-After` of a request whose body exceeds the memory budget; long bodies take about 100 ms
 /// to read.
 const BODY_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
-
+/// `Retry-After` of a request to an instance that is short of processor time; others take it at once,
+/// as most have more.
+const SHED_RETRY_AFTER: Duration = Duration::from_millis(25);
+/// Why such a request is refused.
+pub(crate) const SHORT_OF_TIME: &str = "this instance is short of processor time";
 /// `Retry-After` of a request to an instance that exits; other instances take it at once.
 const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -44,6 +51,9 @@
     /// Recognises the request when its caller sends it again.
     pub(crate) digest: RequestDigest,
     pub(crate) route: Arc<Route>,
+    pub(crate) requester: Requester,
+    /// Priority among requests; 0 is the most urgent.
+    pub(crate) priority: u8,
     /// The service of the route that was chosen for this request.
     pub(crate) service: Arc<str>,
     /// Whether the endpoints of `service` are model engines.
@@ -54,6 +64,8 @@
     pub(crate) is_taken: bool,
     /// Whether the request was sent, so that it may run.
     pub(crate) was_sent: Cell<bool>,
+    /// What the request was charged; `None` if its account has no quota.
+    pub(crate) charge: Option<Charge>,
     pub(crate) arrived_at: Instant,
     /// Time by which the caller gets a final answer: the earlier of its own deadline and the
     /// route's timeout.
@@ -68,6 +80,26 @@
         Instant::now() + min_time <= self.deadline
     }
 
+    /// Records that the request is sent, so that it may run.
+    pub(crate) fn on_sent(&self) {
+        self.was_sent.set(true);
+        self.set_may_have_run(true);
+    }
+
+    /// Records whether the request may have run; if it certainly has not, its charge is refunded.
+    pub(crate) fn set_may_have_run(&self, may_have_run: bool) {
+        if let Some(charge) = &self.charge {
+            charge.set_may_have_run(may_have_run);
+        }
+    }
+
+    /// Counts the request's result for its account, unless the instance that handed it over does.
+    fn record_account(&self, shared: &Shared, result: &'static str) {
+        if let Some(account) = self.requester.account().filter(|_| !self.is_taken) {
+            shared.metrics.record_account(&account.name, result);
+        }
+    }
+
     /// Returns the refusal of a request that no endpoint has run. Its reason is the deadline when less
     /// time is left than `min_time`, which another attempt would have needed.
     pub(crate) fn not_run(&self, why: &str, min_time: Duration) -> RefusalResponse {
@@ -128,6 +160,8 @@
             Reason::BadRequest => StatusCode::BAD_REQUEST,
             Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::UnknownService => StatusCode::NOT_FOUND,
+            Reason::UnknownAccount => StatusCode::UNAUTHORIZED,
+            Reason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         };
         Self {
@@ -199,7 +233,11 @@
 }
 
 /// Handles a caller's request and returns its answer.
-pub(crate) async fn handle(shared: Rc<Shared>, request: Request<Incoming>) -> Response<Payload> {
+pub(crate) async fn handle(
+    shared: Rc<Shared>,
+    mut request: Request<Incoming>,
+) -> Response<Payload> {
+    requester::remove_handed_account(request.headers_mut());
     handle_from(shared, request, false).await
 }
 
@@ -242,6 +280,10 @@
 ) -> Response<Payload> {
     let id = head.as_ref().map_or_else(|_| "".into(), |h| h.id.clone());
     let id = &*id;
+    // Of those that other instances hand over, `hand_over` has refused some already.
+    if !is_taken && shared.must_shed() {
+        return shed(shared, request, id, arrived_at).await;
+    }
     let call = match prepare(shared, request, head, arrived_at).await {
         Ok(call) => Call { is_taken, ..call },
         Err(refused) => return refuse(shared, "unrouted", id, arrived_at, &refused),
@@ -259,16 +301,48 @@
     };
     match result {
         Ok(response) => {
+            call.record_account(shared, "served");
             shared.metrics.record_request(kind, "answered");
             shared.metrics.record_answer(kind, arrived_at.elapsed());
             emit!(shared, info, RequestAnswered; "request" => id, "kind" => kind,
                 "status" => response.status().as_u16(), "ms" => millis(arrived_at.elapsed()));
             response
         }
-        Err(refused) => refuse(shared, kind, id, arrived_at, &refused),
+        Err(refused) => {
+            call.record_account(shared, "refused");
+            if refused.is_not_run() {
+                call.set_may_have_run(false);
+            }
+            let mut response = refuse(shared, kind, id, arrived_at, &refused);
+            if is_taken && refused.is_not_run() {
+                hand_over::set_not_run(&mut response);
+            }
+            response
+        }
     }
 }
 
+/// Refuses a request with as little work as possible, so that its caller tries another instance.
+async fn shed(
+    shared: &Shared,
+    request: Request<Incoming>,
+    id: &str,
+    arrived_at: Instant,
+) -> Response<Payload> {
+    // A connection that is closed before its body is read may be reset before its caller has the
+    // answer.
+    let mut body = request.into_body();
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The refusal is the same after a body that does not end.
+    timeout(DEFAULT_TIMEOUT, read).await.ok();
+    shared.metrics.record_shed();
+    shared.metrics.record_request("unrouted", "refused");
+    emit!(shared, info, RequestShed; "request" => id, "ms" => millis(arrived_at.elapsed()));
+    let refused = RefusalResponse::not_run(Reason::NoEndpoint, SHORT_OF_TIME)
+        .with_retry_after(SHED_RETRY_AFTER);
+    refusal_response(refused.status, id, &refused.refusal)
+}
+
 /// Waits until a request has to be answered because this instance exits.
 async fn last_answer_due(shared: &Shared, call: &Call) {
     let mut last_answers = shared.last_answers.subscribe();
@@ -325,13 +399,23 @@
     head: Result<RequestHead, Findings>,
     arrived_at: Instant,
 ) -> Result<Call, RefusalResponse> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let routing = shared.routing();
+    let route = routing
+        .as_ref()
+        .map(|r| find_route(r, &parts.headers, &parts.uri));
+    let requester = match (&routing, &route) {
+        (Some(routing), Some(Ok(route))) => requester::identify(routing, route, &parts.headers)?,
+        _ => Requester::default(),
+    };
+    requester.strip_headers(&mut parts.headers);
     let head = head.map_err(|f| RefusalResponse::not_run(Reason::BadRequest, &f.to_string()))?;
-    let routing = shared.routing().ok_or_else(|| {
-        RefusalResponse::not_run(Reason::NoEndpoint, "no configuration is known yet")
-            .with_retry_after(NO_CONFIG_RETRY_AFTER)
-    })?;
-    let route = find_route(&routing, &parts.headers, &parts.uri)?;
+    let (Some(routing), Some(route)) = (routing, route) else {
+        let why = "no configuration is known yet";
+        return Err(RefusalResponse::not_run(Reason::NoEndpoint, why)
+            .with_retry_after(NO_CONFIG_RETRY_AFTER));
+    };
+    let route = route?;
     let service = route
         .choose_service(Shared::random_fraction())
         .ok_or_else(|| RefusalResponse::not_run(Reason::NoEndpoint, "the route has no service"))?
@@ -340,6 +424,14 @@
     let caller_deadline = arrived_at + timeout;
     let deadline = arrived_at + timeout.min(route.timeout);
     check_head(&parts.headers, &parts.uri, &routing.limits)?;
+    let charge = match requester.account() {
+        Some(account) => {
+            let tokens = has_token_count(&parts.headers).then_some(head.tokens);
+            let cost = account.cost(tokens);
+            quotas::admit(shared, account, cost, &head.id, deadline).await?
+        }
+        None => None,
+    };
     let body = read_body_within(body, routing.limits.body_bytes, &shared.body_budget);
     let body = timeout_at(deadline, body)
         .await
@@ -358,7 +450,11 @@
             }
             BodyError::Incomplete(why) => RefusalResponse::not_run(Reason::BadRequest, &why),
         })?;
-    let digest = request_digest(&parts.method, &parts.uri, &parts.headers, &head, &body);
+    let caller = match &requester {
+        Requester::Unchecked => Caller::Headers(&parts.headers),
+        known => Caller::Account(known.name().unwrap_or_default()),
+    };
+    let digest = request_digest(&parts.method, &parts.uri, caller, &body);
     Ok(Call {
         head,
         method: parts.method,
@@ -366,6 +462,8 @@
         headers: parts.headers,
         body,
         digest,
+        priority: requester.priority(&route),
+        requester,
         route,
         is_engine_service: routing
             .service(&service)
@@ -374,6 +472,7 @@
         config_version: routing.version,
         is_taken: false,
         was_sent: Cell::new(false),
+        charge,
         arrived_at,
         deadline,
         caller_deadline,
@@ -424,10 +523,22 @@
     } = refused;
     shared.metrics.record_request(kind, "refused");
     let version = shared.routing().map_or(0, |r| r.version);
-    emit!(shared, warn, RequestFailed; "request" => id, "kind" => kind, "status" => status.as_u16(),
+    match details.reason {
+        // It is logged where the state of the quota is known.
+        Reason::OverLimit => {}
+        Reason::UnknownAccount => {
+            shared.metrics.record_refused_key();
+            emit!(shared, info, RequestDenied; "request" => id, "status" => status.as_u16(),
+                "detail" => &*details.detail, "version" => version,
+                "config_age_ms" => shared.config_age().map(millis));
+        }
+        _ => {
+            emit!(shared, warn, RequestFailed; "request" => id, "kind" => kind, "status" => status.as_u16(),
         "reason" => format!("{:?}", details.reason), "certainty" => format!("{:?}", details.certainty),
         "detail" => &*details.detail, "version" => version,
         "retry_after_ms" => details.retry_after.map_or(0, |r| millis(r.get())),
         "ms" => millis(arrived_at.elapsed()));
+        }
+    }
     refusal_response(*status, id, details)
 }
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -7,20 +7,23 @@
     time::{Duration, Instant},
 };
 
+use caraway_accounts::Draw;
 use caraway_http::Payload;
 use caraway_placement::{PlacementId, PlacementRequest, SourceId};
-use caraway_types::{EndpointId, Incarnation, Millis, Ticket, ZoneId};
+use caraway_types::{Incarnation, Millis, Ticket, ZoneId};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::{
+    call_results,
     endpoint_limits::{self, LimitSource},
     endpoint_signals::{EndpointIncarnation, on_draining},
     event::emit,
     frame::{self, FrameReader, FrameTooLong, FromHolder, LimitFrame, Received, ToHolder},
     held_zone::{self, HeldZone, Peer, PeerState},
+    quota_frame::DrawFrame,
     session::{HEARTBEAT_TIMEOUT, Outgoing},
     shared::{Holder, Shared},
     topics,
@@ -185,10 +188,9 @@
                 held.with_placer(shared, |placer, now| placer.on_stall(now, id(ticket)));
             }
             ToHolder::Leaving { endpoint, born } => {
-                let started_ms = born;
                 let incarnation = EndpointIncarnation {
                     endpoint,
-                    started_ms,
+                    started_ms: born,
                 };
                 on_draining(shared, &incarnation);
             }
@@ -199,10 +201,7 @@
                 ticket,
                 limit,
                 max_wait,
-            } => {
-                endpoint_limits::on_frame(shared, &limit, LimitSource::Instance);
-                self.reply_with_permit(ticket, &limit.endpoint, max_wait.get());
-            }
+            } => self.reply_with_permit(ticket, &limit, max_wait.get()),
             ToHolder::Ping {
                 served,
                 holds,
@@ -210,15 +209,20 @@
                 sent,
                 limits,
                 cut,
+                read,
+                results,
             } => {
+                call_results::on_reported(shared, Shared::now(), &results);
                 let state = PeerState {
                     holds,
                     leaving,
                     cut,
+                    has_old_registry: !served,
+                    read_at: read.and_then(|age| Shared::now().checked_sub(age.get())),
                 };
-                held.set_peer_state(source, state);
-                self.on_ping(zone, sent, served, &limits, cut == Some(true));
+                self.on_ping(source, zone, sent, &limits, state);
             }
+            ToHolder::Draw { draws } => self.reply_to_draws(draws),
             ToHolder::Records(records) => topics::on_records(shared, &records),
         }
     }
@@ -233,32 +237,49 @@
     }
 
     /// Replies to a request for a permit.
-    fn reply_with_permit(&self, ticket: Ticket, endpoint: &EndpointId, max_wait: Duration) {
+    fn reply_with_permit(&self, ticket: Ticket, limit: &LimitFrame, max_wait: Duration) {
+        endpoint_limits::on_frame(&self.shared, limit, LimitSource::Instance);
+        let endpoint = &limit.endpoint;
         let permit = self.held.acquire_permit(&self.shared, endpoint, max_wait);
         let reply = FromHolder::permit_reply(ticket, permit);
         // If the queue is full, the request uses the instance's own share.
         self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
     }
 
+    /// Replies to draws from the zone's quota pool.
+    fn reply_to_draws(&self, draws: Vec<DrawFrame>) {
+        let draws: Vec<Draw> = draws.into_iter().map(Into::into).collect();
+        let replies = self.held.draw(&draws);
+        if replies.is_empty() {
+            return;
+        }
+        let reply = FromHolder::Allowance {
+            replies: replies.into_iter().map(Into::into).collect(),
+        };
+        // If the queue is full, the instance takes the holder for unreachable.
+        self.outgoing.try_send(Ok(frame::encode(&reply))).ok();
+    }
+
     /// Answers a ping of an instance of `zone`.
     fn on_ping(
         &self,
+        source: SourceId,
         zone: &ZoneId,
         sent: Millis,
-        is_registry_current: bool,
         limits: &[LimitFrame],
-        is_cut: bool,
+        state: PeerState,
     ) {
         let shared = &self.shared;
+        self.held.set_peer_state(source, state);
         for limit in limits {
             endpoint_limits::on_frame(shared, limit, LimitSource::Instance);
         }
-        if is_registry_current {
+        if !state.has_old_registry {
             topics::on_peer_registry_read(shared);
         }
         let mut pong = self.held.pong(shared, zone, Some(sent));
         if let FromHolder::Pong { helpers, .. } = &mut pong
-            && is_cut
+            && state.is_cut()
         {
             *helpers = self.held.helpers_with(shared);
         }
--- a/crates/caraway-gateway/src/shared.rs
+++ b/crates/caraway-gateway/src/shared.rs
@@ -9,11 +9,14 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use caraway_http::{MemoryBudget, Pool, PoolTimeouts};
-use caraway_placement::{PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
+use caraway_accounts::AllowanceSettings;
+use caraway_http::{MemoryBudget, Pool, PoolTimeouts, StreamBudget};
+use caraway_placement::{
+    AnnouncedVersions, PlacerSettings, ZoneCandidate, ZoneSelector, ZoneSelectorSettings,
+};
 use caraway_platform::{Bounds, InstanceSettings, StoreClient};
 use caraway_routes::{
-    Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
+    CallTally, Directory, LoadBalancer, ModelRef, Pauses, RetryBudget, RetryLimits, RoutingConfig,
 };
 use caraway_types::{
     EndpointId, FencingToken, Incarnation, InstanceId, SoftwareVersion, StoreEra, Ticket, ZoneId,
@@ -32,13 +35,16 @@
     fleet_size::FleetSize,
     frame::SkippedFrame,
     held_zone::HeldZone,
+    load_shedder::LoadShedder,
     log::{LineRateLimiter, LogQueue},
     metrics::{GaugeValues, Metrics},
+    quotas::QuotaState,
     reach::ReachState,
     session::Session,
     stream_origins::StreamState,
     succession::weakness,
     topics::Topics,
+    turns::HolderTurns,
     version_histories::VersionState,
 };
 
@@ -85,14 +91,6 @@
     All,
 }
 
-/// The newest announced version of an adapter.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Announcement {
-    pub(crate) version: u64,
-    /// When this instance read the announcement; `None` unless that was soon after it was written.
-    pub(crate) received_at: Option<Instant>,
-}
-
 /// A request of this instance that runs at an endpoint which a holder granted.
 #[derive(Clone, Debug)]
 pub(crate) struct RunningRequest {
@@ -122,8 +120,12 @@
     pub(crate) reach: ReachState,
     /// Number of requests that this instance is serving for others.
     pub(crate) taken: Cell<usize>,
+    /// Which part of the requests is refused while this instance is short of processor time.
+    pub(crate) load_shedder: Cell<LoadShedder>,
     /// Memory for long bodies that are buffered whole.
     pub(crate) body_budget: MemoryBudget,
+    /// Memory for the parts of streams that wait for slow callers.
+    pub(crate) stream_budget: StreamBudget,
     pub(crate) store: StoreClient,
     pub(crate) placer_settings: PlacerSettings,
     /// The configuration in force; `None` until one was read.
@@ -134,6 +136,10 @@
     pub(crate) pauses: RefCell<Pauses>,
     /// The request rates that endpoints accept.
     pub(crate) limits: LimitState,
+    /// What this instance may admit for client accounts.
+    pub(crate) quotas: QuotaState,
+    /// When the configuration in force was applied.
+    pub(crate) config_applied_at: Cell<Option<Instant>>,
     /// What is known of prompts that crash engines.
     pub(crate) crash_watch: CrashWatch,
     /// What is known of the software versions of services.
@@ -146,10 +152,13 @@
     pub(crate) catch_up: CatchUp,
     /// The number of instances of all zones, as far as it is known.
     pub(crate) fleet_size: Cell<FleetSize>,
-    /// The newest announced version of each adapter.
-    pub(crate) newest_versions: RefCell<HashMap<ModelRef, Announcement>>,
+    /// The announced versions of each adapter, with the times at which this instance read them soon
+    /// after they were written.
+    pub(crate) announced_versions: RefCell<HashMap<ModelRef, AnnouncedVersions>>,
     /// Chooses endpoints for requests that no placer places.
     pub(crate) load_balancer: RefCell<LoadBalancer>,
+    /// The results of all instances' calls to plain services in the zones that this one holds.
+    pub(crate) call_results: RefCell<HashMap<EndpointId, CallTally>>,
     /// Limits the retries of this instance to its part of the deployment's budget.
     pub(crate) retry_budget: RefCell<RetryBudget>,
     /// Selects the zone whose placer receives a request.
@@ -158,6 +167,8 @@
     pub(crate) topics: RefCell<Topics>,
     /// The current holder of each zone, as far as it is known.
     pub(crate) holders: RefCell<HashMap<ZoneId, Holder>>,
+    /// The last hand-over of each zone.
+    pub(crate) turns: RefCell<HashMap<ZoneId, HolderTurns>>,
     /// The zones that this instance holds.
     pub(crate) held_zones: RefCell<HashMap<ZoneId, Rc<HeldZone>>>,
     /// The sessions to the holders of zones that other instances hold, open or not.
@@ -188,8 +199,16 @@
         metrics: Metrics,
         incarnation: Incarnation,
     ) -> Self {
-        let body_budget = body_budget(site.memory_mb);
+        let body_budget = MemoryBudget::new(memory_share(site.memory_mb, BODY_MEMORY_SHARE));
+        let stream_bytes = memory_share(site.memory_mb, STREAM_MEMORY_SHARE);
         let fleet_size = FleetSize::new(site.zones.len());
+        let quotas = QuotaState::new(
+            site.zone.clone(),
+            AllowanceSettings {
+                bounds: site.bounds.quota,
+                turn_offset: Self::random_fraction(),
+            },
+        );
         let max_delay = site.bounds.config_apply.min(site.bounds.drain);
         Self {
             store: StoreClient::new(site.store.clone()),
@@ -209,22 +228,28 @@
             helper_pool: Pool::new(PoolTimeouts::default()),
             reach: ReachState::default(),
             taken: Cell::new(0),
+            load_shedder: Cell::default(),
             body_budget,
+            stream_budget: StreamBudget::new(stream_bytes),
             routing: RefCell::default(),
             directory: RefCell::default(),
             pauses: RefCell::default(),
             limits: LimitState::default(),
+            quotas,
+            config_applied_at: Cell::default(),
             crash_watch: CrashWatch::new(Self::random_fraction() * QUARANTINE_JITTER),
             versions: VersionState::default(),
             streams: StreamState::default(),
             skipped_kinds: RefCell::default(),
             catch_up: CatchUp::default(),
             fleet_size: Cell::new(fleet_size),
-            newest_versions: RefCell::default(),
-            load_balancer: RefCell::default(),
+            announced_versions: RefCell::default(),
+            load_balancer: RefCell::new(LoadBalancer::new(rand::random())),
+            call_results: RefCell::default(),
             zone_selector: RefCell::new(ZoneSelector::new(ZoneSelectorSettings::default())),
             topics: RefCell::new(Topics::new(max_delay)),
             holders: RefCell::default(),
+            turns: RefCell::default(),
             held_zones: RefCell::default(),
             sessions: RefCell::default(),
             holder_reachable: Notify::new(),
@@ -255,6 +280,12 @@
         self.routing.borrow().clone()
     }
 
+    /// Returns for how long the configuration in force has been applied; `None` if there is none.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        let applied_at = self.config_applied_at.get()?;
+        Some(Self::now().saturating_duration_since(applied_at))
+    }
+
     /// Returns whether the daemon is stopping.
     pub(crate) fn is_draining(&self) -> bool {
         *self.draining.borrow()
@@ -343,20 +374,31 @@
         for endpoint in directory.of_service(service).filter(|e| e.is_ready()) {
             *counts.entry(&endpoint.zone).or_default() += 1;
         }
-        let pressure = |zone: &ZoneId| {
-            let held = self.held_zone(zone).map(|d| d.pressure());
-            held.or_else(|| self.session(zone).map(|s| s.pressure()))
-        };
-        counts
-            .into_iter()
-            .filter_map(|(zone, endpoints)| {
-                Some(ZoneCandidate {
+        let candidates = counts.into_iter().filter_map(|(zone, endpoints)| {
+            if let Some(held) = self.held_zone(zone) {
+                let candidate = ZoneCandidate {
                     zone: zone.clone(),
                     endpoints,
-                    pressure: pressure(zone)?,
-                })
-            })
-            .collect()
+                    pressure: held.pressure(),
+                    load: Some(held.load()),
+                    crossing: Duration::ZERO,
+                };
+                return Some((candidate, false));
+            }
+            let session = self.session(zone)?;
+            let candidate = ZoneCandidate {
+                zone: zone.clone(),
+                endpoints,
+                pressure: session.pressure(),
+                load: session.load(),
+                crossing: session.round_trip(),
+            };
+            Some((candidate, session.is_silent()))
+        });
+        let (silent, others): (Vec<_>, Vec<_>) = candidates.partition(|(_, is_silent)| *is_silent);
+        // A zone that is cut off gets no work, unless no zone answers.
+        let used = if others.is_empty() { silent } else { others };
+        used.into_iter().map(|(candidate, _)| candidate).collect()
     }
 
     /// Returns the known number of instances of this instance's zone, itself included; at least 1.
@@ -410,6 +452,13 @@
         now.map_or(0, millis)
     }
 
+    /// Returns whether to refuse a request as this instance is short of processor time.
+    pub(crate) fn must_shed(&self) -> bool {
+        let shedder = self.load_shedder.get();
+        shedder.refused_share() > 0.0
+            && shedder.refuses(self.in_flight.get(), Self::random_fraction())
+    }
+
     /// Returns a random number from 0 to 1.
     pub(crate) fn random_fraction() -> f64 {
         rand::rng().random::<f64>()
@@ -426,11 +475,14 @@
             held_back: held_zones.values().map(|d| d.stats().held_back).sum(),
             held_zones: count(held_zones.len()),
             lines_dropped: self.log_queue.dropped(),
+            exhausted_accounts: count(self.quotas.view.exhausted()),
             endpoint_limits: count(self.limits.count()),
             quarantines: {
                 let evidence = self.crash_watch.evidence.borrow();
                 count(evidence.quarantines(Self::now()).count())
             },
+            shed_share: self.load_shedder.get().refused_share(),
+            timer_lateness: self.load_shedder.get().lateness(),
         }
     }
 }
@@ -438,12 +490,22 @@
 /// Largest part by which an instance extends quarantines.
 const QUARANTINE_JITTER: f64 = 0.25;
 
+/// Part of the time by which a new version must be in force after which older ones serve no more. The
+/// rest is for the announcement to arrive and for granted requests to begin.
+const VERSION_GRACE_SHARE: f64 = 0.6;
+
 fn placer_settings(site: &InstanceSettings) -> PlacerSettings {
+    let defaults = PlacerSettings::default();
+    // Zero if the deployment states none.
+    let stated_grace = site.bounds.version_apply.mul_f64(VERSION_GRACE_SHARE);
     PlacerSettings {
+        version_grace: Some(stated_grace)
+            .filter(|g| !g.is_zero())
+            .unwrap_or(defaults.version_grace),
         load_window: site.bounds.load_window,
         load_factor: site.bounds.load_factor,
         zones: u32::try_from(site.zones.len()).unwrap_or(u32::MAX),
-        ..PlacerSettings::default()
+        ..defaults
     }
 }
 
@@ -451,14 +513,18 @@
 /// overhead of the allocator they use about two thirds at most.
 const BODY_MEMORY_SHARE: f64 = 0.125;
 
-fn body_budget(memory_mb: f64) -> MemoryBudget {
+/// Fraction of an instance's memory for the parts of streams that wait for slow callers.
+const STREAM_MEMORY_SHARE: f64 = 0.0625;
+
+/// Returns a share of an instance's memory in bytes.
+fn memory_share(memory_mb: f64, share: f64) -> usize {
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "the size is not negative, and a saturated size means no limit"
     )]
-    let bytes = (memory_mb.max(0.0) * BODY_MEMORY_SHARE * f64::from(1 << 20)) as usize;
-    MemoryBudget::new(bytes)
+    let bytes = (memory_mb.max(0.0) * share * f64::from(1 << 20)) as usize;
+    bytes
 }
 
 fn retry_limits(bounds: &Bounds, instances: usize) -> RetryLimits {
--- a/crates/caraway-gateway/tests/process/main.rs
+++ b/crates/caraway-gateway/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway process with a stand-in of the platform.
 
+mod accounts;
 mod builds;
 mod deadly_prompts;
 mod deadly_requests;
@@ -7,6 +8,9 @@
 mod faulty;
 mod harness;
 mod limits;
+mod plain_results;
+mod processor_time;
+mod quotas;
 mod software_versions;
 mod stop;
 mod store_era;
--- a/crates/caraway-placement/src/lib.rs
+++ b/crates/caraway-placement/src/lib.rs
@@ -4,6 +4,7 @@
 //! outcomes of their runs, and returns grants, refusals and orders. [`ZoneSelector`] tells an
 //! instance which zone's placer to send a request to.
 
+mod announced_versions;
 mod connected_share;
 mod decay;
 mod engine_speed;
@@ -20,8 +21,10 @@
 mod shares;
 mod urgency;
 mod wait_queue;
+mod zone_load;
 mod zone_selector;
 
+pub use announced_versions::{AnnouncedVersion, AnnouncedVersions};
 pub use connected_share::ConnectedShare;
 pub use decay::DecayingCount;
 pub use order::{Action, Order, OrderNumber, OrderOutcome, Report};
@@ -30,4 +33,7 @@
 pub use request::{PlacementId, PlacementRequest, RequestOutcome, SourceId};
 pub use settings::PlacerSettings;
 pub use urgency::Urgency;
-pub use zone_selector::{PressureLimit, ZoneCandidate, ZoneSelector, ZoneSelectorSettings};
+pub use zone_load::{GrantMeter, ZoneLoad};
+pub use zone_selector::{
+    LoadBalance, PressureLimit, ZoneCandidate, ZoneSelector, ZoneSelectorSettings,
+};
--- a/crates/caraway-placement/src/placer.rs
+++ b/crates/caraway-placement/src/placer.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod speeds;
 mod weights;
+mod zone_load;
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -20,8 +21,9 @@
 use caraway_types::EndpointId;
 
 use crate::{
-    DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings, limiters::Limiters,
-    replica::Replica, run_work::RunWork, service_rate::ServiceRate, wait_queue::WaitQueue,
+    AnnouncedVersions, DecayingCount, OrderNumber, Output, PlacementId, PlacerSettings,
+    limiters::Limiters, replica::Replica, run_work::RunWork, service_rate::ServiceRate,
+    wait_queue::WaitQueue,
 };
 
 pub use limits::LOW_PRIORITY_WAIT_SHARE;
@@ -47,13 +49,15 @@
     engines: HashMap<Arc<str>, EngineConfig>,
     /// When loads of model weights were ordered, within the load window.
     recent_weight_loads: VecDeque<Instant>,
-    newest: HashMap<ModelRef, NewestVersion>,
+    versions: HashMap<ModelRef, AnnouncedVersions>,
     /// Version assumed for adapters of which none was announced: the lowest that an endpoint has
     /// named; `None` until one does.
     first_version: Option<u64>,
     /// Decayed number of requests for each adapter or model.
     popularity: HashMap<ModelRef, DecayingCount>,
     waiting: WaitQueue,
+    /// When all waiting requests were last checked for those that are too late.
+    late_checked_at: Option<Instant>,
     /// How fast each service serves waiting requests.
     rates: HashMap<Arc<str>, ServiceRate>,
     /// When the speeds of the endpoints were last compared.
@@ -118,14 +122,6 @@
 /// Divisor for the pressure of a zone without usable endpoints.
 const EMPTY_ZONE_DIVISOR: f64 = 0.1;
 
-/// The newest announced version of an adapter.
-#[derive(Clone, Copy, Debug)]
-struct NewestVersion {
-    version: u64,
-    /// When it was announced; `None` if unknown.
-    since: Option<Instant>,
-}
-
 /// A granted request that has not ended.
 #[derive(Clone, Debug)]
 struct GrantedRun {
@@ -151,10 +147,11 @@
             limiters: Limiters::default(),
             engines: HashMap::new(),
             recent_weight_loads: VecDeque::new(),
-            newest: HashMap::new(),
+            versions: HashMap::new(),
             first_version: None,
             popularity: HashMap::new(),
             waiting: WaitQueue::default(),
+            late_checked_at: None,
             rates: HashMap::new(),
             speeds_compared: None,
             deadline_check: None,
@@ -178,7 +175,9 @@
         self.grant_permits(now);
         self.waiting.advance(now);
         self.grant_read(now);
-        self.refuse_late(now);
+        if self.is_late_check_due(now) {
+            self.refuse_late(now);
+        }
         self.schedule_deadline_check(now);
         self.fetch_reports(now);
         self.plan_weights(now);
--- a/crates/caraway-placement/src/placer/admission.rs
+++ b/crates/caraway-placement/src/placer/admission.rs
@@ -27,7 +27,7 @@
         let Some(rate) = self.rates.get(&request.service) else {
             return Some(Punctuality::OnTimeUntil(late_at));
         };
-        let free = self.free_slots(now, &request.service);
+        let free = self.free_slots_of(now, &request.service);
         let ahead = |is_late| {
             let ahead = self.waiting.ahead_of_new(request, is_late);
             ahead.saturating_sub(free)
@@ -61,7 +61,7 @@
 
     /// Returns the number of free slots of the endpoints of a service. Requests that wait while
     /// there are any wait for loads.
-    fn free_slots(&self, now: Instant, service: &str) -> usize {
+    fn free_slots_of(&self, now: Instant, service: &str) -> usize {
         let replicas = self.replicas.values();
         let usable = replicas.filter(|r| r.is_usable(now) && *r.endpoint.service == *service);
         let open = usable.filter(|r| self.is_open(now, r));
@@ -73,7 +73,7 @@
     pub(super) fn refuse_hopeless(&mut self, now: Instant) {
         let mut hopeless = HashSet::new();
         for (service, rate) in &self.rates {
-            if self.waiting.count_of(service) == 0 || self.free_slots(now, service) > 0 {
+            if self.waiting.count_of(service) == 0 || self.free_slots_of(now, service) > 0 {
                 continue;
             }
             let latest = now + rate.run_time();
--- a/crates/caraway-placement/src/placer/plan.rs
+++ b/crates/caraway-placement/src/placer/plan.rs
@@ -1,6 +1,6 @@
 //! Plans adapter loads: which adapter next, to which endpoint, and which one to evict for it.
 
-use std::{collections::HashSet, time::Instant};
+use std::{collections::HashSet, sync::Arc, time::Instant};
 
 use caraway_members::rendezvous_weight;
 use caraway_routes::ModelRef;
@@ -8,7 +8,7 @@
 
 use super::Placer;
 use crate::{
-    Action,
+    Action, AnnouncedVersions,
     replica::{AdapterState, LoadTiming, Phase, QueuedOrder, Replica},
     wait_queue::Demand,
 };
@@ -32,22 +32,45 @@
             return;
         }
         let limit = self.load_limit();
-        if self.loading_count(now) >= limit {
+        let mut models = self.loadable_models(now, limit);
+        if models.is_empty() {
             return;
         }
-        for model in self.needed_loads(now) {
-            if self.loading_count(now) >= limit {
-                break;
+        for adapter in self.needed_loads(now) {
+            if !models.contains(&adapter.model) {
+                continue;
             }
-            if let Some(target) = self.choose_target(now, &model, None) {
-                self.start_load(now, &model, &target);
+            if let Some(target) = self.choose_target(now, &adapter, None) {
+                self.start_load(now, &adapter, &target);
+                models = self.loadable_models(now, limit);
+            } else {
+                self.unload_outdated(now, &adapter);
             }
         }
     }
 
+    /// Returns the models for which some endpoint has room for another adapter, none at the limit of
+    /// concurrent loads. Under overload there are mostly none, and a search for an endpoint for each
+    /// adapter that requests wait for would take longer than the time between two requests.
+    fn loadable_models(&self, now: Instant, limit: usize) -> HashSet<Arc<str>> {
+        if self.loading_count(now) >= limit {
+            return HashSet::new();
+        }
+        let is_evictable = |(m, a): (&ModelRef, &AdapterState)| {
+            let is_needed = self.waiting.contains(m) && self.may_serve(now, m, a.version);
+            a.is_ready() && a.runs == 0 && !is_needed
+        };
+        let replicas = self.replicas.values();
+        let with_room = replicas.filter(|r| {
+            self.accepts_loads(now, r)
+                && (r.free_slots() > 0 || r.adapters.iter().any(is_evictable))
+        });
+        with_room.flat_map(|r| &r.models).cloned().collect()
+    }
+
     /// Plans a further copy of an adapter if all its copies have many running requests.
     pub(super) fn plan_copy(&mut self, now: Instant, model: &ModelRef) {
-        if model.adapter.is_none() || self.is_load_in_progress(now, model) {
+        if model.adapter.is_none() {
             return;
         }
         let copies = self.replicas.values().filter(|r| r.is_usable(now));
@@ -57,7 +80,10 @@
             .iter()
             .min()
             .is_some_and(|r| *r >= self.settings.copy_threshold);
-        if !is_busy || self.loading_count(now) * 2 >= self.load_limit() {
+        if !is_busy
+            || self.is_load_in_progress(now, model)
+            || self.loading_count(now) * 2 >= self.load_limit()
+        {
             return;
         }
         #[expect(clippy::cast_precision_loss, reason = "counts are small")]
@@ -130,7 +156,7 @@
     /// Returns the adapters to load: those that requests wait for, then those with a new version.
     fn needed_loads(&self, now: Instant) -> Vec<ModelRef> {
         let mut models = self.backlog(now);
-        let outdated = self.newest.keys().filter(|m| self.needs_refresh(now, m));
+        let outdated = self.versions.keys().filter(|m| self.needs_refresh(now, m));
         models.extend(outdated.cloned());
         models
     }
@@ -166,7 +192,7 @@
         });
         let key = model.to_string();
         let mut order: Vec<(&EndpointId, &Replica)> = self.replicas.iter().collect();
-        order.sort_by_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
+        order.sort_by_cached_key(|(id, _)| std::cmp::Reverse(rendezvous_weight(&key, id)));
         let mut best: Option<(f64, &EndpointId)> = None;
         let run_ms = self.settings.min_run_time.as_secs_f64() * 1000.0;
         for (rank, (id, replica)) in order.into_iter().enumerate() {
@@ -219,11 +245,14 @@
                 adapter.is_ready() && adapter.runs == 0 && !self.is_current(model, adapter.version)
             }
         };
-        is_replaceable
-            && replica.is_usable(now)
+        is_replaceable && self.accepts_loads(now, replica) && replica.has_model(&model.model)
+    }
+
+    /// Returns whether `replica` can be sent another load.
+    fn accepts_loads(&self, now: Instant, replica: &Replica) -> bool {
+        replica.is_usable(now)
             && !replica.is_faulty(now)
             && replica.accepted_orders.is_some()
-            && replica.has_model(&model.model)
             && replica.loading_count() < self.settings.endpoint_load_limit
     }
 
@@ -237,9 +266,9 @@
         replica
             .adapters
             .iter()
-            .filter(|(m, a)| {
-                a.is_ready() && a.runs == 0 && !self.waiting.contains(m) && *m != model
-            })
+            .filter(|(m, a)| a.is_ready() && a.runs == 0 && *m != model)
+            // A copy that may not serve is of no use to the requests that wait for its adapter.
+            .filter(|(m, a)| !self.waiting.contains(m) || !self.may_serve(now, m, a.version))
             .map(|(m, a)| {
                 let current = self.is_current(m, a.version);
                 let popularity = if current {
@@ -252,6 +281,32 @@
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))
     }
 
+    /// Queues the unload of an idle copy of `model` that may not serve any more: a load takes a slot
+    /// beside the version that it replaces, and no endpoint has another slot for it.
+    fn unload_outdated(&mut self, now: Instant, model: &ModelRef) {
+        let mut replicas = self.replicas.iter();
+        let outdated = replicas.find(|(_, replica)| {
+            let adapter = replica.adapters.get(model);
+            adapter.is_some_and(|a| !self.may_serve(now, model, a.version))
+                && self.can_load(now, model, replica)
+                && replica.free_slots() == 0
+        });
+        let Some(id) = outdated.map(|(id, _)| id.clone()) else {
+            return;
+        };
+        if let Some(replica) = self.replicas.get_mut(&id) {
+            if let Some(adapter) = replica.adapters.get_mut(model) {
+                adapter.phase = Phase::UnloadQueued;
+            }
+            replica.queue.push_back(QueuedOrder {
+                action: Action::Unload,
+                model: model.clone(),
+                retries: 0,
+            });
+        }
+        self.send_due_orders(now, &id);
+    }
+
     /// Queues a load of `model` at an endpoint, and the unload of another adapter if it has no free
     /// slot.
     fn start_load(&mut self, now: Instant, model: &ModelRef, endpoint: &EndpointId) {
@@ -265,7 +320,7 @@
             self.choose_victim(now, model, replica)
                 .map(|(m, _)| m.clone())
         };
-        let newest = self.newest.get(model).map(|n| n.version);
+        let newest = self.versions.get(model).and_then(AnnouncedVersions::newest);
         let version = newest.or(self.first_version).unwrap_or(0);
         let Some(replica) = self.replicas.get_mut(endpoint) else {
             return;
--- a/crates/caraway-placement/src/placer/requests.rs
+++ b/crates/caraway-placement/src/placer/requests.rs
@@ -9,9 +9,10 @@
 use caraway_routes::ModelRef;
 use caraway_types::EndpointId;
 
-use super::{DEADLINE_CHECK_INTERVAL, GrantedRun, NewestVersion, Placer};
+use super::{DEADLINE_CHECK_INTERVAL, GrantedRun, Placer};
 use crate::{
-    DecayingCount, Output, PlacementId, PlacementRequest, RefuseReason, RequestOutcome, SourceId,
+    AnnouncedVersion, AnnouncedVersions, DecayingCount, Output, PlacementId, PlacementRequest,
+    RefuseReason, RequestOutcome, SourceId,
     replica::{AdapterState, Replica},
     run_work::RunWork,
 };
@@ -40,6 +41,12 @@
 /// within this time.
 const NO_ENDPOINT_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of waiting requests up to which they may be checked at each event.
+const FEW_WAITING: usize = 64;
+/// Least time between two checks of many waiting requests. Such a check takes as long as hundreds of grants, and one
+/// for each event of a burst would keep a holder with a small processor share from everything else.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Placer {
     /// Handles a placement request: grants, queues or refuses it.
     pub fn on_request(&mut self, now: Instant, id: PlacementId, request: PlacementRequest) {
@@ -84,7 +91,8 @@
             .waiting
             .model_count()
             .saturating_sub(self.loading_count(now) + 1);
-        if self.load_done_at(now, ahead) + self.settings.min_run_time > deadline {
+        let is_late = self.load_done_at(now, ahead) + self.settings.min_run_time > deadline;
+        if is_late && self.is_late_check_due(now) {
             self.refuse_late(now);
         } else {
             self.refuse_beyond_limits(now);
@@ -193,12 +201,11 @@
         version: u64,
         since: Option<Instant>,
     ) {
-        let newest = self.newest.get(model);
-        if newest.is_some_and(|n| n.version >= version) {
+        let announced = AnnouncedVersion { version, since };
+        let versions = self.versions.entry(model.clone()).or_default();
+        if !versions.add(now, announced, self.settings.version_grace) {
             return;
         }
-        self.newest
-            .insert(model.clone(), NewestVersion { version, since });
         for replica in self.replicas.values_mut() {
             replica.remove_cached(model);
         }
@@ -245,6 +252,12 @@
         replica.is_some_and(Replica::has_free_slot)
     }
 
+    /// Returns whether to check the waiting requests for those that are too late.
+    pub(super) fn is_late_check_due(&self, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LATE_CHECK_INTERVAL;
+        self.waiting.len() <= FEW_WAITING || !self.late_checked_at.is_some_and(is_recent)
+    }
+
     /// Refuses the waiting requests that can't be served in time; their callers may retry once the
     /// loads ahead of them are complete.
     pub(super) fn refuse_late(&mut self, now: Instant) {
@@ -252,6 +265,7 @@
             // They are sent to the next holder.
             return;
         }
+        self.late_checked_at = Some(now);
         let shortest = self.settings.min_run_time;
         let backlog = self.backlog(now);
         let loads_done_at: HashMap<&ModelRef, Instant> = backlog
@@ -304,18 +318,16 @@
 
     /// Returns whether no newer version than this one was announced.
     pub(super) fn is_current(&self, model: &ModelRef, version: u64) -> bool {
-        self.newest.get(model).is_none_or(|n| version >= n.version)
+        let newest = self.versions.get(model).and_then(AnnouncedVersions::newest);
+        newest.is_none_or(|n| version >= n)
     }
 
     /// Returns whether copies of this version may serve: the newest may, and older ones for a while
-    /// after it was announced.
-    fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
-        self.newest.get(model).is_none_or(|n| {
-            let is_recent = n
-                .since
-                .is_some_and(|at| now < at + self.settings.version_grace);
-            version >= n.version || is_recent
-        })
+    /// after their successor was announced.
+    pub(super) fn may_serve(&self, now: Instant, model: &ModelRef, version: u64) -> bool {
+        let grace = self.settings.version_grace;
+        let versions = self.versions.get(model);
+        versions.is_none_or(|v| v.may_serve(now, version, grace))
     }
 
     /// Chooses an endpoint that can run the request now.
--- a/crates/caraway-routes/src/lib.rs
+++ b/crates/caraway-routes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Routes and services as the operators configure them, endpoints as the registry lists them, and
 //! the choice of an endpoint for a request to a plain service. This crate does no I/O.
 
+mod call_tally;
 mod config;
 mod directory;
 mod endpoint;
@@ -16,6 +17,8 @@
 mod solo_limiter;
 mod store_era;
 
+pub use call_tally::CallTally;
+pub use caraway_types::TokenCount;
 pub use config::{EngineConfig, Limits, Model, RoutingConfig, Service};
 pub use directory::{Change, Directory, MissingPolicy};
 pub use endpoint::{Endpoint, EndpointState, LoadedModel, Resident};
@@ -24,7 +27,7 @@
 pub use outage::{OutageDetector, OutageLimits};
 pub use pauses::{PauseLimits, Pauses};
 pub use rate_limiter::RateLimiter;
-pub use request::{ModelRef, PromptSegment, RequestHead, TokenCount};
+pub use request::{ModelRef, PromptSegment, RequestHead};
 pub use request_rate::RequestRate;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Idempotency, Route, Target};
