gateway: name the client account in placement requests

The placement request of a call names the account that its key belongs to, so that the holder's placer shares scarce capacity between accounts.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -351,7 +351,7 @@
 pub(crate) fn placement_request(call: &Call, since: Instant) -> EndpointRequest {
     EndpointRequest {
         service: call.service.clone(),
-        account: None,
+        account: call.requester.account().map(|a| a.name.clone()),
         model: call
             .head
             .model
--- a/crates/caraway-gateway/src/session_server.rs
+++ b/crates/caraway-gateway/src/session_server.rs
@@ -180,9 +180,7 @@
                 });
             }
             ToHolder::End { ticket, end } => {
-                held.with_placer(shared, |placer, now| {
-                    placer.on_request_end(now, id(ticket), end);
-                });
+                held.with_placer(shared, |p, now| p.on_request_end(now, id(ticket), end));
             }
             ToHolder::Stall { ticket } => {
                 held.with_placer(shared, |placer, now| placer.on_stall(now, id(ticket)));
--- a/crates/caraway-placement/tests/versions.rs
+++ b/crates/caraway-placement/tests/versions.rs
@@ -74,6 +74,7 @@
 fn request(placer: &mut Placer, now: Instant, ticket: u64, model: ModelRef) {
     let request = PlacementRequest {
         service: SERVICE.into(),
+        account: None,
         model,
         tokens: TokenCount::default(),
         priority: 0,
