gateway: leave an absent account out of placement requests

The field is encoded only if a request has an account, so requests without one are encoded as by the build before (tests/messages.rs failed on ask.msgpack).

--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -74,7 +74,7 @@
         #[serde(default)]
         avoid: Vec<EndpointId>,
         /// The client account that sent the request; `None` if it has none.
-        #[serde(default)]
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         account: Option<AccountId>,
     },
     /// A request that an earlier holder granted is still running.
