--- a/crates/caraway-gateway/src/placement.rs
+++ b/crates/caraway-gateway/src/placement.rs
@@ -9,7 +9,7 @@
     AnnouncedVersions, PlacementRequest, RefuseReason, RequestOutcome, ZoneLoad,
 };
 use caraway_routes::{CallOutcome, ModelRef, TokenCount};
-use caraway_types::{EndpointId, Ticket, ZoneId};
+use caraway_types::{AccountId, EndpointId, Ticket, ZoneId};
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -64,6 +64,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointRequest {
     pub(crate) service: Arc<str>,
+    pub(crate) account: Option<AccountId>,
     pub(crate) model: ModelRef,
     pub(crate) tokens: TokenCount,
     pub(crate) priority: u8,
@@ -340,6 +341,7 @@
     let decision_rx = if let Some(held) = shared.held_zone(zone) {
         let placement_request = PlacementRequest {
             service: request.service.clone(),
+            account: request.account.clone(),
             model: request.model.clone(),
             tokens: request.tokens,
             priority: request.priority,
@@ -359,6 +361,7 @@
             goal: request.goal.saturating_duration_since(now).into(),
             deadline: request.deadline.saturating_duration_since(now).into(),
             avoid: exclude.to_vec(),
+            account: request.account.clone(),
         };
         session.request_placement(ticket, &frame)
     } else {
