--- a/crates/caraway-accounts/src/allowance.rs
+++ b/crates/caraway-accounts/src/allowance.rs
@@ -31,7 +31,7 @@
 const ADVANCE_REQUESTS: f64 = 4.0;
 
 /// State of an account at an instance, for metrics and logs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AllowanceStatus {
     /// Units that can be spent without a draw.
     pub available: f64,
@@ -128,15 +128,7 @@
             refunds: Lots::default(),
             returned_at: None,
             solo: None,
-            status: AllowanceStatus {
-                available: 0.0,
-                drawn_at: None,
-                is_exhausted: false,
-                is_solo: false,
-                spent: 0.0,
-                drawn: 0.0,
-                refused: 0.0,
-            },
+            status: AllowanceStatus::default(),
         }
     }
 
--- a/crates/caraway-gateway/src/quota_view.rs
+++ b/crates/caraway-gateway/src/quota_view.rs
@@ -115,15 +115,7 @@
     fn of(shared: &Shared, account: &Account) -> Self {
         let quota = account.quota;
         let status = shared.quotas.status(&account.name);
-        let status = status.unwrap_or(AllowanceStatus {
-            available: 0.0,
-            drawn_at: None,
-            is_exhausted: false,
-            is_solo: false,
-            spent: 0.0,
-            drawn: 0.0,
-            refused: 0.0,
-        });
+        let status = status.unwrap_or_default();
         let age = |at| Shared::now().saturating_duration_since(at);
         Self {
             rate: quota.map_or(0.0, |q| q.rate),
--- a/crates/caraway-placement/tests/competing_load.rs
+++ b/crates/caraway-placement/tests/competing_load.rs
@@ -94,10 +94,9 @@
     assert_eq!(order, [0, 1, 0, 0, 2, 3]);
 }
 
-/// Guards against requests that wait until their deadline although the requests before them take all
-/// endpoints until then, and against times to retry at which there is no capacity.
-#[test]
-fn requests_beyond_the_capacity_are_refused_at_once_and_served_when_they_return() {
+/// Returns a fleet after requests for three times its capacity, some callers of which returned, and the kind
+/// of these requests.
+fn overloaded_fleet() -> (Fleet, Kind) {
     let kind = Kind {
         timeout: 3 * SECOND,
         ..short()
@@ -110,16 +109,17 @@
     fleet.schedule(0, capacity * 3.0, 2 * SECOND, 4 * SECOND, pick);
     fleet.schedule(0, capacity * 0.3, 4 * SECOND, 20 * SECOND, pick);
     fleet.run_until(40 * SECOND);
+    (fleet, kind)
+}
+
+/// Guards against requests that wait until their deadline although the requests before them take all
+/// endpoints until then, and against times to retry at which there is no capacity.
+#[test]
+fn requests_beyond_the_capacity_are_refused_and_served_when_they_return() {
+    let (fleet, _) = overloaded_fleet();
     let all = || fleet.requests.values();
-    let refused: Vec<_> = all().filter_map(|r| Some(r.refused?.0 - r.at)).collect();
-    let at_once = refused.iter().filter(|w| **w <= kind.goal / 8).count();
-    let refusals = refused.len();
+    let refusals = all().filter(|r| r.refused.is_some()).count();
     assert!(refusals > 50, "no overload: {refusals} refused");
-    // The others were expected to be on time when they came.
-    assert!(
-        at_once * 3 >= refusals * 2,
-        "{at_once} of {refusals} at once"
-    );
     let expired = all().filter(|r| !r.ended && r.refused.is_none()).count();
     assert!(expired * 100 <= all().count(), "{expired} expired");
     let returned = fleet.returned.iter().map(|ticket| &fleet.requests[ticket]);
@@ -131,6 +131,16 @@
     );
 }
 
+/// Guards against requests that are held and refused later, when their callers have no time left for another attempt.
+#[test]
+fn requests_beyond_the_capacity_are_refused_at_once() {
+    let (fleet, kind) = overloaded_fleet();
+    let refused = fleet.requests.values();
+    let refused: Vec<_> = refused.filter_map(|r| Some(r.refused?.0 - r.at)).collect();
+    let at_once = refused.iter().filter(|w| **w <= kind.goal / 8).count();
+    assert_eq!(at_once, refused.len(), "refused at once, of all refused");
+}
+
 /// Guards against refusals while slots are free and nothing waits, whatever the sizes.
 #[test]
 fn nothing_is_refused_while_slots_are_free() {
