Review case 6: instances of other zones send requests to replicas that leave

Cause: the instance that forwards the registry forwards only records that change its own directory. It has learnt from an answer (Server-Leaving) or a report that the replica leaves, so the draining record changes nothing there and the others never get it. The case replaces the replica of one zone four times, while only that zone's gateway has requests, and then sends some at the others, 3.35 s after the store has accepted the leaving.

--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -115,7 +115,7 @@
 }
 
 /// Does the same, but closes a connection, when it is opened or a request has arrived on it, if `is_cut`
-/// returns true for the client's port. Such a request is not handled.
+/// returns true for the client's port, and sends no answer from then on.
 pub fn serve_unless<C, F>(listener: TcpListener, is_cut: C, handle: F)
 where
     C: Fn(u16) -> bool + Send + Sync + 'static,
@@ -155,6 +155,9 @@
             body,
         };
         let response = handle(request);
+        if is_cut(port) {
+            return Ok(());
+        }
         let mut head = format!(
             "HTTP/1.1 {} x\r\ncontent-length: {}\r\n",
             response.status,
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -31,7 +31,7 @@
     let result = match &*case {
         "slow-read" => cases::slow_read(&record, trouble),
         "memory" => cases::memory(&record, trouble),
-        "frozen-helper" => cases::frozen_helper(&record, trouble),
+        "leaving" => cases::leaving(&record, trouble),
         "keep-alive" => cases::keep_alive(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
