--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -402,3 +402,86 @@
     let answer = client.read(|_| {})?;
     Ok(answer.status)
 }
+
+/// Replicas that say that they are brittle, and a burst that they could serve.
+pub fn brittle(record: &Record, trouble: bool) -> io::Result<bool> {
+    const IDS: [&str; 4] = ["i-1", "i-2", "i-3", "i-4"];
+    const SLOTS: usize = 6;
+    const WORK: Duration = Duration::from_millis(60);
+    /// The number of rejections in a second that a replica bears.
+    const BRITTLE: usize = 5;
+    const PER_S: f64 = 150.0;
+    const BURST: f64 = 1.7;
+    let mut site = Site::new("non_idempotent", 800)?;
+    let falls = Arc::new(AtomicUsize::new(0));
+    for (n, id) in IDS.into_iter().enumerate() {
+        let running = Arc::new(AtomicUsize::new(0));
+        let rejected: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let own: Arc<Mutex<Option<Replica>>> = Arc::default();
+        let (falls, record, replica) = (falls.clone(), record.clone(), own.clone());
+        let started = site.start_replica(id, n % 3, SLOTS, move |_| {
+            let is_full = running.fetch_add(1, Ordering::SeqCst) >= SLOTS;
+            let response = if is_full {
+                let mut rejected = rejected.lock().expect("lock");
+                rejected.retain(|at| at.elapsed() < Duration::from_secs(1));
+                rejected.push(Instant::now());
+                if trouble && rejected.len() > BRITTLE {
+                    rejected.clear();
+                    let lost = running.load(Ordering::SeqCst);
+                    record.line(format!("{id} has rejected more than {BRITTLE} in a second and falls over, with {lost} requests"));
+                    falls.fetch_add(1, Ordering::SeqCst);
+                    let replica = replica.lock().expect("lock");
+                    replica.as_ref().expect("it has started").fall(Duration::from_secs(3));
+                }
+                Response::new(503, "full").with("x-not-executed", 1)
+            } else {
+                thread::sleep(WORK);
+                Response::new(200, "done")
+            };
+            running.fetch_sub(1, Ordering::SeqCst);
+            if !trouble {
+                return response;
+            }
+            response.with("server-brittle", BRITTLE)
+        })?;
+        *own.lock().expect("lock") = Some(started);
+    }
+    for _ in 0..3 {
+        site.start_gateway()?;
+    }
+    if !site.wait_ready() {
+        return Err(io::Error::other("the gateways did not become ready"));
+    }
+    record.line("all gateways are ready");
+    thread::sleep(Duration::from_secs(4));
+    let mut clients = Vec::new();
+    let begin = Instant::now();
+    let mut due = begin;
+    let mut random = 0x2545_f491_4f6c_dd1d_u64;
+    // 6 s at the usual rate, twice `ContactMs`, then 3 s of the burst, and the usual rate again.
+    while begin.elapsed() < Duration::from_secs(12) {
+        random ^= random << 13;
+        random ^= random >> 7;
+        random ^= random << 17;
+        let uniform = (random >> 11) as f64 / (1_u64 << 53) as f64;
+        let is_burst = (6.0..9.0).contains(&begin.elapsed().as_secs_f64());
+        let rate = if is_burst { PER_S * BURST } else { PER_S };
+        due += Duration::from_secs_f64(-(1.0 - uniform).ln() / rate);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let (n, front) = (clients.len(), site.gateways[clients.len() % 3].front);
+        clients.push(thread::spawn(move || {
+            ask(front, "/desk/x", &format!("b{n}"))
+        }));
+    }
+    let total = clients.len();
+    let ends = clients
+        .into_iter()
+        .map(|c| c.join().expect("a client does not panic"));
+    let served = ends.filter(|status| matches!(status, Ok(200))).count();
+    let falls = falls.load(Ordering::SeqCst);
+    record.line(format!(
+        "{falls} of {} replicas fell over, the rule allows 2; {served} of {total} requests were served",
+        IDS.len()
+    ));
+    Ok(falls as f64 > 2.0 + 0.1 * IDS.len() as f64)
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -32,6 +32,7 @@
         "slow-read" => cases::slow_read(&record, trouble),
         "memory" => cases::memory(&record, trouble),
         "leaving" => cases::leaving(&record, trouble),
+        "brittle" => cases::brittle(&record, trouble),
         "keep-alive" => cases::keep_alive(&record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -106,6 +106,7 @@
 const READY: u8 = 0;
 const LEAVING: u8 = 1;
 const ENDED: u8 = 2;
+const DOWN: u8 = 3;
 
 /// A replica of service `desk`.
 #[derive(Clone)]
@@ -128,6 +129,16 @@
         self.state.store(LEAVING, Ordering::SeqCst);
     }
 
+    /// Makes the replica fall over: it drops all connections, and is back after `time`.
+    pub fn fall(&self, time: Duration) {
+        self.state.store(DOWN, Ordering::SeqCst);
+        let state = self.state.clone();
+        thread::spawn(move || {
+            thread::sleep(time);
+            state.store(READY, Ordering::SeqCst);
+        });
+    }
+
     /// Ends the replica and removes its entry.
     pub fn end(&self, store: &Store) {
         self.state.store(ENDED, Ordering::SeqCst);
@@ -189,7 +200,7 @@
         let addr = listener.local_addr()?;
         let state = Arc::new(AtomicU8::new(READY));
         let (ended, answering) = (state.clone(), state.clone());
-        let is_cut = move |_| ended.load(Ordering::SeqCst) == ENDED;
+        let is_cut = move |_| ended.load(Ordering::SeqCst) >= ENDED;
         serve_unless(listener, is_cut, move |request| {
             if request.path() == "/healthz" {
                 return Response::new(200, "").with("x-replica-id", id);
@@ -226,6 +237,7 @@
                 match state.load(Ordering::SeqCst) {
                     READY => beating.register(&store, "ready", seq),
                     LEAVING => beating.register(&store, "draining", seq),
+                    DOWN => {}
                     _ => return,
                 }
                 thread::sleep(Duration::from_millis(1200));
