Forward the registry's record of a draining endpoint whoever knew it before

Cause: apply_endpoint forwarded a record only if it changed the forwarding instance's own directory. An answer of the endpoint had set the state there before, so the record with the state draining was forwarded to nobody, while the receivers' offsets moved past it and they counted as up to date. Change: Directory::is_significant compares an entry with the last entry of its endpoint, whatever was learned from answers or reports. What others know of the registry is what was forwarded to them, so a difference from the last entry is exactly what they lack. Tests: process endpoint_signals draining_entry_reaches_all_instances_after_an_answer_that_said_so (failed before), and two of caraway-routes draining_and_pauses (new function).

--- a/crates/caraway-gateway/src/apply.rs
+++ b/crates/caraway-gateway/src/apply.rs
@@ -201,7 +201,8 @@
 }
 
 /// Applies a registry entry; returns whether to forward it. Entries that only change the adapters
-/// of an endpoint are forwarded in part.
+/// of an endpoint are forwarded in part. The others are forwarded even if this instance knew their
+/// content already, from an answer of the endpoint or a report of another instance.
 fn apply_endpoint(shared: &Rc<Shared>, record: &Record, missing_policy: MissingPolicy) -> bool {
     let id: EndpointId = record.key.clone();
     let Some(value) = &record.value else {
@@ -222,14 +223,14 @@
             return false;
         }
     };
-    let was_ready = shared.directory.borrow().get(&id).map(|e| e.is_ready());
+    let is_significant = shared.directory.borrow().is_significant(&endpoint);
     let change = shared.directory.borrow_mut().put(Shared::now(), endpoint);
     if change == Change::Same {
-        return false;
+        return is_significant;
     }
     let endpoint = shared.directory.borrow().get(&id).cloned();
     let Some(endpoint) = endpoint else {
-        return false;
+        return is_significant;
     };
     if matches!(change, Change::New | Change::Reborn) {
         version_histories::on_endpoint_started(shared, &endpoint);
@@ -256,7 +257,7 @@
         endpoint_limits::update_placer(shared, &endpoint);
     }
     let is_sampled = record.offset.is_multiple_of(RESIDENT_FORWARD_INTERVAL);
-    change != Change::Updated || was_ready != Some(endpoint.is_ready()) || is_sampled
+    is_significant || is_sampled
 }
 
 /// Handles the removal of an endpoint from the directory; `why` is logged.
--- a/crates/caraway-gateway/tests/process/endpoint_signals.rs
+++ b/crates/caraway-gateway/tests/process/endpoint_signals.rs
@@ -1,9 +1,10 @@
 //! Endpoints that signal in their answers that they drain or want a pause.
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use crate::harness::{Gateway, Platform, WAIT_LIMIT, call, has_endpoints};
 use caraway_platform_standin::{Behavior, ProxyMode};
+use serde_json::json;
 
 /// Number of requests in a row; each may be balanced to either of two endpoints.
 const REQUESTS: usize = 12;
@@ -180,3 +181,38 @@
     other.wait_to_hold("gate-2");
     holder.wait_for("the end", || holder.has_line(1202, "successor", "gate-2"));
 }
+
+// Guards against: the instance that reads the registry for the others learns from an answer that an endpoint
+// drains, and then forwards the registry's record of it to none of them.
+#[test]
+fn draining_entry_reaches_all_instances_after_an_answer_that_said_so() {
+    let platform = Platform::start();
+    let reader = Gateway::start_in(platform.store_addr, "gate-1", "z1");
+    reader.wait_to_hold("gate-1");
+    let other = Gateway::start_in(platform.store_addr, "gate-2", "z2");
+    for gateway in [&reader, &other] {
+        gateway.wait_for("the endpoints", || has_endpoints(gateway, &["p-1", "p-2"]));
+    }
+    other.wait_for("a session", || other.has_line(1210, "held_zone", "z1"));
+    // The last read of the registry by this instance ends.
+    thread::sleep(Duration::from_secs(2));
+    platform.with_parts(|parts| parts.pair[0].set_behavior(Behavior::RespondDraining));
+    reader.wait_for("an answer that says so", || {
+        get_pair(&reader, "r");
+        reader.has_line(1120, "change", "Leaving")
+    });
+    let mut entry = platform.pair_entry(0);
+    entry["State"] = json!("draining");
+    platform.publish("keyed.servers", "p-1", entry);
+    let mut later = platform.pair_entry(1);
+    later["Service"] = json!("another");
+    platform.publish("keyed.servers", "last", later);
+    other.wait_for("the entry after it", || has_endpoints(&other, &["last"]));
+    let arrivals = || platform.with_parts(|parts| parts.pair[0].request_count());
+    let before = arrivals();
+    for number in 0..REQUESTS {
+        let answer = get_pair(&other, &format!("s{number}"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    assert_eq!(arrivals() - before, 0, "its entry had said that it drains");
+}
--- a/crates/caraway-routes/src/directory.rs
+++ b/crates/caraway-routes/src/directory.rs
@@ -57,6 +57,8 @@
 #[derive(Debug)]
 struct Known {
     endpoint: Arc<Endpoint>,
+    /// The state that its entry states; `endpoint` also has what it reported in answers.
+    listed_state: EndpointState,
     /// When its entry was last read.
     read_at: Instant,
     /// Set while its entry is missing: when the endpoint is removed unless the entry comes back.
@@ -66,6 +68,7 @@
 impl Directory {
     /// Inserts or replaces an endpoint and clears a pending expiry.
     pub fn put(&mut self, now: Instant, mut endpoint: Endpoint) -> Change {
+        let listed_state = endpoint.state;
         if endpoint.state == EndpointState::Draining {
             self.record_draining(now, &endpoint.id, endpoint.started_ms);
         } else if self.is_draining(&endpoint.id, endpoint.started_ms) {
@@ -77,6 +80,7 @@
         };
         let known = Known {
             endpoint: Arc::new(endpoint),
+            listed_state,
             read_at: now,
             expires_at: None,
         };
@@ -84,6 +88,39 @@
         change
     }
 
+    /// Returns whether an entry differs from the last entry of its endpoint in more than the loaded
+    /// models and the remaining time.
+    ///
+    /// What the endpoint has reported in answers is ignored: instances that rely on the registry may
+    /// have got none of them.
+    #[must_use]
+    pub fn is_significant(&self, entry: &Endpoint) -> bool {
+        let Endpoint {
+            id,
+            service,
+            addr,
+            zone,
+            slots,
+            state,
+            remaining: _,
+            started_ms,
+            software,
+            is_engine,
+            models: _,
+        } = entry;
+        self.endpoints.get(id).is_none_or(|known| {
+            let last = &known.endpoint;
+            known.listed_state != *state
+                || last.service != *service
+                || last.addr != *addr
+                || last.zone != *zone
+                || last.slots != *slots
+                || last.started_ms != *started_ms
+                || last.software != *software
+                || last.is_engine != *is_engine
+        })
+    }
+
     /// Records that an endpoint reported in an answer that it drains; `started_ms` is the start time
     /// of the incarnation that answered. Returns the endpoint if this incarnation was known as
     /// ready.
--- a/crates/caraway-routes/tests/draining_and_pauses.rs
+++ b/crates/caraway-routes/tests/draining_and_pauses.rs
@@ -7,7 +7,7 @@
 };
 
 use caraway_routes::{
-    Change, Directory, Endpoint, EndpointState, MissingPolicy, PauseLimits, Pauses,
+    Change, Directory, Endpoint, EndpointState, LoadedModel, MissingPolicy, PauseLimits, Pauses,
 };
 use caraway_types::EndpointId;
 use proptest::prelude::*;
@@ -68,6 +68,66 @@
     assert!(directory.get("e").expect("known").is_ready());
 }
 
+// Guards against: an entry counts as known, and isn't forwarded, as an answer has told this instance the same.
+#[test]
+fn draining_entry_is_significant_after_an_answer_that_said_so() {
+    let now = Instant::now();
+    let ready = endpoint("e", 1, EndpointState::Ready);
+    let draining = endpoint("e", 1, EndpointState::Draining);
+    let mut directory = Directory::default();
+    assert!(directory.is_significant(&ready), "it is new");
+    directory.put(now, ready.clone());
+    directory.on_draining(now, &"e".into(), Some(1));
+    assert!(
+        !directory.is_significant(&ready),
+        "the registry lists the same"
+    );
+    directory.put(now, ready);
+    assert!(directory.is_significant(&draining));
+    assert_eq!(directory.put(now, draining.clone()), Change::Same);
+    assert!(!directory.is_significant(&draining));
+    directory.remove(now, "e", MissingPolicy::Remove);
+    assert!(directory.is_significant(&draining), "it is listed again");
+}
+
+// Guards against: of the entries that change an endpoint's software version, only some are forwarded.
+#[test]
+fn entries_with_more_than_other_models_are_significant() {
+    let now = Instant::now();
+    let entry = endpoint("e", 1, EndpointState::Ready);
+    let mut directory = Directory::default();
+    directory.put(now, entry.clone());
+    let with_models = Endpoint {
+        models: vec![LoadedModel {
+            model: "base".into(),
+            adapters: Vec::new(),
+        }],
+        ..entry.clone()
+    };
+    assert!(!directory.is_significant(&with_models));
+    let changed = [
+        Endpoint {
+            software: "v2".into(),
+            ..with_models.clone()
+        },
+        Endpoint {
+            slots: 8,
+            ..with_models.clone()
+        },
+        Endpoint {
+            addr: ([127, 0, 0, 1], 2).into(),
+            ..with_models.clone()
+        },
+        Endpoint {
+            started_ms: Some(2),
+            ..with_models
+        },
+    ];
+    for changed in changed {
+        assert!(directory.is_significant(&changed), "{changed:?}");
+    }
+}
+
 #[test]
 fn pause_ends_on_time_and_applies_to_one_incarnation() {
     let now = Instant::now();
