Take a status that no final response has for a failed call

Callers saw: an endpoint's status 101 or 600 to 999 forwarded with its signature; after a 101 their connection no longer spoke HTTP. Cause: Connection::send passed on whatever the HTTP library parses, 100 to 999. Change: a status outside 200 to 599 is CallError::Unknown, the request may have run.

--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -15,6 +15,8 @@
 
 /// Number of concurrent requests.
 const CONCURRENT_REQUESTS: usize = 200;
+/// Size of an upload that takes a while to write, in bytes.
+const UPLOAD_BYTES: usize = 3 << 20;
 /// Memory of the deployments' smallest instances, in KB.
 const MIN_INSTANCE_MEMORY_KB: u64 = 160 << 10;
 
@@ -36,6 +38,10 @@
     RepeatedRefusal { has_id: bool },
     /// It closes the connection in the middle of the head of its answer.
     CutHead,
+    /// Its answer has this status.
+    Status(&'static str),
+    /// It answers before it has read the body, without a length, and resets the connection in the middle.
+    UntilResetDuringUpload,
 }
 
 /// Ids of the requests that a faulty endpoint has run.
@@ -126,7 +132,12 @@
                 stream.write_all(&head.as_bytes()[..head.len() - 5]).ok()?;
                 return None;
             }
-            Fault::UntilReset => {
+            Fault::Status(status) => {
+                let head = head.replace("200 OK", status);
+                let answer = format!("{head}Content-Length: {}\r\n\r\n{id}", id.len());
+                stream.write_all(answer.as_bytes()).ok()?;
+            }
+            Fault::UntilReset | Fault::UntilResetDuringUpload => {
                 let body = long_body(&id);
                 let answer = format!("{head}\r\n{}", &body[..body.len() / 2]);
                 stream.write_all(answer.as_bytes()).ok()?;
@@ -316,6 +327,46 @@
     assert!(gateway.has_line(1403, "why", "the answer broke off"));
 }
 
+// Guards against: an endpoint answers a long upload with a status of success and no length and resets the
+// connection while the upload is being written, and the caller gets the part as a complete answer.
+#[test]
+fn answer_that_is_reset_during_the_upload_is_not_forwarded() {
+    let platform = Platform::start();
+    let gateway = start_gateway(&platform, Fault::UntilResetDuringUpload);
+    let upload = "u".repeat(UPLOAD_BYTES);
+    for path in ["pair", "order"] {
+        for number in 0..10 {
+            let id = format!("{path}-{number}");
+            let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
+            let answer = call(gateway.front, &format!("POST /{path}/x"), &headers, &upload);
+            let is_whole = answer.ends_with(&format!("\r\n\r\n{id}"));
+            assert!(is_whole || !answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+    }
+    assert!(gateway.has_event(1403), "attempts failed");
+}
+
+// Guards against: an endpoint in trouble answers with a status that the protocol doesn't have, or switches to another
+// protocol unasked, and the caller gets this as an answer.
+#[test]
+fn status_that_no_answer_has_is_not_forwarded() {
+    for status in ["000 Trouble", "101 Switching Protocols", "600 Trouble"] {
+        let platform = Platform::start();
+        let gateway = start_gateway(&platform, Fault::Status(status));
+        for path in ["pair", "order"] {
+            for number in 0..10 {
+                let id = format!("{path}-{number}");
+                let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
+                let answer = call(gateway.front, &format!("POST /{path}/x"), &headers, "");
+                let is_own = answer.starts_with("HTTP/1.1 502") && answer.contains("in_doubt");
+                let is_whole = answer.starts_with("HTTP/1.1 200");
+                assert!(is_whole || is_own, "{status}: {answer}");
+            }
+        }
+        assert!(gateway.has_event(1403), "{status}: attempts failed");
+    }
+}
+
 // Guards against: a stream that ends with its connection is taken for a broken one, or its connection
 // is used again.
 #[test]
--- a/crates/caraway-http/src/connection.rs
+++ b/crates/caraway-http/src/connection.rs
@@ -1,6 +1,9 @@
 //! [`Connection`]: an HTTP/1.1 client connection that is owned by the call that uses it.
 
-use std::{io::ErrorKind, mem::MaybeUninit, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    io::ErrorKind, mem::MaybeUninit, net::SocketAddr, ops::RangeInclusive, sync::Arc,
+    time::Duration,
+};
 
 use caraway_wire::CallError;
 use http::{Request, Response};
@@ -116,23 +119,31 @@
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if no byte of the request was written, and
-    /// [`CallError::Unknown`] otherwise.
+    /// [`CallError::Unknown`] otherwise, also if the status is none of a final response.
     pub async fn send(&mut self, request: Request<Payload>) -> Result<IncomingResponse, CallError> {
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut e| {
-                let written = e.take_message().is_none();
-                let detail: Arc<str> = describe(e.error()).into();
-                if written {
-                    CallError::Unknown(detail)
-                } else {
-                    CallError::NotSent(detail)
-                }
-            })
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut e| {
+            let written = e.take_message().is_none();
+            let detail: Arc<str> = describe(e.error()).into();
+            if written {
+                CallError::Unknown(detail)
+            } else {
+                CallError::NotSent(detail)
+            }
+        })?;
+        let status = response.status().as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            let detail = format!("status {status} is none of a final response");
+            return Err(CallError::Unknown(detail.into()));
+        }
+        Ok(response)
     }
 }
 
+/// The statuses of final responses (RFC 9110, section 15). Interim ones are not passed on, and no request
+/// asks to switch protocols.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Size of a connection's read buffer, in bytes; also the largest accepted head of a response.
 const BUFFER_BYTES: usize = 64 << 10;
 
