End answers that have no end, and let other tasks run while bytes keep arriving

Callers saw: beside an endpoint that sends interim answers or the digits of a chunk size without end, requests to other endpoints of the same instance took seconds or failed. Cause: the HTTP library skips both in a loop that ends only with the socket's bytes or after 128 reads of up to 64 KB, and nothing bounded them before the request's deadline. Change: PacedStream lets other tasks run after each 8 KB that are read.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use caraway_http::{Payload, PooledConnection, read_body_within};
+use caraway_http::{Payload, PooledConnection, ResponseBody, read_body_within};
 use caraway_placement::{RefuseReason, RequestOutcome};
 use caraway_platform::{ResponseHead, copy_response_headers, decode_response_head};
 use caraway_quarantine::Quarantine;
@@ -13,7 +13,6 @@
 use caraway_wire::CallError;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -72,7 +71,7 @@
     pub(crate) headers: HeaderMap,
     /// The first bytes.
     pub(crate) first: Bytes,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     /// The incarnation that the request was sent to.
     pub(crate) incarnation: EndpointIncarnation,
     /// Software version of that incarnation; `None` if the registry does not list it.
@@ -636,7 +635,7 @@
     call: &Call,
     placed: Placement,
     pooled: PooledConnection,
-    body: Incoming,
+    body: ResponseBody,
     (status, headers, head): (StatusCode, &HeaderMap, &ResponseHead),
     history: &mut AttemptHistory,
 ) -> Outcome {
--- a/crates/caraway-gateway/src/hand_over.rs
+++ b/crates/caraway-gateway/src/hand_over.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use caraway_http::{Payload, PooledConnection, StreamBuffer};
+use caraway_http::{IncomingResponse, Payload, PooledConnection, StreamBuffer};
 use caraway_platform::{copy_handed_headers, copy_response_headers, refusal_response};
 use caraway_reach::Reach;
 use caraway_types::{Reason, Refusal};
@@ -117,7 +117,7 @@
 
 /// An answer that a helper has begun.
 struct HandedAnswer {
-    response: Response<Incoming>,
+    response: IncomingResponse,
     pooled: PooledConnection,
     helper: HelperGuard,
 }
--- a/crates/caraway-gateway/src/plain.rs
+++ b/crates/caraway-gateway/src/plain.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use caraway_http::{BodyError, Payload, PooledConnection, read_body_within};
+use caraway_http::{BodyError, Payload, PooledConnection, ResponseBody, read_body_within};
 use caraway_placement::{LOW_PRIORITY_WAIT_SHARE, Urgency};
 use caraway_platform::{
     ForwardHeaders, KeepAlive, ResponseHead, SIGNATURE_MISSING, copy_request_headers,
@@ -15,7 +15,6 @@
 use caraway_types::{EndpointId, Reason};
 use caraway_wire::CallError;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
@@ -369,7 +368,7 @@
 /// Reads the body of an answer; the error says why it can't be used.
 async fn read_answer_body(
     shared: &Shared,
-    body: Incoming,
+    body: ResponseBody,
     deadline: Instant,
 ) -> Result<Bytes, &'static str> {
     let body = read_body_within(body, MAX_ANSWER_BYTES, &shared.body_budget);
--- a/crates/caraway-gateway/src/relay.rs
+++ b/crates/caraway-gateway/src/relay.rs
@@ -4,12 +4,11 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use caraway_http::{Payload, StreamBuffer};
+use caraway_http::{Payload, ResponseBody, ResponseError, StreamBuffer};
 use caraway_placement::RequestOutcome;
 use caraway_types::EndpointId;
 use http_body::Frame;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::{
@@ -67,7 +66,7 @@
 /// Result of the search for an endpoint that takes a silent stream over.
 enum TakeoverSearch {
     /// The stream continued before another endpoint was found.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    Frame(Option<Result<Frame<Bytes>, ResponseError>>),
     /// This endpoint takes the stream over.
     Placed(Placement),
     /// No endpoint can take the stream over.
@@ -329,7 +328,11 @@
 
     /// Finds an endpoint that takes a silent stream over. Meanwhile the stream may continue, so
     /// that a merely slow one is not cut off when there is no other endpoint.
-    async fn find_takeover(&self, endpoint: &EndpointId, body: &mut Incoming) -> TakeoverSearch {
+    async fn find_takeover(
+        &self,
+        endpoint: &EndpointId,
+        body: &mut ResponseBody,
+    ) -> TakeoverSearch {
         if self.is_start_in_doubt() {
             return TakeoverSearch::NoEndpoint;
         }
--- a/crates/caraway-gateway/src/serve.rs
+++ b/crates/caraway-gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use anyhow::{Context, Result};
-use caraway_http::{ConnectTimeouts, Payload, set_socket_options};
+use caraway_http::{ConnectTimeouts, PacedStream, Payload, set_socket_options};
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -107,7 +107,7 @@
         .timer(TokioTimer::new())
         .max_buf_size(MAX_HEAD_BYTES)
         .header_read_timeout(idle_timeout);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let connection = builder.serve_connection(TokioIo::new(PacedStream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let wait_for_close = async {
         // An error means that the sender is gone, so that no signal can come.
--- a/crates/caraway-gateway/src/session.rs
+++ b/crates/caraway-gateway/src/session.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload};
+use caraway_http::{Aborted, ConnectTimeouts, Connection, Payload, ResponseBody};
 use caraway_placement::ZoneLoad;
 use caraway_platform::Topic;
 use caraway_reach::Reach;
@@ -17,7 +17,6 @@
 use caraway_wire::CallError;
 use http::{HeaderValue, Method, Request, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::{
     sync::{Notify, mpsc, oneshot},
     time::{Instant, MissedTickBehavior, interval, sleep, timeout},
@@ -335,7 +334,7 @@
         }
     }
 
-    async fn open(&self, shared: &Shared) -> Result<(Connection, Incoming), SessionEnd> {
+    async fn open(&self, shared: &Shared) -> Result<(Connection, ResponseBody), SessionEnd> {
         let closed = |e: CallError| SessionEnd::Closed(e.to_string());
         let mut connection =
             match Connection::connect(self.holder.addr, &ConnectTimeouts::default()).await {
--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use caraway_platform_standin::{Framing, registry_entry};
@@ -15,6 +15,10 @@
 
 /// Number of concurrent requests.
 const CONCURRENT_REQUESTS: usize = 200;
+/// Number of concurrent requests to an endpoint whose answers never end.
+const ENDLESS_ANSWERS: usize = 16;
+/// Time that the callers of the service `pair` wait for an answer.
+const CALLER_DEADLINE: Duration = Duration::from_millis(1500);
 /// Size of an upload that takes a while to write, in bytes.
 const UPLOAD_BYTES: usize = 3 << 20;
 /// Memory of the deployments' smallest instances, in KB.
@@ -27,6 +31,10 @@
     EndlessHead,
     /// The body of its answer never ends.
     EndlessBody,
+    /// It sends interim answers, and never a final one.
+    EndlessInterim,
+    /// The size of the first chunk of its answer never ends.
+    EndlessChunkSize,
     /// It answers, and sends the same answer again 40 ms later.
     LateCopy,
     /// Its answer has no length and ends with its connection.
@@ -100,6 +108,21 @@
                     stream.write_all(&chunk).ok()?;
                 }
             }
+            Fault::EndlessInterim => {
+                let interim = "HTTP/1.1 102 x\r\n\r\n".repeat(1 << 10);
+                loop {
+                    stream.write_all(interim.as_bytes()).ok()?;
+                }
+            }
+            Fault::EndlessChunkSize => {
+                stream.write_all(head.as_bytes()).ok()?;
+                let start = "Transfer-Encoding: chunked\r\n\r\n";
+                stream.write_all(start.as_bytes()).ok()?;
+                let digits = [b'0'; 1 << 14];
+                loop {
+                    stream.write_all(&digits).ok()?;
+                }
+            }
             Fault::LateCopy => {
                 let answer = format!("{head}Content-Length: {}\r\n\r\n{id}", id.len());
                 stream.write_all(answer.as_bytes()).ok()?;
@@ -166,7 +189,8 @@
 
 /// Sends a request to the service `pair` and returns the answer.
 fn get_pair(front: SocketAddr, id: &str) -> String {
-    let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
+    let deadline_ms = CALLER_DEADLINE.as_millis();
+    let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n");
     call(front, "GET /pair/x", &headers, "")
 }
 
@@ -277,6 +301,52 @@
     assert!(peak < MIN_INSTANCE_MEMORY_KB, "{peak} KB");
 }
 
+/// Checks that requests to a working endpoint are answered in time while others wait for an endpoint with this
+/// fault.
+fn check_others_are_served(fault: Fault) {
+    let platform = Platform::start();
+    let faulty_entry = registry_entry("flaky", "z1", start_faulty_endpoint(fault), 2, None);
+    for id in ["f-1", "f-2"] {
+        platform.publish("keyed.servers", id, faulty_entry.clone());
+    }
+    let gateway = Gateway::start(&platform);
+    gateway.wait_for("the endpoints", || has_endpoints(&gateway, &["f-2", "p-2"]));
+    let front = gateway.front;
+    let faulty_calls: Vec<_> = (0..ENDLESS_ANSWERS)
+        .map(|number| {
+            let headers = format!("X-Attempt-Id: f{number}\r\nX-Deadline-Ms: 1500\r\n");
+            thread::spawn(move || call(front, "GET /flaky/x", &headers, ""))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(100));
+    let mut slowest = Duration::ZERO;
+    for number in 0..20 {
+        let start = Instant::now();
+        let answer = get_pair(front, &format!("r{number}"));
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        slowest = slowest.max(start.elapsed());
+    }
+    for faulty in faulty_calls {
+        let answer = faulty.join().expect("an end");
+        assert!(answer.starts_with("HTTP/1.1 50"), "{answer}");
+    }
+    assert!(slowest < CALLER_DEADLINE, "{slowest:?}");
+    let peak = peak_kb(&gateway);
+    assert!(peak < MIN_INSTANCE_MEMORY_KB, "{peak} KB");
+}
+
+// Guards against: an endpoint that sends interim answers without end holds up all other requests.
+#[test]
+fn endless_interim_answers_hold_up_no_other_request() {
+    check_others_are_served(Fault::EndlessInterim);
+}
+
+// Guards against: the same with a chunk size without end.
+#[test]
+fn endless_chunk_sizes_hold_up_no_other_request() {
+    check_others_are_served(Fault::EndlessChunkSize);
+}
+
 #[test]
 fn late_copy_of_an_answer_is_not_forwarded() {
     let platform = Platform::start();
--- a/crates/caraway-http/src/body.rs
+++ b/crates/caraway-http/src/body.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 
 use bytes::{Bytes, BytesMut};
+use http_body::Body;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
 use crate::MemoryBudget;
 
@@ -36,7 +36,10 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body is longer or incomplete.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: fmt::Display> + Unpin,
+{
     read_body_within(body, limit, &MemoryBudget::default()).await
 }
 
@@ -46,11 +49,14 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if the body is longer or incomplete, or if `budget` is used up.
-pub async fn read_body_within(
-    mut body: Incoming,
+pub async fn read_body_within<B>(
+    mut body: B,
     limit: usize,
     budget: &MemoryBudget,
-) -> Result<Bytes, BodyError> {
+) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes, Error: fmt::Display> + Unpin,
+{
     let mut reservation = budget.reserve();
     // A body of a single frame, the usual case, is returned without copying it.
     let mut joined: Option<BytesMut> = None;
--- a/crates/caraway-http/src/connection.rs
+++ b/crates/caraway-http/src/connection.rs
@@ -1,13 +1,13 @@
 //! [`Connection`]: an HTTP/1.1 client connection that is owned by the call that uses it.
 
 use std::{
-    io::ErrorKind, mem::MaybeUninit, net::SocketAddr, ops::RangeInclusive, sync::Arc,
-    time::Duration,
+    future::poll_fn, io::ErrorKind, mem::MaybeUninit, net::SocketAddr, ops::RangeInclusive,
+    sync::Arc, time::Duration,
 };
 
 use caraway_wire::CallError;
 use http::{Request, Response};
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::{
@@ -15,10 +15,13 @@
     time::{Instant, timeout},
 };
 
-use crate::Payload;
+use crate::{
+    Payload, ResponseBody,
+    paced_stream::{PacedStream, ReceivedBytes},
+};
 
 /// A response whose head was received and whose body is still arriving on its [`Connection`].
-pub type IncomingResponse = Response<Incoming>;
+pub type IncomingResponse = Response<ResponseBody>;
 
 /// Number of unanswered keep-alive probes after which the kernel closes a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
@@ -56,6 +59,8 @@
     sender: http1::SendRequest<Payload>,
     /// The socket, to look at what has arrived without reading it.
     socket: Socket,
+    /// The bytes that have arrived without the head of a response or a part of its body.
+    received: Arc<ReceivedBytes>,
     opened_at: Instant,
 }
 
@@ -72,6 +77,8 @@
             .map_err(not_sent)?;
         set_socket_options(&stream, timeouts).map_err(not_sent)?;
         let socket = SockRef::from(&stream).try_clone().map_err(not_sent)?;
+        let received = Arc::<ReceivedBytes>::default();
+        let stream = PacedStream::with_received(stream, received.clone());
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -84,6 +91,7 @@
         Ok(Self {
             sender,
             socket,
+            received,
             opened_at: Instant::now(),
         })
     }
@@ -119,9 +127,18 @@
     /// # Errors
     ///
     /// Returns [`CallError::NotSent`] if no byte of the request was written, and
-    /// [`CallError::Unknown`] otherwise, also if the status is none of a final response.
+    /// [`CallError::Unknown`] otherwise, also if the status is none of a final response or interim
+    /// responses have no end.
     pub async fn send(&mut self, request: Request<Payload>) -> Result<IncomingResponse, CallError> {
-        let sent = self.sender.try_send_request(request).await;
+        self.received.restart(BUFFER_BYTES);
+        let sent = tokio::select! {
+            biased;
+            sent = self.sender.try_send_request(request) => sent,
+            () = poll_fn(|cx| self.received.poll_exceeded(cx)) => {
+                let detail = format!("no final response within {BUFFER_BYTES} bytes");
+                return Err(CallError::Unknown(detail.into()));
+            }
+        };
         let response = sent.map_err(|mut e| {
             let written = e.take_message().is_none();
             let detail: Arc<str> = describe(e.error()).into();
@@ -136,7 +153,7 @@
             let detail = format!("status {status} is none of a final response");
             return Err(CallError::Unknown(detail.into()));
         }
-        Ok(response)
+        Ok(response.map(|body| ResponseBody::new(body, self.received.clone())))
     }
 }
 
@@ -144,7 +161,8 @@
 /// asks to switch protocols.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
-/// Size of a connection's read buffer, in bytes; also the largest accepted head of a response.
+/// Size of a connection's read buffer, in bytes. Also the largest accepted head of a response, with interim
+/// responses.
 const BUFFER_BYTES: usize = 64 << 10;
 
 /// Sets the socket options of a connection: no delay of small packets, keep-alive probes and the
--- a/crates/caraway-http/tests/broken_answers.rs
+++ b/crates/caraway-http/tests/broken_answers.rs
@@ -10,8 +10,11 @@
 use caraway_http::{ConnectTimeouts, Connection, Payload, read_body};
 use http::Request;
 use socket2::{Domain, SockRef, Socket, Type};
+use tokio::time::timeout;
 
 const LIMIT_BYTES: usize = 1 << 20;
+/// Time within which a request ends; it has no deadline of its own.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
 /// Size of an upload that doesn't fit into the buffers of a connection to a server that doesn't read it.
 const UPLOAD_BYTES: usize = 4 << 20;
 /// Receive buffer of the servers, in bytes.
@@ -100,3 +103,50 @@
         assert_eq!(send_for_status(line).await, Ok((status, 2)), "{line}");
     }
 }
+
+// Guards against: a server that sends what is no response, without end, keeps a request and its connection until the
+// request's deadline.
+#[tokio::test]
+async fn endless_bytes_that_are_no_response_are_an_error() {
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let endless_parts = [
+        (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+        (String::new(), "x"),
+        (String::new(), "\r\n"),
+        ("HTTP/1.1 200 OK\r\n".into(), "X-More: and more\r\n"),
+        ("HTTP/1.1 200 OK\r\nX-Long: ".into(), "x"),
+        (CHUNKED.into(), "0"),
+        (format!("{CHUNKED}2;"), "x"),
+        (format!("{CHUNKED}0\r\n"), "X-More: and more\r\n"),
+    ];
+    for (start, repeated) in endless_parts {
+        let name = format!("{start}{repeated}");
+        let addr = start_server(move |mut stream| {
+            let read = stream.read(&mut [0; 1024]).expect("a request");
+            assert!(read > 0);
+            let part = repeated.repeat(1 << 10);
+            let mut sent = stream.write_all(start.as_bytes());
+            while sent.is_ok() {
+                sent = stream.write_all(part.as_bytes());
+            }
+        });
+        let answer = timeout(WAIT_LIMIT, upload(addr, Payload::empty())).await;
+        let answer = answer.unwrap_or_else(|_| panic!("no end of {name:?}"));
+        assert!(answer.is_err(), "{name:?}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn response_after_some_interim_responses_is_complete() {
+    let body_len = 300 << 10;
+    let addr = start_server(move |mut stream| {
+        let read = stream.read(&mut [0; 1024]).expect("a request");
+        assert!(read > 0);
+        let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(20);
+        let head = format!("{interim}HTTP/1.1 200 OK\r\nContent-Length: {body_len}\r\n\r\n");
+        stream.write_all(head.as_bytes()).expect("it is sent");
+        stream.write_all(&vec![b'x'; body_len]).expect("it is sent");
+    });
+    let answer = upload(addr, Payload::empty()).await;
+    assert_eq!(answer, Ok((200, body_len)));
+}
--- a/crates/caraway-soak/src/caller.rs
+++ b/crates/caraway-soak/src/caller.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use caraway_http::{ConnectTimeouts, Connection, Payload};
+use caraway_http::{ConnectTimeouts, Connection, Payload, ResponseBody};
 use caraway_platform_standin::{
     Ledger, RequestKind, build_request, build_route_request, check_response, set_account,
     set_prompt, set_resumption,
@@ -15,7 +15,6 @@
 use http::{Request, StatusCode};
 use http_body::Frame;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::{
@@ -279,7 +278,7 @@
 }
 
 /// Reads a body; returns the bytes that arrived, and whether they are the whole body.
-async fn read_partial(mut body: Incoming) -> (Vec<u8>, bool) {
+async fn read_partial(mut body: ResponseBody) -> (Vec<u8>, bool) {
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         match frame.map(Frame::into_data) {
