Forward a registry entry that comes back unchanged after its deletion

Cause: a reader of the registry that keeps an endpoint through its period of grace found the entry that came back unchanged, and forwarded it to nobody, though it had forwarded the deletion and others had removed the endpoint. The same class as: what this instance knows decided what others are told. Change: Directory::is_significant counts an entry that comes after its deletion as different. Test: caraway-routes draining_and_pauses entry_that_comes_back_is_significant, failed before.

--- a/crates/caraway-routes/src/directory.rs
+++ b/crates/caraway-routes/src/directory.rs
@@ -89,7 +89,7 @@
     }
 
     /// Returns whether an entry differs from the last entry of its endpoint in more than the loaded
-    /// models and the remaining time.
+    /// models and the remaining time, or comes after its deletion.
     ///
     /// What the endpoint has reported in answers is ignored: instances that rely on the registry may
     /// have got none of them.
@@ -110,7 +110,8 @@
         } = entry;
         self.endpoints.get(id).is_none_or(|known| {
             let last = &known.endpoint;
-            known.listed_state != *state
+            known.expires_at.is_some()
+                || known.listed_state != *state
                 || last.service != *service
                 || last.addr != *addr
                 || last.zone != *zone
--- a/crates/caraway-routes/tests/draining_and_pauses.rs
+++ b/crates/caraway-routes/tests/draining_and_pauses.rs
@@ -90,6 +90,21 @@
     assert!(directory.is_significant(&draining), "it is listed again");
 }
 
+// Guards against: an entry that comes back unchanged after an outage isn't forwarded, as this instance has kept its
+// endpoint meanwhile, though others have removed it.
+#[test]
+fn entry_that_comes_back_is_significant() {
+    let now = Instant::now();
+    let entry = endpoint("e", 1, EndpointState::Ready);
+    let mut directory = Directory::default();
+    directory.put(now, entry.clone());
+    let kept_until = MissingPolicy::KeepUntil(now + Duration::from_secs(5));
+    assert!(!directory.remove(now, "e", kept_until));
+    assert!(directory.is_significant(&entry));
+    assert_eq!(directory.put(now, entry.clone()), Change::Same);
+    assert!(!directory.is_significant(&entry));
+}
+
 // Guards against: of the entries that change an endpoint's software version, only some are forwarded.
 #[test]
 fn entries_with_more_than_other_models_are_significant() {
