Keep a connection idle for an hour at most

Cause: Pool::put added the timeout to the present time; the sum overflowed, and the panic ended the request's task. Change: the announced timeout is bounded. Test: caraway-http connection longest_announced_timeout_expires_after_an_hour, panicked before.

--- a/crates/caraway-http/src/pool.rs
+++ b/crates/caraway-http/src/pool.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Longest time for which an idle connection is kept, whatever idle timeout its endpoint announces.
+const MAX_IDLE: Duration = Duration::from_hours(1);
+
 /// Idle connections of one thread, by endpoint. Clones share the connections.
 ///
 /// The most recently used connection is reused first, so that surplus connections expire and are
@@ -128,7 +131,7 @@
         pooled: PooledConnection,
         announced: Option<Duration>,
     ) {
-        let usable = announced.map(|a| a.mul_f64(self.timeouts.idle_fraction));
+        let usable = announced.map(|a| a.min(MAX_IDLE).mul_f64(self.timeouts.idle_fraction));
         let timeout = usable.unwrap_or(self.timeouts.idle);
         let idle = IdleConnection {
             connection: pooled.connection,
--- a/crates/caraway-http/tests/connection.rs
+++ b/crates/caraway-http/tests/connection.rs
@@ -135,6 +135,22 @@
     );
 }
 
+// Guards against: the idle timeout that a server announces overflows the clock, and the panic takes the answer with it.
+#[tokio::test(start_paused = true)]
+async fn longest_announced_timeout_expires_after_an_hour() {
+    let addr = server(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false).await;
+    let pool = Pool::new(PoolTimeouts::default());
+    let pooled = pool
+        .take(&endpoint(), addr)
+        .await
+        .expect("the server accepts");
+    pool.put(&endpoint(), pooled, Some(Duration::from_secs(u64::MAX)));
+    assert!(pool.has_idle(&endpoint(), addr));
+    tokio::time::advance(Duration::from_secs(3601)).await;
+    pool.sweep();
+    assert!(pool.is_empty());
+}
+
 // Guards against: a request is written to a connection whose server has left, and is then in doubt, as the
 // runtime has been too short of processor time to poll the connection.
 #[tokio::test]
