--- a/crates/caraway-http/tests/connection.rs
+++ b/crates/caraway-http/tests/connection.rs
@@ -117,15 +117,21 @@
     assert!(result.is_err_and(|e| e.not_sent()));
 }
 
-#[tokio::test(start_paused = true)]
-async fn idle_connections_expire_before_the_announced_timeout() {
+/// Returns a pool with one connection, whose server has announced this idle timeout, and the server's address.
+async fn pool_with_announced(timeout: Duration) -> (Pool, SocketAddr) {
     let addr = server(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false).await;
     let pool = Pool::new(PoolTimeouts::default());
     let pooled = pool
         .take(&endpoint(), addr)
         .await
         .expect("the server accepts");
-    pool.put(&endpoint(), pooled, Some(Duration::from_secs(1)));
+    pool.put(&endpoint(), pooled, Some(timeout));
+    (pool, addr)
+}
+
+#[tokio::test(start_paused = true)]
+async fn idle_connections_expire_before_the_announced_timeout() {
+    let (pool, _) = pool_with_announced(Duration::from_secs(1)).await;
     assert_eq!(pool.len(), 1);
     tokio::time::advance(Duration::from_millis(900)).await;
     pool.sweep();
@@ -138,13 +144,7 @@
 // Guards against: the idle timeout that a server announces overflows the clock, and the panic takes the answer with it.
 #[tokio::test(start_paused = true)]
 async fn longest_announced_timeout_expires_after_an_hour() {
-    let addr = server(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false).await;
-    let pool = Pool::new(PoolTimeouts::default());
-    let pooled = pool
-        .take(&endpoint(), addr)
-        .await
-        .expect("the server accepts");
-    pool.put(&endpoint(), pooled, Some(Duration::from_secs(u64::MAX)));
+    let (pool, addr) = pool_with_announced(Duration::from_secs(u64::MAX)).await;
     assert!(pool.has_idle(&endpoint(), addr));
     tokio::time::advance(Duration::from_secs(3601)).await;
     pool.sweep();
