--- a/crates/caraway-gateway/tests/process/faulty.rs
+++ b/crates/caraway-gateway/tests/process/faulty.rs
@@ -18,7 +18,7 @@
 const CONCURRENT_REQUESTS: usize = 200;
 /// Number of concurrent requests to an endpoint whose answers never end.
 const ENDLESS_ANSWERS: usize = 16;
-/// Time that the callers of the service `pair` wait for an answer.
+/// Time that callers wait for an answer.
 const CALLER_DEADLINE: Duration = Duration::from_millis(1500);
 /// Size of an upload that takes a while to write, in bytes.
 const UPLOAD_BYTES: usize = 3 << 20;
@@ -49,8 +49,6 @@
     CutHead,
     /// Its answer has this status.
     Status(&'static str),
-    /// It answers before it has read the body, without a length, and resets the connection in the middle.
-    UntilResetDuringUpload,
 }
 
 /// Ids of the requests that a faulty endpoint has run.
@@ -161,7 +159,7 @@
                 let answer = format!("{head}Content-Length: {}\r\n\r\n{id}", id.len());
                 stream.write_all(answer.as_bytes()).ok()?;
             }
-            Fault::UntilReset | Fault::UntilResetDuringUpload => {
+            Fault::UntilReset => {
                 let body = long_body(&id);
                 let answer = format!("{head}\r\n{}", &body[..body.len() / 2]);
                 stream.write_all(answer.as_bytes()).ok()?;
@@ -190,9 +188,14 @@
 
 /// Sends a request to the service `pair` and returns the answer.
 fn get_pair(front: SocketAddr, id: &str) -> String {
+    call_with_deadline(front, "GET /pair/x", id, "")
+}
+
+/// Sends a request whose caller waits for [`CALLER_DEADLINE`] and returns the answer.
+fn call_with_deadline(front: SocketAddr, line: &str, id: &str, body: &str) -> String {
     let deadline_ms = CALLER_DEADLINE.as_millis();
     let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n");
-    call(front, "GET /pair/x", &headers, "")
+    call(front, line, &headers, body)
 }
 
 /// Sends many concurrent requests, about half of which go to the faulty endpoint; returns their
@@ -227,8 +230,7 @@
     let answers: Vec<(String, String)> = (0..60)
         .map(|number| {
             let id = format!("r{number}");
-            let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
-            let answer = call(gateway.front, "POST /order/x", &headers, "");
+            let answer = call_with_deadline(gateway.front, "POST /order/x", &id, "");
             (id, answer)
         })
         .collect();
@@ -315,8 +317,8 @@
     let front = gateway.front;
     let faulty_calls: Vec<_> = (0..ENDLESS_ANSWERS)
         .map(|number| {
-            let headers = format!("X-Attempt-Id: f{number}\r\nX-Deadline-Ms: 1500\r\n");
-            thread::spawn(move || call(front, "GET /flaky/x", &headers, ""))
+            let id = format!("f{number}");
+            thread::spawn(move || call_with_deadline(front, "GET /flaky/x", &id, ""))
         })
         .collect();
     thread::sleep(Duration::from_millis(100));
@@ -403,13 +405,13 @@
 #[test]
 fn answer_that_is_reset_during_the_upload_is_not_forwarded() {
     let platform = Platform::start();
-    let gateway = start_gateway(&platform, Fault::UntilResetDuringUpload);
+    let gateway = start_gateway(&platform, Fault::UntilReset);
     let upload = "u".repeat(UPLOAD_BYTES);
     for path in ["pair", "order"] {
         for number in 0..10 {
             let id = format!("{path}-{number}");
-            let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
-            let answer = call(gateway.front, &format!("POST /{path}/x"), &headers, &upload);
+            let line = format!("POST /{path}/x");
+            let answer = call_with_deadline(gateway.front, &line, &id, &upload);
             let is_whole = answer.ends_with(&format!("\r\n\r\n{id}"));
             assert!(is_whole || !answer.starts_with("HTTP/1.1 200"), "{answer}");
         }
@@ -427,8 +429,8 @@
         for path in ["pair", "order"] {
             for number in 0..10 {
                 let id = format!("{path}-{number}");
-                let headers = format!("X-Attempt-Id: {id}\r\nX-Deadline-Ms: 1500\r\n");
-                let answer = call(gateway.front, &format!("POST /{path}/x"), &headers, "");
+                let line = format!("POST /{path}/x");
+                let answer = call_with_deadline(gateway.front, &line, &id, "");
                 let is_own = answer.starts_with("HTTP/1.1 502") && answer.contains("in_doubt");
                 let is_whole = answer.starts_with("HTTP/1.1 200");
                 assert!(is_whole || is_own, "{status}: {answer}");
