--- /dev/null
+++ b/review/standins-3/src/engine.rs
@@ -0,0 +1,191 @@
+//! A model engine: it follows orders and streams events, as PROTOCOL.md describes.
+
+use std::{
+    collections::BTreeSet,
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::Duration,
+};
+
+use crate::{
+    http::{Conn, Head, serve},
+    record::Record,
+    store::Store,
+};
+
+/// What all engines of a case share.
+#[derive(Clone, Copy)]
+pub struct Spec {
+    pub events: u64,
+    pub interval: Duration,
+}
+
+struct State {
+    adapters: BTreeSet<String>,
+    accepted: u64,
+    newest_token: u64,
+}
+
+/// An engine; clones share it.
+#[derive(Clone)]
+pub struct Engine {
+    pub id: String,
+    pub zone: String,
+    pub software: String,
+    pub addr: SocketAddr,
+    born: u64,
+    spec: Spec,
+    state: Arc<Mutex<State>>,
+    record: Record,
+}
+
+/// Interval between two writes of a registry entry.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+impl Engine {
+    pub fn start(id: &str, zone: &str, software: &str, born: u64, spec: Spec, record: &Record) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        let state = State { adapters: BTreeSet::new(), accepted: 0, newest_token: 0 };
+        let engine = Self {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            software: software.to_owned(),
+            addr,
+            born,
+            spec,
+            state: Arc::new(Mutex::new(state)),
+            record: record.clone(),
+        };
+        let served = engine.clone();
+        serve(listener, move |head, conn| served.handle(head, conn));
+        Ok(engine)
+    }
+
+    /// Writes its registry entry now and with each heartbeat.
+    pub fn register(&self, store: &Store) {
+        self.write_entry(store);
+        let (engine, store) = (self.clone(), store.clone());
+        thread::spawn(move || {
+            loop {
+                thread::sleep(HEARTBEAT);
+                engine.write_entry(&store);
+            }
+        });
+    }
+
+    pub fn write_entry(&self, store: &Store) {
+        let Self { id, zone, software, addr, born, .. } = self;
+        let models = self.models();
+        store.put("keyed.servers", id, &format!(
+            r#"{{"Service":"lm","Address":"{addr}","Zone":"{zone}","Version":"{software}","Slots":16,"State":"ready","ColdLeftMs":0,"born":{born},"Seq":1,"Models":{models}}}"#));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn models(&self) -> String {
+        let state = self.lock();
+        let adapters: Vec<String> = state.adapters.iter().map(|a| format!("\"{a}@1\"")).collect();
+        format!(r#"[{{"Name":"base","Version":1,"Adapters":[{}]}}]"#, adapters.join(","))
+    }
+
+    fn handle(&self, head: &Head, conn: &mut Conn) -> io::Result<bool> {
+        let body = String::from_utf8_lossy(&conn.read_body(head)?).into_owned();
+        let request = head.get("x-attempt-id").unwrap_or_default().to_owned();
+        if head.get("x-expect-replica").is_some_and(|id| id != self.id) {
+            conn.respond(421, "X-Not-Executed: 1\r\n", b"")?;
+            return Ok(true);
+        }
+        match head.path() {
+            "/v1/report" => {
+                let (models, accepted) = (self.models(), self.lock().accepted);
+                let report = format!(
+                    r#"{{"Stage":"colocated","Models":{models},"Busy":false,"Seq":{accepted},"NumWaiting":0,"NumRunning":0,"KvUsed":0,"KvTotal":90000,"Handles":0,"Incoming":[]}}"#
+                );
+                conn.respond(200, "Content-Type: application/json\r\n", report.as_bytes())?;
+                Ok(true)
+            }
+            "/v1/order" => {
+                let status = self.order(&body);
+                conn.respond(status, "", b"")?;
+                Ok(true)
+            }
+            "/healthz" => {
+                conn.respond(200, &format!("X-Replica-Id: {}\r\n", self.id), b"")?;
+                Ok(true)
+            }
+            _ => self.stream(head, conn, &request),
+        }
+    }
+
+    fn order(&self, body: &str) -> u16 {
+        let (Some(token), Some(_)) = (number(body, "FencingToken"), text(body, "Holder")) else {
+            return 400;
+        };
+        let mut state = self.lock();
+        if token < state.newest_token {
+            return 412;
+        }
+        state.newest_token = token;
+        let Some(adapter) = text(body, "Adapter") else {
+            return 200;
+        };
+        let is_load = text(body, "Operation").as_deref() == Some("load");
+        if is_load == state.adapters.contains(&adapter) {
+            return 200;
+        }
+        if number(body, "Expect").is_some_and(|e| e != state.accepted) {
+            return 409;
+        }
+        state.accepted += 1;
+        if is_load {
+            state.adapters.insert(adapter);
+            202
+        } else {
+            state.adapters.remove(&adapter);
+            200
+        }
+    }
+
+    fn stream(&self, head: &Head, conn: &mut Conn, request: &str) -> io::Result<bool> {
+        let adapter = head.get("x-model").and_then(|m| m.split_once('/')).map(|(_, a)| a);
+        if !adapter.is_some_and(|a| self.lock().adapters.contains(a)) {
+            let headers = format!("X-Attempt-Id: {request}\r\nX-Not-Executed: 1\r\n");
+            conn.respond(421, &headers, b"")?;
+            return Ok(true);
+        }
+        let after: u64 = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
+        self.record.line(&format!(
+            "engine {} ({}): runs {request} from event {}, resumes {:?}",
+            self.id, self.software, after + 1, head.get("resumes")
+        ));
+        let seal = format!("{}.{request}", self.id);
+        conn.write(format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {request}\r\nX-Server-Seal: {seal}\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        ).as_bytes())?;
+        for number in after + 1..=self.spec.events {
+            thread::sleep(self.spec.interval);
+            let event = format!("id: {number}\ndata: {}\n\n", self.software);
+            conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        }
+        conn.write(b"0\r\n\r\n")?;
+        Ok(true)
+    }
+}
+
+/// Returns a number in a flat JSON object.
+fn number(json: &str, name: &str) -> Option<u64> {
+    let rest = json.split_once(&format!("\"{name}\":"))?.1.trim_start();
+    let end = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+    rest[..end].parse().ok()
+}
+
+/// Returns a string in a flat JSON object.
+fn text(json: &str, name: &str) -> Option<String> {
+    let rest = json.split_once(&format!("\"{name}\":"))?.1.trim_start();
+    Some(rest.strip_prefix('"')?.split('"').next()?.to_owned())
+}
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -8,10 +8,12 @@
 
 use record::Record;
 
+mod engine;
 mod gateway;
 mod http;
 mod memory;
 mod record;
+mod rollback;
 mod store;
 
 /// How a case ended; the exit status of its script.
@@ -59,6 +61,7 @@
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case {
         "memory" => memory::run(&record, &folder.0, has_trouble)?,
+        "rollback" => rollback::run(&record, &folder.0, has_trouble)?,
         _ => Verdict::CouldNotRun,
     };
     record.line(&format!("verdict {verdict:?}"));
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -19,7 +19,7 @@
     Away,
 }
 
-type Topics = HashMap<String, Vec<(Vec<u8>, Vec<u8>)>>;
+pub type Topics = HashMap<String, Vec<(Vec<u8>, Vec<u8>)>>;
 
 struct State {
     topics: Topics,
@@ -57,6 +57,14 @@
         self.state.1.notify_all();
     }
 
+    /// Returns the newest value of a key.
+    pub fn newest_value(&self, topic: &str, key: &str) -> Option<String> {
+        let state = self.lock();
+        let records = state.topics.get(topic)?;
+        let (_, value) = records.iter().rev().find(|(k, _)| k == key.as_bytes())?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     pub fn set_mode(&self, mode: Mode) {
         self.lock().mode = mode;
         self.state.1.notify_all();
