--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -23,6 +23,12 @@
 }
 
 struct State {
+    /// Version of its software.
+    software: String,
+    /// Start of its process, in Unix milliseconds.
+    born: u64,
+    /// Whether it refuses to serve, as it restarts.
+    is_down: bool,
     adapters: BTreeSet<String>,
     accepted: u64,
     newest_token: u64,
@@ -33,9 +39,7 @@
 pub struct Engine {
     pub id: String,
     pub zone: String,
-    pub software: String,
     pub addr: SocketAddr,
-    born: u64,
     spec: Spec,
     state: Arc<Mutex<State>>,
     record: Record,
@@ -48,13 +52,18 @@
     pub fn start(id: &str, zone: &str, software: &str, born: u64, spec: Spec, record: &Record) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
-        let state = State { adapters: BTreeSet::new(), accepted: 0, newest_token: 0 };
+        let state = State {
+            software: software.to_owned(),
+            born,
+            is_down: false,
+            adapters: BTreeSet::new(),
+            accepted: 0,
+            newest_token: 0,
+        };
         let engine = Self {
             id: id.to_owned(),
             zone: zone.to_owned(),
-            software: software.to_owned(),
             addr,
-            born,
             spec,
             state: Arc::new(Mutex::new(state)),
             record: record.clone(),
@@ -77,12 +86,44 @@
     }
 
     pub fn write_entry(&self, store: &Store) {
-        let Self { id, zone, software, addr, born, .. } = self;
+        let Self { id, zone, addr, .. } = self;
         let models = self.models();
+        let (software, born) = {
+            let state = self.lock();
+            if state.is_down {
+                return;
+            }
+            (state.software.clone(), state.born)
+        };
         store.put("keyed.servers", id, &format!(
             r#"{{"Service":"lm","Address":"{addr}","Zone":"{zone}","Version":"{software}","Slots":16,"State":"ready","ColdLeftMs":0,"born":{born},"Seq":1,"Models":{models}}}"#));
     }
 
+    /// Starts again under its id with this software: it then holds and knows nothing of before.
+    pub fn restart(&self, software: &str, born: u64, pause: Duration, store: &Store) {
+        self.lock().is_down = true;
+        thread::sleep(pause);
+        {
+            let mut state = self.lock();
+            *state = State {
+                software: software.to_owned(),
+                born,
+                is_down: false,
+                adapters: BTreeSet::new(),
+                accepted: 0,
+                newest_token: 0,
+            };
+        }
+        self.record.line(&format!("engine {}: restarts as {software}", self.id));
+        self.write_entry(store);
+    }
+
+    /// Returns the start of its process, by which runs of an earlier one are told.
+    fn life(&self) -> Option<u64> {
+        let state = self.lock();
+        (!state.is_down).then_some(state.born)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
@@ -96,6 +137,9 @@
     fn handle(&self, head: &Head, conn: &mut Conn) -> io::Result<bool> {
         let body = String::from_utf8_lossy(&conn.read_body(head)?).into_owned();
         let request = head.get("x-attempt-id").unwrap_or_default().to_owned();
+        let Some(life) = self.life() else {
+            return Ok(false);
+        };
         if head.get("x-expect-replica").is_some_and(|id| id != self.id) {
             conn.respond(421, "X-Not-Executed: 1\r\n", b"")?;
             return Ok(true);
@@ -118,7 +162,7 @@
                 conn.respond(200, &format!("X-Replica-Id: {}\r\n", self.id), b"")?;
                 Ok(true)
             }
-            _ => self.stream(head, conn, &request),
+            _ => self.stream(head, conn, &request, life),
         }
     }
 
@@ -151,7 +195,8 @@
         }
     }
 
-    fn stream(&self, head: &Head, conn: &mut Conn, request: &str) -> io::Result<bool> {
+    fn stream(&self, head: &Head, conn: &mut Conn, request: &str, life: u64) -> io::Result<bool> {
+        let software = self.lock().software.clone();
         let adapter = head.get("x-model").and_then(|m| m.split_once('/')).map(|(_, a)| a);
         if !adapter.is_some_and(|a| self.lock().adapters.contains(a)) {
             let headers = format!("X-Attempt-Id: {request}\r\nX-Not-Executed: 1\r\n");
@@ -161,7 +206,7 @@
         let after: u64 = head.get("last-event-id").and_then(|v| v.parse().ok()).unwrap_or(0);
         self.record.line(&format!(
             "engine {} ({}): runs {request} from event {}, resumes {:?}",
-            self.id, self.software, after + 1, head.get("resumes")
+            self.id, software, after + 1, head.get("resumes")
         ));
         let seal = format!("{}.{request}", self.id);
         conn.write(format!(
@@ -169,7 +214,10 @@
         ).as_bytes())?;
         for number in after + 1..=self.spec.events {
             thread::sleep(self.spec.interval);
-            let event = format!("id: {number}\ndata: {}\n\n", self.software);
+            if self.life() != Some(life) {
+                return Ok(false);
+            }
+            let event = format!("id: {number}\ndata: {software}\n\n");
             conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
         conn.write(b"0\r\n\r\n")?;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -11,6 +11,7 @@
 mod engine;
 mod gateway;
 mod http;
+mod inplace;
 mod memory;
 mod record;
 mod rollback;
@@ -62,6 +63,7 @@
     let verdict = match case {
         "memory" => memory::run(&record, &folder.0, has_trouble)?,
         "rollback" => rollback::run(&record, &folder.0, has_trouble)?,
+        "inplace" => inplace::run(&record, &folder.0, has_trouble)?,
         _ => Verdict::CouldNotRun,
     };
     record.line(&format!("verdict {verdict:?}"));
--- a/review/standins-3/src/rollback.rs
+++ b/review/standins-3/src/rollback.rs
@@ -18,14 +18,14 @@
     store::{Mode, Store},
 };
 
-const STREAMS: usize = 24;
+pub const STREAMS: usize = 24;
 const ADAPTERS: usize = 8;
 const DEADLINE: Duration = Duration::from_secs(12);
-const SPEC: Spec = Spec { events: 45, interval: Duration::from_millis(100) };
+pub const SPEC: Spec = Spec { events: 45, interval: Duration::from_millis(100) };
 /// More refusals than that and the client gives up.
 const MAX_TRIES: usize = 8;
 
-const CONFIGURATION: &str = r#"{"Version":3,"Routes":[
+pub const CONFIGURATION: &str = r#"{"Version":3,"Routes":[
 {"Name":"blurb","Host":"h.example","PathPrefix":"/blurb/","Kind":"streaming","Resumable":true,
 "TimeoutMs":12000,"GoalMs":1000,"TargetGapMs":250,"Priority":1,"Service":"lm","MaxAttempts":2}],
 "Services":[{"Name":"lm","HealthPath":"/healthz","MaxConns":360,"Engine":{"Slots":16,"WeightSize":100,
@@ -35,9 +35,11 @@
 
 /// What a client got of one stream: the software version of the replica for each event.
 #[derive(Default)]
-struct Got {
-    events: Vec<(u64, String)>,
-    is_complete: bool,
+pub struct Got {
+    pub events: Vec<(u64, String)>,
+    pub is_complete: bool,
+    /// Number of events when the stream first broke off at the client.
+    pub before: Option<usize>,
 }
 
 /// Reads events until the stream ends or breaks.
@@ -61,7 +63,7 @@
 }
 
 /// One client: begins a stream at the first address, and takes it up at the others.
-fn client(number: usize, fronts: &[SocketAddr], record: &Record) -> Got {
+pub fn client(number: usize, adapters: usize, fronts: &[SocketAddr], record: &Record) -> Got {
     let mut got = Got::default();
     let end = Instant::now() + DEADLINE;
     let first = format!("s{number:03}t0");
@@ -76,7 +78,7 @@
         let resumption = last.map_or_else(String::new, |last| {
             format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n")
         });
-        let adapter = number % ADAPTERS;
+        let adapter = number % adapters;
         let request = format!(
             "POST /blurb/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {}\r\nX-Model: base/a{adapter}\r\nX-Token-Count: 100,180\r\nX-Prompt-Prefix: 5c:60,{:x}:40\r\n{resumption}Content-Length: 6\r\n\r\nprompt",
             left.as_millis(), 0x1000 + number
@@ -100,6 +102,7 @@
             got.events.len()
         ));
         if !got.is_complete {
+            got.before.get_or_insert(got.events.len());
             thread::sleep(wait);
         }
     }
@@ -107,7 +110,7 @@
 }
 
 /// Returns the instance that the store names as the holder of the zone.
-fn holder(store: &Store, zone: &str) -> Option<String> {
+pub fn holder(store: &Store, zone: &str) -> Option<String> {
     let value = store.newest_value("keyed.caraway", &format!("holder/{zone}"))?;
     let rest = value.split_once("\"instance\":\"")?.1;
     Some(rest.split('"').next()?.to_owned())
@@ -156,7 +159,7 @@
             let (fronts, record) = (fronts.clone(), record.clone());
             thread::spawn(move || {
                 thread::sleep(Duration::from_millis(20) * number as u32);
-                client(number, &fronts, &record)
+                client(number, ADAPTERS, &fronts, &record)
             })
         })
         .collect();
