--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpListener},
     sync::{Arc, Mutex, MutexGuard},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{
@@ -29,6 +29,14 @@
     born: u64,
     /// Whether it refuses to serve, as it restarts.
     is_down: bool,
+    /// When the model's weights are or were loaded; `None` while it holds none.
+    weights_at: Option<Instant>,
+    /// Places for adapters.
+    slots: usize,
+    /// `Expect` of a load that gets no answer and is carried out later, once.
+    late: Option<(u64, Duration)>,
+    /// Loads that were ordered though no place was free.
+    overloads: Vec<String>,
     adapters: BTreeSet<String>,
     accepted: u64,
     newest_token: u64,
@@ -56,6 +64,10 @@
             software: software.to_owned(),
             born,
             is_down: false,
+            weights_at: Some(Instant::now()),
+            slots: 16,
+            late: None,
+            overloads: Vec::new(),
             adapters: BTreeSet::new(),
             accepted: 0,
             newest_token: 0,
@@ -101,6 +113,18 @@
 
     /// Starts again under its id with this software: it then holds and knows nothing of before.
     pub fn restart(&self, software: &str, born: u64, pause: Duration, store: &Store) {
+        self.restart_with(software, born, pause, store, Some(Instant::now()));
+    }
+
+    /// As [`Self::restart`], with weights only from `weights_at` on, if at all.
+    pub fn restart_with(
+        &self,
+        software: &str,
+        born: u64,
+        pause: Duration,
+        store: &Store,
+        weights_at: Option<Instant>,
+    ) {
         self.lock().is_down = true;
         thread::sleep(pause);
         {
@@ -109,6 +133,10 @@
                 software: software.to_owned(),
                 born,
                 is_down: false,
+                weights_at,
+                slots: state.slots,
+                late: None,
+                overloads: std::mem::take(&mut state.overloads),
                 adapters: BTreeSet::new(),
                 accepted: 0,
                 newest_token: 0,
@@ -128,8 +156,32 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
+    /// Sets which adapters it holds from its start on.
+    pub fn set_held(&self, adapters: impl Iterator<Item = String>) {
+        self.lock().adapters = adapters.collect();
+    }
+
+    /// Leaves the load with this `Expect` unanswered and carries it out later.
+    pub fn set_late(&self, expect: u64, delay: Duration) {
+        self.lock().late = Some((expect, delay));
+    }
+
+    /// Returns the number of accepted orders and the adapters that it holds.
+    pub fn counts(&self) -> (u64, usize) {
+        let state = self.lock();
+        (state.accepted, state.adapters.len())
+    }
+
+    /// Returns the loads that were ordered though no place was free.
+    pub fn overloads(&self) -> Vec<String> {
+        self.lock().overloads.clone()
+    }
+
     fn models(&self) -> String {
         let state = self.lock();
+        if !state.weights_at.is_some_and(|at| at <= Instant::now()) {
+            return "[]".to_owned();
+        }
         let adapters: Vec<String> = state.adapters.iter().map(|a| format!("\"{a}@1\"")).collect();
         format!(r#"[{{"Name":"base","Version":1,"Adapters":[{}]}}]"#, adapters.join(","))
     }
@@ -147,13 +199,25 @@
         match head.path() {
             "/v1/report" => {
                 let (models, accepted) = (self.models(), self.lock().accepted);
+                let is_busy = self.lock().weights_at.is_some_and(|at| at > Instant::now());
                 let report = format!(
-                    r#"{{"Stage":"colocated","Models":{models},"Busy":false,"Seq":{accepted},"NumWaiting":0,"NumRunning":0,"KvUsed":0,"KvTotal":90000,"Handles":0,"Incoming":[]}}"#
+                    r#"{{"Stage":"colocated","Models":{models},"Busy":{is_busy},"Seq":{accepted},"NumWaiting":0,"NumRunning":0,"KvUsed":0,"KvTotal":90000,"Handles":0,"Incoming":[]}}"#
                 );
                 conn.respond(200, "Content-Type: application/json\r\n", report.as_bytes())?;
                 Ok(true)
             }
             "/v1/order" => {
+                if let Some(delay) = self.take_late(&body) {
+                    self.record.line(&format!("engine {}: no answer, late by {delay:?}: {body}", self.id));
+                    let (engine, body) = (self.clone(), body.clone());
+                    thread::spawn(move || {
+                        thread::sleep(delay);
+                        let status = engine.order(&body);
+                        engine.record.line(&format!("engine {}: late order: {status}", engine.id));
+                    });
+                    thread::sleep(Duration::from_secs(1));
+                    return Ok(false);
+                }
                 let status = self.order(&body);
                 conn.respond(status, "", b"")?;
                 Ok(true)
@@ -166,6 +230,18 @@
         }
     }
 
+    fn take_late(&self, body: &str) -> Option<Duration> {
+        let is_load = text(body, "Operation").as_deref() == Some("load");
+        let adapter = text(body, "Adapter")?;
+        let mut state = self.lock();
+        let (expect, delay) = state.late?;
+        if !is_load || number(body, "Expect") != Some(expect) || state.adapters.contains(&adapter) {
+            return None;
+        }
+        state.late = None;
+        Some(delay)
+    }
+
     fn order(&self, body: &str) -> u16 {
         let (Some(token), Some(_)) = (number(body, "FencingToken"), text(body, "Holder")) else {
             return 400;
@@ -175,17 +251,38 @@
             return 412;
         }
         state.newest_token = token;
+        let expect = number(body, "Expect");
+        let now = Instant::now();
         let Some(adapter) = text(body, "Adapter") else {
-            return 200;
+            if state.weights_at.is_some_and(|at| at <= now) {
+                return 200;
+            }
+            if state.weights_at.is_some() || expect.is_some_and(|e| e != state.accepted) {
+                return 409;
+            }
+            state.accepted += 1;
+            state.weights_at = Some(now + Duration::from_millis(500));
+            return 202;
         };
+        if !state.weights_at.is_some_and(|at| at <= now) {
+            return 409;
+        }
         let is_load = text(body, "Operation").as_deref() == Some("load");
         if is_load == state.adapters.contains(&adapter) {
             return 200;
         }
-        if number(body, "Expect").is_some_and(|e| e != state.accepted) {
+        if expect.is_some_and(|e| e != state.accepted) {
             return 409;
         }
         state.accepted += 1;
+        if is_load && state.adapters.len() >= state.slots {
+            let held = state.adapters.len();
+            let what = format!("{body}: {held} adapters are held, in {} places", state.slots);
+            self.record.line(&format!("engine {}: crashes: {what}", self.id));
+            state.overloads.push(what);
+            state.is_down = true;
+            return 202;
+        }
         if is_load {
             state.adapters.insert(adapter);
             202
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -12,7 +12,7 @@
 mod gateway;
 mod http;
 mod inplace;
-mod memory;
+mod late;
 mod record;
 mod rollback;
 mod store;
@@ -61,7 +61,7 @@
     std::fs::create_dir_all(&folder.0)?;
     record.line(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case {
-        "memory" => memory::run(&record, &folder.0, has_trouble)?,
+        "late" => late::run(&record, &folder.0, has_trouble)?,
         "rollback" => rollback::run(&record, &folder.0, has_trouble)?,
         "inplace" => inplace::run(&record, &folder.0, has_trouble)?,
         _ => Verdict::CouldNotRun,
