--- a/review/standins-3/src/gateway.rs
+++ b/review/standins-3/src/gateway.rs
@@ -23,7 +23,6 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub peers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -73,7 +72,6 @@
             name: name.to_owned(),
             front,
             ready,
-            peers,
             settings,
             log: dir.join(format!("{name}.log")),
             child: None,
@@ -96,10 +94,6 @@
         Ok(())
     }
 
-    pub fn pid(&self) -> u32 {
-        self.child.as_ref().map_or(0, Child::id)
-    }
-
     /// Kills the process as the platform does (SIGKILL).
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -108,32 +102,6 @@
         }
     }
 
-    /// Sends another signal, for example `TERM` or `STOP`.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid();
-        if pid != 0 {
-            Command::new("kill").args([format!("-{name}"), pid.to_string()]).status().ok();
-        }
-    }
-
-    /// Returns whether the process has ended by itself.
-    pub fn has_exited(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|c| !matches!(c.try_wait(), Ok(None)))
-    }
-
-    /// Returns a figure of /proc/PID/status in MB, for example `VmRSS`.
-    pub fn memory_mb(&self, field: &str) -> f64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = text.lines().find_map(|l| l.strip_prefix(field)?.strip_prefix(':'));
-        let kb = line.and_then(|l| l.trim().trim_end_matches(" kB").parse::<f64>().ok());
-        kb.unwrap_or(0.0) / 1024.0
-    }
-
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-
     /// Waits until the instance answers the platform's readiness check with 200.
     pub fn wait_ready(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -22,10 +22,6 @@
         found.map(|(_, v)| v.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.line.split(' ').next().unwrap_or_default()
-    }
-
     /// Path with query.
     pub fn target(&self) -> &str {
         self.line.split(' ').nth(1).unwrap_or_default()
