Streams whose record the store may have lost are not taken for ones of the former version (ORDER)

Cause: a stream without a record counted as one of the former version, also after the store had lost records. And the origins of streams that began at a zone's holder were known to that instance and the store only, so that nobody wrote them again once it had ended.

Change: the history of a service's versions states when records were last lost (records_lost_ms), and a missing record proves nothing until streams of that time have ended. Holders copy the origins that they append to an instance of their zone and to one of another. All instances write origins again after the store's return, the newest first. Lookups right after it wait up to 0.4 s for that; a refusal then has Retry-After.

Why it works: the default applies only while each acknowledged record must be there; to be unknown after the return, an origin must have lost its instance, the holder and both copies, and then the stream is refused.

--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -424,7 +424,7 @@
 
 /// Sends evidence to the holders of all zones and to the instances that are connected to this one.
 fn send_to_peers(shared: &Rc<Shared>, record: Record) {
-    let frame = RecordsFrame::of_record(PEER_EVIDENCE_LABEL, record);
+    let frame = RecordsFrame::unstored(PEER_EVIDENCE_LABEL, vec![record]);
     let from_holder = FromHolder::Records(frame.clone());
     for held in shared.held_zones() {
         held.forward_records(&from_holder);
--- a/crates/caraway-gateway/src/frame.rs
+++ b/crates/caraway-gateway/src/frame.rs
@@ -325,14 +325,14 @@
 }
 
 impl RecordsFrame {
-    /// Creates a frame with a record that is not in the store, or that the sender can't tell to be.
-    pub(crate) fn of_record(label: &str, record: Record) -> Self {
+    /// Creates a frame with records that are not in the store, or that the sender can't tell to be.
+    pub(crate) fn unstored(label: &str, records: Vec<Record>) -> Self {
         Self {
             topic: label.into(),
             complete: false,
             from: 0,
             next: 0,
-            records: vec![record],
+            records,
             late: false,
             era: 0,
         }
--- a/crates/caraway-gateway/src/held_zone.rs
+++ b/crates/caraway-gateway/src/held_zone.rs
@@ -494,6 +494,22 @@
         }
     }
 
+    /// Sends a frame to one connected instance of the zone and to one of another zone, so that what it
+    /// says is known after this instance, or its zone, has ended.
+    pub(crate) fn send_to_backups(&self, frame: &FromHolder) {
+        let peers = self.peers.borrow();
+        let oldest = |in_zone: bool| {
+            let staying = peers.iter().filter(|(_, p)| !p.state.leaving);
+            let eligible = staying.filter(|(_, p)| (p.zone == self.zone) == in_zone);
+            eligible.min_by_key(|(source, _)| **source).map(|(_, p)| p)
+        };
+        let bytes = frame::encode(frame);
+        for peer in [oldest(true), oldest(false)].into_iter().flatten() {
+            // A full queue is that of a peer which is about to be lost.
+            peer.frames.try_send(Ok(bytes.clone())).ok();
+        }
+    }
+
     /// Creates a pong for an instance of `zone`, in answer to a ping. `asked` is the time at which
     /// the instance sent the ping, counted from the start of its session; `None` for an unsolicited
     /// pong.
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -2,8 +2,9 @@
 //!
 //! While a service has had one version only, nothing is recorded. While streams may have begun at one of
 //! several, each is recorded: instances send what they begin to the holder of their zone, which appends
-//! it to a topic of the platform's store, a batch at a time. An instance at which a caller takes a
-//! stream up that it does not know reads that topic.
+//! it to a topic of the platform's store, a batch at a time, and copies it to other instances, which
+//! write it again if the store loses it. An instance at which a caller takes a stream up that it does
+//! not know reads that topic.
 
 use std::{
     cell::{Cell, RefCell},
@@ -26,16 +27,19 @@
     endpoint_signals::EndpointIncarnation,
     event::emit,
     executor::millis,
-    frame::{RecordsFrame, ToHolder},
+    frame::{FromHolder, RecordsFrame, ToHolder},
     request::{Call, RefusalResponse},
     shared::Shared,
+    topics,
     version_histories::{
-        former_version, needs_record, share_history, unrecorded_origin, was_replaced,
+        former_version, may_lack_records, needs_record, unrecorded_origin, was_replaced,
     },
 };
 
 /// Label of frames with the origins of streams, from an instance to the holder of its zone.
 pub(crate) const ORIGINS_LABEL: &str = "stream-origins";
+/// Label of frames with copies of origins, from the holder of a zone to other instances.
+pub(crate) const ORIGIN_COPIES_LABEL: &str = "stream-origin-copies";
 /// Time in which the origins of streams are collected before they are appended to the store.
 const BATCH_TIME: Duration = Duration::from_millis(20);
 /// Number of origins that wait to be appended; beyond it the oldest are dropped.
@@ -53,15 +57,25 @@
 /// Time after which the store is read again for a stream that is not found: its origin may be in a
 /// batch that is not appended yet.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// `Retry-After` of a request whose stream's origin can't be found while the store does not answer.
+/// Number of times that the store is read again while other instances write what it has lost.
+const RESTORE_LOOKUPS: u32 = 4;
+/// Time after the store's return from an older copy in which instances write again what it has lost.
+const RESTORE_TIME: Duration = Duration::from_secs(2);
+/// `Retry-After` of a request whose stream's origin can't be found while the store does not answer or
+/// lacks records.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Where the origin of a stream was looked for in vain, for log lines and refusals.
 const STORE_SILENT: &str = "the store does not answer";
+const RECORD_LOST: &str = "the store may have lost its record";
 
 /// What this instance knows of the software versions at which streams began.
 #[derive(Debug, Default)]
 pub(crate) struct StreamState {
     origins: RefCell<StreamOrigins>,
+    /// Those of them that this instance has not learned from the store.
+    first_hand: RefCell<StreamOrigins>,
+    /// Origins that are to be sent to the instances that keep copies.
+    uncopied: RefCell<Vec<Record>>,
     /// Origins that are to be appended to the store.
     pending: RefCell<VecDeque<PendingOrigin>>,
     is_flush_scheduled: Cell<bool>,
@@ -71,6 +85,8 @@
     next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
     reading: Mutex<()>,
+    /// When the store was last seen to have returned from an older copy.
+    restored_at: Cell<Option<Instant>>,
 }
 
 /// An origin that is to be appended to the store.
@@ -125,6 +141,19 @@
     fn known(&self, request: &str) -> Option<SoftwareVersion> {
         self.origins.borrow().get(request).cloned()
     }
+
+    /// Records an origin that does not come from the store.
+    fn insert_first_hand(&self, request: &RequestId, software: &SoftwareVersion) {
+        for origins in [&self.origins, &self.first_hand] {
+            origins.borrow_mut().insert(request, software);
+        }
+    }
+
+    /// Returns whether other instances may be writing again what the store has lost.
+    fn is_being_restored(&self) -> bool {
+        let restored_at = self.restored_at.get();
+        restored_at.is_some_and(|at| at.elapsed() < RESTORE_TIME)
+    }
 }
 
 impl Shared {
@@ -204,13 +233,14 @@
 
 /// Records an origin here and at the holder of the zone, which appends it to the store; returns whether
 /// that got it.
-fn record_in_zone(shared: &Shared, request: &RequestId, software: &SoftwareVersion) -> bool {
-    let mut origins = shared.streams.origins.borrow_mut();
-    origins.insert(request, software);
+fn record_in_zone(shared: &Rc<Shared>, request: &RequestId, software: &SoftwareVersion) -> bool {
+    record_first_hand(shared, request, software);
     let own_zone = &shared.site.zone;
     shared.held_zone(own_zone).is_none()
         && shared.session(own_zone).is_some_and(|session| {
-            session.send(&ToHolder::Records(origin_frame(request, software)))
+            let record = origin_record(request, software);
+            let frame = RecordsFrame::unstored(ORIGINS_LABEL, vec![record]);
+            session.send(&ToHolder::Records(frame))
         })
 }
 
@@ -226,26 +256,57 @@
     former_version(shared, call).filter(|former| serves(shared, call, former))
 }
 
-fn origin_frame(request: &RequestId, software: &SoftwareVersion) -> RecordsFrame {
-    let record = Record {
+fn origin_record(request: &RequestId, software: &SoftwareVersion) -> Record {
+    Record {
         offset: 0,
         key: request.clone(),
         value: Some(software.as_bytes().to_vec().into()),
-    };
-    RecordsFrame::of_record(ORIGINS_LABEL, record)
+    }
 }
 
 /// Handles the origins of streams that another instance of the zone has begun.
 pub(crate) fn on_peer_origins(shared: &Rc<Shared>, frame: &RecordsFrame) {
     for record in &frame.records {
         if let Some(software) = decode_software(record) {
-            let state = &shared.streams;
-            state.origins.borrow_mut().insert(&record.key, &software);
+            record_first_hand(shared, &record.key, &software);
             append_later(shared, &record.key, &software, None);
         }
     }
 }
 
+/// Handles the origins of streams that the holder of a zone appends to the store.
+pub(crate) fn on_origin_copies(shared: &Shared, frame: &RecordsFrame) {
+    for record in &frame.records {
+        if let Some(software) = decode_software(record) {
+            shared.streams.insert_first_hand(&record.key, &software);
+        }
+    }
+}
+
+/// Records an origin that does not come from the store. As the holder of a zone, this instance sends it with
+/// the next batch to those that keep copies.
+fn record_first_hand(shared: &Rc<Shared>, request: &RequestId, software: &SoftwareVersion) {
+    let state = &shared.streams;
+    state.insert_first_hand(request, software);
+    if shared.held_zones.borrow().is_empty() {
+        return;
+    }
+    let mut uncopied = state.uncopied.borrow_mut();
+    uncopied.push(origin_record(request, software));
+    if uncopied.len() > 1 {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        sleep(BATCH_TIME).await;
+        let records = shared.streams.uncopied.take();
+        let frame = FromHolder::Records(RecordsFrame::unstored(ORIGIN_COPIES_LABEL, records));
+        for held in shared.held_zones() {
+            held.send_to_backups(&frame);
+        }
+    });
+}
+
 fn decode_software(record: &Record) -> Option<SoftwareVersion> {
     let text = std::str::from_utf8(record.value.as_deref()?).ok()?;
     Some(text.into())
@@ -346,7 +407,8 @@
     let Some(software) = software else {
         let detail = format!("the software version that began the stream is not known: {source}");
         let refusal = RefusalResponse::not_run(Reason::NotResumable, &detail);
-        return Err(if source == STORE_SILENT {
+        let is_pending = source == RECORD_LOST && shared.streams.is_being_restored();
+        return Err(if source == STORE_SILENT || is_pending {
             refusal.with_retry_after(STORE_RETRY_AFTER)
         } else {
             refusal
@@ -388,6 +450,7 @@
     }
     Ok(match unrecorded_origin(shared, call) {
         Some(software) => (Some(software), "the versions that served"),
+        None if may_lack_records(shared, call) => (None, RECORD_LOST),
         None => (None, "several versions served, and it is not recorded"),
     })
 }
@@ -403,9 +466,18 @@
         return Ok(None);
     }
     read_origins(shared).await?;
-    if state.known(request).is_none() {
+    let mut lookups = 0;
+    let max_lookups = || {
+        if state.is_being_restored() {
+            RESTORE_LOOKUPS
+        } else {
+            1
+        }
+    };
+    while state.known(request).is_none() && lookups < max_lookups() {
         sleep(LOOKUP_PAUSE).await;
         read_origins(shared).await?;
+        lookups += 1;
     }
     Ok(state.known(request))
 }
@@ -428,6 +500,7 @@
         shared
             .metrics
             .record_store_call(Topic::Streams.label(), read.is_ok());
+        topics::check_era(shared);
         let log = match read {
             Ok(log) => log,
             Err(StoreError::Trimmed(Some(first))) if first > next.offset => {
@@ -456,19 +529,19 @@
     }
 }
 
-/// Shares the histories again, as the store may have lost them, and as the holder of the own zone the
-/// origins of its streams.
+/// Writes origins again, as the store may have lost them: as a holder all that are known, else those that
+/// this instance has not learned from the store.
 pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
-    let histories = shared.versions.history.borrow().records();
-    for history in histories {
-        share_history(shared, history);
-    }
-    if shared.held_zone(&shared.site.zone).is_none() {
-        return;
-    }
+    let state = &shared.streams;
+    state.restored_at.set(Some(Instant::now()));
     let origins: Vec<(RequestId, SoftwareVersion)> = {
-        let origins = shared.streams.origins.borrow();
-        let newest = origins.newest(MAX_PENDING);
+        let holds = !shared.held_zones.borrow().is_empty();
+        let origins = if holds {
+            state.origins.borrow()
+        } else {
+            state.first_hand.borrow()
+        };
+        let newest = origins.newest(MAX_PENDING.saturating_sub(state.pending.borrow().len()));
         newest.map(|(r, s)| (r.clone(), s.clone())).collect()
     };
     for (request, software) in &origins {
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -24,7 +24,8 @@
     session::Outgoing,
     shared::Shared,
     store_backoff::StoreBackoff,
-    stream_origins::{self, ORIGINS_LABEL},
+    stream_origins::{self, ORIGIN_COPIES_LABEL, ORIGINS_LABEL},
+    version_histories,
 };
 
 /// Time for which a read of the operators' topic waits at the store for a new record. A lost answer
@@ -249,6 +250,7 @@
     match &*frame.topic {
         PEER_EVIDENCE_LABEL => return crash_records::on_peer_evidence(shared, frame),
         ORIGINS_LABEL => return stream_origins::on_peer_origins(shared, frame),
+        ORIGIN_COPIES_LABEL => return stream_origins::on_origin_copies(shared, frame),
         _ => {}
     }
     let topic = Topic::FOLLOWED
@@ -751,6 +753,7 @@
         drop(topics);
         held.broadcast_pong(shared);
     }
+    version_histories::on_store_restored(shared);
     stream_origins::on_store_restored(shared);
     crash_records::share_quarantines(shared);
 }
--- a/crates/caraway-gateway/src/version_histories.rs
+++ b/crates/caraway-gateway/src/version_histories.rs
@@ -94,6 +94,24 @@
     origin.known()
 }
 
+/// Returns whether the store may have lost the record of a stream of a request's service.
+pub(crate) fn may_lack_records(shared: &Shared, call: &Call) -> bool {
+    let history = shared.versions.history.borrow();
+    history.may_lack_records(Shared::unix_ms(), &call.service, life_ms(call))
+}
+
+/// Shares the histories again, as the store may have lost them and the records of streams.
+pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
+    let histories = {
+        let mut history = shared.versions.history.borrow_mut();
+        history.set_records_lost(Shared::unix_ms());
+        history.records()
+    };
+    for history in histories {
+        share_history(shared, history);
+    }
+}
+
 /// Applies a history that an instance has shared.
 pub(crate) fn on_history(shared: &Rc<Shared>, record: &Record, source: RecordSource) -> bool {
     let value = record.value.as_deref().unwrap_or_default();
@@ -108,9 +126,10 @@
     let state = &shared.versions;
     let is_same = {
         let unshared = state.unshared.borrow();
-        unshared
-            .get(&history.service)
-            .is_some_and(|u| names(u) == names(&history) && u.replaced <= history.replaced)
+        unshared.get(&history.service).is_some_and(|u| {
+            let is_replaced = u.replaced <= history.replaced;
+            names(u) == names(&history) && is_replaced && history.states_loss_of(u)
+        })
     };
     if is_same {
         state.unshared.borrow_mut().remove(&history.service);
@@ -183,7 +202,7 @@
 }
 
 /// Shares a history after a random delay, unless another instance does.
-pub(crate) fn share_history(shared: &Rc<Shared>, history: HistoryRecord) {
+fn share_history(shared: &Rc<Shared>, history: HistoryRecord) {
     let service = history.service.clone();
     let is_scheduled = {
         let mut unshared = shared.versions.unshared.borrow_mut();
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use caraway_platform_standin::{ProxyMode, RESUME_ERROR, StoreMode};
+use caraway_platform_standin::{ProxyMode, RESUME_ERROR, StoreCopy, StoreMode};
 use http::StatusCode;
 
 use crate::harness::{
@@ -449,3 +449,57 @@
         other
     });
 }
+
+/// Starts two instances of which the first holds the zone, and copies the store once both know the
+/// software versions.
+fn start_before_a_copy(platform: &Platform) -> (Gateway, Gateway, StoreCopy) {
+    let first = start_gateway(platform, "gate-1");
+    first.wait_to_hold("gate-1");
+    let second = start_gateway(platform, "gate-2");
+    for gateway in [&first, &second] {
+        gateway.wait_for("the versions", || gateway.has_event(1130));
+    }
+    second.wait_for("its session", || second.has_event(1210));
+    let copy = platform.with_parts(|parts| parts.store.copy());
+    (first, second, copy)
+}
+
+// Guards against: the store returns from an older copy, the instance that began streams as the zone's holder
+// has ended, and an instance to which the streams are unknown takes them for streams of the former version.
+#[test]
+fn streams_of_a_killed_holder_go_on_at_their_version_after_the_store_went_back() {
+    let platform = start_platform();
+    let (first, second, copy) = start_before_a_copy(&platform);
+    check_take_ups(&platform, first, |platform, killed| {
+        drop(killed);
+        platform.with_parts(move |parts| parts.store.restore(copy));
+        second.wait_to_hold("gate-2");
+        let third = Gateway::start_as(platform.store_addr, "gate-3");
+        third.wait_for("the endpoints", || has_endpoints(&third, &MIXED_IDS));
+        third.wait_for("its session", || third.has_event(1210));
+        third
+    });
+}
+
+// Guards against: the same, and no instance that knows the origins is left.
+#[test]
+fn streams_of_unknown_origin_are_refused_after_the_store_went_back() {
+    let platform = start_platform();
+    let (first, second, copy) = start_before_a_copy(&platform);
+    let third = start_gateway(&platform, "gate-3");
+    third.wait_for("its session", || third.has_event(1210));
+    let open: Vec<TcpStream> = (0..STREAMS)
+        .map(|n| read_until_event(first.front, &format!("s{n}"), n % 4, 2))
+        .collect();
+    drop((first, second));
+    platform.with_parts(move |parts| parts.store.restore(copy));
+    third.wait_to_hold("gate-3");
+    drop(open);
+    for number in 0..STREAMS {
+        let id = format!("t{number}");
+        let answer = take_up(&third, &id, &format!("s{number}"), number % 4);
+        assert_eq!(engine_of(&platform, &id), None, "{id} ran");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("\"not_run\""), "{answer}");
+    }
+}
--- a/crates/caraway-streams/src/history.rs
+++ b/crates/caraway-streams/src/history.rs
@@ -16,7 +16,7 @@
 /// Number of versions of a service that are remembered.
 const MAX_VERSIONS: usize = 16;
 /// Largest difference between the clocks of two instances, in milliseconds.
-const CLOCK_SLACK_MS: u64 = 5000;
+pub(crate) const CLOCK_SLACK_MS: u64 = 5000;
 
 /// What is known of the version at which a stream began, of which there is no record.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     replaced: HashMap<Arc<str>, u64>,
     /// Services for which other instances have to know that.
     newly_replaced: HashSet<Arc<str>>,
+    /// When the records of a service's streams may last have been lost.
+    records_lost: HashMap<Arc<str>, u64>,
     /// Versions without an endpoint, and since when.
     missing: HashMap<(Arc<str>, SoftwareVersion), u64>,
 }
@@ -62,6 +64,11 @@
             *replaced = at.max(*replaced);
             self.newly_replaced.remove(&record.service);
         }
+        if let Some(at) = record.records_lost {
+            let lost = self.records_lost.entry(record.service.clone());
+            let lost = lost.or_default();
+            *lost = at.max(*lost);
+        }
     }
 
     /// Records that an endpoint of a service has restarted with another version under its id, at `at_ms` or
@@ -73,11 +80,22 @@
         self.newly_replaced.insert(service.clone());
     }
 
+    /// Records that the records of streams that began before `at_ms` may be lost. A missing one does not
+    /// mean any more that the stream began at the former version.
+    pub fn set_records_lost(&mut self, at_ms: u64) {
+        let several = self.services.iter().filter(|(_, v)| v.len() > 1);
+        for (service, _) in several {
+            let lost = self.records_lost.entry(service.clone()).or_default();
+            *lost = at_ms.max(*lost);
+        }
+    }
+
     fn record(&self, service: &Arc<str>, versions: &[VersionRecord]) -> HistoryRecord {
         HistoryRecord {
             service: service.clone(),
             versions: versions.to_vec(),
             replaced: self.replaced.get(service).copied(),
+            records_lost: self.records_lost.get(service).copied(),
         }
     }
 
@@ -161,8 +179,10 @@
     pub fn unrecorded_origin(&self, now_ms: u64, service: &str, life_ms: u64) -> Origin {
         let is_only = !self.needs_record(now_ms, service, life_ms);
         // Streams that began since the versions serve side by side are recorded, except by instances
-        // that did not know of an endpoint's new version.
-        if !is_only && self.was_replaced(now_ms, service, life_ms) {
+        // that did not know of an endpoint's new version, and unless the record is lost.
+        let may_lack_record = self.was_replaced(now_ms, service, life_ms)
+            || self.may_lack_records(now_ms, service, life_ms);
+        if !is_only && may_lack_record {
             return Origin::Ambiguous;
         }
         self.former_version(now_ms, service, life_ms)
@@ -196,9 +216,13 @@
     /// version under its id.
     #[must_use]
     pub fn was_replaced(&self, now_ms: u64, service: &str, life_ms: u64) -> bool {
-        let lasted = life_ms.saturating_add(CLOCK_SLACK_MS);
-        let replaced = self.replaced.get(service);
-        replaced.is_some_and(|at| at.saturating_add(lasted) > now_ms)
+        is_within_life(self.replaced.get(service), now_ms, life_ms)
+    }
+
+    /// Returns whether the record of a stream that exists now may be lost.
+    #[must_use]
+    pub fn may_lack_records(&self, now_ms: u64, service: &str, life_ms: u64) -> bool {
+        is_within_life(self.records_lost.get(service), now_ms, life_ms)
     }
 
     /// Returns the versions at which a stream may have begun that exists now, the earliest first.
@@ -213,3 +237,9 @@
         versions.filter(may_have_begun).collect()
     }
 }
+
+/// Returns whether a stream that exists now may have begun before `at_ms`, by any instance's clock.
+fn is_within_life(at_ms: Option<&u64>, now_ms: u64, life_ms: u64) -> bool {
+    let lasted = life_ms.saturating_add(CLOCK_SLACK_MS);
+    at_ms.is_some_and(|at| at.saturating_add(lasted) > now_ms)
+}
--- a/crates/caraway-streams/src/origins.rs
+++ b/crates/caraway-streams/src/origins.rs
@@ -1,8 +1,7 @@
 //! [`StreamOrigins`]: the software versions at which streams began.
 
-use std::collections::HashMap;
-
 use caraway_types::{RequestId, SoftwareVersion};
+use indexmap::IndexMap;
 
 /// Number of streams in one generation; two generations are kept.
 const GENERATION_SIZE: usize = 16_384;
@@ -11,8 +10,8 @@
 /// event. The number of streams is bounded; the oldest are dropped first.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
-    current: HashMap<RequestId, SoftwareVersion>,
-    previous: HashMap<RequestId, SoftwareVersion>,
+    current: IndexMap<RequestId, SoftwareVersion>,
+    previous: IndexMap<RequestId, SoftwareVersion>,
 }
 
 impl StreamOrigins {
@@ -27,9 +26,10 @@
         self.current.insert(request.clone(), software.clone());
     }
 
-    /// Returns up to `count` streams, none of which began before the generation of the others.
+    /// Returns up to `count` streams, those that were recorded last first.
     pub fn newest(&self, count: usize) -> impl Iterator<Item = (&RequestId, &SoftwareVersion)> {
-        self.current.iter().chain(&self.previous).take(count)
+        let (current, previous) = (self.current.iter(), self.previous.iter());
+        current.rev().chain(previous.rev()).take(count)
     }
 
     /// Returns the version at which the stream of a request began, `None` if it is not known.
--- a/crates/caraway-streams/src/record.rs
+++ b/crates/caraway-streams/src/record.rs
@@ -5,6 +5,8 @@
 use caraway_types::SoftwareVersion;
 use serde::{Deserialize, Serialize};
 
+use crate::history::CLOCK_SLACK_MS;
+
 /// The versions of a service's software that served lately, the earliest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HistoryRecord {
@@ -19,6 +21,26 @@
         skip_serializing_if = "Option::is_none"
     )]
     pub replaced: Option<u64>,
+    /// When the records of streams may last have been lost, in Unix milliseconds.
+    #[serde(
+        rename = "records_lost_ms",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub records_lost: Option<u64>,
+}
+
+impl HistoryRecord {
+    /// Returns whether this states the loss of records that `other` states, which instances notice at
+    /// different times.
+    #[must_use]
+    pub fn states_loss_of(&self, other: &Self) -> bool {
+        let states = |at| {
+            let own = self.records_lost;
+            own.is_some_and(|own| own.saturating_add(CLOCK_SLACK_MS) >= at)
+        };
+        other.records_lost.is_none_or(states)
+    }
 }
 
 /// When a version served. Times are in Unix milliseconds.
--- a/crates/caraway-streams/tests/history.rs
+++ b/crates/caraway-streams/tests/history.rs
@@ -153,6 +153,7 @@
             version("v2", Some(0), Some(u64::MAX)),
         ],
         replaced: None,
+        records_lost: None,
     });
     update(&mut history, START, &[("v1", u64::MAX)]);
     assert_eq!(origin(&history, START), Origin::Ambiguous);
@@ -203,3 +204,37 @@
         &[("v1", 5), ("v2", release)]
     ));
 }
+
+// Guards against: the store has lost the records of streams, and those are taken for streams of the former
+// version.
+#[test]
+fn unrecorded_streams_are_ambiguous_after_records_were_lost() {
+    let mut history = VersionHistory::default();
+    update(&mut history, START, &[("v1", 5)]);
+    history.set_records_lost(START + 500);
+    let release = START + 1000;
+    update(&mut history, release, &[("v1", 5), ("v2", release)]);
+    assert_eq!(
+        origin(&history, release + 1000),
+        known("v1"),
+        "streams of the only version have no records to be lost"
+    );
+    history.set_records_lost(release + 2000);
+    assert_eq!(origin(&history, release + 2500), Origin::Ambiguous);
+    let former = history.former_version(release + 2500, SERVICE, LIFE);
+    assert_eq!(former, known("v1"), "older builds conclude this");
+    let mut other = VersionHistory::default();
+    other.adopt(&history.records()[0]);
+    assert_eq!(origin(&other, release + 2500), Origin::Ambiguous);
+}
+
+#[test]
+fn newest_streams_come_first() {
+    let mut origins = StreamOrigins::default();
+    for number in 0..20_000 {
+        origins.insert(&format!("n{number}").into(), &"v2".into());
+    }
+    let newest: Vec<&str> = origins.newest(10_000).map(|(id, _)| &**id).collect();
+    let expected: Vec<String> = (10_000..20_000).rev().map(|n| format!("n{n}")).collect();
+    assert_eq!(newest, expected);
+}
