Streams that can have no record are not taken for ones of the former version (ORDER)

What callers saw: while several software versions served, a take-up of a stream whose request had an id that is no key of the store, or one that names no stream, went on at the former version elsewhere, whatever had begun it.

Evidence: streams_that_can_have_no_record_are_not_joined failed before (t0 ran at the former version).

Change: where several versions can be its origin, such a stream goes on only at an instance that knows it.

--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -176,6 +176,12 @@
     call.head.resumes.is_some() || call.head.resume_after.is_some()
 }
 
+/// Returns whether the id of a request is a key of the store. The stream of another request has no
+/// record and goes on only where it is known.
+fn is_key(request: &str) -> bool {
+    (1..=MAX_KEY_BYTES).contains(&request.len())
+}
+
 /// Records at which version the stream of a request began, if that does not follow from the history
 /// of its service. Where the history says that the stream began at another version, waits until the store
 /// has its origin.
@@ -184,9 +190,11 @@
 /// stream can begin at the other version instead.
 pub(crate) async fn on_first_event(shared: &Rc<Shared>, call: &Call, start: &StreamStart) -> bool {
     let software = &start.software;
-    // A longer id is no key of the store; that stream goes on only where it is known.
-    let has_key = (1..=MAX_KEY_BYTES).contains(&call.head.id.len());
-    if takes_up(call) || !call.route.resumable || !has_key || !needs_record(shared, call) {
+    if takes_up(call)
+        || !call.route.resumable
+        || !is_key(&call.head.id)
+        || !needs_record(shared, call)
+    {
         return true;
     }
     let request = &call.head.id;
@@ -448,6 +456,9 @@
     if let Some(software) = lookup.await.unwrap_or_else(timed_out)? {
         return Ok((Some(software), "the store"));
     }
+    if !is_key(request) && needs_record(shared, call) {
+        return Ok((None, "several versions served, and it can have no record"));
+    }
     Ok(match unrecorded_origin(shared, call) {
         Some(software) => (Some(software), "the versions that served"),
         None if may_lack_records(shared, call) => (None, RECORD_LOST),
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -503,3 +503,27 @@
         assert!(answer.contains("\"not_run\""), "{answer}");
     }
 }
+
+// Guards against: a stream whose record can't exist, as the request that takes it up names no stream or one
+// whose id is no key of the store, is taken for a stream of the former version.
+#[test]
+fn streams_that_can_have_no_record_are_not_joined() {
+    let platform = start_platform();
+    let first = start_gateway(&platform, "gate-1");
+    let other = start_gateway(&platform, "gate-2");
+    for gateway in [&first, &other] {
+        gateway.wait_for("the versions", || gateway.has_event(1130));
+    }
+    let long_id = "x".repeat(400);
+    drop(read_until_event(first.front, &long_id, 0, 2));
+    for (number, resumes) in [format!("Resumes: {long_id}\r\n"), String::new()]
+        .iter()
+        .enumerate()
+    {
+        let id = format!("t{number}");
+        let headers = format!("{}{resumes}Last-Event-Id: 2\r\n", headers(&id, 0));
+        let answer = call(other.front, "POST /mixed/x", &headers, "prompt");
+        assert_eq!(engine_of(&platform, &id), None, "{id} ran");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+}
