--- a/crates/caraway-gateway/src/crash_records.rs
+++ b/crates/caraway-gateway/src/crash_records.rs
@@ -12,13 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    apply::RecordSource,
-    event::emit,
-    executor::millis,
-    frame::{FromHolder, RecordsFrame, ToHolder},
-    shared::Shared,
-    store_backoff::StoreBackoff,
-    topics,
+    apply::RecordSource, event::emit, executor::millis, frame::RecordsFrame, shared::Shared,
+    store_backoff::StoreBackoff, topics,
 };
 
 /// Label of frames with evidence that the store does not have.
@@ -211,7 +206,7 @@
     let holds = !shared.held_zones.borrow().is_empty();
     for record in &frame.records {
         if on_record(shared, record, RecordSource::Log) && holds {
-            send_to_peers(shared, record.clone());
+            topics::send_to_peers(shared, PEER_EVIDENCE_LABEL, record.clone());
         }
     }
 }
@@ -410,7 +405,7 @@
                 key: key.clone(),
                 value,
             };
-            send_to_peers(shared, record);
+            topics::send_to_peers(shared, PEER_EVIDENCE_LABEL, record);
         }
         let is_crash = matches!(evidence, Some(EvidenceRecord::Crash { .. }));
         let is_old = is_crash && seen_at.elapsed() > MAX_CRASH_AGE;
@@ -422,19 +417,6 @@
     }
 }
 
-/// Sends evidence to the holders of all zones and to the instances that are connected to this one.
-fn send_to_peers(shared: &Rc<Shared>, record: Record) {
-    let frame = RecordsFrame::unstored(PEER_EVIDENCE_LABEL, vec![record]);
-    let from_holder = FromHolder::Records(frame.clone());
-    for held in shared.held_zones() {
-        held.forward_records(&from_holder);
-    }
-    let to_holder = ToHolder::Records(frame);
-    for session in shared.sessions.borrow().values() {
-        session.send(&to_holder);
-    }
-}
-
 /// Returns the key of a quarantine's record.
 fn key_of(quarantine: &Quarantine) -> Arc<str> {
     quarantine_key(suspects_hash(&quarantine.service, &quarantine.suspects))
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -32,7 +32,8 @@
     shared::Shared,
     topics,
     version_histories::{
-        former_version, may_lack_records, needs_record, unrecorded_origin, was_replaced,
+        former_version, may_lack_records, needs_record, set_records_lost, share_history_of,
+        unrecorded_origin, was_replaced,
     },
 };
 
@@ -40,6 +41,8 @@
 pub(crate) const ORIGINS_LABEL: &str = "stream-origins";
 /// Label of frames with copies of origins, from the holder of a zone to other instances.
 pub(crate) const ORIGIN_COPIES_LABEL: &str = "stream-origin-copies";
+/// Label of frames with services whose streams may lack their records, and since when, in Unix milliseconds.
+pub(crate) const UNSTORED_LABEL: &str = "streams-unstored";
 /// Time in which the origins of streams are collected before they are appended to the store.
 const BATCH_TIME: Duration = Duration::from_millis(20);
 /// Number of origins that wait to be appended; beyond it the oldest are dropped.
@@ -57,16 +60,16 @@
 /// Time after which the store is read again for a stream that is not found: its origin may be in a
 /// batch that is not appended yet.
 const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// Number of times that the store is read again while other instances write what it has lost.
-const RESTORE_LOOKUPS: u32 = 4;
-/// Time after the store's return from an older copy in which instances write again what it has lost.
-const RESTORE_TIME: Duration = Duration::from_secs(2);
+/// Number of times that the store is read again while other instances write what it lacks.
+const COMPLETION_LOOKUPS: u32 = 4;
+/// Time in which instances write the origins that the store is known to lack.
+const COMPLETION_TIME: Duration = Duration::from_secs(2);
 /// `Retry-After` of a request whose stream's origin can't be found while the store does not answer or
 /// lacks records.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Where the origin of a stream was looked for in vain, for log lines and refusals.
 const STORE_SILENT: &str = "the store does not answer";
-const RECORD_LOST: &str = "the store may have lost its record";
+const RECORD_LOST: &str = "the store may lack its record";
 
 /// What this instance knows of the software versions at which streams began.
 #[derive(Debug, Default)]
@@ -85,8 +88,8 @@
     next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
     reading: Mutex<()>,
-    /// When the store was last seen to have returned from an older copy.
-    restored_at: Cell<Option<Instant>>,
+    /// When this instance last learned that the store lacks origins which others may be writing.
+    unstored_seen: Cell<Option<Instant>>,
 }
 
 /// An origin that is to be appended to the store.
@@ -149,10 +152,10 @@
         }
     }
 
-    /// Returns whether other instances may be writing again what the store has lost.
-    fn is_being_restored(&self) -> bool {
-        let restored_at = self.restored_at.get();
-        restored_at.is_some_and(|at| at.elapsed() < RESTORE_TIME)
+    /// Returns whether other instances may be writing what the store lacks.
+    fn is_being_completed(&self) -> bool {
+        let unstored_seen = self.unstored_seen.get();
+        unstored_seen.is_some_and(|at| at.elapsed() < COMPLETION_TIME)
     }
 }
 
@@ -207,6 +210,9 @@
         if matches!(stored, Ok(Ok(Stored::Rejected))) && serves(shared, call, former) {
             return false;
         }
+        if !matches!(stored, Ok(Ok(Stored::Yes))) {
+            on_unstored(shared, &call.service);
+        }
     }
     // A missing record means the former version to other builds, so only a stream of that can wait for it.
     if former.is_none() && start.is_in_doubt(shared, call) {
@@ -223,6 +229,42 @@
     true
 }
 
+/// Lets all instances know, before the caller gets the first event of a stream of another version than the
+/// former one, that its origin is not in the store.
+fn on_unstored(shared: &Rc<Shared>, service: &Arc<str>) {
+    let at_ms = Shared::unix_ms();
+    if !set_records_lost(shared, service, at_ms) {
+        return;
+    }
+    shared.streams.unstored_seen.set(Some(Instant::now()));
+    let record = Record {
+        offset: 0,
+        key: service.clone(),
+        value: Some(at_ms.to_string().into()),
+    };
+    topics::send_to_peers(shared, UNSTORED_LABEL, record);
+    share_history_of(shared, service);
+}
+
+/// Handles notices of other instances that streams of a service may lack their records.
+pub(crate) fn on_peer_unstored(shared: &Shared, frame: &RecordsFrame) {
+    let holds = !shared.held_zones.borrow().is_empty();
+    for record in &frame.records {
+        let text = std::str::from_utf8(record.value.as_deref().unwrap_or_default());
+        let Some(at_ms) = text.ok().and_then(|t| t.parse().ok()) else {
+            emit!(shared, warn, FrameSkipped; "kind" => UNSTORED_LABEL,
+                "problem" => "no time in Unix milliseconds", "service" => &*record.key);
+            continue;
+        };
+        if set_records_lost(shared, &record.key, at_ms) {
+            shared.streams.unstored_seen.set(Some(Instant::now()));
+            if holds {
+                topics::send_to_peers(shared, UNSTORED_LABEL, record.clone());
+            }
+        }
+    }
+}
+
 /// Records the origin of a stream once the registry proves which incarnation of the endpoint began it.
 async fn record_when_proven(shared: Rc<Shared>, request: RequestId, start: StreamStart) {
     sleep_until(start.opened_at + ENTRY_LAG).await;
@@ -415,7 +457,7 @@
     let Some(software) = software else {
         let detail = format!("the software version that began the stream is not known: {source}");
         let refusal = RefusalResponse::not_run(Reason::NotResumable, &detail);
-        let is_pending = source == RECORD_LOST && shared.streams.is_being_restored();
+        let is_pending = source == RECORD_LOST && shared.streams.is_being_completed();
         return Err(if source == STORE_SILENT || is_pending {
             refusal.with_retry_after(STORE_RETRY_AFTER)
         } else {
@@ -479,8 +521,8 @@
     read_origins(shared).await?;
     let mut lookups = 0;
     let max_lookups = || {
-        if state.is_being_restored() {
-            RESTORE_LOOKUPS
+        if state.is_being_completed() {
+            COMPLETION_LOOKUPS
         } else {
             1
         }
@@ -544,7 +586,7 @@
 /// this instance has not learned from the store.
 pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
     let state = &shared.streams;
-    state.restored_at.set(Some(Instant::now()));
+    state.unstored_seen.set(Some(Instant::now()));
     let origins: Vec<(RequestId, SoftwareVersion)> = {
         let holds = !shared.held_zones.borrow().is_empty();
         let origins = if holds {
--- a/crates/caraway-gateway/src/topics.rs
+++ b/crates/caraway-gateway/src/topics.rs
@@ -24,7 +24,7 @@
     session::Outgoing,
     shared::Shared,
     store_backoff::StoreBackoff,
-    stream_origins::{self, ORIGIN_COPIES_LABEL, ORIGINS_LABEL},
+    stream_origins::{self, ORIGIN_COPIES_LABEL, ORIGINS_LABEL, UNSTORED_LABEL},
     version_histories,
 };
 
@@ -251,6 +251,7 @@
         PEER_EVIDENCE_LABEL => return crash_records::on_peer_evidence(shared, frame),
         ORIGINS_LABEL => return stream_origins::on_peer_origins(shared, frame),
         ORIGIN_COPIES_LABEL => return stream_origins::on_origin_copies(shared, frame),
+        UNSTORED_LABEL => return stream_origins::on_peer_unstored(shared, frame),
         _ => {}
     }
     let topic = Topic::FOLLOWED
@@ -557,6 +558,20 @@
     }
 }
 
+/// Sends a record that is not in the store to the holders of all zones and to the instances that are
+/// connected to this one.
+pub(crate) fn send_to_peers(shared: &Shared, label: &str, record: Record) {
+    let frame = RecordsFrame::unstored(label, vec![record]);
+    let from_holder = FromHolder::Records(frame.clone());
+    for held in shared.held_zones() {
+        held.forward_records(&from_holder);
+    }
+    let to_holder = ToHolder::Records(frame);
+    for session in shared.sessions.borrow().values() {
+        session.send(&to_holder);
+    }
+}
+
 /// Returns whether this instance's copy of the registry is current: it is read without failures and
 /// not just after an outage.
 pub(crate) fn is_registry_current(shared: &Shared) -> bool {
--- a/crates/caraway-gateway/src/version_histories.rs
+++ b/crates/caraway-gateway/src/version_histories.rs
@@ -102,12 +102,24 @@
 
 /// Shares the histories again, as the store may have lost them and the records of streams.
 pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
-    let histories = {
-        let mut history = shared.versions.history.borrow_mut();
-        history.set_records_lost(Shared::unix_ms());
-        history.records()
-    };
+    let histories = shared.versions.history.borrow().records();
     for history in histories {
+        set_records_lost(shared, &history.service, Shared::unix_ms());
+        share_history_of(shared, &history.service);
+    }
+}
+
+/// Records that streams of a service that began before `at_ms` may lack their records; returns whether other
+/// instances have to know.
+pub(crate) fn set_records_lost(shared: &Shared, service: &Arc<str>, at_ms: u64) -> bool {
+    let mut history = shared.versions.history.borrow_mut();
+    history.set_records_lost(service, at_ms)
+}
+
+/// Shares the history of a service unless it has had one version only.
+pub(crate) fn share_history_of(shared: &Rc<Shared>, service: &Arc<str>) {
+    let history = shared.versions.history.borrow().record_of(service);
+    if let Some(history) = history {
         share_history(shared, history);
     }
 }
--- a/crates/caraway-gateway/tests/process/software_versions.rs
+++ b/crates/caraway-gateway/tests/process/software_versions.rs
@@ -527,3 +527,26 @@
         assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     }
 }
+
+// Guards against: the store leaves the record of a stream of the new version unanswered, its caller gets
+// events all the same, and another instance takes the stream for one of the former version.
+#[test]
+fn streams_whose_origins_are_not_stored_are_not_joined_elsewhere() {
+    let platform = start_platform();
+    let (first, _second, _) = start_before_a_copy(&platform);
+    let third = start_gateway(&platform, "gate-3");
+    third.wait_for("its session", || third.has_event(1210));
+    platform.with_parts(|parts| parts.store.set_mode(StoreMode::DropsAppends));
+    let mut at_new = 0;
+    for number in 0..STREAMS {
+        let (id, broken) = (format!("t{number}"), format!("s{number}"));
+        drop(read_until_event(first.front, &broken, number % 4, 2));
+        let began = engine_of(&platform, &broken).expect("it ran");
+        at_new += version_of(began);
+        take_up(&third, &id, &broken, number % 4);
+        if let Some(engine) = engine_of(&platform, &id) {
+            assert_eq!(version_of(engine), version_of(began), "{id} was joined");
+        }
+    }
+    assert!(at_new > 0, "some began at the new version");
+}
