Gateway: looking up the origins of streams is a module of its own

Cause: stream_origins had grown beyond 600 lines with two jobs, recording origins and looking them up.

No behaviour changes.

--- a/crates/caraway-gateway/src/generate.rs
+++ b/crates/caraway-gateway/src/generate.rs
@@ -26,6 +26,7 @@
     },
     event::emit,
     executor::millis,
+    origin_lookup::find_origin,
     placement::{EndpointRequest, Placement, PlacementFailure, place},
     plain::{
         client_response, find_mismatch, record_first_send, request_to_endpoint, return_connection,
@@ -36,7 +37,7 @@
     request::{Call, InFlightGuard, RefusalResponse},
     shared::Shared,
     sse::EventSplitter,
-    stream_origins::{find_origin, required_version},
+    stream_origins::required_version,
 };
 
 /// Why a request was not sent to an endpoint, for log lines and metric labels.
--- a/crates/caraway-gateway/src/lib.rs
+++ b/crates/caraway-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod message;
 mod metrics;
 mod monitoring;
+mod origin_lookup;
 mod placement;
 mod plain;
 mod quota_frame;
--- a/crates/caraway-gateway/src/stream_origins.rs
+++ b/crates/caraway-gateway/src/stream_origins.rs
@@ -16,7 +16,7 @@
 
 use caraway_platform::{MAX_KEY_BYTES, Record, StoreError, Topic};
 use caraway_streams::StreamOrigins;
-use caraway_types::{EndpointId, Position, Reason, RequestId, SoftwareVersion};
+use caraway_types::{EndpointId, Position, RequestId, SoftwareVersion};
 use tokio::{
     sync::{Mutex, oneshot},
     time::{Instant, sleep, sleep_until, timeout},
@@ -26,14 +26,12 @@
     catch_up::catch_up,
     endpoint_signals::EndpointIncarnation,
     event::emit,
-    executor::millis,
     frame::{FromHolder, RecordsFrame, ToHolder},
-    request::{Call, RefusalResponse},
+    request::Call,
     shared::Shared,
     topics,
     version_histories::{
-        former_version, may_lack_records, needs_record, set_records_lost, share_history_of,
-        unrecorded_origin, was_replaced,
+        former_version, needs_record, set_records_lost, share_history_of, was_replaced,
     },
 };
 
@@ -55,26 +53,13 @@
 const STORE_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time from the start of an endpoint until instances can read its registry entry.
 const ENTRY_LAG: Duration = Duration::from_secs(2);
-/// Longest time for which a request that takes a stream up waits for the record of that stream.
-const LOOKUP_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which the store is read again for a stream that is not found: its origin may be in a
-/// batch that is not appended yet.
-const LOOKUP_PAUSE: Duration = Duration::from_millis(100);
-/// Number of times that the store is read again while other instances write what it lacks.
-const COMPLETION_LOOKUPS: u32 = 4;
 /// Time in which instances write the origins that the store is known to lack.
 const COMPLETION_TIME: Duration = Duration::from_secs(2);
-/// `Retry-After` of a request whose stream's origin can't be found while the store does not answer or
-/// lacks records.
-const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Where the origin of a stream was looked for in vain, for log lines and refusals.
-const STORE_SILENT: &str = "the store does not answer";
-const RECORD_LOST: &str = "the store may lack its record";
 
 /// What this instance knows of the software versions at which streams began.
 #[derive(Debug, Default)]
 pub(crate) struct StreamState {
-    origins: RefCell<StreamOrigins>,
+    pub(crate) origins: RefCell<StreamOrigins>,
     /// Those of them that this instance has not learned from the store.
     first_hand: RefCell<StreamOrigins>,
     /// Origins that are to be sent to the instances that keep copies.
@@ -85,9 +70,9 @@
     /// When the store last failed to take origins; `None` after it has taken some.
     unstored_at: Cell<Option<Instant>>,
     /// The next position in the topic of origins.
-    next: Cell<Position>,
+    pub(crate) next: Cell<Position>,
     /// Held while the topic is read, so that concurrent lookups share a read.
-    reading: Mutex<()>,
+    pub(crate) reading: Mutex<()>,
     /// When this instance last learned that the store lacks origins which others may be writing.
     unstored_seen: Cell<Option<Instant>>,
 }
@@ -141,7 +126,7 @@
 
 impl StreamState {
     /// Returns the version at which the stream of a request began, if this instance knows it.
-    fn known(&self, request: &str) -> Option<SoftwareVersion> {
+    pub(crate) fn known(&self, request: &str) -> Option<SoftwareVersion> {
         self.origins.borrow().get(request).cloned()
     }
 
@@ -153,7 +138,7 @@
     }
 
     /// Returns whether other instances may be writing what the store lacks.
-    fn is_being_completed(&self) -> bool {
+    pub(crate) fn is_being_completed(&self) -> bool {
         let unstored_seen = self.unstored_seen.get();
         unstored_seen.is_some_and(|at| at.elapsed() < COMPLETION_TIME)
     }
@@ -175,13 +160,13 @@
 }
 
 /// Returns whether a request takes up a stream that broke off at its caller.
-fn takes_up(call: &Call) -> bool {
+pub(crate) fn takes_up(call: &Call) -> bool {
     call.head.resumes.is_some() || call.head.resume_after.is_some()
 }
 
 /// Returns whether the id of a request is a key of the store. The stream of another request has no
 /// record and goes on only where it is known.
-fn is_key(request: &str) -> bool {
+pub(crate) fn is_key(request: &str) -> bool {
     (1..=MAX_KEY_BYTES).contains(&request.len())
 }
 
@@ -357,7 +342,7 @@
     });
 }
 
-fn decode_software(record: &Record) -> Option<SoftwareVersion> {
+pub(crate) fn decode_software(record: &Record) -> Option<SoftwareVersion> {
     let text = std::str::from_utf8(record.value.as_deref()?).ok()?;
     Some(text.into())
 }
@@ -434,154 +419,13 @@
     false
 }
 
-/// Returns the version at which the stream began that a request takes up; `None` if the request takes
-/// none up.
-///
-/// # Errors
-///
-/// Returns the refusal of a request whose stream can't go on: its version is not known, or no endpoint
-/// has it any more.
-pub(crate) async fn find_origin(
-    shared: &Rc<Shared>,
-    call: &Call,
-) -> Result<Option<SoftwareVersion>, RefusalResponse> {
-    if !takes_up(call) || !call.route.resumable {
-        return Ok(None);
-    }
-    let lookup = look_up(shared, call).await;
-    let (software, source) = lookup.unwrap_or((None, STORE_SILENT));
-    emit!(shared, info, StreamTakenUp; "request" => &*call.head.id,
-        "resumes" => call.head.resumes.as_deref(), "software" => software.as_deref(),
-        "source" => source, "caught_up_ms" => shared.catch_up.age().map(millis),
-        "ms" => millis(call.arrived_at.elapsed()));
-    let Some(software) = software else {
-        let detail = format!("the software version that began the stream is not known: {source}");
-        let refusal = RefusalResponse::not_run(Reason::NotResumable, &detail);
-        let is_pending = source == RECORD_LOST && shared.streams.is_being_completed();
-        return Err(if source == STORE_SILENT || is_pending {
-            refusal.with_retry_after(STORE_RETRY_AFTER)
-        } else {
-            refusal
-        });
-    };
-    if !serves(shared, call, &software) {
-        let detail = format!("no endpoint of the software version {software} is left");
-        return Err(RefusalResponse::not_run(Reason::NotResumable, &detail));
-    }
-    Ok(Some(software))
-}
-
 /// Returns whether an endpoint of a request's service with this software version is ready.
-fn serves(shared: &Shared, call: &Call, software: &SoftwareVersion) -> bool {
+pub(crate) fn serves(shared: &Shared, call: &Call, software: &SoftwareVersion) -> bool {
     let directory = shared.directory.borrow();
     let mut endpoints = directory.of_service(&call.service);
     endpoints.any(|e| e.is_ready() && e.software == *software)
 }
 
-/// Returns the version at which a stream began, if it is known, and where that was learned.
-///
-/// # Errors
-///
-/// Returns an error if the store does not answer and the answer depends on it.
-async fn look_up(
-    shared: &Rc<Shared>,
-    call: &Call,
-) -> Result<(Option<SoftwareVersion>, &'static str), StoreError> {
-    let request = call.head.resumes.as_deref().unwrap_or_default();
-    if let Some(software) = shared.streams.known(request) {
-        return Ok((Some(software), "this instance"));
-    }
-    // A version may have joined without this instance having heard of it.
-    catch_up(shared).await?;
-    let lookup = timeout(LOOKUP_TIMEOUT, look_up_record(shared, call, request));
-    let timed_out = |_| Err(StoreError::Unanswered("timed out".into()));
-    if let Some(software) = lookup.await.unwrap_or_else(timed_out)? {
-        return Ok((Some(software), "the store"));
-    }
-    if !is_key(request) && needs_record(shared, call) {
-        return Ok((None, "several versions served, and it can have no record"));
-    }
-    Ok(match unrecorded_origin(shared, call) {
-        Some(software) => (Some(software), "the versions that served"),
-        None if may_lack_records(shared, call) => (None, RECORD_LOST),
-        None => (None, "several versions served, and it is not recorded"),
-    })
-}
-
-/// Looks for the record of a stream in the store if the history of its service leaves its version open.
-async fn look_up_record(
-    shared: &Rc<Shared>,
-    call: &Call,
-    request: &str,
-) -> Result<Option<SoftwareVersion>, StoreError> {
-    let state = &shared.streams;
-    if !needs_record(shared, call) {
-        return Ok(None);
-    }
-    read_origins(shared).await?;
-    let mut lookups = 0;
-    let max_lookups = || {
-        if state.is_being_completed() {
-            COMPLETION_LOOKUPS
-        } else {
-            1
-        }
-    };
-    while state.known(request).is_none() && lookups < max_lookups() {
-        sleep(LOOKUP_PAUSE).await;
-        read_origins(shared).await?;
-        lookups += 1;
-    }
-    Ok(state.known(request))
-}
-
-/// Reads the topic of origins to its end.
-async fn read_origins(shared: &Rc<Shared>) -> Result<(), StoreError> {
-    let state = &shared.streams;
-    let from = state.next.get();
-    let _reading = state.reading.lock().await;
-    // Another lookup may have read on meanwhile.
-    if state.next.get() > from {
-        return Ok(());
-    }
-    loop {
-        let next = state.next.get();
-        let read = shared
-            .store
-            .read(Topic::Streams, next, Duration::ZERO)
-            .await;
-        shared
-            .metrics
-            .record_store_call(Topic::Streams.label(), read.is_ok());
-        topics::check_era(shared);
-        let log = match read {
-            Ok(log) => log,
-            Err(StoreError::Trimmed(Some(first))) if first > next.offset => {
-                state.next.set(next.at(first));
-                continue;
-            }
-            Err(StoreError::OtherEra) if next.era < shared.store.era() => {
-                state.next.set(Position {
-                    era: shared.store.era(),
-                    offset: 0,
-                });
-                continue;
-            }
-            Err(e) => return Err(e),
-        };
-        if log.next == next {
-            return Ok(());
-        }
-        state.next.set(log.next);
-        let mut origins = state.origins.borrow_mut();
-        for record in &log.records {
-            if let Some(software) = decode_software(record) {
-                origins.insert(&record.key, &software);
-            }
-        }
-    }
-}
-
 /// Writes origins again, as the store may have lost them: as a holder all that are known, else those that
 /// this instance has not learned from the store.
 pub(crate) fn on_store_restored(shared: &Rc<Shared>) {
